Lay down the workspace, shared vocabulary and lints

Crates by role (core, wire, platform, entry, side, ctl, standin, load, macros), the messages between processes, names, units, contracts and configuration types.

--- /dev/null
+++ b/crates/core/src/units.rs
@@ -0,0 +1,98 @@
+//! Quantities with units, as they stand in settings and contracts.
+
+use std::fmt;
+use std::str::FromStr;
+
+use oriole_macros::failure;
+use serde::{Deserialize, Serialize};
+
+/// A rate, written with its unit, such as `"20/s"`, `"90/min"` or `"0.5/s"`.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Rate {
+    per_second: f64,
+}
+
+impl Rate {
+    /// A rate of `per_second` a second; negative and non-finite values become 0.
+    pub fn from_per_second(per_second: f64) -> Self {
+        let valid = per_second.is_finite() && per_second > 0.0;
+        Self { per_second: if valid { per_second } else { 0.0 } }
+    }
+
+    /// The rate a second.
+    pub fn per_second(self) -> f64 {
+        self.per_second
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.per_second)
+    }
+}
+
+impl From<Rate> for String {
+    fn from(rate: Rate) -> Self {
+        rate.to_string()
+    }
+}
+
+/// A text that is not a rate.
+#[failure]
+#[display("found {found:?}, expected a number and a unit such as \"20/s\" or \"90/min\"")]
+pub struct RateError {
+    /// The text.
+    #[error(not(source))]
+    pub found: String,
+}
+
+impl FromStr for Rate {
+    type Err = RateError;
+
+    fn from_str(text: &str) -> Result<Self, RateError> {
+        let fail = || RateError { found: text.to_owned() };
+        let (number, unit) = text.split_once('/').ok_or_else(fail)?;
+        let number: f64 = number.trim().parse().map_err(|_| fail())?;
+        let seconds = match unit.trim() {
+            "s" => 1.0,
+            "min" => 60.0,
+            "h" => 3600.0,
+            _ => return Err(fail()),
+        };
+        if !number.is_finite() || number < 0.0 {
+            return Err(fail());
+        }
+        Ok(Self { per_second: number / seconds })
+    }
+}
+
+impl TryFrom<String> for Rate {
+    type Error = RateError;
+
+    fn try_from(text: String) -> Result<Self, RateError> {
+        text.parse()
+    }
+}
+
+/// Serializes a duration with its unit, such as `"20s"` or `"250ms"`.
+pub mod duration {
+    use std::time::Duration;
+
+    use serde::de::Error;
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    /// Writes the duration with its unit.
+    pub fn serialize<S: Serializer>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(&humantime::format_duration(*value))
+    }
+
+    /// Reads a duration that must carry a unit.
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        humantime::parse_duration(&text).map_err(|e| {
+            let expected = "expected a number and a unit such as \"20s\" or \"250ms\"";
+            D::Error::custom(format!("found {text:?}, {expected}: {e}"))
+        })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the workspace layout.
