Add connections between processes and the engine interface

wire: CBOR frames over WebSocket, mutual proof of the secret, heartbeats that are frequent only while a connection carries work, and a hub that dials on demand. core::engine: the JSON that sides and engines exchange.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,10 +5,12 @@
 //!
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
+//! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
 
 pub mod config;
 pub mod contract;
+pub mod engine;
 pub mod message;
 pub mod name;
 pub mod request;
--- /dev/null
+++ b/crates/wire/src/conn.rs
@@ -0,0 +1,229 @@
+//! One open connection: batching, heartbeats and the deadline for silence.
+//!
+//! While a connection carries work it exchanges heartbeats often, so that a silent one is noticed
+//! soon; an idle one costs a heartbeat every few seconds.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use oriole_core::message::Message;
+use oriole_core::name;
+use std::pin::pin;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_tungstenite::tungstenite::Message as Packet;
+
+use crate::Error;
+use crate::frame::{self, Frame};
+use crate::handshake::Socket;
+use crate::hub::{Event, Kind};
+
+/// Most messages that are put into one frame.
+const MAX_BATCH: usize = 128;
+
+/// Bytes of payload after which a frame is closed, so that it stays far below the frame limit.
+const BATCH_PAYLOAD_BYTES: usize = 1024 * 1024;
+
+/// Intervals of heartbeats.
+#[derive(Clone, Copy, Debug)]
+pub struct Liveness {
+    /// Interval of heartbeats while the connection carries work.
+    pub busy_heartbeat: Duration,
+    /// Silence after which a connection that carries work is abandoned.
+    pub busy_silence: Duration,
+    /// Interval of heartbeats while the connection is idle.
+    pub idle_heartbeat: Duration,
+    /// Silence after which an idle connection is abandoned.
+    pub idle_silence: Duration,
+    /// How long a connection counts as busy after it carried work.
+    pub busy_period: Duration,
+    /// Time to connect and to prove identity.
+    pub connect_timeout: Duration,
+}
+
+impl Default for Liveness {
+    fn default() -> Self {
+        Self {
+            busy_heartbeat: Duration::from_millis(200),
+            busy_silence: Duration::from_millis(800),
+            idle_heartbeat: Duration::from_secs(5),
+            idle_silence: Duration::from_secs(16),
+            busy_period: Duration::from_secs(2),
+            connect_timeout: Duration::from_millis(500),
+        }
+    }
+}
+
+/// When the connection last carried work and was last heard, shared by reader and writer.
+pub(crate) struct Activity {
+    liveness: Liveness,
+    heard: Cell<Instant>,
+    busy_since: Cell<Instant>,
+    busy_last: Cell<Option<Instant>>,
+    changed: Notify,
+}
+
+impl Activity {
+    pub(crate) fn new(liveness: Liveness, now: Instant) -> Self {
+        Self {
+            liveness,
+            heard: Cell::new(now),
+            busy_since: Cell::new(now),
+            busy_last: Cell::new(None),
+            changed: Notify::new(),
+        }
+    }
+
+    /// When the peer was last heard.
+    pub(crate) fn heard(&self) -> Instant {
+        self.heard.get()
+    }
+
+    fn is_busy(&self, now: Instant, period: Duration) -> bool {
+        self.busy_last.get().is_some_and(|last| now < last + period)
+    }
+
+    fn carry(&self, now: Instant) {
+        if !self.is_busy(now, self.liveness.busy_period) {
+            self.busy_since.set(now);
+            self.changed.notify_waiters();
+        }
+        self.busy_last.set(Some(now));
+    }
+
+    /// When the connection is to be abandoned if nothing is heard.
+    fn deadline(&self, now: Instant) -> Instant {
+        if self.is_busy(now, self.liveness.busy_period) {
+            self.heard.get().max(self.busy_since.get()) + self.liveness.busy_silence
+        } else {
+            self.heard.get() + self.liveness.idle_silence
+        }
+    }
+
+    /// When a heartbeat is due after a frame sent at `sent`.
+    fn next_heartbeat(&self, now: Instant, sent: Instant) -> Instant {
+        // The sender stays busy for longer than the receiver expects it to.
+        let period = self.liveness.busy_period + self.liveness.busy_silence;
+        if self.is_busy(now, period) {
+            sent + self.liveness.busy_heartbeat
+        } else {
+            sent + self.liveness.idle_heartbeat
+        }
+    }
+}
+
+/// Runs a connection until it fails or `outbound` is closed.
+pub(crate) async fn run(
+    socket: Socket,
+    peer: name::Host,
+    activity: Rc<Activity>,
+    outbound: mpsc::Receiver<Message>,
+    events: mpsc::Sender<Event>,
+) -> Result<(), Error> {
+    let (sink, stream) = socket.split();
+    let reader = pin!(read(stream, peer, &activity, events));
+    let writer = pin!(write(sink, &activity, outbound));
+    match select(reader, writer).await {
+        Either::Left((result, _)) | Either::Right((result, _)) => result,
+    }
+}
+
+async fn read(
+    mut stream: SplitStream<Socket>,
+    peer: name::Host,
+    activity: &Activity,
+    events: mpsc::Sender<Event>,
+) -> Result<(), Error> {
+    loop {
+        let deadline = activity.deadline(Instant::now());
+        let packet = tokio::select! {
+            packet = stream.next() => packet,
+            () = activity.changed.notified() => continue,
+            () = sleep_until(deadline) => {
+                if activity.deadline(Instant::now()) > Instant::now() {
+                    continue;
+                }
+                return Err(Error::Silent);
+            }
+        };
+        let bytes = match packet {
+            Some(Ok(Packet::Binary(bytes))) => bytes,
+            Some(Ok(Packet::Close(_))) | None => return Err(Error::Closed),
+            Some(Ok(_)) => return Err(Error::OutOfPlace),
+            Some(Err(e)) => return Err(e.into()),
+        };
+        activity.heard.set(Instant::now());
+        match frame::decode(&bytes)? {
+            Frame::Heartbeat => {}
+            Frame::Batch(messages) => {
+                for message in messages {
+                    if message.request().is_some() {
+                        activity.carry(Instant::now());
+                    }
+                    let event = Event { host: peer.clone(), kind: Kind::Message(message) };
+                    events.send(event).await.map_err(|_| Error::Closed)?;
+                }
+            }
+            Frame::Hello(_) | Frame::Welcome(_) | Frame::Proof(_) => {
+                return Err(Error::OutOfPlace);
+            }
+        }
+    }
+}
+
+async fn write(
+    mut sink: SplitSink<Socket, Packet>,
+    activity: &Activity,
+    mut outbound: mpsc::Receiver<Message>,
+) -> Result<(), Error> {
+    let mut sent = Instant::now();
+    loop {
+        let heartbeat = activity.next_heartbeat(Instant::now(), sent);
+        let frame = tokio::select! {
+            message = outbound.recv() => match message {
+                Some(message) => gather(message, &mut outbound, activity),
+                None => break,
+            },
+            () = activity.changed.notified() => continue,
+            () = sleep_until(heartbeat) => Frame::Heartbeat,
+        };
+        let packet = Packet::Binary(frame::encode(&frame)?.into());
+        // A peer that does not read holds this task no longer than a silent one would.
+        timeout(activity.liveness.busy_silence, sink.send(packet))
+            .await
+            .map_err(|_| Error::Silent)??;
+        sent = Instant::now();
+    }
+    sink.close().await?;
+    Ok(())
+}
+
+/// Puts the messages that wait already into one frame.
+fn gather(first: Message, outbound: &mut mpsc::Receiver<Message>, activity: &Activity) -> Frame {
+    let mut batch = vec![first];
+    let mut payload = batch.iter().map(weight).sum::<usize>();
+    while batch.len() < MAX_BATCH && payload < BATCH_PAYLOAD_BYTES {
+        let Ok(message) = outbound.try_recv() else { break };
+        payload += weight(&message);
+        batch.push(message);
+    }
+    if batch.iter().any(|m| m.request().is_some()) {
+        activity.carry(Instant::now());
+    }
+    Frame::Batch(batch)
+}
+
+/// Bytes of payload of a message, roughly.
+fn weight(message: &Message) -> usize {
+    match message {
+        Message::Step(step) => step.activation.len(),
+        Message::Feed(feed) => feed.tokens.len() * 5,
+        Message::Call(call) => call.body.len(),
+        Message::Reply(reply) => reply.answer.body.len(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/handshake.rs
@@ -0,0 +1,137 @@
+//! The opening of a connection: both ends prove that they know the shared secret.
+
+use futures_util::{SinkExt, StreamExt};
+use hmac::{Hmac, KeyInit, Mac};
+use oriole_core::name;
+use sha2::Sha256;
+use tokio::net::TcpStream;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message as Packet;
+
+use crate::frame::{self, Frame, Hello, Nonce, Proof, VERSION, Welcome};
+use crate::{Error, frame::decode};
+
+/// A WebSocket over TCP.
+pub type Socket = WebSocketStream<TcpStream>;
+
+/// What one end brings to a handshake.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// The host of this process.
+    pub host: name::Host,
+    /// The secret that all processes of one deployment share.
+    pub secret: Vec<u8>,
+}
+
+/// Which end makes a proof; keeps one end's proof from being replayed as the other's.
+#[derive(Clone, Copy)]
+enum End {
+    Dialler,
+    Acceptor,
+}
+
+/// Runs the dialling end. The peer must be `expected`.
+pub async fn dial(
+    socket: &mut Socket,
+    identity: &Identity,
+    expected: &name::Host,
+) -> Result<(), Error> {
+    let nonce = nonce()?;
+    let hello = Hello { version: VERSION, host: identity.host.clone(), nonce };
+    send(socket, &Frame::Hello(hello)).await?;
+    let Frame::Welcome(welcome) = receive(socket).await? else {
+        return Err(Error::OutOfPlace);
+    };
+    check_version(welcome.version)?;
+    let transcript = Transcript {
+        dialler: &identity.host,
+        acceptor: &welcome.host,
+        dialler_nonce: nonce,
+        acceptor_nonce: welcome.nonce,
+    };
+    verify(identity, End::Acceptor, &transcript, &welcome.proof)?;
+    if welcome.host != *expected {
+        return Err(Error::Unproven);
+    }
+    let proof = prove(identity, End::Dialler, &transcript)?;
+    send(socket, &Frame::Proof(proof)).await
+}
+
+/// Runs the accepting end and returns the peer's host.
+pub async fn accept(socket: &mut Socket, identity: &Identity) -> Result<name::Host, Error> {
+    let Frame::Hello(hello) = receive(socket).await? else {
+        return Err(Error::OutOfPlace);
+    };
+    check_version(hello.version)?;
+    let nonce = nonce()?;
+    let transcript = Transcript {
+        dialler: &hello.host,
+        acceptor: &identity.host,
+        dialler_nonce: hello.nonce,
+        acceptor_nonce: nonce,
+    };
+    let proof = prove(identity, End::Acceptor, &transcript)?;
+    let host = identity.host.clone();
+    send(socket, &Frame::Welcome(Welcome { version: VERSION, host, nonce, proof })).await?;
+    let Frame::Proof(proof) = receive(socket).await? else {
+        return Err(Error::OutOfPlace);
+    };
+    verify(identity, End::Dialler, &transcript, &proof)?;
+    Ok(hello.host)
+}
+
+struct Transcript<'a> {
+    dialler: &'a name::Host,
+    acceptor: &'a name::Host,
+    dialler_nonce: Nonce,
+    acceptor_nonce: Nonce,
+}
+
+fn mac(identity: &Identity, end: End, t: &Transcript<'_>) -> Result<Hmac<Sha256>, Error> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(&identity.secret).map_err(|_| Error::Unproven)?;
+    mac.update(match end {
+        End::Dialler => b"oriole dialler",
+        End::Acceptor => b"oriole acceptor",
+    });
+    mac.update(&t.dialler_nonce);
+    mac.update(&t.acceptor_nonce);
+    for host in [t.dialler, t.acceptor] {
+        mac.update(&(host.as_str().len() as u64).to_be_bytes());
+        mac.update(host.as_str().as_bytes());
+    }
+    Ok(mac)
+}
+
+fn prove(identity: &Identity, end: End, t: &Transcript<'_>) -> Result<Proof, Error> {
+    Ok(mac(identity, end, t)?.finalize().into_bytes().into())
+}
+
+fn verify(identity: &Identity, end: End, t: &Transcript<'_>, proof: &Proof) -> Result<(), Error> {
+    // `verify_slice` compares in constant time.
+    mac(identity, end, t)?.verify_slice(proof).map_err(|_| Error::Unproven)
+}
+
+fn check_version(found: u16) -> Result<(), Error> {
+    if found == VERSION { Ok(()) } else { Err(Error::Version { found, expected: VERSION }) }
+}
+
+fn nonce() -> Result<Nonce, Error> {
+    let mut nonce = Nonce::default();
+    getrandom::fill(&mut nonce)?;
+    Ok(nonce)
+}
+
+async fn send(socket: &mut Socket, frame: &Frame) -> Result<(), Error> {
+    let bytes = frame::encode(frame)?;
+    socket.send(Packet::Binary(bytes.into())).await?;
+    Ok(())
+}
+
+async fn receive(socket: &mut Socket) -> Result<Frame, Error> {
+    match socket.next().await {
+        Some(Ok(Packet::Binary(bytes))) => decode(&bytes),
+        Some(Ok(Packet::Close(_))) | None => Err(Error::Closed),
+        Some(Ok(_)) => Err(Error::OutOfPlace),
+        Some(Err(e)) => Err(e.into()),
+    }
+}
