Add stand-in for engines and adapters for engines and plain services

Cause: sides need an engine to talk to, and tests need one whose answer shows each skipped, doubled or misordered layer or token. Change: standin::engine folds every activation through a rolling hash for each layer; standin::model computes the undisturbed answer; fault switches die, stall, slow, fail and lose replies. platform::engine and platform::service are the awc adapters with typed errors. A pooled connection that ends is reported as lost, not as unreachable: awc gives ConnectError::Disconnected for both, also after the call was sent. Conclusion: a chain of three engines over HTTP gives the expected answer.

--- /dev/null
+++ b/crates/platform/src/engine.rs
@@ -0,0 +1,108 @@
+//! Adapter for model engines: the HTTP interface that [`oriole_core::engine`] describes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use oriole_core::engine::{Batch, Cache, CacheEvents, Load, Order, Outcomes, State};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::http::{self, Request, Response};
+
+pub use crate::http::Error;
+
+/// Content type of all bodies.
+const JSON: &str = "application/json";
+
+/// A client of one engine. Clones share its connections.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// A client of the engine at `address`; connects when it is first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { http: http::client(), address }
+    }
+
+    /// Runs a batch of steps.
+    pub async fn steps(&self, batch: &Batch, timeout: Duration) -> Result<Outcomes, Error> {
+        let response = self.send(Method::POST, "/v1/steps", encode(batch)?, timeout).await?;
+        decode(response)
+    }
+
+    /// Frees the KV cache of a sequence; one that is not there counts as freed.
+    pub async fn free(&self, sequence: &str, timeout: Duration) -> Result<(), Error> {
+        let path = format!("/v1/sequences/{sequence}");
+        let response = self.send(Method::DELETE, &path, Bytes::new(), timeout).await?;
+        if response.status == StatusCode::NOT_FOUND { Ok(()) } else { succeed(&response) }
+    }
+
+    /// Exports the KV cache of a sequence.
+    pub async fn export(&self, sequence: &str, timeout: Duration) -> Result<Cache, Error> {
+        let path = format!("/v1/sequences/{sequence}/cache");
+        decode(self.send(Method::GET, &path, Bytes::new(), timeout).await?)
+    }
+
+    /// Imports the KV cache of a sequence.
+    pub async fn import(
+        &self,
+        sequence: &str,
+        cache: &Cache,
+        timeout: Duration,
+    ) -> Result<(), Error> {
+        let path = format!("/v1/sequences/{sequence}/cache");
+        succeed(&self.send(Method::PUT, &path, encode(cache)?, timeout).await?)
+    }
+
+    /// The engine's load, which may lag.
+    pub async fn load(&self, timeout: Duration) -> Result<Load, Error> {
+        decode(self.send(Method::GET, "/v1/load", Bytes::new(), timeout).await?)
+    }
+
+    /// Changes of the prefix cache after the event with the number `after`.
+    pub async fn cache_events(&self, after: u64, timeout: Duration) -> Result<CacheEvents, Error> {
+        let path = format!("/v1/cache-events?after={after}");
+        decode(self.send(Method::GET, &path, Bytes::new(), timeout).await?)
+    }
+
+    /// What the engine holds.
+    pub async fn state(&self, timeout: Duration) -> Result<State, Error> {
+        decode(self.send(Method::GET, "/v1/state", Bytes::new(), timeout).await?)
+    }
+
+    /// Gives the engine an order. [`Error::Status`] 409 means that its fencing number is old.
+    pub async fn order(&self, order: &Order, timeout: Duration) -> Result<State, Error> {
+        decode(self.send(Method::POST, "/v1/orders", encode(order)?, timeout).await?)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        let content_type = if body.is_empty() { "" } else { JSON };
+        let request = Request { method, path, content_type, body };
+        http::send(&self.http, self.address, request, timeout).await
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Bytes, Error> {
+    serde_json::to_vec(value).map(Bytes::from).map_err(|_| Error::Unsendable)
+}
+
+fn decode<T: DeserializeOwned>(response: Response) -> Result<T, Error> {
+    succeed(&response)?;
+    serde_json::from_slice(&response.body).map_err(|_| Error::Malformed)
+}
+
+fn succeed(response: &Response) -> Result<(), Error> {
+    let status = response.status;
+    if status.is_success() { Ok(()) } else { Err(Error::Status { status: status.as_u16() }) }
+}
--- /dev/null
+++ b/crates/standin/src/engine/sequence.rs
@@ -0,0 +1,108 @@
+//! The KV cache of one sequence for a range of layers.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use oriole_core::engine::Cache;
+use oriole_core::request::Position;
+
+use super::prefix;
+use crate::model::{self, Activation, Layer};
+
+/// Bytes of one layer's state at one position, and of one activation.
+const STATE_BYTES: usize = 8;
+
+/// One sequence.
+pub struct Sequence {
+    first_layer: u16,
+    layers: usize,
+    /// States of all layers after each position.
+    states: Vec<Layer>,
+    /// Positions and hash of the prefix that was run without a break, if it is known.
+    chain: Option<(Position, u64)>,
+}
+
+impl Sequence {
+    /// An empty sequence for `layers` layers from `first_layer` on.
+    pub fn new(first_layer: u16, layers: u16) -> Self {
+        let chain = Some((0, prefix::FNV_OFFSET));
+        Self { first_layer, layers: usize::from(layers), states: Vec::new(), chain }
+    }
+
+    /// Positions held.
+    pub fn positions(&self) -> Position {
+        let positions = self.states.len().checked_div(self.layers).unwrap_or_default();
+        Position::try_from(positions).unwrap_or(Position::MAX)
+    }
+
+    /// Drops all positions from `position` on.
+    pub fn truncate(&mut self, position: Position) {
+        if position >= self.positions() {
+            return;
+        }
+        self.states.truncate(position as usize * self.layers);
+        let whole = (position == 0).then_some((0, prefix::FNV_OFFSET));
+        self.chain = self.chain.filter(|(end, _)| *end <= position).or(whole);
+    }
+
+    /// Runs one position through all layers.
+    pub fn run(&mut self, mut activation: Activation) -> Activation {
+        let before = self.states.len().checked_sub(self.layers);
+        for offset in 0..self.layers {
+            let state = before.map_or(model::EMPTY, |start| self.states[start + offset]);
+            // A range of layers is made of numbers that fit.
+            let layer = self.first_layer + u16::try_from(offset).unwrap_or_default();
+            let (after, next) = model::run(layer, state, activation);
+            self.states.push(after);
+            activation = next;
+        }
+        activation
+    }
+
+    /// Takes the input of the position that was run last into the prefix's hash; returns the
+    /// hash if the position completed a block.
+    pub fn extend_prefix(&mut self, input: &[u8]) -> Option<u64> {
+        let (end, hash) = self.chain?;
+        if end + 1 != self.positions() {
+            self.chain = None;
+            return None;
+        }
+        let hash = prefix::hash(hash, input);
+        self.chain = Some((end + 1, hash));
+        ((end + 1) % prefix::BLOCK == 0).then_some(hash)
+    }
+
+    /// The KV cache for export.
+    pub fn export(&self) -> Cache {
+        let data: Vec<u8> = self.states.iter().flat_map(|s| s.to_le_bytes()).collect();
+        let layers = u16::try_from(self.layers).unwrap_or_default();
+        Cache {
+            first_layer: self.first_layer,
+            end_layer: self.first_layer + layers,
+            positions: self.positions(),
+            data: STANDARD.encode(data),
+        }
+    }
+
+    /// A sequence with the layers `first_layer..first_layer + layers` of an exported KV cache,
+    /// or nothing if the cache is malformed or does not hold them.
+    pub fn import(first_layer: u16, layers: u16, cache: &Cache) -> Option<Self> {
+        let held = usize::from(cache.end_layer.checked_sub(cache.first_layer)?);
+        let skip = usize::from(first_layer.checked_sub(cache.first_layer)?);
+        let take = usize::from(layers);
+        let data = STANDARD.decode(&cache.data).ok()?;
+        let expected = held.checked_mul(cache.positions as usize)?.checked_mul(STATE_BYTES)?;
+        if held == 0 || skip + take > held || data.len() != expected {
+            return None;
+        }
+        let rows = data.chunks_exact(held * STATE_BYTES);
+        let states = rows.flat_map(|row| decode(&row[skip * STATE_BYTES..]).take(take)).collect();
+        Some(Self { first_layer, layers: take, states, chain: None })
+    }
+}
+
+/// Decodes numbers, ignoring an incomplete one at the end.
+pub fn decode(bytes: &[u8]) -> impl Iterator<Item = u64> {
+    bytes
+        .chunks_exact(STATE_BYTES)
+        .map(|chunk| chunk.iter().rev().fold(0, |number, byte| (number << 8) | u64::from(*byte)))
+}
--- /dev/null
+++ b/crates/standin/src/engine/server.rs
@@ -0,0 +1,131 @@
+//! The HTTP interface of an engine.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use actix_http::{Method, StatusCode};
+use oriole_core::engine::{Batch, Cache, Order};
+use tokio::net::TcpListener;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+
+use super::{Engine, Error, Settings};
+use crate::fault::Switch;
+use crate::http::{self, Call, Reply};
+
+/// Start of the paths that concern one sequence.
+const SEQUENCES: &str = "/v1/sequences/";
+
+struct Server {
+    engine: RefCell<Engine>,
+    /// Held while a batch runs, so that batches run one after another.
+    turn: Mutex<()>,
+    switch: Switch,
+}
+
+/// Serves an engine until the switch tells it to die.
+pub async fn serve(listener: TcpListener, settings: Settings, switch: Switch) {
+    let engine = RefCell::new(Engine::new(settings));
+    let server = Server { engine, turn: Mutex::new(()), switch: switch.clone() };
+    let server = Rc::new(server);
+    let handler = move |call| {
+        let server = server.clone();
+        async move { server.answer(call).await }
+    };
+    http::serve(listener, switch, handler).await;
+}
+
+impl Server {
+    async fn answer(&self, call: Call) -> Reply {
+        self.switch.pass().await;
+        if self.switch.take_failure() {
+            return Reply::status(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+        let reply = self.route(&call).await;
+        // An engine that stalls in the middle of a call does not answer it.
+        self.switch.pass().await;
+        if self.switch.take_loss() { Reply::Cut } else { reply }
+    }
+
+    async fn route(&self, call: &Call) -> Reply {
+        let now = Instant::now();
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/steps") => self.steps(call).await,
+            (&Method::GET, "/v1/load") => {
+                Reply::json(StatusCode::OK, &self.engine.borrow_mut().load(now))
+            }
+            (&Method::GET, "/v1/state") => {
+                Reply::json(StatusCode::OK, &self.engine.borrow_mut().state(now))
+            }
+            (&Method::GET, "/v1/cache-events") => {
+                let after = after(&call.query);
+                Reply::json(StatusCode::OK, &self.engine.borrow().cache_events(now, after))
+            }
+            (&Method::POST, "/v1/orders") => self.order(call, now),
+            (_, path) => match path.strip_prefix(SEQUENCES) {
+                Some(rest) => self.sequence(call, rest),
+                None => Reply::status(StatusCode::NOT_FOUND),
+            },
+        }
+    }
+
+    async fn steps(&self, call: &Call) -> Reply {
+        let Ok(batch) = call.json::<Batch>() else {
+            return Reply::status(StatusCode::BAD_REQUEST);
+        };
+        let _turn = self.turn.lock().await;
+        self.switch.pass().await;
+        let run = self.engine.borrow_mut().run(Instant::now(), &batch);
+        match run {
+            Ok((outcomes, time)) => {
+                sleep(self.switch.scaled(time)).await;
+                Reply::json(StatusCode::OK, &outcomes)
+            }
+            Err(e) => refusal(e),
+        }
+    }
+
+    fn order(&self, call: &Call, now: Instant) -> Reply {
+        let Ok(order) = call.json::<Order>() else {
+            return Reply::status(StatusCode::BAD_REQUEST);
+        };
+        match self.engine.borrow_mut().order(now, order) {
+            Ok(state) => Reply::json(StatusCode::OK, &state),
+            Err(e) => refusal(e),
+        }
+    }
+
+    fn sequence(&self, call: &Call, rest: &str) -> Reply {
+        let mut engine = self.engine.borrow_mut();
+        let result = match (&call.method, rest.split_once('/')) {
+            (&Method::DELETE, None) => engine.free(rest).map(|()| None),
+            (&Method::GET, Some((name, "cache"))) => engine.export(name).map(Some),
+            (&Method::PUT, Some((name, "cache"))) => match call.json::<Cache>() {
+                Ok(cache) => engine.import(name, &cache).map(|()| None),
+                Err(_) => return Reply::status(StatusCode::BAD_REQUEST),
+            },
+            _ => return Reply::status(StatusCode::NOT_FOUND),
+        };
+        match result {
+            Ok(Some(cache)) => Reply::json(StatusCode::OK, &cache),
+            Ok(None) => Reply::status(StatusCode::NO_CONTENT),
+            Err(e) => refusal(e),
+        }
+    }
+}
+
+fn refusal(error: Error) -> Reply {
+    Reply::status(match error {
+        Error::NoModel => StatusCode::SERVICE_UNAVAILABLE,
+        Error::OldFence => StatusCode::CONFLICT,
+        Error::Absent => StatusCode::NOT_FOUND,
+        Error::Unfit => StatusCode::UNPROCESSABLE_ENTITY,
+    })
+}
+
+/// The number of the last event that the caller has seen, 0 if it names none.
+fn after(query: &str) -> u64 {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let value = pairs.find(|(key, _)| *key == "after").and_then(|(_, v)| v.parse().ok());
+    value.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,140 @@
+//! Fault switches of the stand-ins, usable from any thread.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+/// Which faults a stand-in shows now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Faults {
+    /// The process has died: no listener, no connections.
+    pub dead: bool,
+    /// Calls are accepted but nothing goes on.
+    pub stalled: bool,
+    /// Factor by which running takes longer.
+    pub slowness: f64,
+    /// Calls that fail before they run.
+    pub fail_next: u32,
+    /// Calls whose reply is lost after they ran.
+    pub lose_replies: u32,
+    /// Whether the process dies in the middle of the next call, after it took effect.
+    pub die_after_running: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            dead: false,
+            stalled: false,
+            slowness: 1.0,
+            fail_next: 0,
+            lose_replies: 0,
+            die_after_running: false,
+        }
+    }
+}
+
+/// A handle on the faults of one stand-in. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    faults: Arc<watch::Sender<Faults>>,
+}
+
+impl Default for Switch {
+    fn default() -> Self {
+        Self { faults: Arc::new(watch::Sender::new(Faults::default())) }
+    }
+}
+
+impl Switch {
+    /// A switch without faults.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Ends the stand-in as the death of its process would.
+    pub fn die(&self) {
+        self.faults.send_modify(|f| f.dead = true);
+    }
+
+    /// Lets the stand-in be served again; its server must be started anew.
+    pub fn revive(&self) {
+        self.faults.send_replace(Faults::default());
+    }
+
+    /// Accepts calls without going on with them, or goes on again.
+    pub fn stall(&self, stalled: bool) {
+        self.faults.send_modify(|f| f.stalled = stalled);
+    }
+
+    /// Makes running take `slowness` times as long.
+    pub fn slow(&self, slowness: f64) {
+        self.faults.send_modify(|f| f.slowness = slowness.max(0.0));
+    }
+
+    /// Makes the next `calls` calls fail before they run.
+    pub fn fail_next(&self, calls: u32) {
+        self.faults.send_modify(|f| f.fail_next = calls);
+    }
+
+    /// Loses the replies of the next `calls` calls after they ran.
+    pub fn lose_replies(&self, calls: u32) {
+        self.faults.send_modify(|f| f.lose_replies = calls);
+    }
+
+    /// Dies in the middle of the next call, after it took effect.
+    pub fn die_after_running(&self) {
+        self.faults.send_modify(|f| f.die_after_running = true);
+    }
+
+    /// The faults now.
+    pub fn faults(&self) -> Faults {
+        *self.faults.borrow()
+    }
+
+    /// Returns when the stand-in is to die.
+    pub async fn death(&self) {
+        let mut faults = self.faults.subscribe();
+        if faults.wait_for(|f| f.dead).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits while the stand-in is stalled.
+    pub async fn pass(&self) {
+        let mut faults = self.faults.subscribe();
+        let _ = faults.wait_for(|f| !f.stalled).await;
+    }
+
+    /// Takes one of the calls that are to fail.
+    pub(crate) fn take_failure(&self) -> bool {
+        self.take(|f| &mut f.fail_next)
+    }
+
+    /// Takes one of the replies that are to be lost, and dies if that was asked for.
+    pub(crate) fn take_loss(&self) -> bool {
+        if self.faults().die_after_running {
+            self.die();
+            return true;
+        }
+        self.take(|f| &mut f.lose_replies)
+    }
+
+    /// How long running takes instead of `duration`.
+    pub(crate) fn scaled(&self, duration: Duration) -> Duration {
+        Duration::try_from_secs_f64(duration.as_secs_f64() * self.faults().slowness)
+            .unwrap_or(Duration::MAX)
+    }
+
+    fn take(&self, count: impl Fn(&mut Faults) -> &mut u32) -> bool {
+        let mut taken = false;
+        self.faults.send_if_modified(|f| {
+            let left = count(f);
+            taken = *left > 0;
+            *left = left.saturating_sub(1);
+            taken
+        });
+        taken
+    }
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,177 @@
+//! A small HTTP server with fault switches, shared by the stand-ins.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+use crate::fault::Switch;
+
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Time for which an idle connection is kept open.
+const KEEP_ALIVE: Duration = Duration::from_secs(600);
+
+/// A request with its whole body.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Query, empty if there is none.
+    pub query: String,
+    /// Content type, empty if there is none.
+    pub content_type: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// The body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, serde_json::Error> {
+        serde_json::from_slice(&self.body)
+    }
+}
+
+/// What the stand-in does with a request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Answers it.
+    Answer {
+        /// HTTP status.
+        status: StatusCode,
+        /// Content type of the body.
+        content_type: String,
+        /// Body.
+        body: Bytes,
+    },
+    /// Closes the connection without an answer.
+    Cut,
+}
+
+impl Reply {
+    /// An answer without a body.
+    pub fn status(status: StatusCode) -> Self {
+        Self::Answer { status, content_type: "text/plain".to_owned(), body: Bytes::new() }
+    }
+
+    /// An answer in JSON.
+    pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::Answer {
+                status,
+                content_type: "application/json".to_owned(),
+                body: body.into(),
+            },
+            Err(_) => Self::status(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+/// Serves `handler` until the switch tells the stand-in to die.
+///
+/// Death drops the listener and all connections, as the death of a process does.
+pub async fn serve<H, F>(listener: TcpListener, switch: Switch, handler: H)
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let mut death = pin!(switch.death());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut death => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            actix_rt::spawn(connection(stream, switch.clone(), handler.clone()));
+        }
+    }
+}
+
+async fn connection<H, F>(stream: TcpStream, switch: Switch, handler: H)
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    // Without it, small answers wait for the peer's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let cut = Rc::new(Notify::new());
+    let served = serve_connection(stream, cut.clone(), handler);
+    tokio::select! {
+        () = served => {}
+        () = cut.notified() => {}
+        () = switch.death() => {}
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, cut: Rc<Notify>, handler: H)
+where
+    H: Fn(Call) -> F + Clone + 'static,
+    F: Future<Output = Reply> + 'static,
+{
+    let factory = HttpService::build()
+        .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(KEEP_ALIVE)
+        .finish(fn_service(move |request| answer(request, cut.clone(), handler.clone())))
+        .tcp();
+    if let Ok(service) = factory.new_service(()).await {
+        // The end of a connection, for whatever reason, ends its task.
+        let _ = service.call(stream).await;
+    }
+}
+
+async fn answer<H, F>(
+    request: Request,
+    cut: Rc<Notify>,
+    handler: H,
+) -> Result<Response<BoxBody>, Infallible>
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Reply>,
+{
+    let Some(call) = read(request).await else {
+        return Ok(Response::new(StatusCode::PAYLOAD_TOO_LARGE).set_body(BoxBody::new(())));
+    };
+    match handler(call).await {
+        Reply::Answer { status, content_type, body } => Ok(Response::build(status)
+            .insert_header(("content-type", content_type))
+            .body(body)
+            .map_into_boxed_body()),
+        Reply::Cut => {
+            cut.notify_one();
+            std::future::pending().await
+        }
+    }
+}
+
+async fn read(mut request: Request) -> Option<Call> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+        if body.len() > MAX_BODY_BYTES {
+            return None;
+        }
+    }
+    let content_type = request.headers().get("content-type").and_then(|v| v.to_str().ok());
+    Some(Call {
+        method: request.method().clone(),
+        path: request.path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        content_type: content_type.unwrap_or_default().to_owned(),
+        body: body.freeze(),
+    })
+}
--- /dev/null
+++ b/crates/standin/tests/engine.rs
@@ -0,0 +1,181 @@
+//! The stand-in for engines over HTTP, through the platform's adapter.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use oriole_core::engine::{Action, Batch, Input, Order, Output, Step, StepError};
+use oriole_core::message::Sample;
+use oriole_platform::engine::{Client, Error};
+use oriole_standin::engine::{Settings, prefix, server};
+use oriole_standin::fault::Switch;
+use oriole_standin::model;
+use tokio::net::TcpListener;
+
+const LAYERS: u16 = 8;
+const TIMEOUT: Duration = Duration::from_secs(5);
+const SEED: u64 = 7;
+
+async fn start(first_layer: u16, end_layer: u16, checks_fencing: bool) -> (Client, Switch) {
+    let settings = Settings {
+        model: Some("assist-model".into()),
+        layers: LAYERS,
+        first_layer,
+        end_layer,
+        step_time: Duration::ZERO,
+        prompt_token_time: Duration::ZERO,
+        order_time: Duration::ZERO,
+        checks_fencing,
+        load_lag: Duration::ZERO,
+        publishing: prefix::Publishing { delay: Duration::ZERO, lose_one_in: 0 },
+        ..Settings::default()
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new(listener.local_addr().unwrap());
+    let switch = Switch::new();
+    actix_rt::spawn(server::serve(listener, settings, switch.clone()));
+    (client, switch)
+}
+
+fn step(position: u32, input: Input, sample: bool) -> Batch {
+    let sequence = "req-1".to_owned();
+    Batch { steps: vec![Step { sequence, position, input, sample, seed: SEED, priority: 3 }] }
+}
+
+/// Runs tokens through a chain and returns the sampled token.
+async fn pass(chain: &[Client], position: u32, tokens: &[u32]) -> Result<Sample, StepError> {
+    let mut input = Input::Tokens(tokens.to_vec());
+    for client in chain {
+        let mut outcomes = client.steps(&step(position, input, true), TIMEOUT).await.unwrap();
+        match outcomes.outcomes.remove(0)? {
+            Output::Activation(data) => {
+                input = Input::Activation { count: tokens.len() as u32, data };
+            }
+            Output::Sample(sample) => return Ok(sample),
+            Output::Nothing => panic!("no sample"),
+        }
+    }
+    panic!("chain does not reach the last layer")
+}
+
+async fn chain() -> (Vec<Client>, Vec<Switch>) {
+    let mut all = (Vec::new(), Vec::new());
+    for (first, end) in [(0, 3), (3, 5), (5, LAYERS)] {
+        let (client, switch) = start(first, end, true).await;
+        all.0.push(client);
+        all.1.push(switch);
+    }
+    all
+}
+
+async fn generate(chain: &[Client], prompt: &[u32], max_tokens: usize) -> Vec<Sample> {
+    let mut answer: Vec<Sample> = Vec::new();
+    let mut next = pass(chain, 0, prompt).await.unwrap();
+    while !next.end && answer.len() < max_tokens {
+        let position = (prompt.len() + answer.len()) as u32;
+        answer.push(next.clone());
+        next = pass(chain, position, &[next.token]).await.unwrap();
+    }
+    answer
+}
+
+fn expected(prompt: &[u32], max_tokens: u32) -> Vec<Sample> {
+    model::expected(&model::Request { prompt, seed: SEED, max_tokens, layers: LAYERS })
+}
+
+#[actix_rt::test]
+async fn chain_gives_the_expected_answer() {
+    let (chain, _switches) = chain().await;
+    let prompt = [5, 6, 7, 8];
+    assert_eq!(generate(&chain, &prompt, 20).await, expected(&prompt, 20));
+}
+
+#[actix_rt::test]
+async fn doubled_and_skipped_positions_change_the_answer() {
+    assert_ne!(expected(&[1, 2, 3], 5), expected(&[1, 2, 2, 3], 5));
+    assert_ne!(expected(&[1, 2, 3], 5), expected(&[1, 3], 5));
+    assert_ne!(expected(&[1, 2, 3], 5), expected(&[2, 1, 3], 5));
+}
+
+#[actix_rt::test]
+async fn rollback_repeats_the_same_tokens() {
+    let (chain, _switches) = chain().await;
+    let first = pass(&chain, 0, &[1, 2, 3]).await.unwrap();
+    let second = pass(&chain, 3, &[first.token]).await.unwrap();
+    pass(&chain, 4, &[second.token]).await.unwrap();
+    assert_eq!(pass(&chain, 3, &[first.token]).await.unwrap(), second);
+}
+
+#[actix_rt::test]
+async fn gap_is_refused() {
+    let (chain, _switches) = chain().await;
+    pass(&chain, 0, &[1, 2]).await.unwrap();
+    assert_eq!(pass(&chain, 3, &[9]).await, Err(StepError::Gap));
+}
+
+#[actix_rt::test]
+async fn imported_cache_goes_on_like_the_exported_one() {
+    let (chain, _switches) = chain().await;
+    let first = pass(&chain, 0, &[1, 2, 3]).await.unwrap();
+    let (wide, _switch) = start(3, LAYERS, true).await;
+    let (narrow, _switch) = start(3, 5, true).await;
+    let cache = chain[1].export("req-1", TIMEOUT).await.unwrap();
+    narrow.import("req-1", &cache, TIMEOUT).await.unwrap();
+    let unfit = wide.import("req-1", &cache, TIMEOUT).await;
+    assert_eq!(unfit, Err(Error::Status { status: 422 }));
+    let other = [chain[0].clone(), narrow, chain[2].clone()];
+    let moved = pass(&other, 3, &[first.token]).await.unwrap();
+    assert_eq!(moved, pass(&chain, 3, &[first.token]).await.unwrap());
+}
+
+#[actix_rt::test]
+async fn freed_sequence_is_gone() {
+    let (chain, _switches) = chain().await;
+    pass(&chain, 0, &[1, 2, 3]).await.unwrap();
+    assert_eq!(chain[0].load(TIMEOUT).await.unwrap().sequences, 1);
+    chain[0].free("req-1", TIMEOUT).await.unwrap();
+    assert_eq!(chain[0].load(TIMEOUT).await.unwrap().sequences, 0);
+    chain[0].free("req-1", TIMEOUT).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn fencing_number_is_checked_only_where_it_is_said() {
+    let order = |number, fence| Order { number, fence, action: Action::UnloadModel };
+    let (strict, _switch) = start(0, LAYERS, true).await;
+    strict.order(&order(1, 5), TIMEOUT).await.unwrap();
+    let refused = strict.order(&order(2, 4), TIMEOUT).await;
+    assert_eq!(refused, Err(Error::Status { status: 409 }));
+    let (lax, _switch) = start(0, LAYERS, false).await;
+    lax.order(&order(1, 5), TIMEOUT).await.unwrap();
+    lax.order(&order(2, 4), TIMEOUT).await.unwrap();
+    let state = lax.state(TIMEOUT).await.unwrap();
+    assert_eq!((state.order, state.fence, state.model), (2, 0, None));
+}
+
+#[actix_rt::test]
+async fn whole_blocks_of_a_prompt_are_announced() {
+    let (chain, _switches) = chain().await;
+    let prompt: Vec<u32> = (0..40).collect();
+    pass(&chain, 0, &prompt).await.unwrap();
+    let events = chain[0].cache_events(0, TIMEOUT).await.unwrap();
+    assert_eq!(events.stored, prefix::hashes(&prompt));
+    assert!(chain[0].cache_events(events.last, TIMEOUT).await.unwrap().stored.is_empty());
+}
+
+#[actix_rt::test]
+async fn faults_show_as_typed_errors() {
+    let (client, switch) = start(0, LAYERS, true).await;
+    let batch = step(0, Input::Tokens(vec![1]), true);
+    switch.fail_next(1);
+    assert_eq!(client.steps(&batch, TIMEOUT).await, Err(Error::Status { status: 500 }));
+    switch.lose_replies(1);
+    assert_eq!(client.steps(&batch, TIMEOUT).await, Err(Error::Lost));
+    switch.stall(true);
+    let stalled = client.steps(&batch, Duration::from_millis(50)).await;
+    assert_eq!(stalled, Err(Error::Timeout));
+    switch.stall(false);
+    client.steps(&batch, TIMEOUT).await.unwrap();
+    switch.die();
+    // The first call may still meet the dying connection; then no listener is left.
+    let _ = client.steps(&batch, TIMEOUT).await;
+    assert_eq!(client.steps(&batch, TIMEOUT).await, Err(Error::Unreachable));
+}
