Add thin decision machines of entry and side

The entry drives each generation: it opens the stages, feeds the first, takes samples from the last, and starts a new attempt when a stage fails. The side runs each position once and answers repetitions from memory. Thin: random choice of chain, refill from the start, first-in-first-out queue.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,10 +11,13 @@
 pub mod config;
 pub mod contract;
 pub mod engine;
+pub mod entry;
 pub mod message;
 pub mod name;
 pub mod request;
 pub mod revision;
 pub mod share;
+pub mod side;
 pub mod time;
+pub mod token;
 pub mod units;
