core::config: load and write the configuration as TOML documents

Operators write contracts and configuration as files; a mistake must be told with file, key, what was found and what is allowed before it reaches anything.

Config::load reads documents by name and reports all faults at once; parse errors of the TOML library are mapped to a line and key by their span. Checks that span documents: names, ranges, layer chains without gap, hosts and addresses, links, key hashes, bursts, deadlines. Config::documents is the reverse, for tools that generate examples.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,4 +1,13 @@
-//! The configuration that every process shares: what exists, besides the contracts.
+//! The configuration that every process shares: what exists, and the contracts.
+//!
+//! Operators write it as a set of TOML documents, one a file: `models`, `services`, `endpoints`,
+//! `links`, `entries`, `weights` and `contract/<workspace>`. [`Config::load`] turns their text
+//! into a [`Config`] or into an [`Error`] that names every [`Fault`] found, and
+//! [`Config::documents`] does the reverse. Reading files is left to an adapter.
+
+mod check;
+mod document;
+mod fault;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,6 +19,9 @@
 use crate::name;
 use crate::units;
 
+pub use self::document::{DOCUMENT_LIMIT_BYTES, is_document};
+pub use self::fault::{Error, Fault, Reason};
+
 /// The whole configuration of one revision.
 #[data]
 #[derive(Default)]
