--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -1,5 +1,6 @@
 //! Loading of the configuration: what is accepted, and what each refusal names.
 
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 use std::collections::BTreeMap;
 
 use oriole_core::config::{Config, DOCUMENT_LIMIT_BYTES, Fault, Reason};
