Let sides prove what their records cover

Request ids carry the entry's boot number only, so a restarted side could not tell a first sending from a repetition of one that its predecessor ran. Term (boot and epoch of the side) goes into Load, and from there into Open, Call and Resolve. Also refusals Restarted and KeyMismatch. Shared types: entries must fill in `term` from the latest Load (Term::default() is 'not known').

--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use oriole_macros::data;
+use oriole_macros::{data, key};
 
 use crate::request::{Attempt, Id, Position, Refusal, Refused};
 use crate::{name, revision, share};
@@ -66,6 +66,20 @@
     pub end: u16,
 }
 
+/// What a side's records of requests cover: one run of the side and a period within it.
+///
+/// An entry copies the latest one that the side told it into whatever may run there, and leaves
+/// it as it is when it sends the same message again. A side that no longer has the records of
+/// that time then knows that it cannot know. See `docs/design/at-most-once.md`.
+#[key]
+#[derive(Default)]
+pub struct Term {
+    /// Random number that the side drew when it started; 0 stands for "not known".
+    pub boot: u32,
+    /// Counts up once each `ledger::EPOCH_MS` while the side runs.
+    pub epoch: u32,
+}
+
 /// Prepares one stage of a chain for an attempt.
 #[data]
 pub struct Open {
@@ -95,6 +109,8 @@
     pub seed: u64,
     /// Number of the roster under which the request was admitted.
     pub roster: u64,
+    /// The side's term when this was first sent.
+    pub term: Term,
 }
 
 /// Runs tokens through the chain.
@@ -162,6 +178,8 @@
     pub request: Id,
     /// The attempt; it and all earlier ones are resolved.
     pub attempt: Attempt,
+    /// The side's term when this was first sent.
+    pub term: Term,
 }
 
 /// The stage is prepared.
@@ -300,6 +318,8 @@
     pub body: Vec<u8>,
     /// Number of the roster under which the request was admitted.
     pub roster: u64,
+    /// The side's term when this was first sent.
+    pub term: Term,
 }
 
 /// A plain service's answer.
@@ -342,6 +362,8 @@
     pub free: u32,
     /// Hashes of prompt prefixes that were recently added to the engine's cache.
     pub prefixes: Vec<u64>,
+    /// The side's present term.
+    pub term: Term,
 }
 
 /// Asks a key's home whether a request may run.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -137,6 +137,12 @@
     /// The caller went away.
     #[display("cancelled")]
     Cancelled,
+    /// The side holds no records of the time at which the work was first sent to it.
+    #[display("restarted")]
+    Restarted,
+    /// The idempotency key was used before for another request.
+    #[display("key-mismatch")]
+    KeyMismatch,
     /// The entry is stopping.
     #[display("stopping")]
     Stopping,
