--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use crate::config::Config;
-use crate::message::{Answer, Load, Message, Stage, not_run};
+use crate::message::{Answer, Load, Message, Stage, Term, not_run};
 use crate::name;
 use crate::request::{Id, Refusal, Refused};
 use crate::time::Instant;
@@ -203,6 +203,11 @@
         self.calls.remove(&id);
     }
 
+    /// What the endpoint's side last said its records cover.
+    fn term(&self, endpoint: &name::Endpoint) -> Term {
+        self.loads.get(endpoint).map(|load| load.term).unwrap_or_default()
+    }
+
     /// A number below `bound`, which must not be 0 (SplitMix64).
     fn draw(&mut self, bound: usize) -> usize {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -51,6 +51,7 @@
             content_type: request.content_type,
             body: request.body,
             roster: 0,
+            term: self.term(&stage.endpoint),
         };
         effects.push(send(&stage, Message::Call(call.clone())));
         self.calls.insert(id, Pending { call, stage, deadline, resolving: false });
@@ -82,7 +83,8 @@
                 over.push(*id);
             } else if !pending.resolving && as_us(pending.deadline.since(now)) < RESOLVE_MS * 1000 {
                 pending.resolving = true;
-                let resolve = Resolve { request: *id, attempt: pending.call.attempt };
+                let (attempt, term) = (pending.call.attempt, pending.call.term);
+                let resolve = Resolve { request: *id, attempt, term };
                 effects.push(send(&pending.stage, Message::Resolve(resolve)));
             }
         }
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::message::{Broken, Cancel, Fault, Feed, Message, Open, Opened, Refuse, Stage, Token};
+use crate::message::{
+    Broken, Cancel, Fault, Feed, Message, Open, Opened, Refuse, Stage, Term, Token,
+};
 use crate::name;
 use crate::request::{Attempt, Id, Position, Ran, Refusal, Refused};
 use crate::time::{Instant, as_us};
@@ -117,10 +119,14 @@
             tokens: work.most_tokens(),
             seed: work.request.seq,
             roster: 0,
+            term: Term::default(),
         };
         let stages = work.chain.iter().zip(0_u16..).filter(|(_, index)| waiting.contains(index));
         stages
-            .map(|(stage, index)| send(stage, Message::Open(Open { stage: index, ..open.clone() })))
+            .map(|(stage, index)| {
+                let term = self.term(&stage.endpoint);
+                send(stage, Message::Open(Open { stage: index, term, ..open.clone() }))
+            })
             .collect()
     }
 
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 
 use crate::config::{Config, Kind};
-use crate::message::{Answer, Call, Load, Message, Open, Refuse, not_run};
+use crate::message::{Answer, Call, Load, Message, Open, Refuse, Term, not_run};
 use crate::request::{Id, Position, Refusal};
 use crate::time::Instant;
 use crate::{engine, name};
@@ -200,6 +200,7 @@
             batch_us: self.batch_us,
             free: 0,
             prefixes: Vec::new(),
+            term: Term::default(),
         }
     }
 }
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -41,13 +41,14 @@
             StatusCode::TOO_MANY_REQUESTS
         }
         Refusal::Deadline => StatusCode::GATEWAY_TIMEOUT,
-        Refusal::KeyInUse | Refusal::OutcomeUnknown => StatusCode::CONFLICT,
+        Refusal::KeyInUse | Refusal::KeyMismatch | Refusal::OutcomeUnknown => StatusCode::CONFLICT,
         Refusal::EndpointFailed => StatusCode::BAD_GATEWAY,
         Refusal::NoChain
         | Refusal::Leaving
         | Refusal::QueueFull
         | Refusal::Fenced
         | Refusal::Superseded
+        | Refusal::Restarted
         | Refusal::RetryBudget
         | Refusal::HomeUnreachable
         | Refusal::Cancelled
