--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,11 @@
-//! Ports and adapters: the outside systems as the processes see them.
+//! Ports and adapters: how the system's processes meet what lies outside of them.
+//!
+//! - [`clock`]: the process's monotonic clock as the decisions see it.
+//! - [`server`]: an HTTP server on a given listener.
+//! - [`engine`], [`service`]: adapters for model engines and plain services over [`http`].
 
+pub mod clock;
 pub mod engine;
 pub mod http;
+pub mod server;
 pub mod service;
