Choose chains by estimated time, recover within bounds, explain decisions

Cause: the thin entry picked endpoints at random, sent again on fixed time-outs, freed the KV cache of stages that survive, and kept no record.

Change: core::plan (shortest path over a few random endpoints of each layer range; load reports corrected by own dispatches, observed step times and links that fade), core::answer (assembler), core::retry (budget, backoff), core::recover (time-outs from the expected step time, rollback, import or refill), core::explain (bounded records) and an entry machine on top of them, with counters for each refusal and retry reason.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -3,148 +3,126 @@
 //! [`Machine`] takes events and the present time and returns effects. It is the driver of each
 //! generation: it opens the stages of a chain, feeds tokens to the first one, takes the sampled
 //! token from the last, and when a stage fails goes on from the last position delivered.
+//!
+//! - `generation`: a generation while all goes well.
+//! - `recovery`: what is done when it does not.
+//! - `call`: calls of plain services.
+//! - [`count`]: counters for each refusal and retry reason.
 
 mod call;
+pub mod count;
+mod event;
 mod generation;
-mod plan;
+mod pending;
+mod recovery;
+mod work;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::config::Config;
-use crate::message::{Answer, Load, Message, Stage, Term, not_run};
-use crate::name;
+use crate::estimate::Draw;
+use crate::explain::{self, Fact};
+use crate::message::{Message, Stage, Term};
+use crate::plan::Planner;
 use crate::request::{Id, Refusal, Refused};
-use crate::time::Instant;
-
-use call::Pending;
-use generation::Work;
-
-/// A generation that a caller asks for.
-#[derive(Clone, Debug)]
-pub struct Generate {
-    /// The workspace that pays.
-    pub workspace: name::Workspace,
-    /// The model.
-    pub model: name::Model,
-    /// The prompt.
-    pub prompt: Vec<u32>,
-    /// Most tokens of the answer.
-    pub max_tokens: u32,
-    /// Time until the answer must be complete.
-    pub deadline: Option<Duration>,
-}
-
-/// A call of a plain service that a caller asks for.
-#[derive(Clone, Debug)]
-pub struct Request {
-    /// The workspace that pays.
-    pub workspace: name::Workspace,
-    /// The service.
-    pub service: name::Service,
-    /// HTTP method.
-    pub method: String,
-    /// Path and query at the service.
-    pub path: String,
-    /// Content type of the body.
-    pub content_type: String,
-    /// The body.
-    pub body: Vec<u8>,
-    /// Time until the answer must be complete.
-    pub deadline: Option<Duration>,
-}
+use crate::retry;
+use crate::time::{Instant, as_us};
+use crate::{contract, name};
 
-/// Something that an entry must react to.
-#[derive(Debug)]
-pub enum Event {
-    /// A caller asks for a generation.
-    Generate(Id, Generate),
-    /// A caller asks for a call of a plain service.
-    Call(Id, Request),
-    /// The caller went away.
-    Gone(Id),
-    /// A message arrived.
-    Message {
-        /// The sender.
-        from: name::Host,
-        /// The message.
-        message: Message,
-    },
-    /// A connection to a host ended; messages sent to it may be lost.
-    Lost(name::Host),
-    /// Time has passed.
-    Tick,
-}
+use count::{Counter, Counters};
+use pending::Pending;
+use work::Work;
 
-/// Something that the adapter must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Sends a message to a host, dialling the address if one is given.
-    Send {
-        /// The receiver.
-        host: name::Host,
-        /// Where it listens.
-        address: Option<SocketAddr>,
-        /// The message.
-        message: Message,
-    },
-    /// Delivers a piece of the answer to the caller.
-    Deliver {
-        /// The request.
-        request: Id,
-        /// Text of one token.
-        text: String,
-    },
-    /// Ends a request; nothing follows.
-    Finish {
-        /// The request.
-        request: Id,
-        /// How it ended.
-        outcome: Outcome,
-    },
-}
+pub use event::{Effect, Event, Generate, Outcome, Request};
 
-/// How a request ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Outcome {
-    /// A generation is complete.
-    Complete {
-        /// Tokens of the prompt.
-        prompt: u32,
-        /// Tokens of the answer.
-        answer: u32,
-        /// Whether the model ended the answer by itself.
-        ended: bool,
-    },
-    /// A plain service has answered.
-    Answered(Answer),
-    /// Refused.
-    Refused(Refused),
-}
+/// Interval at which the planner drops what has faded.
+const FORGET: Duration = Duration::from_secs(10);
 
 /// All decisions of one entry.
 pub struct Machine {
     config: Config,
+    revision: u64,
+    planner: Planner,
     works: BTreeMap<Id, Work>,
     calls: BTreeMap<Id, Pending>,
-    loads: BTreeMap<name::Endpoint, Load>,
-    /// Endpoints that failed lately, with the time until which they are avoided.
-    avoided: BTreeMap<name::Endpoint, Instant>,
-    random: u64,
+    /// Hosts whose connection ended, with the time of it; they may be dead.
+    doubts: BTreeMap<name::Host, Instant>,
+    /// Hosts that are held to be dead, with the time until which nothing is sent there.
+    lost: BTreeMap<name::Host, Instant>,
+    /// When each endpoint was last heard to make progress.
+    heard: BTreeMap<name::Endpoint, Instant>,
+    terms: BTreeMap<name::Endpoint, Term>,
+    budget: retry::Budget,
+    /// Part of the allowed answer length that answers use, by model.
+    lengths: BTreeMap<name::Model, f64>,
+    records: explain::Store,
+    counters: Counters,
+    draw: Draw,
+    forgotten: Instant,
+    stopping: bool,
+}
+
+/// What an operator sees of an entry's state.
+#[oriole_macros::data]
+pub struct Status {
+    /// Number of the configuration's revision.
+    pub revision: u64,
+    /// Generations in progress.
+    pub generations: usize,
+    /// Calls in progress.
+    pub calls: usize,
+    /// Hosts that cannot be reached.
+    pub lost: Vec<name::Host>,
+    /// Links that are well over their configured latency.
+    pub degraded: Vec<explain::Link>,
+    /// Whether the entry is stopping.
+    pub stopping: bool,
 }
 
 impl Machine {
     /// A machine that works by `config`; `seed` starts its choices among equals.
     pub fn new(config: Config, seed: u64) -> Self {
-        Self {
-            config,
+        let now = Instant::default();
+        let mut machine = Self {
+            config: Config::default(),
+            revision: 0,
+            planner: Planner::new("".into(), "".into()),
             works: BTreeMap::new(),
             calls: BTreeMap::new(),
-            loads: BTreeMap::new(),
-            avoided: BTreeMap::new(),
-            random: seed,
-        }
+            doubts: BTreeMap::new(),
+            lost: BTreeMap::new(),
+            heard: BTreeMap::new(),
+            terms: BTreeMap::new(),
+            budget: retry::Budget::new(now),
+            lengths: BTreeMap::new(),
+            records: explain::Store::default(),
+            counters: Counters::default(),
+            draw: Draw::new(seed),
+            forgotten: now,
+            stopping: false,
+        };
+        machine.configure(0, config);
+        machine
+    }
+
+    /// The same machine on `host`, which tells its availability zone by the configuration.
+    pub fn on_host(mut self, host: &name::Host) -> Self {
+        let zone = self.config.entries.get(host).map_or("".into(), |entry| entry.zone.clone());
+        self.planner = Planner::new(host.clone(), zone);
+        self.planner.configure(&self.config);
+        self
+    }
+
+    /// Works by `config`, which is revision `number`, from now on.
+    pub fn configure(&mut self, number: u64, config: Config) {
+        self.planner.configure(&config);
+        let endpoints = &config.endpoints;
+        self.heard.retain(|endpoint, _| endpoints.contains_key(endpoint));
+        self.terms.retain(|endpoint, _| endpoints.contains_key(endpoint));
+        self.lengths.retain(|model, _| config.models.contains_key(model));
+        self.config = config;
+        self.revision = number;
     }
 
     /// Reacts to one event.
@@ -153,15 +131,23 @@
         match event {
             Event::Generate(id, generate) => self.on_generate(now, id, generate, &mut effects),
             Event::Call(id, request) => self.on_call(now, id, request, &mut effects),
-            Event::Gone(id) => self.on_gone(id, &mut effects),
-            Event::Message { message, .. } => self.on_message(now, message, &mut effects),
+            Event::Gone(id) => self.on_gone(now, id, &mut effects),
+            Event::Hold(id) => self.on_hold(id),
+            Event::Resume(id) => self.on_resume(now, id, &mut effects),
+            Event::Message { from, message } => {
+                self.on_heard(&from);
+                self.on_message(now, message, &mut effects);
+            }
+            Event::Up(host) => self.on_heard(&host),
             Event::Lost(host) => self.on_lost(now, &host, &mut effects),
+            Event::Leaving { endpoint, leaving } => self.planner.leave(&endpoint, leaving),
+            Event::Stop => self.stopping = true,
             Event::Tick => self.on_tick(now, &mut effects),
         }
         effects
     }
 
-    /// The workspace whose contract lists the hash of a caller's key.
+    /// The configuration in force.
     pub fn config(&self) -> &Config {
         &self.config
     }
@@ -171,19 +157,42 @@
         self.works.is_empty() && self.calls.is_empty()
     }
 
+    /// The counters of refusals and retries.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The record of a request, if it is still kept.
+    pub fn record(&self, request: Id) -> Option<&explain::Record> {
+        self.records.get(request)
+    }
+
+    /// What an operator sees of the state.
+    pub fn status(&self, now: Instant) -> Status {
+        Status {
+            revision: self.revision,
+            generations: self.works.len(),
+            calls: self.calls.len(),
+            lost: self.lost.keys().cloned().collect(),
+            degraded: self.degraded(now),
+            stopping: self.stopping,
+        }
+    }
+
     fn on_message(&mut self, now: Instant, message: Message, effects: &mut Vec<Effect>) {
         match message {
             Message::Opened(opened) => self.on_opened(now, &opened, effects),
             Message::Token(token) => self.on_token(now, token, effects),
             Message::Broken(broken) => self.on_broken(now, &broken, effects),
             Message::Refuse(refuse) if self.calls.contains_key(&refuse.request) => {
-                self.on_call_refused(refuse, effects);
+                self.on_call_refused(now, refuse, effects);
             }
-            Message::Refuse(refuse) => self.on_refuse(now, &refuse, effects),
-            Message::Reply(reply) => self.on_reply(reply, effects),
-            Message::Report(report) => self.on_report(&report, effects),
+            Message::Refuse(refuse) => self.on_refuse(now, refuse, effects),
+            Message::Reply(reply) => self.on_reply(now, reply, effects),
+            Message::Report(report) => self.on_report(now, &report, effects),
             Message::Load(load) => {
-                self.loads.insert(load.endpoint.clone(), load);
+                self.terms.insert(load.endpoint.clone(), load.term);
+                self.planner.report(now, &load);
             }
             // The rest is for sides, or not for this machine.
             _ => {}
@@ -191,41 +200,82 @@
     }
 
     fn on_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        self.avoided.retain(|_, until| *until > now);
+        self.tick_hosts(now, effects);
         self.tick_generations(now, effects);
         self.tick_calls(now, effects);
+        if now.since(self.forgotten) >= FORGET {
+            self.forgotten = now;
+            self.planner.forget(now);
+        }
     }
 
-    fn on_gone(&mut self, id: Id, effects: &mut Vec<Effect>) {
+    fn on_gone(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         if let Some(work) = self.works.remove(&id) {
-            effects.extend(work.cancel());
+            let refused = work.refused(Refusal::Cancelled, None);
+            self.note_refusal(now, id, &work.ask.workspace, &refused);
+            self.release(&work, effects);
         }
-        self.calls.remove(&id);
+        self.abandon_call(now, id, effects);
     }
 
-    /// What the endpoint's side last said its records cover.
-    fn term(&self, endpoint: &name::Endpoint) -> Term {
-        self.loads.get(endpoint).map(|load| load.term).unwrap_or_default()
+    /// The contract's order and time limits, and the deadline of a request that asks for `asked`.
+    fn deadline(
+        &self,
+        now: Instant,
+        workspace: &name::Workspace,
+        asked: Option<Duration>,
+    ) -> Option<(contract::Service, Instant)> {
+        let service = &self.config.contracts.get(workspace)?.service;
+        let left = asked.unwrap_or(service.default_deadline).min(service.longest_deadline);
+        Some((service.clone(), now + left))
     }
 
-    /// A number below `bound`, which must not be 0 (SplitMix64).
-    fn draw(&mut self, bound: usize) -> usize {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = self.random;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^= x >> 31;
-        usize::try_from(x % bound as u64).unwrap_or(0)
+    /// Records and counts a refusal.
+    fn note_refusal(
+        &mut self,
+        now: Instant,
+        id: Id,
+        workspace: &name::Workspace,
+        refused: &Refused,
+    ) {
+        self.records.add(now, id, Fact::Refused(refused.clone()));
+        self.counters.add(Counter::Refused(refused.reason), workspace);
     }
-}
 
-/// Ends a request that certainly did not run.
-fn refuse(request: Id, reason: Refusal, retry_after_ms: Option<u64>) -> Effect {
-    let outcome = Outcome::Refused(not_run(reason, retry_after_ms));
-    Effect::Finish { request, outcome }
+    /// Ends a request that is not in progress any more with a refusal.
+    fn refuse(
+        &mut self,
+        now: Instant,
+        id: Id,
+        workspace: &name::Workspace,
+        refused: Refused,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.note_refusal(now, id, workspace, &refused);
+        effects.push(Effect::Finish { request: id, outcome: Outcome::Refused(refused) });
+    }
+
+    fn degraded(&self, now: Instant) -> Vec<explain::Link> {
+        let link = |link: crate::plan::link::Degraded| explain::Link {
+            from: link.from,
+            to: link.to,
+            excess_us: link.excess_us,
+        };
+        self.planner.degraded(now).into_iter().map(link).collect()
+    }
+
+    /// The latest term that an endpoint's side has told.
+    fn term(&self, stage: &Stage) -> Term {
+        self.terms.get(&stage.endpoint).copied().unwrap_or_default()
+    }
 }
 
 /// Sends a message to the side of a stage.
 fn send(stage: &Stage, message: Message) -> Effect {
     Effect::Send { host: stage.host.clone(), address: Some(stage.address), message }
 }
+
+/// Whole milliseconds from `now` until `deadline`.
+fn left_ms(now: Instant, deadline: Instant) -> u64 {
+    as_us(deadline.since(now)) / 1000
+}
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -1,98 +1,346 @@
 //! Calls of plain services in progress.
+//!
+//! A call that may not be repeated goes to another endpoint only after the side before has proven
+//! that it did not run. Sending it again to the same side is safe, since that side knows it.
 
-use crate::config::Kind;
-use crate::message::{Call, Message, Refuse, Reply, Report, Resolve, Stage, State, not_run};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::explain::{Fact, Subject};
+use crate::message::{Call, Message, Refuse, Reply, Report, Stage, State, Term, not_run};
+use crate::name;
+use crate::plan::Query;
+use crate::recover::Patience;
 use crate::request::{Id, Ran, Refusal, Refused};
+use crate::retry::Reason;
 use crate::time::{Instant, as_us};
 
-use super::{Effect, Machine, Outcome, Request, refuse, send};
+use super::count::Counter;
+use super::pending::{Due, MOST_ATTEMPTS, Pending, Resolving};
+use super::{Effect, Machine, Outcome, Request, left_ms, send};
 
-/// Time before the deadline at which a side is asked whether the call has run.
-const RESOLVE_MS: u64 = 500;
+/// How long a side that was lost is asked whether a call ran, before that is given up.
+const UNKNOWN: Duration = Duration::from_millis(1500);
 
-/// One call.
-pub(super) struct Pending {
-    call: Call,
-    stage: Stage,
-    deadline: Instant,
-    resolving: bool,
-}
+/// How long an endpoint that failed a call is avoided.
+const SUSPECT: Duration = Duration::from_secs(5);
 
 impl Machine {
     pub(super) fn on_call(
         &mut self,
         now: Instant,
         id: Id,
-        request: Request,
+        ask: Request,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(contract) = self.config.contracts.get(&request.workspace) else {
-            effects.push(refuse(id, Refusal::Unauthorized, None));
+        let subject = Subject::Service(ask.service.clone());
+        self.records.open(now, id, &ask.workspace, subject, self.revision);
+        self.counters.add(Counter::Request, &ask.workspace);
+        if let Err(reason) = self.check_call(&ask) {
+            self.refuse(now, id, &ask.workspace, not_run(reason, None), effects);
             return;
-        };
-        let service = contract.service.clone();
-        let Some(stage) = self.choose(&request) else {
-            effects.push(refuse(id, Refusal::NoChain, None));
+        }
+        let Some((service, deadline)) = self.deadline(now, &ask.workspace, ask.deadline) else {
             return;
         };
-        let asked = request.deadline.unwrap_or(service.default_deadline);
-        let deadline = now + asked.min(service.longest_deadline);
+        let deadline_ms = left_ms(now, deadline);
+        self.records.add(now, id, Fact::Admitted { tokens: 0, roster: 0, deadline_ms });
+        self.budget.request();
         let call = Call {
             request: id,
-            attempt: 1,
-            endpoint: stage.endpoint.clone(),
-            workspace: request.workspace.clone(),
+            attempt: 0,
+            endpoint: "".into(),
+            workspace: ask.workspace.clone(),
             priority: service.priority,
             weight: service.weight,
-            deadline_ms: as_us(deadline.since(now)) / 1000,
-            idempotent: self.is_idempotent(&request),
-            method: request.method,
-            path: request.path,
-            content_type: request.content_type,
-            body: request.body,
+            deadline_ms,
+            idempotent: self.is_idempotent(&ask),
+            method: ask.method.clone(),
+            path: ask.path.clone(),
+            content_type: ask.content_type.clone(),
+            body: ask.body.clone(),
             roster: 0,
-            term: self.term(&stage.endpoint),
+            term: Term::default(),
+        };
+        let failed = BTreeSet::new();
+        let stage = Stage {
+            endpoint: "".into(),
+            host: "".into(),
+            address: ([0, 0, 0, 0], 0).into(),
+            first: 0,
+            end: 0,
         };
-        effects.push(send(&stage, Message::Call(call.clone())));
-        self.calls.insert(id, Pending { call, stage, deadline, resolving: false });
+        let patience = Patience::new(Duration::ZERO);
+        let resolving = None;
+        let (placed, sent) = (now, now);
+        let pending =
+            Pending { ask, call, stage, deadline, placed, sent, patience, failed, resolving };
+        self.place(now, pending, effects);
     }
 
-    pub(super) fn on_reply(&mut self, reply: Reply, effects: &mut Vec<Effect>) {
-        if self.calls.remove(&reply.request).is_some() {
-            let outcome = Outcome::Answered(reply.answer);
-            effects.push(Effect::Finish { request: reply.request, outcome });
+    fn check_call(&self, ask: &Request) -> Result<(), Refusal> {
+        if self.stopping {
+            return Err(Refusal::Stopping);
         }
+        let contract = self.config.contracts.get(&ask.workspace).ok_or(Refusal::Unauthorized)?;
+        let known = self.config.services.contains_key(&ask.service);
+        if !known || !contract.services.contains(&ask.service) {
+            return Err(Refusal::NotFound);
+        }
+        Ok(())
     }
 
-    pub(super) fn on_call_refused(&mut self, refuse: Refuse, effects: &mut Vec<Effect>) {
-        self.calls.remove(&refuse.request);
-        let outcome = Outcome::Refused(refuse.refused);
-        effects.push(Effect::Finish { request: refuse.request, outcome });
+    /// Sends the next attempt at a call, or refuses it; nothing of it may be running.
+    fn place(&mut self, now: Instant, mut pending: Pending, effects: &mut Vec<Effect>) {
+        let id = pending.call.request;
+        let query = Query {
+            prompt_tokens: 0,
+            answer_tokens: 1,
+            left: pending.deadline.since(now),
+            prefixes: &[],
+            avoid: &pending.failed,
+            keep: &BTreeSet::new(),
+            random: self.draw.number(),
+        };
+        let choice = match self.planner.choose_service(now, &pending.ask.service, &query) {
+            Ok(choice) => choice,
+            Err(unplanned) => {
+                let refused = unplanned.refused.clone();
+                self.records.add(now, id, Fact::Unplanned(unplanned));
+                self.refuse(now, id, &pending.ask.workspace, refused, effects);
+                return;
+            }
+        };
+        let Some(stage) = choice.chain.first().cloned() else { return };
+        self.planner.dispatch(now, &choice.chain, 0);
+        pending.call.attempt += 1;
+        pending.call.endpoint = stage.endpoint.clone();
+        pending.call.deadline_ms = left_ms(now, pending.deadline);
+        pending.call.term = self.term(&stage);
+        pending.patience = Patience::new(Duration::from_micros(choice.first_us));
+        pending.stage = stage;
+        pending.placed = now;
+        pending.sent = now;
+        pending.resolving = None;
+        let attempt = pending.call.attempt;
+        let degraded = self.degraded(now);
+        self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
+        effects.push(send(&pending.stage, Message::Call(pending.call.clone())));
+        self.calls.insert(id, pending);
     }
 
-    pub(super) fn on_report(&mut self, report: &Report, effects: &mut Vec<Effect>) {
-        if report.state == State::Refused && self.calls.remove(&report.request).is_some() {
-            effects.push(refuse(report.request, Refusal::Deadline, None));
+    pub(super) fn on_reply(&mut self, now: Instant, reply: Reply, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.take_call(reply.request) else { return };
+        if pending.call.attempt == reply.attempt {
+            let took = now.since(pending.placed);
+            self.planner.observe_call(now, &pending.stage.endpoint, took);
         }
+        let id = reply.request;
+        self.records.add(now, id, Fact::Answered { tokens: 0 });
+        self.counters.add(Counter::Answered, &pending.ask.workspace);
+        let outcome = Outcome::Answered(reply.answer);
+        effects.push(Effect::Finish { request: id, outcome });
     }
 
-    pub(super) fn tick_calls(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let mut over = Vec::new();
-        for (id, pending) in &mut self.calls {
-            if pending.deadline <= now {
-                over.push(*id);
-            } else if !pending.resolving && as_us(pending.deadline.since(now)) < RESOLVE_MS * 1000 {
-                pending.resolving = true;
-                let (attempt, term) = (pending.call.attempt, pending.call.term);
-                let resolve = Resolve { request: *id, attempt, term };
-                effects.push(send(&pending.stage, Message::Resolve(resolve)));
+    /// A side refused a call: if it did not run there, it may run elsewhere.
+    pub(super) fn on_call_refused(
+        &mut self,
+        now: Instant,
+        refuse: Refuse,
+        effects: &mut Vec<Effect>,
+    ) {
+        let id = refuse.request;
+        let current = |pending: &Pending| pending.call.attempt == refuse.attempt;
+        if !self.calls.get(&id).is_some_and(current) {
+            return;
+        }
+        let Some(mut pending) = self.take_call(id) else { return };
+        let endpoint = pending.stage.endpoint.clone();
+        self.heed(now, &endpoint, &refuse.refused);
+        let mut refused = refuse.refused;
+        // What was asked for is told; the tombstone that proves it is only the means.
+        if let Some(resolving) = pending.resolving.filter(|_| refused.reason == Refusal::Fenced) {
+            refused.reason = resolving.reason;
+        }
+        let repeatable = refused.ran == Ran::No || pending.call.idempotent;
+        let last = matches!(refused.reason, Refusal::Deadline | Refusal::Superseded);
+        if last || !repeatable || pending.call.attempt >= MOST_ATTEMPTS {
+            self.refuse(now, id, &pending.ask.workspace, refused, effects);
+            return;
+        }
+        pending.failed.insert(endpoint.clone());
+        self.note_failure(now, &pending, Reason::Refused, Some(refused.clone()));
+        self.again(now, pending, refused, effects);
+    }
+
+    /// Makes another attempt at a call that certainly did not run or may be repeated.
+    fn again(
+        &mut self,
+        now: Instant,
+        pending: Pending,
+        refused: Refused,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.budget.take(now) {
+            self.place(now, pending, effects);
+            return;
+        }
+        let retry_after_ms = Some(as_us(self.budget.wait()) / 1000);
+        let refused = Refused { reason: Refusal::RetryBudget, retry_after_ms, ..refused };
+        self.refuse(now, pending.call.request, &pending.ask.workspace, refused, effects);
+    }
+
+    /// A side says whether a call ran.
+    pub(super) fn on_report(&mut self, now: Instant, report: &Report, effects: &mut Vec<Effect>) {
+        let id = report.request;
+        let Some(pending) = self.calls.get(&id) else { return };
+        if pending.call.attempt != report.attempt {
+            return;
+        }
+        let Some(resolving) = pending.resolving else { return };
+        self.records.add(now, id, Fact::Resolved(report.state));
+        let ran = match report.state {
+            State::Refused => Ran::No,
+            // A restarted side will never know; an answer that was lost with it cannot come.
+            State::Unknown => Ran::Unknown,
+            State::Started | State::Done => return,
+        };
+        let Some(pending) = self.take_call(id) else { return };
+        let refused = Refused { reason: resolving.reason, ran, retry_after_ms: None };
+        if ran == Ran::No && resolving.reason != Refusal::Deadline {
+            self.note_failure(now, &pending, Reason::HostLost, Some(refused.clone()));
+            self.again(now, pending, refused, effects);
+            return;
+        }
+        self.refuse(now, id, &pending.ask.workspace, refused, effects);
+    }
+
+    /// Sends the calls again whose message a lost connection may have held.
+    pub(super) fn resend_calls(
+        &mut self,
+        now: Instant,
+        host: &name::Host,
+        effects: &mut Vec<Effect>,
+    ) {
+        for pending in self.calls.values_mut().filter(|p| p.stage.host == *host) {
+            pending.sent = now;
+            effects.push(pending.message());
+        }
+    }
+
+    /// Moves the calls at a dead host elsewhere, if they may be repeated.
+    pub(super) fn fail_calls(
+        &mut self,
+        now: Instant,
+        host: &name::Host,
+        effects: &mut Vec<Effect>,
+    ) {
+        let on_host = self.calls.iter().filter(|(_, pending)| pending.stage.host == *host);
+        let failed: Vec<Id> = on_host.map(|(id, _)| *id).collect();
+        for id in failed {
+            if self.calls.get(&id).is_some_and(|pending| pending.call.idempotent) {
+                self.move_call(now, id, effects);
+            } else {
+                self.resolve(now, id, Refusal::EndpointFailed, now + UNKNOWN, effects);
             }
         }
-        for request in over {
-            self.calls.remove(&request);
-            let refused = Refused { ran: Ran::Unknown, ..not_run(Refusal::Deadline, None) };
-            effects.push(Effect::Finish { request, outcome: Outcome::Refused(refused) });
+    }
+
+    /// Gives an attempt at an idempotent call up and makes another.
+    fn move_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(mut pending) = self.take_call(id) else { return };
+        self.blame(now, &mut pending, Reason::HostLost);
+        let reason = Refusal::EndpointFailed;
+        let refused = Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
+        if pending.call.attempt >= MOST_ATTEMPTS {
+            self.refuse(now, id, &pending.ask.workspace, refused, effects);
+            return;
+        }
+        self.again(now, pending, refused, effects);
+    }
+
+    /// Holds the endpoint of an attempt to be at fault.
+    fn blame(&mut self, now: Instant, pending: &mut Pending, reason: Reason) {
+        let endpoint = pending.stage.endpoint.clone();
+        self.planner.suspect(&endpoint, now + SUSPECT);
+        pending.failed.insert(endpoint);
+        self.note_failure(now, pending, reason, None);
+    }
+
+    /// Asks the side whether a call ran, which also keeps it from running if it did not.
+    fn resolve(
+        &mut self,
+        now: Instant,
+        id: Id,
+        reason: Refusal,
+        until: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(pending) = self.calls.get_mut(&id) else { return };
+        let until = until.min(pending.deadline);
+        if pending.resolving.is_none() {
+            pending.resolving = Some(Resolving { reason, until });
+            let attempt = pending.call.attempt;
+            self.records.add(now, id, Fact::Resolving { attempt });
         }
+        pending.sent = now;
+        effects.push(pending.message());
+    }
+
+    pub(super) fn tick_calls(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        let due: Vec<(Id, Due)> =
+            self.calls.iter().filter_map(|(id, p)| Some((*id, p.due(now)?))).collect();
+        for (id, due) in due {
+            match due {
+                Due::GiveUp(reason) => {
+                    let Some(pending) = self.take_call(id) else { continue };
+                    let refused = Refused { ran: Ran::Unknown, ..not_run(reason, None) };
+                    self.refuse(now, id, &pending.ask.workspace, refused, effects);
+                }
+                Due::Resolve(until) => {
+                    self.resolve(now, id, Refusal::Deadline, until, effects);
+                }
+                Due::Move if self.budget.take(now) => {
+                    let Some(mut pending) = self.take_call(id) else { continue };
+                    self.blame(now, &mut pending, Reason::Silent);
+                    self.place(now, pending, effects);
+                }
+                Due::Move | Due::Resend => {
+                    let Some(pending) = self.calls.get_mut(&id) else { continue };
+                    pending.sent = now;
+                    effects.push(pending.message());
+                    self.counters.add(Counter::Retransmitted, &pending.ask.workspace);
+                }
+            }
+        }
+    }
+
+    /// The caller of a call went away: it is kept from running if it has not started.
+    pub(super) fn abandon_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(pending) = self.take_call(id) else { return };
+        effects.push(send(&pending.stage, Message::Resolve(pending.question())));
+        let refused = Refused { ran: Ran::Unknown, ..not_run(Refusal::Cancelled, None) };
+        self.note_refusal(now, id, &pending.ask.workspace, &refused);
+    }
+
+    fn take_call(&mut self, id: Id) -> Option<Pending> {
+        let pending = self.calls.remove(&id)?;
+        self.planner.finish(std::slice::from_ref(&pending.stage));
+        Some(pending)
+    }
+
+    fn note_failure(
+        &mut self,
+        now: Instant,
+        pending: &Pending,
+        reason: Reason,
+        refused: Option<Refused>,
+    ) {
+        self.counters.add(Counter::Retried(reason), &pending.ask.workspace);
+        let attempt = pending.call.attempt;
+        let endpoint = Some(pending.stage.endpoint.clone());
+        let fact = Fact::Failed { attempt, reason, refused, endpoint };
+        self.records.add(now, pending.call.request, fact);
     }
 
     fn is_idempotent(&self, request: &Request) -> bool {
@@ -103,27 +351,4 @@
             })
         })
     }
-
-    fn choose(&mut self, request: &Request) -> Option<Stage> {
-        let mut found = Vec::new();
-        for (name, endpoint) in &self.config.endpoints {
-            let open = self.loads.get(name).is_none_or(|load| load.open) && !endpoint.drain;
-            let fits = matches!(&endpoint.kind,
-                Kind::Service { service, .. } if *service == request.service);
-            if fits && open {
-                found.push(Stage {
-                    endpoint: name.clone(),
-                    host: endpoint.host.clone(),
-                    address: endpoint.side,
-                    first: 0,
-                    end: 0,
-                });
-            }
-        }
-        if found.is_empty() {
-            return None;
-        }
-        let index = self.draw(found.len());
-        Some(found.swap_remove(index))
-    }
 }
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -1,51 +1,36 @@
-//! Generations in progress.
+//! Generations while all goes well: opened, fed token by token, delivered, complete.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::message::{
-    Broken, Cancel, Fault, Feed, Message, Open, Opened, Refuse, Stage, Term, Token,
-};
+use crate::answer::{Answer, Verdict};
+use crate::explain::{Fact, Subject};
+use crate::message::{Message, Open, Opened, Sample, Stage, Term, Token, not_run};
 use crate::name;
-use crate::request::{Attempt, Id, Position, Ran, Refusal, Refused};
-use crate::time::{Instant, as_us};
+use crate::plan::Query;
+use crate::recover::{Change, Patience, Way};
+use crate::request::{Id, Position, Refusal, Refused};
+use crate::retry;
+use crate::time::Instant;
 
-use super::{Effect, Generate, Machine, Outcome, refuse, send};
+use super::count::Counter;
+use super::work::{Phase, Work};
+use super::{Effect, Generate, Machine, Outcome, left_ms, send};
 
-/// How long a stage that failed is avoided.
-const AVOID_MS: u64 = 5_000;
+/// Part of the allowed answer length that an answer is expected to use before any was seen.
+const EXPECTED_LENGTH: f64 = 0.5;
 
-/// How long an unanswered message waits before it is sent again.
-const RETRANSMIT_MS: u64 = 300;
+/// Weight of one answer in the expectation.
+const LENGTH_WEIGHT: f64 = 0.05;
 
-/// Retransmissions before the attempt is given up.
-const MAX_RETRANSMITS: u32 = 3;
+/// Estimated tokens of the answer, in the plan of a request in progress.
+const REST_TOKENS: u32 = 32;
 
-/// Attempts at one request.
-const MAX_ATTEMPTS: Attempt = 8;
+/// The timing of one token in so many is learned from, to bound the processor time.
+const LEARN_EVERY: Position = 8;
 
-/// One generation.
-pub(super) struct Work {
-    request: Id,
-    ask: Generate,
-    deadline: Instant,
-    /// Prompt and delivered answer.
-    tokens: Vec<u32>,
-    delivered: u32,
-    attempt: Attempt,
-    chain: Vec<Stage>,
-    phase: Phase,
-    /// When the last message of this attempt was sent or answered.
-    sent: Instant,
-    retransmits: u32,
-}
-
-enum Phase {
-    /// Stages that have not acknowledged yet.
-    Opening(BTreeSet<u16>),
-    /// The feed that is on its way.
-    Running { position: Position, count: u32 },
-}
+/// Longest wait for a chain that covers the model, for a request in progress.
+const NO_CHAIN_WAIT: Duration = Duration::from_secs(5);
 
 impl Machine {
     pub(super) fn on_generate(
@@ -55,245 +40,320 @@
         ask: Generate,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(contract) = self.config.contracts.get(&ask.workspace) else {
-            effects.push(refuse(request, Refusal::Unauthorized, None));
+        let subject = Subject::Model(ask.model.clone());
+        self.records.open(now, request, &ask.workspace, subject, self.revision);
+        self.counters.add(Counter::Request, &ask.workspace);
+        if let Err(reason) = self.check(&ask) {
+            let workspace = ask.workspace.clone();
+            self.refuse(now, request, &workspace, not_run(reason, None), effects);
             return;
-        };
-        let service = &contract.service;
-        let asked = ask.deadline.unwrap_or(service.default_deadline);
-        let deadline = now + asked.min(service.longest_deadline);
-        let tokens = ask.prompt.clone();
+        }
+        let Some((_, deadline)) = self.deadline(now, &ask.workspace, ask.deadline) else { return };
+        let tokens = ask.most_tokens();
+        let deadline_ms = left_ms(now, deadline);
+        self.records.add(now, request, Fact::Admitted { tokens, roster: 0, deadline_ms });
+        self.budget.request();
         let work = Work {
             request,
-            ask,
             deadline,
-            tokens,
-            delivered: 0,
-            attempt: 0,
+            answer: Answer::new(ask.prompt.clone()),
+            ask,
             chain: Vec::new(),
-            phase: Phase::Opening(BTreeSet::new()),
+            terms: Vec::new(),
+            phase: Phase::Waiting(now),
+            since: now,
             sent: now,
-            retransmits: 0,
+            patience: Patience::new(Duration::ZERO),
+            resume: 0,
+            failed: BTreeSet::new(),
+            retries: 0,
+            fault_at: None,
+            fed: false,
+            held: false,
         };
-        self.works.insert(request, work);
-        self.start(now, request, effects);
+        self.start(now, work, effects);
     }
 
-    /// Starts the next attempt at a request, or refuses it.
-    fn start(&mut self, now: Instant, request: Id, effects: &mut Vec<Effect>) {
-        let Some(mut work) = self.works.remove(&request) else { return };
-        effects.extend(work.cancel());
-        if work.attempt >= MAX_ATTEMPTS {
-            effects.push(work.give_up(Refusal::RetryBudget));
-            return;
+    fn check(&self, ask: &Generate) -> Result<(), Refusal> {
+        if self.stopping {
+            return Err(Refusal::Stopping);
         }
-        let Some(chain) = self.plan(now, &work.ask.model) else {
-            effects.push(work.give_up(Refusal::NoChain));
-            return;
+        let contract = self.config.contracts.get(&ask.workspace).ok_or(Refusal::Unauthorized)?;
+        let model = self.config.models.get(&ask.model).ok_or(Refusal::NotFound)?;
+        if !contract.models.contains(&ask.model) {
+            return Err(Refusal::NotFound);
+        }
+        if ask.prompt.is_empty() || ask.max_tokens == 0 {
+            return Err(Refusal::Malformed);
+        }
+        if ask.most_tokens() > model.context {
+            return Err(Refusal::TooLarge);
+        }
+        Ok(())
+    }
+
+    /// Starts the next attempt, or ends the request if there can be none.
+    pub(super) fn start(&mut self, now: Instant, mut work: Work, effects: &mut Vec<Effect>) {
+        let first = work.answer.attempt() == 0;
+        let keep = work.chain.iter().map(|stage| stage.endpoint.clone()).collect();
+        let query = Query {
+            prompt_tokens: work.answer.length(),
+            answer_tokens: if first { self.expected(&work.ask) } else { REST_TOKENS },
+            // An answer in progress goes on even if it is expected to be late.
+            left: if work.fed { Duration::MAX } else { work.deadline.since(now) },
+            prefixes: &[],
+            avoid: &work.failed,
+            keep: &keep,
+            random: self.draw.number(),
+        };
+        let choice = match self.planner.choose(now, &work.ask.model, &query) {
+            Ok(choice) => choice,
+            Err(unplanned) => {
+                let refused = unplanned.refused.clone();
+                self.records.add(now, work.request, Fact::Unplanned(unplanned));
+                self.postpone(now, work, refused, effects);
+                return;
+            }
+        };
+        let change = Change {
+            old: &work.chain,
+            new: &choice.chain,
+            ran: work.answer.ran(),
+            refill_us: choice.first_us,
+            export: None,
         };
-        work.attempt += 1;
-        work.chain = chain;
-        work.phase = Phase::Opening((0..work.stages()).collect());
+        let plan = change.weigh();
+        let attempt = work.answer.attempt() + 1;
+        let left = work.chain.iter().filter(|stage| !choice.chain.contains(stage));
+        effects.extend(left.map(|stage| work.cancel_at(stage)));
+        work.resume = plan.resume;
+        work.chain.clone_from(&choice.chain);
+        let run_again = if plan.way == Way::Refill { work.answer.length() } else { 1 };
+        if !first {
+            self.records.add(now, work.request, Fact::Recovers { attempt, plan });
+        }
+        let degraded = self.degraded(now);
+        self.records.add(now, work.request, Fact::Planned { attempt, choice, degraded });
+        self.planner.dispatch(now, &work.chain, run_again);
+        work.answer.restart(attempt, work.resume);
+        self.open(now, work, effects);
+    }
+
+    /// Waits for a chain if the request is in progress, refuses it otherwise.
+    fn postpone(
+        &mut self,
+        now: Instant,
+        mut work: Work,
+        refused: Refused,
+        effects: &mut Vec<Effect>,
+    ) {
+        let waited = work.fault_at.map_or(Duration::ZERO, |at| now.since(at));
+        if !work.fed || waited >= NO_CHAIN_WAIT {
+            self.give_up(now, work, refused.reason, refused.retry_after_ms, effects);
+            return;
+        }
+        self.counters.add(Counter::Retried(retry::Reason::NoChain), &work.ask.workspace);
+        work.retries += 1;
+        let wait = retry::backoff(work.retries, self.draw.number());
+        work.phase = Phase::Waiting(now + wait);
+        self.works.insert(work.request, work);
+    }
+
+    /// Opens all stages of the present attempt.
+    pub(super) fn open(&mut self, now: Instant, mut work: Work, effects: &mut Vec<Effect>) {
+        work.terms = work.chain.iter().map(|stage| self.term(stage)).collect();
+        let stages = u16::try_from(work.chain.len()).unwrap_or(u16::MAX);
+        work.phase = Phase::Opening((0..stages).collect(), Position::MAX);
+        work.since = now;
         work.sent = now;
-        work.retransmits = 0;
-        effects.extend(self.opens(now, &work));
-        self.works.insert(request, work);
+        work.patience = Patience::new(Duration::ZERO);
+        effects.extend(self.opens(now, &work, None));
+        self.works.insert(work.request, work);
     }
 
-    /// The messages that open the stages which have not acknowledged.
-    fn opens(&self, now: Instant, work: &Work) -> Vec<Effect> {
-        let Phase::Opening(waiting) = &work.phase else { return Vec::new() };
-        let service = self.config.contracts.get(&work.ask.workspace).map(|c| c.service.clone());
-        let service = service.unwrap_or_default();
-        let open = Open {
+    /// The messages that open stages: those that have not acknowledged, or those on one host.
+    pub(super) fn opens(
+        &self,
+        now: Instant,
+        work: &Work,
+        host: Option<&name::Host>,
+    ) -> Vec<Effect> {
+        let contract = self.config.contracts.get(&work.ask.workspace);
+        let service = contract.map(|contract| contract.service.clone()).unwrap_or_default();
+        let open = |index: u16, term: Term| Open {
             request: work.request,
-            attempt: work.attempt,
-            stage: 0,
+            attempt: work.answer.attempt(),
+            stage: index,
             chain: work.chain.clone(),
             model: work.ask.model.clone(),
             workspace: work.ask.workspace.clone(),
             priority: service.priority,
             weight: service.weight,
-            deadline_ms: as_us(work.deadline.since(now)) / 1000,
-            resume: 0,
-            tokens: work.most_tokens(),
+            deadline_ms: left_ms(now, work.deadline),
+            resume: work.resume,
+            tokens: work.ask.most_tokens(),
             seed: work.request.seq,
             roster: 0,
-            term: Term::default(),
+            term,
         };
-        let stages = work.chain.iter().zip(0_u16..).filter(|(_, index)| waiting.contains(index));
+        let wanted = |index: u16, stage: &Stage| match (host, &work.phase) {
+            (Some(host), _) => stage.host == *host,
+            (None, Phase::Opening(waiting, _)) => waiting.contains(&index),
+            (None, _) => false,
+        };
+        let stages = work.chain.iter().zip(&work.terms).zip(0_u16..);
+        let stages = stages.filter(|((stage, _), index)| wanted(*index, stage));
         stages
-            .map(|(stage, index)| {
-                let term = self.term(&stage.endpoint);
-                send(stage, Message::Open(Open { stage: index, term, ..open.clone() }))
-            })
+            .map(|((stage, term), index)| send(stage, Message::Open(open(index, *term))))
             .collect()
     }
 
     pub(super) fn on_opened(&mut self, now: Instant, opened: &Opened, effects: &mut Vec<Effect>) {
         let Some(work) = self.works.get_mut(&opened.request) else { return };
-        if work.attempt != opened.attempt {
+        if work.answer.attempt() != opened.attempt {
             return;
         }
-        let Phase::Opening(waiting) = &mut work.phase else { return };
-        waiting.remove(&opened.stage);
-        if waiting.is_empty() {
-            let chunk = self.config.models.get(&work.ask.model).map_or(1, |model| model.chunk);
-            effects.extend(work.feed(now, 0, chunk));
-        }
-    }
-
-    pub(super) fn on_token(&mut self, now: Instant, token: Token, effects: &mut Vec<Effect>) {
-        let Some(work) = self.works.get_mut(&token.request) else { return };
-        let Phase::Running { position, count } = work.phase else { return };
-        if work.attempt != token.attempt || token.position != position + count {
+        let Phase::Opening(waiting, fewest) = &mut work.phase else { return };
+        if !waiting.remove(&opened.stage) {
             return;
         }
-        let chunk = self.config.models.get(&work.ask.model).map_or(1, |model| model.chunk);
-        let Some(sample) = token.sampled else {
-            effects.extend(work.feed(now, token.position, chunk));
+        *fewest = opened.held.min(*fewest);
+        let (done, fewest) = (waiting.is_empty(), *fewest);
+        if let Some(stage) = work.chain.get(usize::from(opened.stage)) {
+            self.heard.insert(stage.endpoint.clone(), now);
+        }
+        if !done {
             return;
-        };
-        if !sample.end {
-            work.tokens.push(sample.token);
-            work.delivered += 1;
-            effects.push(Effect::Deliver { request: token.request, text: sample.text });
         }
-        if sample.end || work.delivered >= work.ask.max_tokens {
-            let ended = sample.end;
-            if let Some(work) = self.works.remove(&token.request) {
-                effects.extend(work.complete(ended));
-            }
+        if fewest < work.resume {
+            self.reopen(now, opened.request, fewest, effects);
             return;
         }
-        effects.extend(work.feed(now, token.position, chunk));
+        work.phase = Phase::Running;
+        self.feed(now, opened.request, effects);
     }
 
-    pub(super) fn on_refuse(&mut self, now: Instant, refuse: &Refuse, effects: &mut Vec<Effect>) {
-        let (request, attempt, stage) = (refuse.request, refuse.attempt, refuse.stage);
-        let broken = Broken { request, attempt, stage, fault: Fault::Engine };
-        self.on_broken(now, &broken, effects);
+    /// Opens the same chain again, to run from an earlier position.
+    fn reopen(&mut self, now: Instant, id: Id, position: Position, effects: &mut Vec<Effect>) {
+        let Some(mut work) = self.works.remove(&id) else { return };
+        work.resume = position;
+        work.answer.restart(work.answer.attempt() + 1, position);
+        self.open(now, work, effects);
     }
 
-    /// Avoids the endpoint at fault and starts over without it.
-    pub(super) fn on_broken(&mut self, now: Instant, broken: &Broken, effects: &mut Vec<Effect>) {
-        let Some(work) = self.works.get(&broken.request) else { return };
-        if work.attempt != broken.attempt {
+    /// Sends the next tokens to the first stage, unless the caller does not keep up.
+    pub(super) fn feed(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        if work.held || !matches!(work.phase, Phase::Running) {
             return;
         }
-        let stage = usize::from(broken.stage);
-        let at_fault = match broken.fault {
-            Fault::Engine => work.chain.get(stage),
-            Fault::Link => work.chain.get(stage + 1),
-            Fault::Absent | Fault::Gap => None,
-        };
-        if let Some(stage) = at_fault {
-            let until = now + Duration::from_millis(AVOID_MS);
-            self.avoided.insert(stage.endpoint.clone(), until);
-        }
-        self.start(now, broken.request, effects);
+        let chunk = self.config.models.get(&work.ask.model).map_or(1, |model| model.chunk);
+        let Some(feed) = work.feed(chunk) else { return };
+        let count = u32::try_from(feed.tokens.len()).unwrap_or(u32::MAX);
+        let expected = self.planner.step_us(now, &work.chain, count);
+        work.patience = Patience::new(Duration::from_micros(expected));
+        work.since = now;
+        work.sent = now;
+        work.fed = true;
+        effects.extend(work.chain.first().map(|stage| send(stage, Message::Feed(feed))));
     }
 
-    pub(super) fn on_lost(&mut self, now: Instant, host: &name::Host, effects: &mut Vec<Effect>) {
-        let until = now + Duration::from_millis(AVOID_MS);
-        let mut failed = BTreeSet::new();
-        for (request, work) in &self.works {
-            for stage in work.chain.iter().filter(|stage| stage.host == *host) {
-                self.avoided.insert(stage.endpoint.clone(), until);
-                failed.insert(*request);
-            }
+    pub(super) fn on_token(&mut self, now: Instant, token: Token, effects: &mut Vec<Effect>) {
+        let id = token.request;
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let first = work.fault_at.is_some() || work.answer.answered() == 0;
+        let started = work.answer.ran();
+        let verdict = work.answer.take(&token);
+        if verdict != Verdict::Taken {
+            self.counters.add(Counter::Dropped(verdict), &work.ask.workspace);
+            return;
         }
-        for request in failed {
-            self.start(now, request, effects);
+        for stage in &work.chain {
+            self.heard.insert(stage.endpoint.clone(), now);
         }
-    }
-
-    pub(super) fn tick_generations(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let overdue: Vec<Id> =
-            self.works.values().filter(|w| w.deadline <= now).map(|w| w.request).collect();
-        for request in overdue {
-            if let Some(work) = self.works.remove(&request) {
-                effects.extend(work.cancel());
-                effects.push(work.give_up(Refusal::Deadline));
-            }
+        let learns = token.position % LEARN_EVERY == 0 && work.since == work.sent;
+        if token.position - started == 1 && learns {
+            self.planner.observe(now, &work.chain, &token.hops, now.since(work.since));
         }
-        let wait = Duration::from_millis(RETRANSMIT_MS);
-        let silent: Vec<Id> =
-            self.works.values().filter(|w| w.sent + wait <= now).map(|w| w.request).collect();
-        for request in silent {
-            self.retransmit(now, request, effects);
-        }
-    }
-
-    fn retransmit(&mut self, now: Instant, request: Id, effects: &mut Vec<Effect>) {
-        let Some(work) = self.works.get_mut(&request) else { return };
-        work.retransmits += 1;
-        work.sent = now;
-        if work.retransmits > MAX_RETRANSMITS {
-            self.start(now, request, effects);
-            return;
-        }
-        match work.phase {
-            Phase::Running { position, count } => effects.extend(work.feed_again(position, count)),
-            Phase::Opening(_) => {
-                if let Some(work) = self.works.get(&request) {
-                    effects.extend(self.opens(now, work));
-                }
+        if let Some(sample) = token.sampled {
+            let recovery_us = work.fault_at.take().map(|at| crate::time::as_us(now.since(at)));
+            if first {
+                let attempt = token.attempt;
+                let (position, hops) = (token.position, token.hops);
+                let fact = Fact::Token { attempt, position, recovery_us, hops };
+                self.records.add(now, id, fact);
+            }
+            if self.deliver(id, sample, effects) {
+                self.complete(now, id, effects);
+                return;
             }
         }
+        self.feed(now, id, effects);
     }
-}
 
-impl Work {
-    fn stages(&self) -> u16 {
-        u16::try_from(self.chain.len()).unwrap_or(u16::MAX)
+    /// Delivers a token; returns whether the answer is complete.
+    fn deliver(&mut self, id: Id, sample: Sample, effects: &mut Vec<Effect>) -> bool {
+        let Some(work) = self.works.get_mut(&id) else { return false };
+        work.retries = 0;
+        if !sample.end {
+            self.counters.add(Counter::Token, &work.ask.workspace);
+            effects.push(Effect::Deliver { request: id, text: sample.text });
+        }
+        sample.end || work.answer.answered() >= work.ask.max_tokens
     }
 
-    fn most_tokens(&self) -> u32 {
-        count(&self.ask.prompt).saturating_add(self.ask.max_tokens)
+    fn complete(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(work) = self.works.remove(&id) else { return };
+        self.release(&work, effects);
+        let (prompt, answer) = (work.answer.prompt(), work.answer.answered());
+        let used = f64::from(answer) / f64::from(work.ask.max_tokens.max(1));
+        let length = self.lengths.entry(work.ask.model.clone()).or_insert(EXPECTED_LENGTH);
+        *length += LENGTH_WEIGHT * (used - *length);
+        self.records.add(now, id, Fact::Answered { tokens: answer });
+        self.counters.add(Counter::Answered, &work.ask.workspace);
+        let ended = answer < work.ask.max_tokens;
+        let outcome = Outcome::Complete { prompt, answer, ended };
+        effects.push(Effect::Finish { request: id, outcome });
     }
 
-    /// Runs the tokens from `position` on, `chunk` at most.
-    fn feed(&mut self, now: Instant, position: Position, chunk: u32) -> Option<Effect> {
-        let left = count(&self.tokens).saturating_sub(position);
-        let count = left.min(chunk.max(1));
-        self.phase = Phase::Running { position, count };
-        self.sent = now;
-        self.retransmits = 0;
-        self.feed_again(position, count)
+    /// Frees what the request holds at the stages.
+    pub(super) fn release(&mut self, work: &Work, effects: &mut Vec<Effect>) {
+        if !matches!(work.phase, Phase::Waiting(_)) {
+            self.planner.finish(&work.chain);
+        }
+        effects.extend(work.chain.iter().map(|stage| work.cancel_at(stage)));
     }
 
-    fn feed_again(&self, position: Position, count: u32) -> Option<Effect> {
-        let first = position as usize;
-        let tokens = self.tokens.get(first..first + count as usize)?.to_vec();
-        let sample = first + tokens.len() == self.tokens.len();
-        let (request, attempt) = (self.request, self.attempt);
-        let feed = Feed { request, attempt, position, tokens, sample };
-        self.chain.first().map(|stage| send(stage, Message::Feed(feed)))
+    /// Ends a request without a whole answer.
+    pub(super) fn give_up(
+        &mut self,
+        now: Instant,
+        work: Work,
+        reason: Refusal,
+        retry_after_ms: Option<u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.release(&work, effects);
+        let refused = work.refused(reason, retry_after_ms);
+        self.refuse(now, work.request, &work.ask.workspace, refused, effects);
     }
 
-    /// The messages that end this attempt at every stage.
-    pub(super) fn cancel(&self) -> Vec<Effect> {
-        let cancel = Cancel { request: self.request, attempt: self.attempt };
-        self.chain.iter().map(|stage| send(stage, Message::Cancel(cancel.clone()))).collect()
+    pub(super) fn on_hold(&mut self, id: Id) {
+        if let Some(work) = self.works.get_mut(&id) {
+            work.held = true;
+        }
     }
 
-    fn complete(self, ended: bool) -> Vec<Effect> {
-        let mut effects = self.cancel();
-        let outcome =
-            Outcome::Complete { prompt: count(&self.ask.prompt), answer: self.delivered, ended };
-        effects.push(Effect::Finish { request: self.request, outcome });
-        effects
+    pub(super) fn on_resume(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        if std::mem::take(&mut work.held) && !work.answer.awaits() {
+            self.feed(now, id, effects);
+        }
     }
 
-    /// Ends the request without a whole answer.
-    fn give_up(&self, reason: Refusal) -> Effect {
-        let ran = if self.attempt == 0 { Ran::No } else { Ran::Unknown };
-        let refused = Refused { reason, ran, retry_after_ms: None };
-        Effect::Finish { request: self.request, outcome: Outcome::Refused(refused) }
+    /// Tokens of the answer that are expected.
+    fn expected(&self, ask: &Generate) -> u32 {
+        let part = self.lengths.get(&ask.model).copied().unwrap_or(EXPECTED_LENGTH);
+        ((f64::from(ask.max_tokens) * part) as u32).max(1)
     }
 }
-
-fn count(tokens: &[u32]) -> u32 {
-    u32::try_from(tokens.len()).unwrap_or(u32::MAX)
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,15 +6,23 @@
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
+//! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
+//!   [`explain`].
 //! - [`share`]: messages by which entries share a contract's limits.
 
+pub mod answer;
 pub mod config;
 pub mod contract;
 pub mod engine;
 pub mod entry;
+pub mod estimate;
+pub mod explain;
 pub mod message;
 pub mod name;
+pub mod plan;
+pub mod recover;
 pub mod request;
+pub mod retry;
 pub mod revision;
 pub mod share;
 pub mod side;
