--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -12,7 +12,7 @@
 //! | `POST /v1/orders` | [`Order`] | [`State`], or 409 for an old fencing number |
 //!
 //! A step at position `p` first truncates the sequence to `p` positions; a step that leaves a gap
-//! fails with [`StepError::Gap`]. Sequences are named by request id.
+//! fails with [`StepError::Gap`]. Sequences are named by the side.
 
 use oriole_macros::{data, failure};
 
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -82,7 +82,7 @@
         /// The engine.
         endpoint: name::Endpoint,
         /// The sequence.
-        request: Id,
+        sequence: String,
     },
     /// Calls a plain service; [`Event::Answered`] must follow.
     Call {
@@ -103,6 +103,8 @@
     batch_us: u32,
     batch_at: Instant,
     calls: BTreeMap<Id, Record>,
+    /// Number of the next sequence at the engine.
+    next_sequence: u64,
 }
 
 /// One step of the batch that runs.
@@ -133,6 +135,7 @@
                 batch_us: 0,
                 batch_at: Instant::default(),
                 calls: BTreeMap::new(),
+                next_sequence: 0,
             };
             (name.clone(), gate)
         });
--- a/crates/core/src/side/generation.rs
+++ b/crates/core/src/side/generation.rs
@@ -15,6 +15,9 @@
 pub(super) struct Work {
     open: Open,
     entry: name::Host,
+    /// Name of the sequence at the engine. A request that comes back after it was cancelled gets a
+    /// new one, so that the freeing of the old one, still on its way, cannot hit it.
+    sequence: String,
     /// Positions that the engine holds for this attempt.
     held: Position,
     pending: Option<Pending>,
@@ -85,14 +88,14 @@
 
     pub(super) fn on_cancel(&mut self, cancel: &Cancel, effects: &mut Vec<Effect>) {
         for (name, gate) in &mut self.gates {
-            let ends = gate
-                .works
-                .get(&cancel.request)
-                .is_some_and(|work| work.open.attempt <= cancel.attempt);
-            if ends {
-                gate.works.remove(&cancel.request);
-                gate.queue.retain(|id| *id != cancel.request);
-                effects.push(Effect::Release { endpoint: name.clone(), request: cancel.request });
+            let ends = |work: &Work| work.open.attempt <= cancel.attempt;
+            if !gate.works.get(&cancel.request).is_some_and(ends) {
+                continue;
+            }
+            gate.queue.retain(|id| *id != cancel.request);
+            if let Some(work) = gate.works.remove(&cancel.request) {
+                let (endpoint, sequence) = (name.clone(), work.sequence);
+                effects.push(Effect::Release { endpoint, sequence });
             }
         }
     }
@@ -185,12 +188,22 @@
         let (request, attempt, stage) = (open.request, open.attempt, open.stage);
         if !same {
             self.queue.retain(|id| *id != request);
-            let work = Work { open, entry: from.clone(), held, pending: None, last: None };
+            let sequence = match self.works.remove(&request) {
+                Some(work) => work.sequence,
+                None => self.name_sequence(request),
+            };
+            let entry = from.clone();
+            let work = Work { open, entry, sequence, held, pending: None, last: None };
             self.works.insert(request, work);
         }
         reply(from, Message::Opened(Opened { request, attempt, stage, held }))
     }
 
+    fn name_sequence(&mut self, request: Id) -> String {
+        self.next_sequence += 1;
+        format!("{request}-{}", self.next_sequence)
+    }
+
     /// Takes a step in, answers a repetition from memory, or reports a gap.
     fn arrive(&mut self, arrival: Arrival) -> Option<Effect> {
         let work = self.works.get_mut(&arrival.request)?;
@@ -227,7 +240,7 @@
             let (position, count) = (pending.position, pending.count);
             self.running.push(Slot { request, attempt: work.open.attempt, position, count });
             steps.push(engine::Step {
-                sequence: request.to_string(),
+                sequence: work.sequence.clone(),
                 position,
                 input: pending.input.clone(),
                 sample: pending.sample && work.is_last(),
--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -145,7 +145,9 @@
     /// Sends over the open connection that was heard last; gives the message back if none is.
     fn send_open(&self, host: &name::Host, message: Message) -> Option<Message> {
         let mut links = self.inner.links.borrow_mut();
-        let open = links.get_mut(host)?;
+        let Some(open) = links.get_mut(host) else {
+            return Some(message);
+        };
         open.sort_by_key(|link| link.activity.heard());
         let mut message = message;
         while let Some(link) = open.last() {
