Share contracts' limits among entries by loans

Cause: the bound of a contract must hold summed over all entries without a coordinator, with the key-value service out.

Change: limit::Book divides each bound into shares (roster::Roster::own), lends and borrows parts of them with an expiry (share::Message), and admits by token buckets and slots. A replaced share bounds the new one until every reachable entry has learned the new roster and all loans have lapsed. A starting entry asks the others what it had lent (Hello/Welcome) before it uses its share. share::Message is extended; Ask/Grant carry all three quantities at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,14 +5,16 @@
 //!
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
-//! - [`share`]: messages by which entries share a contract's limits.
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 
 pub mod config;
 pub mod contract;
+pub mod limit;
 pub mod message;
 pub mod name;
 pub mod request;
 pub mod revision;
+pub mod roster;
 pub mod share;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/limit.rs
@@ -0,0 +1,404 @@
+//! Admission by contract, without a coordinator.
+//!
+//! A contract's bound is divided into shares that the entries own. An entry that is short borrows
+//! from others. The lender subtracts a loan before the borrower adds it, and the borrower stops
+//! using it before the lender takes it back, so the sum over all entries never passes the bound:
+//! not through lost, late, repeated or reordered messages, nor through pauses, deaths, restarts,
+//! new rosters or an outage of the key-value service. `docs/design/limits.md` has the argument.
+//!
+//! [`Book`] is the whole of it for one entry:
+//!
+//! - [`Book::on_contracts`] and [`Book::on_roster`] tell it what to share among whom,
+//! - [`Book::admit`] decides, [`Book::settle`] ends what was admitted,
+//! - [`Book::on_message`] takes messages of other entries, and [`Book::tick`] does what is due.
+
+pub mod baseline;
+pub mod bucket;
+
+mod account;
+mod ask;
+mod demand;
+mod keep;
+mod lend;
+mod loan;
+mod start;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use oriole_macros::{data, key};
+use slotmap::{SlotMap, new_key_type};
+
+use crate::contract::Contract;
+use crate::name;
+use crate::request::Refusal;
+use crate::roster::Roster;
+use crate::share::{Message, Terms};
+use crate::time::Instant;
+
+use account::Account;
+use bucket::UNIT;
+use start::Start;
+
+/// How often [`Book::tick`] is to be called, in milliseconds.
+pub const TICK_MS: u64 = 100;
+
+/// How long a request that was denied with [`Denial::asked`] is worth keeping for another try.
+pub const PARK_MS: u64 = 50;
+
+/// Retry hint while all slots are taken, in milliseconds.
+const SLOT_RETRY_MS: u64 = 250;
+
+new_key_type! {
+    /// Index of a workspace's account.
+    struct Key;
+}
+
+/// Times by which loans and rosters are kept apart. All entries must agree on them.
+#[data]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Settings {
+    /// Milliseconds that a loan lasts unless it is renewed.
+    pub loan_ms: u32,
+    /// Milliseconds within which a new revision is in force on every reachable process.
+    pub propagation_ms: u32,
+    /// Most by which a monotonic clock may run fast or slow, in parts per million.
+    pub drift_ppm: u32,
+    /// Whether loans are given and asked for; without them the shares are static.
+    pub lend: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { loan_ms: 6000, propagation_ms: 17_000, drift_ppm: 500, lend: true }
+    }
+}
+
+impl Settings {
+    /// How long a borrower may use a loan, from when it asked.
+    fn loan(&self) -> Duration {
+        Duration::from_millis(self.loan_ms.into())
+    }
+
+    /// How long a new revision takes to every reachable process.
+    fn propagation(&self) -> Duration {
+        self.surely(Duration::from_millis(self.propagation_ms.into()))
+    }
+
+    /// `time` by the fastest clock, once it has passed by the slowest one.
+    fn surely(&self, time: Duration) -> Duration {
+        let slack = time.as_micros() * 3 * u128::from(self.drift_ppm) / 1_000_000;
+        time + Duration::from_micros(u64::try_from(slack).unwrap_or(u64::MAX)) + TICK_SLACK
+    }
+
+    /// How long a replaced share still bounds the present one.
+    fn wait(&self) -> Duration {
+        self.propagation() + self.surely(self.loan())
+    }
+}
+
+/// Covers the rounding of times to milliseconds in messages.
+const TICK_SLACK: Duration = Duration::from_millis(2);
+
+/// Something that the caller of the decisions is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a message to an entry. It may get lost.
+    Send(name::Host, Message),
+    /// A loan has come: requests of the workspace that were denied with [`Denial::asked`] may be
+    /// tried again now, by [`Book::retry`].
+    Retry(name::Workspace),
+}
+
+/// Proof that a request was admitted; it is to be given to [`Book::settle`] when the request ends.
+#[derive(Debug, PartialEq)]
+#[must_use]
+pub struct Permit {
+    key: Key,
+    number: u64,
+    tokens: u32,
+    roster: u64,
+}
+
+impl Permit {
+    /// Number of the roster under which the request was admitted.
+    pub fn roster(&self) -> u64 {
+        self.roster
+    }
+
+    /// Tokens that were charged.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+}
+
+/// Why a request was not admitted.
+#[key]
+#[derive(Display, Error)]
+#[display("{refusal}")]
+pub struct Denial {
+    /// The reason.
+    pub refusal: Refusal,
+    /// Milliseconds after which another try is useful; none if it never is.
+    pub retry_after_ms: Option<u64>,
+    /// Whether a loan has been asked for, so that waiting up to [`PARK_MS`] for
+    /// [`Effect::Retry`] may help.
+    pub asked: bool,
+}
+
+/// What the entry holds of one workspace's bound, for status and explanations.
+#[data]
+#[derive(Copy)]
+pub struct View {
+    /// The share that it owns, less what a recent change withholds.
+    pub own: Terms,
+    /// Lent to others.
+    pub lent: Terms,
+    /// Own share, less lent, plus borrowed.
+    pub held: Terms,
+    /// Requests in the bucket, in millionths.
+    pub requests: i64,
+    /// Tokens in the bucket, in millionths; negative if estimates were too low.
+    pub tokens: i64,
+    /// Requests in progress.
+    pub in_use: u32,
+}
+
+/// One entry's accounts for all workspaces.
+#[derive(Debug)]
+pub struct Book {
+    host: name::Host,
+    boot: u32,
+    settings: Settings,
+    roster: Option<(Roster, Instant)>,
+    start: Start,
+    accounts: SlotMap<Key, Account>,
+    names: BTreeMap<name::Workspace, Key>,
+    serial: u32,
+    charges: u64,
+}
+
+impl Book {
+    /// The book of the entry on `host`. `boot` is a random number that the process drew when it
+    /// started; two runs must not draw the same.
+    pub fn new(now: Instant, host: name::Host, boot: u32, settings: Settings) -> Self {
+        Self {
+            start: Start::new(now, &settings),
+            host,
+            boot,
+            settings,
+            roster: None,
+            accounts: SlotMap::with_key(),
+            names: BTreeMap::new(),
+            serial: 0,
+            charges: 0,
+        }
+    }
+
+    /// Takes over the contracts of a revision.
+    pub fn on_contracts(
+        &mut self,
+        now: Instant,
+        contracts: &BTreeMap<name::Workspace, Contract>,
+        out: &mut Vec<Effect>,
+    ) {
+        for (workspace, contract) in contracts {
+            let key = self.open(now, workspace, contract);
+            self.divide(now, key);
+        }
+        let names: BTreeSet<_> = contracts.keys().collect();
+        for account in self.accounts.values_mut().filter(|a| !names.contains(&a.workspace)) {
+            account.gone = account.gone.or(Some(now));
+        }
+        self.start.contracts = true;
+        self.greet(now, out);
+    }
+
+    fn open(&mut self, now: Instant, workspace: &name::Workspace, contract: &Contract) -> Key {
+        if let Some(key) = self.names.get(workspace).copied() {
+            if let Some(account) = self.accounts.get_mut(key) {
+                account.set_contract(now, contract);
+            }
+            return key;
+        }
+        let account = Account::new(now, workspace, contract, self.settings.drift_ppm);
+        let key = self.accounts.insert(account);
+        self.names.insert(workspace.clone(), key);
+        key
+    }
+
+    /// Gives the account its share by the present roster.
+    fn divide(&mut self, now: Instant, key: Key) {
+        let (Some((roster, _)), Some(account)) = (&self.roster, self.accounts.get_mut(key)) else {
+            return;
+        };
+        account.push_share(now, roster.own(&self.host, &account.workspace, &account.limits));
+        account.set_lenders(&self.host, roster);
+        self.refresh(now, key);
+    }
+
+    /// Works out what may be used of the own share now.
+    fn refresh(&mut self, now: Instant, key: Key) {
+        let wait = self.settings.wait();
+        let Some(account) = self.accounts.get_mut(key) else {
+            return;
+        };
+        account.advance(now);
+        account.forget_shares(now, wait);
+        let allowed = account.allowed(now, wait);
+        let own = self.start.allow(now, allowed, account.longest);
+        if own != account.own {
+            account.own = own;
+            account.recount();
+        }
+    }
+
+    /// Takes over a roster. An older one than the present is ignored.
+    pub fn on_roster(&mut self, now: Instant, roster: Roster, out: &mut Vec<Effect>) {
+        let known = self.roster.as_ref().map(|(r, _)| r);
+        if known.is_some_and(|known| roster.number <= known.number) {
+            return;
+        }
+        let missed = known.is_some_and(|known| roster.previous != known.number);
+        match known {
+            None => self.start.on_first_roster(now, &self.host, &roster),
+            Some(known) => self.start.on_next_roster(now, &self.host, known, &roster),
+        }
+        self.roster = Some((roster, now));
+        let keys: Vec<Key> = self.accounts.keys().collect();
+        for key in keys {
+            if missed && let Some(account) = self.accounts.get_mut(key) {
+                account.push_share(now, Terms::default());
+            }
+            self.divide(now, key);
+        }
+        self.greet(now, out);
+    }
+
+    /// Number of the present roster, 0 before there is one.
+    pub fn roster(&self) -> u64 {
+        self.roster.as_ref().map_or(0, |(r, _)| r.number)
+    }
+
+    /// Decides whether a request that is estimated to cost `tokens` may run.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        workspace: &name::Workspace,
+        tokens: u32,
+        out: &mut Vec<Effect>,
+    ) -> Result<Permit, Denial> {
+        if let Some(account) = self.account(workspace) {
+            account.demand.note(now, tokens);
+        }
+        self.retry(now, workspace, tokens, out)
+    }
+
+    /// Like [`Book::admit`], for a request that was denied a moment ago.
+    pub fn retry(
+        &mut self,
+        now: Instant,
+        workspace: &name::Workspace,
+        tokens: u32,
+        out: &mut Vec<Effect>,
+    ) -> Result<Permit, Denial> {
+        let key = self.names.get(workspace).copied().unwrap_or_default();
+        let roster = self.roster();
+        let Some(account) = self.accounts.get_mut(key).filter(|a| a.gone.is_none()) else {
+            return Err(Denial { refusal: Refusal::NotFound, retry_after_ms: None, asked: false });
+        };
+        account.advance(now);
+        match account.check(tokens) {
+            Ok(()) => {
+                self.charges += 1;
+                let number = self.charges;
+                account.charge(number, tokens);
+                self.return_brief(key, out);
+                self.ask_early(now, key, out);
+                Ok(Permit { key, number, tokens, roster })
+            }
+            Err(denial) => {
+                let asked = denial.retry_after_ms.is_some() && self.ask_for(now, key, tokens, out);
+                Err(Denial { asked, ..denial })
+            }
+        }
+    }
+
+    /// Ends an admitted request that cost `used` tokens; 0 if it did not run.
+    pub fn settle(&mut self, now: Instant, permit: Permit, used: u32, out: &mut Vec<Effect>) {
+        let Some(account) = self.accounts.get_mut(permit.key) else {
+            return;
+        };
+        account.advance(now);
+        account.in_use = account.in_use.saturating_sub(1);
+        let (charged, used) = (i64::from(permit.tokens) * UNIT, i64::from(used) * UNIT);
+        account.tokens.settle(permit.number, charged, used);
+        self.return_slots(permit.key, out);
+    }
+
+    /// Takes a message of another entry.
+    pub fn on_message(
+        &mut self,
+        now: Instant,
+        from: &name::Host,
+        message: Message,
+        out: &mut Vec<Effect>,
+    ) {
+        match message {
+            Message::Hello(hello) => self.on_hello(now, from, hello, out),
+            Message::Welcome(welcome) => self.on_welcome(now, from, welcome),
+            Message::Ask(ask) => self.on_ask(now, from, ask, out),
+            Message::Grant(grant) => self.on_grant(now, from, grant, out),
+            Message::Return(back) => self.on_return(now, from, back),
+        }
+    }
+
+    /// Does what is due: renews and returns loans, and takes up shares that have become free.
+    /// To be called every [`TICK_MS`]; late calls cost throughput only.
+    pub fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.greet(now, out);
+        let keys: Vec<Key> = self.accounts.keys().collect();
+        for key in keys {
+            self.refresh(now, key);
+            self.keep_loans(now, key, out);
+            self.forget(now, key);
+        }
+    }
+
+    /// Removes the account of a contract that was taken away, once nothing of it is out.
+    fn forget(&mut self, now: Instant, key: Key) {
+        let wait = self.settings.wait();
+        let over = |a: &&Account| a.gone.is_some_and(|at| at + wait + a.longest < now);
+        if self.accounts.get(key).filter(over).is_some()
+            && let Some(account) = self.accounts.remove(key)
+        {
+            self.names.remove(&account.workspace);
+        }
+    }
+
+    /// What the entry holds of a workspace's bound.
+    pub fn view(&mut self, now: Instant, workspace: &name::Workspace) -> Option<View> {
+        let account = self.account(workspace)?;
+        account.advance(now);
+        Some(View {
+            own: account.own,
+            lent: account.lent_out(),
+            held: account.held,
+            requests: account.requests.level(),
+            tokens: account.tokens.level(),
+            in_use: account.in_use,
+        })
+    }
+
+    fn account(&mut self, workspace: &name::Workspace) -> Option<&mut Account> {
+        let key = self.names.get(workspace)?;
+        self.accounts.get_mut(*key)
+    }
+
+    /// A number for a loan or a request for one, which no other run of this entry has used.
+    fn next_serial(&mut self) -> u64 {
+        self.serial = self.serial.wrapping_add(1);
+        u64::from(self.boot) << 32 | u64::from(self.serial)
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/ask.rs
@@ -0,0 +1,251 @@
+//! The borrower's side: asking for loans and receiving them.
+
+use std::time::Duration;
+
+use crate::limit::account::{Account, Short};
+use crate::limit::bucket::UNIT;
+use crate::limit::loan::{Borrowed, Pending};
+use crate::limit::start::millis;
+use crate::limit::{Book, Effect, Key, PARK_MS};
+use crate::name;
+use crate::share::{Ask, Grant, Levels, Message, Terms};
+use crate::time::Instant;
+
+/// How long an answer is waited for before another entry is asked.
+const ANSWER_MS: u64 = 100;
+
+/// Requests for loans of one workspace that may be unanswered at once.
+const MAX_OPEN: usize = 4;
+
+/// Lenders that are tried for one request.
+const MAX_TRIES: usize = 6;
+
+const FIRST_BACKOFF_MS: u64 = 20;
+const MAX_BACKOFF_SHIFT: u32 = 6;
+
+/// Least time between two requests for loans that are made before anything is denied.
+const EARLY_INTERVAL_MS: u64 = 250;
+
+impl Book {
+    /// Asks for what a request of `tokens` lacks. Returns whether an answer is awaited.
+    pub(super) fn ask_for(
+        &mut self,
+        now: Instant,
+        key: Key,
+        tokens: u32,
+        out: &mut Vec<Effect>,
+    ) -> bool {
+        let may = self.start.may_borrow(now);
+        let Some(account) = self.accounts.get_mut(key).filter(|_| self.settings.lend && may) else {
+            return false;
+        };
+        let waiting = account.short.is_some_and(|s| s.until > now);
+        if !waiting && account.next_ask <= now {
+            account.short = Some(Short {
+                tokens: i64::from(tokens) * UNIT,
+                until: now + Duration::from_millis(PARK_MS),
+                tries: account.lenders.len().min(MAX_TRIES),
+            });
+        }
+        self.ask_next(now, key, out);
+        self.accounts.get(key).is_some_and(|a| a.open_asks(now) > 0)
+    }
+
+    /// Asks early if the demand outgrows what is held.
+    pub(super) fn ask_early(&mut self, now: Instant, key: Key, out: &mut Vec<Effect>) {
+        if let Some(account) = self.accounts.get_mut(key)
+            && account.runs_low(now)
+        {
+            account.next_early = now + Duration::from_millis(EARLY_INTERVAL_MS);
+            self.ask_for(now, key, 0, out);
+        }
+    }
+
+    /// Asks further lenders, as long as something is short and the tries last.
+    fn ask_next(&mut self, now: Instant, key: Key, out: &mut Vec<Effect>) {
+        while let Some((to, least, want)) = self.accounts.get_mut(key).and_then(|a| a.next_ask(now))
+        {
+            self.send_ask(now, key, to, Request { least, want, renew: None }, out);
+        }
+    }
+
+    /// Sends one request for a loan or its renewal.
+    pub(super) fn send_ask(
+        &mut self,
+        now: Instant,
+        key: Key,
+        to: name::Host,
+        request: Request,
+        out: &mut Vec<Effect>,
+    ) {
+        let number = self.next_serial();
+        let Some(account) = self.accounts.get_mut(key) else {
+            return;
+        };
+        let pending = Pending {
+            to: to.clone(),
+            at: now,
+            renew: request.renew,
+            hold: account.longest,
+            sporadic: account.demand.sporadic(now),
+        };
+        account.pending.insert(number, pending);
+        let ask = Ask {
+            number,
+            boot: self.boot,
+            workspace: account.workspace.clone(),
+            least: request.least,
+            want: request.want,
+            renew: request.renew,
+            hold_ms: millis(account.longest),
+        };
+        out.push(Effect::Send(to, Message::Ask(ask)));
+    }
+
+    /// Takes a lender's answer.
+    pub(super) fn on_grant(
+        &mut self,
+        now: Instant,
+        from: &name::Host,
+        grant: Grant,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(key) = self.names.get(&grant.workspace).copied() else {
+            return;
+        };
+        let Some(account) = self.accounts.get_mut(key).filter(|_| grant.boot == self.boot) else {
+            return;
+        };
+        let Some(pending) = account.take_pending(from, grant.number) else {
+            return;
+        };
+        account.advance(now);
+        let life = self.settings.loan().min(Duration::from_millis(grant.life_ms.into()));
+        let until = pending.at + life;
+        if pending.renew.is_some() {
+            account.extend(&grant, until);
+            return;
+        }
+        if grant.terms.is_empty() || until <= now {
+            account.on_refusal(now);
+        } else {
+            account.receive(now, &grant, pending, until);
+            out.push(Effect::Retry(grant.workspace));
+        }
+        self.ask_next(now, key, out);
+    }
+}
+
+/// What is asked of a lender.
+pub struct Request {
+    /// The least that is of use.
+    pub least: Terms,
+    /// What is wanted.
+    pub want: Terms,
+    /// The loan to renew.
+    pub renew: Option<u64>,
+}
+
+impl Account {
+    fn open_asks(&self, now: Instant) -> usize {
+        self.pending.values().filter(|p| p.is_open(now)).count()
+    }
+
+    /// Whom to ask next, and for what, if something is short and the tries last.
+    fn next_ask(&mut self, now: Instant) -> Option<(name::Host, Terms, Terms)> {
+        let short = self.short.filter(|s| s.until > now && s.tries > 0)?;
+        // One lender at a time for a single request; several when much is short.
+        let sporadic = self.demand.sporadic(now);
+        let most = if sporadic { 1 } else { MAX_OPEN };
+        if self.open_asks(now) >= most {
+            return None;
+        }
+        let least = self.missing(short.tokens);
+        let lack = if sporadic { Terms::default() } else { self.need(now).minus(self.held) };
+        let want = least.max(lack);
+        if want.is_empty() {
+            return None;
+        }
+        let to = self.next_lender(now)?;
+        self.short = Some(Short { tries: short.tries - 1, ..short });
+        Some((to, least, want))
+    }
+
+    /// The next entry that is not being asked.
+    fn next_lender(&mut self, now: Instant) -> Option<name::Host> {
+        for _ in 0..self.lenders.len() {
+            let host = self.lenders.get(self.cursor % self.lenders.len())?.clone();
+            self.cursor = (self.cursor + 1) % self.lenders.len();
+            if !self.pending.values().any(|p| p.to == host && p.is_open(now)) {
+                return Some(host);
+            }
+        }
+        None
+    }
+
+    /// Whether the rate held is below the demand and the bucket is running out.
+    fn runs_low(&self, now: Instant) -> bool {
+        if self.next_early > now || self.next_ask > now || self.demand.sporadic(now) {
+            return false;
+        }
+        let lack = self.need(now).minus(self.held);
+        (lack.requests > 0 && self.requests.is_low())
+            || (lack.tokens > 0 && self.tokens.is_low())
+            || lack.slots > 0
+    }
+
+    fn take_pending(&mut self, from: &name::Host, number: u64) -> Option<Pending> {
+        self.pending.get(&number).filter(|p| p.to == *from)?;
+        self.pending.remove(&number)
+    }
+
+    fn extend(&mut self, grant: &Grant, until: Instant) {
+        if grant.terms.is_empty() {
+            return;
+        }
+        if let Some(loan) = self.borrowed.get_mut(&grant.loan).filter(|l| l.active) {
+            loan.until = loan.until.max(until);
+            self.recount();
+        }
+    }
+
+    /// Backs off once all tries for a request have brought nothing.
+    fn on_refusal(&mut self, now: Instant) {
+        if self.short.is_some_and(|s| s.tries > 0) {
+            return;
+        }
+        let shift = self.fruitless.min(MAX_BACKOFF_SHIFT);
+        self.next_ask = now + Duration::from_millis(FIRST_BACKOFF_MS << shift);
+        self.fruitless = self.fruitless.saturating_add(1);
+    }
+
+    fn receive(&mut self, now: Instant, grant: &Grant, pending: Pending, until: Instant) {
+        // The one that could lend is asked first the next time.
+        if let Some(place) = self.lenders.iter().position(|h| *h == pending.to) {
+            self.cursor = place;
+        }
+        let loan = Borrowed {
+            from: pending.to,
+            terms: grant.terms,
+            until,
+            hold: pending.hold,
+            active: true,
+            brief: grant.brief || pending.sporadic,
+            since: now,
+            slots_back: 0,
+            levels: Levels::default(),
+            repeats: 0,
+        };
+        self.borrowed.insert(grant.loan, loan);
+        self.recount();
+        self.add(grant.levels);
+        self.fruitless = 0;
+    }
+}
+
+impl Pending {
+    /// Whether an answer to a request for a new loan may still come soon.
+    fn is_open(&self, now: Instant) -> bool {
+        self.renew.is_none() && self.at + Duration::from_millis(ANSWER_MS) > now
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/baseline.rs
@@ -0,0 +1,49 @@
+//! Simpler limiters, for comparison in measurements only.
+
+use std::collections::BTreeMap;
+
+use crate::contract::Contract;
+use crate::limit::{Book, Denial, Effect, Permit, Settings};
+use crate::name;
+use crate::roster::Roster;
+use crate::time::Instant;
+
+/// Settings by which each entry keeps to its own share.
+pub fn without_loans() -> Settings {
+    Settings { lend: false, ..Settings::default() }
+}
+
+/// One limiter for all entries: whoever cannot reach it admits nothing.
+#[derive(Debug)]
+pub struct Central {
+    book: Book,
+    out: Vec<Effect>,
+}
+
+impl Central {
+    /// A central limiter of the given contracts.
+    pub fn new(now: Instant, contracts: &BTreeMap<name::Workspace, Contract>) -> Self {
+        let host = name::Host::from("central");
+        let mut book = Book::new(now, host.clone(), 1, without_loans());
+        let mut out = Vec::new();
+        book.on_contracts(now, contracts, &mut out);
+        book.on_roster(now, Roster::first(BTreeMap::from([(host, 1)])), &mut out);
+        Self { book, out }
+    }
+
+    /// Decides whether a request may run.
+    pub fn admit(
+        &mut self,
+        now: Instant,
+        workspace: &name::Workspace,
+        tokens: u32,
+    ) -> Result<Permit, Denial> {
+        self.out.clear();
+        self.book.admit(now, workspace, tokens, &mut self.out)
+    }
+
+    /// Ends an admitted request.
+    pub fn settle(&mut self, now: Instant, permit: Permit, used: u32) {
+        self.book.settle(now, permit, used, &mut self.out);
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/bucket.rs
@@ -0,0 +1,194 @@
+//! A token bucket whose rate and capacity are a changing part of a contract's bound.
+
+use std::collections::BTreeMap;
+
+use crate::roster::WHOLE;
+use crate::time::Instant;
+
+/// Millionths of a request or token in one.
+pub const UNIT: i64 = 1_000_000;
+
+const PPM: u128 = 1_000_000;
+const US_PER_S: u128 = 1_000_000;
+const LONGEST_REFILL_US: u64 = 10_000_000_000;
+const MAX_RATE: f64 = 1e15;
+
+/// The whole bound, of which a bucket holds a part.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bound {
+    /// Millionths of a unit a second.
+    pub rate: u64,
+    /// Units.
+    pub burst: u32,
+}
+
+impl Bound {
+    /// The bound of a rate a second and a burst.
+    pub fn new(per_second: f64, burst: u32) -> Self {
+        Self { rate: (per_second * UNIT as f64).clamp(0.0, MAX_RATE) as u64, burst }
+    }
+
+    /// The parts whose capacity is at least `amount`, which is in millionths of a unit.
+    pub fn parts(&self, amount: i64) -> u32 {
+        let burst = i64::from(self.burst.max(1));
+        u32::try_from(amount.max(0).saturating_add(burst - 1) / burst).unwrap_or(u32::MAX)
+    }
+
+    /// Millionths of a unit that `parts` of the burst hold.
+    pub fn capacity(&self, parts: u32) -> i64 {
+        i64::from(self.burst) * i64::from(parts)
+    }
+}
+
+/// A token bucket. All amounts are in millionths of a unit.
+///
+/// It is refilled at each change of its parts, so that a rate counts only for the time that it
+/// was held. Of an estimate that proves too high the rest is returned, but only as far as the
+/// bucket could have held it at every moment since: the record is then the same as if the true
+/// cost had been charged at once, and no window sees more than the bound.
+#[derive(Clone, Debug)]
+pub struct Bucket {
+    bound: Bound,
+    parts: u32,
+    level: i64,
+    filled: Instant,
+    remainder: u128,
+    slow_ppm: u32,
+    /// By open charge: the least room in the bucket until the next open charge was made.
+    room: BTreeMap<u64, i64>,
+}
+
+impl Bucket {
+    /// An empty bucket that holds no part. Its clock counts as `slow_ppm` too fast.
+    pub fn new(now: Instant, bound: Bound, slow_ppm: u32) -> Self {
+        Self {
+            bound,
+            parts: 0,
+            level: 0,
+            filled: now,
+            remainder: 0,
+            slow_ppm,
+            room: BTreeMap::new(),
+        }
+    }
+
+    /// The whole bound.
+    pub fn bound(&self) -> Bound {
+        self.bound
+    }
+
+    /// The level, negative if there is a debt.
+    pub fn level(&self) -> i64 {
+        self.level
+    }
+
+    fn capacity(&self) -> i64 {
+        self.bound.capacity(self.parts)
+    }
+
+    /// Milliseconds until the level is `amount`; none if the whole bound never allows it.
+    pub fn retry_after_ms(&self, amount: i64) -> Option<u64> {
+        if amount > self.bound.capacity(WHOLE) || self.bound.rate == 0 {
+            return None;
+        }
+        let rate = u128::from(self.bound.rate) * u128::from(self.parts) / u128::from(WHOLE);
+        // With too small a part of its own the entry depends on loans of the whole.
+        let fits = amount <= self.capacity() && rate > 0;
+        let rate = if fits { rate } else { u128::from(self.bound.rate) };
+        let lack = u128::try_from(amount.saturating_sub(self.level)).unwrap_or(0);
+        Some(u64::try_from(lack * 1000 / rate).unwrap_or(u64::MAX).max(1))
+    }
+
+    /// Adds what the rate has given since the last call.
+    pub fn refill(&mut self, now: Instant) {
+        if now <= self.filled {
+            return;
+        }
+        let us = (now.as_us() - self.filled.as_us()).min(LONGEST_REFILL_US);
+        self.filled = now;
+        let rate = u128::from(self.bound.rate) * u128::from(self.parts);
+        let slowed = PPM - u128::from(self.slow_ppm).min(PPM);
+        let scale = u128::from(WHOLE) * PPM * US_PER_S;
+        let gain = rate * slowed * u128::from(us) + self.remainder;
+        self.remainder = gain % scale;
+        self.add(i64::try_from(gain / scale).unwrap_or(i64::MAX));
+    }
+
+    /// Adds to the level, up to the capacity.
+    pub fn add(&mut self, amount: i64) {
+        self.level = self.level.saturating_add(amount);
+        self.clamp();
+    }
+
+    fn clamp(&mut self) {
+        if self.level >= self.capacity() {
+            self.level = self.capacity().min(self.level);
+            self.remainder = 0;
+        }
+        let room = self.capacity() - self.level;
+        if let Some(mut last) = self.room.last_entry() {
+            let least = room.min(*last.get());
+            last.insert(least);
+        }
+    }
+
+    /// Changes the bound. The bucket must have been refilled.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+        self.clamp();
+    }
+
+    /// Changes the parts held. The bucket must have been refilled.
+    pub fn set_parts(&mut self, parts: u32) {
+        self.parts = parts;
+        self.clamp();
+    }
+
+    /// Whether less than half of the capacity is left.
+    pub fn is_low(&self) -> bool {
+        self.level < self.capacity() / 2
+    }
+
+    /// The parts whose capacity the level would fill.
+    pub fn ready(&self) -> u32 {
+        let parts = self.level.max(0) / i64::from(self.bound.burst.max(1));
+        u32::try_from(parts).unwrap_or(WHOLE)
+    }
+
+    /// Takes out what may move with `parts` of the bound.
+    pub fn take(&mut self, parts: u32) -> u64 {
+        let amount = self.level.clamp(0, self.bound.capacity(parts));
+        self.level -= amount;
+        u64::try_from(amount).unwrap_or(0)
+    }
+
+    /// Charges `amount` under the number `charge`, which must be above all earlier ones.
+    pub fn charge(&mut self, charge: u64, amount: i64) {
+        self.level -= amount;
+        self.room.insert(charge, self.capacity() - self.level);
+    }
+
+    /// Charges `amount` for good.
+    pub fn spend(&mut self, amount: i64) {
+        self.level -= amount;
+    }
+
+    /// Closes a charge of `charged` that really cost `used`. More is a debt; less is returned.
+    pub fn settle(&mut self, charge: u64, charged: i64, used: i64) {
+        let Some(own) = self.room.get(&charge).copied() else {
+            return;
+        };
+        let least = self.room.range(charge..).map(|(_, room)| *room).min().unwrap_or(0);
+        let change = if used > charged { used - charged } else { 0 };
+        let back = (charged - used).clamp(0, least.max(0));
+        self.level += back - change;
+        for (_, room) in self.room.range_mut(charge..) {
+            *room -= back;
+        }
+        self.room.remove(&charge);
+        if let Some((_, earlier)) = self.room.range_mut(..charge).next_back() {
+            *earlier = (*earlier).min(own - back);
+        }
+        self.clamp();
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/demand.rs
@@ -0,0 +1,47 @@
+//! An estimate of how much is asked for at this entry.
+
+use crate::time::Instant;
+
+const HORIZON_S: f64 = 2.0;
+
+/// Exponentially weighted rates of requests and of tokens that arrive.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    requests: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Demand {
+    /// No demand yet.
+    pub fn new(now: Instant) -> Self {
+        Self { requests: 0.0, tokens: 0.0, at: now }
+    }
+
+    /// Counts one request of `tokens`.
+    pub fn note(&mut self, now: Instant, tokens: u32) {
+        let keep = self.kept(now);
+        self.requests = self.requests * keep + 1.0 / HORIZON_S;
+        self.tokens = self.tokens * keep + f64::from(tokens) / HORIZON_S;
+        self.at = self.at.max(now);
+    }
+
+    /// Requests a second.
+    pub fn requests(&self, now: Instant) -> f64 {
+        self.requests * self.kept(now)
+    }
+
+    /// Tokens a second.
+    pub fn tokens(&self, now: Instant) -> f64 {
+        self.tokens * self.kept(now)
+    }
+
+    /// Whether so little arrives that a loan would serve a single request.
+    pub fn sporadic(&self, now: Instant) -> bool {
+        self.requests(now) * HORIZON_S < 1.8
+    }
+
+    fn kept(&self, now: Instant) -> f64 {
+        (-now.since(self.at).as_secs_f64() / HORIZON_S).exp()
+    }
+}
--- /dev/null
+++ b/crates/core/src/limit/loan.rs
@@ -0,0 +1,101 @@
+//! Records of loans, on the lender's and on the borrower's side.
+
+use std::time::Duration;
+
+use crate::name;
+use crate::share::{Levels, Terms};
+use crate::time::Instant;
+
+/// A loan that this entry has given.
+#[derive(Clone, Debug)]
+pub struct Lent {
+    /// The borrower.
+    pub to: name::Host,
+    /// The borrower's boot number.
+    pub boot: u32,
+    /// The borrower's number of the request for the loan.
+    pub number: u64,
+    /// What was lent.
+    pub terms: Terms,
+    /// Whether the rates and bursts are still out.
+    pub rates_out: bool,
+    /// Slots that came back.
+    pub slots_back: u32,
+    /// When the rates and bursts come back at the latest.
+    pub until: Instant,
+    /// When the last request that used a slot of it is over.
+    pub hold_until: Instant,
+}
+
+impl Lent {
+    /// What is still out.
+    pub fn out(&self) -> Terms {
+        let slots = self.terms.slots.saturating_sub(self.slots_back);
+        if self.rates_out {
+            return Terms { slots, ..self.terms };
+        }
+        Terms { slots, ..Terms::default() }
+    }
+
+    /// The next instant at which something of it comes back without a message.
+    pub fn next_event(&self) -> Instant {
+        if self.rates_out { self.until } else { self.hold_until }
+    }
+}
+
+/// A loan that this entry has received.
+#[derive(Clone, Debug)]
+pub struct Borrowed {
+    /// The lender.
+    pub from: name::Host,
+    /// What was lent.
+    pub terms: Terms,
+    /// When nothing more is admitted under it.
+    pub until: Instant,
+    /// Every request that used it is over this long after `until`.
+    pub hold: Duration,
+    /// Whether requests may be admitted under it.
+    pub active: bool,
+    /// Whether the lender needs it back as soon as it has been used.
+    pub brief: bool,
+    /// When it was received.
+    pub since: Instant,
+    /// Slots given back.
+    pub slots_back: u32,
+    /// What was in the buckets when the rates were given back.
+    pub levels: Levels,
+    /// How many more times the return is repeated.
+    pub repeats: u8,
+}
+
+impl Borrowed {
+    /// What it adds to the amounts that may be used.
+    pub fn usable(&self) -> Terms {
+        if self.active { self.terms } else { Terms::default() }
+    }
+
+    /// Slots of an ended loan that running requests may still occupy.
+    pub fn closing(&self) -> u32 {
+        if self.active { 0 } else { self.terms.slots.saturating_sub(self.slots_back) }
+    }
+
+    /// Whether nothing is left to be done about it.
+    pub fn is_over(&self) -> bool {
+        !self.active && self.closing() == 0 && self.repeats == 0
+    }
+}
+
+/// A request for a loan that has not been answered.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// The lender.
+    pub to: name::Host,
+    /// When it was sent; the loan's life counts from here.
+    pub at: Instant,
+    /// The lender's number of the loan that is to be renewed.
+    pub renew: Option<u64>,
+    /// Every request that uses the loan is over this long after its end.
+    pub hold: Duration,
+    /// Whether a loan would serve a single request.
+    pub sporadic: bool,
+}
--- /dev/null
+++ b/crates/core/tests/limit/bound.rs
@@ -0,0 +1,120 @@
+//! The bound holds in every window, whatever happens.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use oriole_core::contract::Limits;
+use oriole_core::limit::Settings;
+use oriole_core::name::Workspace;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::RngExt;
+
+use crate::world::{Wire, Work, World, contract, limits};
+
+const MS: u64 = 1000;
+const NODES: usize = 6;
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// Requests arrive for this long at the nodes whose bits are set.
+    Load {
+        ms: u64,
+        nodes: u8,
+    },
+    Pause(usize),
+    Resume(usize),
+    Kill(usize),
+    Start(usize),
+    Roster(u8),
+    Wire {
+        loss: f64,
+        double: f64,
+        delay_ms: u64,
+    },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let node = 0..NODES;
+    prop_oneof![
+        8 => (50u64..4000, any::<u8>()).prop_map(|(ms, nodes)| Op::Load { ms, nodes }),
+        1 => node.clone().prop_map(Op::Pause),
+        1 => node.clone().prop_map(Op::Resume),
+        1 => node.clone().prop_map(Op::Kill),
+        2 => node.prop_map(Op::Start),
+        1 => any::<u8>().prop_map(Op::Roster),
+        1 => (0.0..0.5f64, 0.0..0.5f64, 1u64..4000)
+            .prop_map(|(loss, double, delay_ms)| Op::Wire { loss, double, delay_ms }),
+    ]
+}
+
+fn members(bits: u8) -> BTreeSet<usize> {
+    (0..NODES).filter(|n| bits & (1 << n) != 0).collect()
+}
+
+/// Short times, so that a case sees many loans and rosters come and go.
+fn settings() -> Settings {
+    Settings { loan_ms: 1500, propagation_ms: 1500, drift_ppm: 2000, lend: true }
+}
+
+fn workspaces() -> Vec<(Workspace, Limits)> {
+    let large = limits(60.0, 30, 30_000.0, 60_000);
+    let small = limits(8.0, 3, 4000.0, 9000);
+    let slots = Limits { concurrency: 5, ..limits(500.0, 500, 1e6, 1_000_000) };
+    [("large", large), ("small", small), ("slots", slots)]
+        .map(|(name, limits)| (Workspace::from(name), limits))
+        .to_vec()
+}
+
+fn load(world: &mut World, ms: u64, nodes: u8) {
+    let end = world.now + ms * MS;
+    let nodes: Vec<usize> = members(nodes).into_iter().collect();
+    while world.now < end {
+        world.advance(world.now + 10 * MS);
+        for (workspace, _) in workspaces() {
+            let Some(node) = nodes.get(world.rng.random_range(0..nodes.len().max(1))) else {
+                continue;
+            };
+            let estimate = world.rng.random_range(0..1500);
+            let used = world.rng.random_range(0..=estimate);
+            let run_us = world.rng.random_range(0..1900 * MS);
+            world.arrive(*node, &workspace, Work { estimate, used, run_us });
+        }
+    }
+}
+
+fn apply(world: &mut World, op: &Op) {
+    match *op {
+        Op::Load { ms, nodes } => load(world, ms, nodes),
+        Op::Pause(node) => world.pause(node),
+        Op::Resume(node) => world.resume(node),
+        Op::Kill(node) => world.kill(node),
+        Op::Start(node) => world.start(node),
+        Op::Roster(nodes) => world.commit_roster(members(nodes)),
+        Op::Wire { loss, double, delay_ms } => {
+            world.wire = Wire { loss, double, delay_us: 100..delay_ms * MS };
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        cases: 96,
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_window_passes_the_bound(seed in any::<u64>(), ops in prop::collection::vec(op(), 10..50)) {
+        let longest = Duration::from_secs(2);
+        let contracts =
+            workspaces().into_iter().map(|(w, l)| contract(&w, l, longest)).collect();
+        let mut world = World::new(seed, NODES, settings(), contracts);
+        for op in &ops {
+            apply(&mut world, op);
+        }
+        prop_assert_eq!(world.check(), Ok(()));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/limit/main.rs
@@ -0,0 +1,5 @@
+//! Admission by contract over several entries.
+
+mod bound;
+mod share;
+mod world;
--- /dev/null
+++ b/crates/core/tests/limit/world.rs
@@ -0,0 +1,428 @@
+//! Entries' books on a wire that loses, delays, repeats and reorders, with a model of the bound.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
+use std::time::Duration;
+
+use oriole_core::contract::{Contract, Limits, Service};
+use oriole_core::limit::{Book, Effect, PARK_MS, Permit, Settings, TICK_MS};
+use oriole_core::name::{Host, Workspace};
+use oriole_core::roster::Roster;
+use oriole_core::share::Message;
+use oriole_core::time::Instant;
+use oriole_core::units::Rate;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: u64 = 1000;
+const CLOCK_START_US: u64 = 50_000_000;
+
+/// How the wire treats messages.
+#[derive(Clone, Debug)]
+pub struct Wire {
+    pub loss: f64,
+    pub double: f64,
+    pub delay_us: Range<u64>,
+}
+
+/// A wire without faults.
+pub fn calm() -> Wire {
+    Wire { loss: 0.0, double: 0.0, delay_us: 200..800 }
+}
+
+/// One request as the model counts it.
+#[derive(Clone, Copy, Debug)]
+pub struct Admission {
+    pub at: u64,
+    pub estimate: u32,
+    pub used: u32,
+}
+
+/// What a request will cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    pub estimate: u32,
+    pub used: u32,
+    pub run_us: u64,
+}
+
+struct Run {
+    node: usize,
+    boot: u32,
+    permit: Option<Permit>,
+    workspace: Workspace,
+    used: u32,
+}
+
+struct Node {
+    host: Host,
+    boot: u32,
+    book: Option<Book>,
+    paused: bool,
+    drift_ppm: i64,
+    next_tick: u64,
+    late: Vec<Event>,
+}
+
+impl Node {
+    fn clock(&self, now: u64) -> Instant {
+        let drift = now as i64 * self.drift_ppm / 1_000_000;
+        Instant::from_us(CLOCK_START_US + (now as i64 + drift) as u64)
+    }
+}
+
+enum Event {
+    Deliver(usize, Message),
+    Learn(usize),
+    Settle(Run),
+}
+
+/// Figures of a run.
+#[derive(Debug, Default)]
+pub struct Figures {
+    pub offered: u64,
+    pub messages: u64,
+    pub bytes: u64,
+    pub peak: BTreeMap<Workspace, usize>,
+}
+
+pub struct World {
+    pub now: u64,
+    pub wire: Wire,
+    pub figures: Figures,
+    pub log: BTreeMap<Workspace, Vec<Admission>>,
+    pub rng: ChaCha8Rng,
+    settings: Settings,
+    contracts: BTreeMap<Workspace, Contract>,
+    nodes: Vec<Node>,
+    rosters: Vec<(u64, Roster)>,
+    events: BTreeMap<(u64, u64), (usize, Event)>,
+    running: BTreeMap<Workspace, BTreeSet<(u64, u64, usize)>>,
+    parked: Vec<(u64, usize, Workspace, Work)>,
+    serial: u64,
+}
+
+/// A contract of the given bounds.
+pub fn contract(workspace: &Workspace, limits: Limits, longest: Duration) -> Contract {
+    Contract {
+        workspace: workspace.clone(),
+        keys: BTreeSet::new(),
+        models: BTreeSet::new(),
+        services: BTreeSet::new(),
+        limits,
+        service: Service { longest_deadline: longest, ..Service::default() },
+    }
+}
+
+pub fn limits(requests: f64, request_burst: u32, tokens: f64, token_burst: u32) -> Limits {
+    Limits {
+        requests: Rate::from_per_second(requests),
+        request_burst,
+        tokens: Rate::from_per_second(tokens),
+        token_burst,
+        concurrency: 1000,
+    }
+}
+
+pub fn host(node: usize) -> Host {
+    Host::from(format!("entry-{node:02}").as_str())
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize, settings: Settings, contracts: Vec<Contract>) -> Self {
+        let mut world = Self {
+            now: 0,
+            wire: calm(),
+            figures: Figures::default(),
+            log: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            settings,
+            contracts: contracts.into_iter().map(|c| (c.workspace.clone(), c)).collect(),
+            nodes: Vec::new(),
+            rosters: vec![(0, Roster::first((0..nodes).map(|n| (host(n), 1)).collect()))],
+            events: BTreeMap::new(),
+            running: BTreeMap::new(),
+            parked: Vec::new(),
+            serial: 0,
+        };
+        for node in 0..nodes {
+            world.add(node);
+        }
+        world
+    }
+
+    fn add(&mut self, node: usize) {
+        let most = i64::from(self.settings.drift_ppm);
+        let drift_ppm = self.rng.random_range(-most..=most);
+        self.nodes.push(Node {
+            host: host(node),
+            boot: 0,
+            book: None,
+            paused: false,
+            drift_ppm,
+            next_tick: 0,
+            late: Vec::new(),
+        });
+        self.start(node);
+    }
+
+    /// Starts a process on a host that runs none, with any revision that is not too old.
+    pub fn start(&mut self, node: usize) {
+        if node == self.nodes.len() {
+            return self.add(node);
+        }
+        if self.nodes[node].book.is_some() {
+            return;
+        }
+        let boot = self.rng.random();
+        let now = self.nodes[node].clock(self.now);
+        let mut book = Book::new(now, host(node), boot, self.settings.clone());
+        let mut out = Vec::new();
+        book.on_contracts(now, &self.contracts, &mut out);
+        let oldest = self.in_force();
+        let first = self.rng.random_range(oldest..self.rosters.len());
+        book.on_roster(now, self.rosters[first].1.clone(), &mut out);
+        for later in first + 1..self.rosters.len() {
+            self.spread(node, later);
+        }
+        let entry = &mut self.nodes[node];
+        (entry.book, entry.boot, entry.paused) = (Some(book), boot, false);
+        self.send(node, out);
+    }
+
+    /// Index of the oldest roster that a reachable process may use.
+    fn in_force(&self) -> usize {
+        let propagation = u64::from(self.settings.propagation_ms) * MS;
+        self.rosters.iter().rposition(|(at, _)| at + propagation <= self.now).unwrap_or(0)
+    }
+
+    pub fn kill(&mut self, node: usize) {
+        let entry = &mut self.nodes[node];
+        entry.book = None;
+        entry.late.clear();
+        for running in self.running.values_mut() {
+            running.retain(|(_, _, n)| *n != node);
+        }
+    }
+
+    pub fn pause(&mut self, node: usize) {
+        self.nodes[node].paused = self.nodes[node].book.is_some();
+    }
+
+    /// Lets a paused process go on; what waited for it comes a moment later.
+    pub fn resume(&mut self, node: usize) {
+        if !std::mem::take(&mut self.nodes[node].paused) {
+            return;
+        }
+        for event in std::mem::take(&mut self.nodes[node].late) {
+            let delay = self.rng.random_range(0..500 * MS);
+            self.schedule(self.now + delay, node, event);
+        }
+    }
+
+    /// Puts a roster in force; the processes learn of it one after another.
+    pub fn commit_roster(&mut self, entries: BTreeSet<usize>) {
+        let entries = entries.into_iter().map(|n| (host(n), 1)).collect();
+        let roster = self.rosters[self.rosters.len() - 1].1.next(entries);
+        self.rosters.push((self.now, roster));
+        for node in 0..self.nodes.len() {
+            self.spread(node, self.rosters.len() - 1);
+        }
+    }
+
+    fn spread(&mut self, node: usize, roster: usize) {
+        let last = self.rosters[roster].0 + u64::from(self.settings.propagation_ms) * MS;
+        let at = self.rng.random_range(self.now..last.max(self.now + 1));
+        self.schedule(at, node, Event::Learn(roster));
+    }
+
+    fn schedule(&mut self, at: u64, node: usize, event: Event) {
+        self.serial += 1;
+        self.events.insert((at, self.serial), (node, event));
+    }
+
+    fn send(&mut self, from: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => self.transmit(from, &to, &message),
+                Effect::Retry(workspace) => self.unpark(from, &workspace),
+            }
+        }
+    }
+
+    fn transmit(&mut self, from: usize, to: &Host, message: &Message) {
+        let mut bytes = Vec::new();
+        assert!(ciborium::into_writer(message, &mut bytes).is_ok());
+        self.figures.messages += 1;
+        self.figures.bytes += bytes.len() as u64;
+        let Some(to) = self.nodes.iter().position(|n| n.host == *to) else {
+            return;
+        };
+        let copies = if self.rng.random_bool(self.wire.double) { 2 } else { 1 };
+        for _ in 0..copies {
+            if !self.rng.random_bool(self.wire.loss) {
+                let delay = self.rng.random_range(self.wire.delay_us.clone());
+                self.schedule(self.now + delay, to, Event::Deliver(from, message.clone()));
+            }
+        }
+    }
+
+    fn unpark(&mut self, node: usize, workspace: &Workspace) {
+        let parked = std::mem::take(&mut self.parked);
+        for (until, n, w, work) in parked {
+            if n == node && w == *workspace && until >= self.now {
+                self.offer(node, &w, work, Some(until));
+            } else if until >= self.now {
+                self.parked.push((until, n, w, work));
+            }
+        }
+    }
+
+    /// A request arrives.
+    pub fn arrive(&mut self, node: usize, workspace: &Workspace, work: Work) {
+        self.figures.offered += 1;
+        self.offer(node, workspace, work, None);
+    }
+
+    fn offer(&mut self, node: usize, workspace: &Workspace, work: Work, parked: Option<u64>) {
+        let entry = &mut self.nodes[node];
+        let now = entry.clock(self.now);
+        let Some(book) = entry.book.as_mut().filter(|_| !entry.paused) else {
+            return;
+        };
+        let mut out = Vec::new();
+        let answer = match parked {
+            None => book.admit(now, workspace, work.estimate, &mut out),
+            Some(_) => book.retry(now, workspace, work.estimate, &mut out),
+        };
+        match answer {
+            Ok(permit) => self.run(node, workspace, work, permit),
+            Err(denial) if denial.asked => {
+                let until = parked.unwrap_or(self.now + PARK_MS * MS);
+                self.parked.push((until, node, workspace.clone(), work));
+            }
+            Err(_) => {}
+        }
+        self.send(node, out);
+    }
+
+    fn run(&mut self, node: usize, workspace: &Workspace, work: Work, permit: Permit) {
+        let refused = permit.roster() < self.rosters[self.in_force()].1.number;
+        let boot = self.nodes[node].boot;
+        let used = if refused { 0 } else { work.used };
+        let at = if refused { self.now } else { self.now + work.run_us };
+        if !refused {
+            let admission = Admission { at: self.now, estimate: work.estimate, used: work.used };
+            self.log.entry(workspace.clone()).or_default().push(admission);
+            let running = self.running.entry(workspace.clone()).or_default();
+            running.insert((at, self.serial + 1, node));
+            let peak = self.figures.peak.entry(workspace.clone()).or_default();
+            *peak = running.len().max(*peak);
+        }
+        let workspace = workspace.clone();
+        let run = Run { node, boot, permit: Some(permit), workspace, used };
+        self.schedule(at, node, Event::Settle(run));
+    }
+
+    /// Lets time pass, up to `until`.
+    pub fn advance(&mut self, until: u64) {
+        loop {
+            let ticks = self.nodes.iter().filter(|n| n.book.is_some() && !n.paused);
+            let tick = ticks.map(|n| n.next_tick.max(self.now)).min();
+            let event = self.events.keys().next().map(|(at, _)| *at);
+            let Some(next) = tick.into_iter().chain(event).min().filter(|n| *n <= until) else {
+                break;
+            };
+            self.now = next.max(self.now);
+            match event.filter(|at| *at <= next) {
+                Some(_) => self.fire(),
+                None => self.tick(),
+            }
+        }
+        self.now = until;
+    }
+
+    fn tick(&mut self) {
+        for node in 0..self.nodes.len() {
+            let entry = &mut self.nodes[node];
+            let now = entry.clock(self.now);
+            let Some(book) = entry.book.as_mut().filter(|_| !entry.paused) else {
+                continue;
+            };
+            if entry.next_tick <= self.now {
+                entry.next_tick = self.now + TICK_MS * MS;
+                let mut out = Vec::new();
+                book.tick(now, &mut out);
+                self.send(node, out);
+            }
+        }
+    }
+
+    fn fire(&mut self) {
+        let Some(((at, serial), (node, event))) = self.events.pop_first() else {
+            return;
+        };
+        if let Event::Settle(run) = &event
+            && let Some(running) = self.running.get_mut(&run.workspace)
+        {
+            running.remove(&(at, serial, run.node));
+        }
+        let entry = &mut self.nodes[node];
+        if entry.paused {
+            entry.late.push(event);
+            return;
+        }
+        let now = entry.clock(self.now);
+        let Some(book) = entry.book.as_mut() else {
+            return;
+        };
+        let mut out = Vec::new();
+        match event {
+            Event::Deliver(from, message) => book.on_message(now, &host(from), message, &mut out),
+            Event::Learn(roster) => {
+                book.on_roster(now, self.rosters[roster].1.clone(), &mut out);
+            }
+            Event::Settle(mut run) if run.boot == entry.boot => {
+                if let Some(permit) = run.permit.take() {
+                    book.settle(now, permit, run.used, &mut out);
+                }
+            }
+            Event::Settle(_) => {}
+        }
+        self.send(node, out);
+    }
+
+    /// Checks every window of every workspace against the bound.
+    pub fn check(&self) -> Result<(), String> {
+        for (workspace, admissions) in &self.log {
+            let limits = &self.contracts[workspace].limits;
+            let ones = admissions.iter().map(|a| (a.at, 1.0));
+            window(ones, limits.requests.per_second(), limits.request_burst)
+                .map_err(|e| format!("{workspace} requests: {e}"))?;
+            let tokens = admissions.iter().map(|a| (a.at, f64::from(a.used.min(a.estimate))));
+            window(tokens, limits.tokens.per_second(), limits.token_burst)
+                .map_err(|e| format!("{workspace} tokens: {e}"))?;
+            let peak = self.figures.peak.get(workspace).copied().unwrap_or(0);
+            if peak > limits.concurrency as usize {
+                return Err(format!("{workspace}: {peak} at once, {} allowed", limits.concurrency));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Finds a window whose cost is above `rate` times its length plus `burst`.
+fn window(costs: impl Iterator<Item = (u64, f64)>, rate: f64, burst: u32) -> Result<(), String> {
+    let allowed = f64::from(burst) + 1e-3;
+    let (mut sum, mut least) = (0.0, f64::INFINITY);
+    for (at, cost) in costs {
+        let given = rate * at as f64 / 1e6;
+        least = f64::min(least, sum - given);
+        sum += cost;
+        let seen = sum - given - least;
+        if seen > allowed {
+            return Err(format!("a window that ends at {at} us has {seen:.3} on top of the rate"));
+        }
+    }
+    Ok(())
+}
