--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,10 +12,16 @@
 pub mod contract;
 pub mod engine;
 pub mod entry;
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
+
+pub mod config;
+pub mod contract;
+pub mod limit;
 pub mod message;
 pub mod name;
 pub mod request;
 pub mod revision;
+pub mod roster;
 pub mod share;
 pub mod side;
 pub mod time;
