Add the side's decisions on order, at most once, draining and keys

Pure modules, not used by the machine yet: queue (priority with a reserve, weighted fair queueing in tokens, batch room), backlog (dynamic threshold), ledger (records by term), drain (causes), home (idempotency keys).

--- /dev/null
+++ b/crates/core/src/ledger.rs
@@ -0,0 +1,329 @@
+//! What a side knows of requests at one endpoint, so that each runs at most once.
+//!
+//! Records live for as long as a message that was sent under their [`Term`] is accepted, and
+//! at least [`EPOCH_MS`], the longest deadline. Whatever was first sent earlier, or to an earlier
+//! run of the side, is not covered: the side neither runs it nor says that it did not run. See
+//! `docs/design/at-most-once.md`.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use oriole_macros::key;
+
+use crate::message::{Answer, State, Term};
+use crate::request::{Attempt, Id};
+use crate::time::Instant;
+
+/// Length of an epoch, and the longest deadline that a side accepts.
+pub const EPOCH_MS: u64 = 300_000;
+
+/// Bounds of one ledger's memory.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Records held.
+    pub records: usize,
+    /// Bytes of answers held.
+    pub answer_bytes: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { records: 65_536, answer_bytes: 8 * 1024 * 1024 }
+    }
+}
+
+/// Whether the records reach back to a term.
+#[key]
+pub enum Coverage {
+    /// Whatever has run since is recorded.
+    Full,
+    /// The sender did not know the side's term.
+    Unnamed,
+    /// Records of that time are gone.
+    Gone,
+}
+
+/// What a call that arrives is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// It is new and recorded as queued.
+    Run,
+    /// It is in progress; this attempt gets the answer.
+    Attached,
+    /// It has run and was answered; `None` if the answer is not held any more.
+    Done(Option<Answer>),
+    /// It has started and no answer came.
+    Failed,
+    /// A newer attempt or a tombstone fences it off; whether an earlier attempt started.
+    Fenced {
+        /// Whether any attempt has started.
+        started: bool,
+    },
+    /// Records of its time are gone.
+    Uncovered,
+    /// The sender must learn the side's term first; it did not run.
+    Unnamed,
+    /// There is no room for another record.
+    Full,
+}
+
+/// Records of one endpoint.
+pub struct Ledger {
+    boot: u32,
+    since: Instant,
+    epoch: u32,
+    bounds: Bounds,
+    records: BTreeMap<Id, Record>,
+    /// Requests in the order in which their epoch was last set.
+    order: VecDeque<(u32, Id)>,
+    /// Requests whose answers are held, oldest first.
+    answers: VecDeque<Id>,
+    answer_bytes: usize,
+}
+
+struct Record {
+    attempt: Attempt,
+    epoch: u32,
+    started: bool,
+    progress: Progress,
+}
+
+enum Progress {
+    Queued,
+    Running,
+    Done(Option<Answer>),
+    Failed,
+    Refused,
+}
+
+impl Ledger {
+    /// An empty ledger of a side that starts at `now` and drew `boot`.
+    pub fn new(now: Instant, boot: u32, bounds: Bounds) -> Self {
+        Self {
+            // 0 stands for "not known" in messages.
+            boot: boot.max(1),
+            since: now,
+            epoch: 1,
+            bounds,
+            records: BTreeMap::new(),
+            order: VecDeque::new(),
+            answers: VecDeque::new(),
+            answer_bytes: 0,
+        }
+    }
+
+    /// The present term.
+    pub fn term(&self) -> Term {
+        Term { boot: self.boot, epoch: self.epoch }
+    }
+
+    /// Records held.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no record is held.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Moves on to the epoch of `now` and forgets what no accepted message can be about.
+    pub fn advance(&mut self, now: Instant) {
+        let epochs = now.since(self.since).as_millis() / u128::from(EPOCH_MS);
+        let epoch = u32::try_from(epochs).unwrap_or(u32::MAX - 1) + 1;
+        if epoch <= self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        let mut kept = VecDeque::new();
+        for (epoch, id) in std::mem::take(&mut self.order) {
+            let Some(record) = self.records.get(&id).filter(|r| r.epoch == epoch) else { continue };
+            if epoch + 1 >= self.epoch || record.is_open() {
+                kept.push_back((epoch, id));
+            } else {
+                self.forget(id);
+            }
+        }
+        self.order = kept;
+    }
+
+    /// Whether the records reach back to `term`.
+    pub fn coverage(&self, term: Term) -> Coverage {
+        if term.boot == 0 {
+            return Coverage::Unnamed;
+        }
+        let present = term.epoch <= self.epoch && term.epoch + 1 >= self.epoch;
+        if term.boot == self.boot && present { Coverage::Full } else { Coverage::Gone }
+    }
+
+    /// Takes in a call.
+    pub fn admit(&mut self, id: Id, attempt: Attempt, term: Term, idempotent: bool) -> Verdict {
+        let Some(record) = self.records.get_mut(&id) else {
+            return match self.coverage(term) {
+                Coverage::Gone => Verdict::Uncovered,
+                Coverage::Unnamed if !idempotent => Verdict::Unnamed,
+                Coverage::Full | Coverage::Unnamed => self.queue(id, attempt, false),
+            };
+        };
+        if attempt < record.attempt {
+            return Verdict::Fenced { started: record.started };
+        }
+        let newer = attempt > record.attempt;
+        let verdict = match &record.progress {
+            Progress::Queued | Progress::Running => Verdict::Attached,
+            Progress::Done(answer) => Verdict::Done(answer.clone()),
+            Progress::Failed if newer && idempotent => Verdict::Run,
+            Progress::Failed => Verdict::Failed,
+            Progress::Refused if newer && (idempotent || !record.started) => Verdict::Run,
+            Progress::Refused => Verdict::Fenced { started: record.started },
+        };
+        let started = record.started;
+        match verdict {
+            Verdict::Run => return self.queue(id, attempt, started),
+            Verdict::Attached => self.raise(id, attempt),
+            _ => {}
+        }
+        verdict
+    }
+
+    /// The call is handed to the endpoint. Returns false if it may not be: it was fenced off.
+    pub fn start(&mut self, id: Id) -> bool {
+        let Some(record) = self.records.get_mut(&id) else { return false };
+        if !matches!(record.progress, Progress::Queued) {
+            return false;
+        }
+        record.progress = Progress::Running;
+        record.started = true;
+        true
+    }
+
+    /// The call has ended. Returns the attempt that gets the answer.
+    pub fn finish(&mut self, id: Id, answer: Option<Answer>) -> Option<Attempt> {
+        let record = self.records.get_mut(&id)?;
+        if !matches!(record.progress, Progress::Running) {
+            return None;
+        }
+        let attempt = record.attempt;
+        record.progress = match answer {
+            None => Progress::Failed,
+            Some(answer) => {
+                self.answer_bytes += answer.body.len();
+                self.answers.push_back(id);
+                Progress::Done(Some(answer))
+            }
+        };
+        self.raise(id, attempt);
+        self.evict_answers();
+        Some(attempt)
+    }
+
+    /// Refuses a call that is queued; it did not run and will not under its present attempt.
+    pub fn refuse(&mut self, id: Id) {
+        if let Some(record) = self.records.get_mut(&id) {
+            if matches!(record.progress, Progress::Queued) {
+                record.progress = Progress::Refused;
+            }
+        }
+    }
+
+    /// Refuses attempts up to `attempt` unless one has started, and says which.
+    ///
+    /// [`State::Refused`] proves that none of them ran here, and that none will.
+    pub fn resolve(&mut self, id: Id, attempt: Attempt, term: Term) -> State {
+        let Some(record) = self.records.get(&id) else {
+            if self.coverage(term) != Coverage::Full || !self.tombstone(id, attempt, false) {
+                return State::Unknown;
+            }
+            return State::Refused;
+        };
+        let state = match &record.progress {
+            Progress::Done(_) => State::Done,
+            _ if record.started => State::Started,
+            _ => State::Refused,
+        };
+        if state == State::Refused && attempt >= record.attempt {
+            self.tombstone(id, attempt, false);
+        }
+        state
+    }
+
+    /// Fences attempts up to `attempt` off; `started` says whether one has run here. Returns
+    /// whether there was room for the record.
+    pub fn tombstone(&mut self, id: Id, attempt: Attempt, started: bool) -> bool {
+        if !self.records.contains_key(&id) && self.records.len() >= self.bounds.records {
+            return false;
+        }
+        let known = self.records.get(&id);
+        let started = started || known.is_some_and(|record| record.started);
+        let attempt = known.map_or(attempt, |record| record.attempt.max(attempt));
+        self.put(id, Record { attempt, epoch: self.epoch, started, progress: Progress::Refused });
+        true
+    }
+
+    /// The newest attempt that is known of a request, and whether one has started.
+    pub fn newest(&self, id: Id) -> Option<(Attempt, bool)> {
+        self.records.get(&id).map(|record| (record.attempt, record.started))
+    }
+
+    fn queue(&mut self, id: Id, attempt: Attempt, started: bool) -> Verdict {
+        if !self.records.contains_key(&id) && self.records.len() >= self.bounds.records {
+            return Verdict::Full;
+        }
+        let progress = Progress::Queued;
+        self.put(id, Record { attempt, epoch: self.epoch, started, progress });
+        Verdict::Run
+    }
+
+    /// Makes `attempt` the one that gets the answer and keeps the record from now on.
+    fn raise(&mut self, id: Id, attempt: Attempt) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        record.attempt = attempt;
+        if record.epoch != self.epoch {
+            record.epoch = self.epoch;
+            self.order.push_back((self.epoch, id));
+        }
+    }
+
+    fn put(&mut self, id: Id, record: Record) {
+        let listed = self.records.get(&id).is_some_and(|old| old.epoch == record.epoch);
+        if !listed {
+            self.order.push_back((record.epoch, id));
+        }
+        self.forget_answer(id);
+        self.records.insert(id, record);
+    }
+
+    fn forget(&mut self, id: Id) {
+        self.forget_answer(id);
+        self.records.remove(&id);
+    }
+
+    fn forget_answer(&mut self, id: Id) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        if let Progress::Done(answer) = &mut record.progress {
+            if let Some(answer) = answer.take() {
+                self.answer_bytes -= answer.body.len();
+            }
+        }
+    }
+
+    fn evict_answers(&mut self) {
+        while self.answer_bytes > self.bounds.answer_bytes
+            || self.answers.len() > self.bounds.records
+        {
+            let Some(id) = self.answers.pop_front() else { break };
+            self.forget_answer(id);
+        }
+    }
+}
+
+impl Record {
+    fn is_open(&self) -> bool {
+        matches!(self.progress, Progress::Queued | Progress::Running)
+    }
+}
+
+/// The deadline that a message's remaining time gives, cut to what the records cover.
+pub fn deadline(now: Instant, deadline_ms: u64) -> Instant {
+    now + Duration::from_millis(deadline_ms.min(EPOCH_MS))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,11 +8,16 @@
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
 
+pub mod backlog;
 pub mod config;
 pub mod contract;
+pub mod drain;
 pub mod engine;
+pub mod home;
+pub mod ledger;
 pub mod message;
 pub mod name;
+pub mod queue;
 pub mod request;
 pub mod revision;
 pub mod share;
