--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,12 +7,16 @@
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
+//! - [`entry`]: the decisions of an entry.
+//! - [`side`]: the decisions of a side; [`queue`], [`backlog`], [`ledger`], [`drain`] and [`home`]
+//!   are its parts.
 
 pub mod backlog;
 pub mod config;
 pub mod contract;
 pub mod drain;
 pub mod engine;
+pub mod entry;
 pub mod home;
 pub mod ledger;
 pub mod message;
@@ -21,5 +25,7 @@
 pub mod request;
 pub mod revision;
 pub mod share;
+pub mod side;
 pub mod time;
+pub mod token;
 pub mod units;
