--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -37,7 +37,7 @@
     pub fn add(&mut self, workspace: &name::Workspace, tokens: u32) -> Result<(), Full> {
         let tokens = u64::from(tokens);
         let own = self.workspaces.get(workspace).copied().unwrap_or(0);
-        if own + tokens > self.bound.saturating_sub(self.held) {
+        if own + tokens > self.bound.saturating_sub(self.held + tokens) {
             return Err(Full { held: self.held, bound: self.bound });
         }
         self.held += tokens;
--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -8,30 +8,34 @@
 //! `docs/design/at-most-once.md` for what pauses and stale rosters can do.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
 
+use sha2::{Digest, Sha256};
 use uuid::Uuid;
 
+use crate::config::Config;
 use crate::message::{Answer, Claim, Settle, Verdict, not_run};
 use crate::name;
 use crate::request::{Id, Ran, Refusal, Refused};
 use crate::time::Instant;
 
-/// How far the clocks of callers, and of our hosts among each other, may differ.
-pub const SKEW_MS: u64 = 5_000;
+/// Number of shards into which keys are divided.
+pub const SHARDS: u16 = 256;
 
 /// Time after which a claim that was not settled counts as unknown.
 pub const CLAIM_LIFE_MS: u64 = crate::ledger::EPOCH_MS;
 
-/// Time for which a new home stays silent after it learned a roster, so that every process that
-/// can be reached has left the old one.
-pub const TAKEOVER_MS: u64 = 20_000;
-
 /// Longest gap between two ticks of a process that is not paused.
 pub const PAUSE_MS: u64 = 5_000;
 
-/// Bounds of a home's memory.
+/// Bounds of a home's memory, and the tolerances that it is safe within.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
+    /// Milliseconds by which the clocks of callers, and of our hosts among each other, may differ.
+    pub skew_ms: u64,
+    /// Milliseconds for which a new home stays silent, so that every process that can be reached
+    /// has left the old one.
+    pub takeover_ms: u64,
     /// Keys held.
     pub keys: usize,
     /// Bytes of answers held.
@@ -40,7 +44,7 @@
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { keys: 65_536, answer_bytes: 16 * 1024 * 1024 }
+        Self { skew_ms: 5_000, takeover_ms: 20_000, keys: 65_536, answer_bytes: 16 * 1024 * 1024 }
     }
 }
 
@@ -59,17 +63,29 @@
 pub struct Home {
     bounds: Bounds,
     roster: u64,
-    /// From when claims are answered.
-    serves_at: Instant,
-    /// Keys issued at or before this wall-clock time are unknown unless held.
-    floor_ms: u64,
+    /// Shards held.
+    shards: BTreeMap<u16, Tenure>,
+    /// Keys issued at or before this wall-clock time may have been evicted.
+    evicted_ms: u64,
+    /// When the process was last known to be running.
     ticked: Instant,
+    /// Whether the roster must be confirmed after a pause.
+    doubtful: bool,
     keys: BTreeMap<Key, Record>,
     by_issue: BTreeSet<(u64, Key)>,
     answers: VecDeque<Key>,
     answer_bytes: usize,
 }
 
+/// The holding of one shard.
+#[derive(Clone, Copy)]
+struct Tenure {
+    /// From when claims are answered.
+    serves_at: Instant,
+    /// Keys issued at or before this wall-clock time may have run under an earlier home.
+    floor_ms: u64,
+}
+
 struct Record {
     digest: u128,
     request: Id,
@@ -83,15 +99,15 @@
 }
 
 impl Home {
-    /// A home that starts at `clock` under `roster`. Keys issued before, and within the
-    /// tolerance of clocks after, may have run under an earlier home.
-    pub fn new(clock: Clock, roster: u64, bounds: Bounds) -> Self {
+    /// A home without shards that starts at `now`.
+    pub fn new(now: Instant, bounds: Bounds) -> Self {
         Self {
             bounds,
-            roster,
-            serves_at: clock.now,
-            floor_ms: floor(clock.wall_ms),
-            ticked: clock.now,
+            roster: 0,
+            shards: BTreeMap::new(),
+            evicted_ms: 0,
+            ticked: now,
+            doubtful: false,
             keys: BTreeMap::new(),
             by_issue: BTreeSet::new(),
             answers: VecDeque::new(),
@@ -99,34 +115,40 @@
         }
     }
 
-    /// Adopts a newer roster. If shards came from another home, keys from before are unknown and
-    /// claims wait until the old home has surely stopped.
-    pub fn adopt(&mut self, clock: Clock, roster: u64, gained: bool) {
-        if roster <= self.roster {
+    /// Adopts a roster that gives `shards` to this home.
+    ///
+    /// Shards that it did not hold may have run keys under another home, or under this host's
+    /// former process: they stay silent for a while, and keys from before are unknown.
+    pub fn adopt(&mut self, clock: Clock, roster: u64, shards: &BTreeSet<u16>) {
+        if roster < self.roster {
             return;
         }
         self.roster = roster;
-        if gained {
-            let silence = std::time::Duration::from_millis(TAKEOVER_MS);
-            self.serves_at = clock.now + silence;
-            self.floor_ms = self.floor_ms.max(floor(clock.wall_ms + TAKEOVER_MS));
+        self.shards.retain(|shard, _| shards.contains(shard));
+        let silence = Duration::from_millis(self.bounds.takeover_ms);
+        // One tolerance for the caller's clock, one for the earlier home's.
+        let margin_ms = self.bounds.takeover_ms + 2 * self.bounds.skew_ms;
+        let gained = Tenure { serves_at: clock.now + silence, floor_ms: clock.wall_ms + margin_ms };
+        for shard in shards {
+            self.shards.entry(*shard).or_insert(gained);
+        }
+        let held = |key: &Key| self.shards.contains_key(&shard(&key.0, key.1));
+        let lost: Vec<Key> = self.keys.keys().filter(|key| !held(key)).cloned().collect();
+        for key in lost {
+            self.forget(&key);
         }
     }
 
-    /// The process is alive. After a pause the roster may be superseded: claims are refused until
-    /// the roster is confirmed by [`Home::confirm`].
+    /// The process is running. After a pause the roster may be superseded, and claims are refused
+    /// until [`Home::confirm`].
     pub fn tick(&mut self, now: Instant) {
-        if self.has_paused(now) {
-            self.serves_at = Instant::from_us(u64::MAX);
-        }
+        self.doubtful |= self.has_paused(now);
         self.ticked = now;
     }
 
-    /// A peer, or the key-value service, has the same roster as this home.
-    pub fn confirm(&mut self, now: Instant, roster: u64) {
-        if roster == self.roster && self.serves_at == Instant::from_us(u64::MAX) {
-            self.serves_at = now;
-        }
+    /// Another process has this roster, as of now.
+    pub fn confirm(&mut self, roster: u64) {
+        self.doubtful &= roster != self.roster;
     }
 
     /// Number of the roster.
@@ -146,25 +168,27 @@
 
     /// Decides on a claim.
     pub fn claim(&mut self, clock: Clock, claim: &Claim) -> Verdict {
-        if claim.roster != self.roster {
+        let shard = shard(&claim.workspace, claim.key);
+        let Some(tenure) = self.shards.get(&shard).filter(|_| claim.roster == self.roster) else {
             return unknown(Refusal::Superseded);
-        }
-        if self.has_paused(clock.now) || clock.now < self.serves_at {
+        };
+        if self.doubtful || self.has_paused(clock.now) || clock.now < tenure.serves_at {
             return unknown(Refusal::HomeUnreachable);
         }
+        let floor_ms = tenure.floor_ms.max(self.evicted_ms);
         let Some(issued) = issue_ms(claim.key) else { return no(Refusal::Malformed) };
         let key = (claim.workspace.clone(), claim.key);
         if let Some(record) = self.keys.get_mut(&key) {
             return record.answer(clock.now, claim);
         }
-        if issued > clock.wall_ms + 2 * SKEW_MS {
+        if issued > clock.wall_ms + 2 * self.bounds.skew_ms {
             return no(Refusal::Malformed);
         }
-        if issued > clock.wall_ms + SKEW_MS {
+        if issued > clock.wall_ms + self.bounds.skew_ms {
             // Run here, it could pass a later home's floor and run again.
             return unknown(Refusal::Malformed);
         }
-        if issued <= self.floor_ms {
+        if issued <= floor_ms {
             return unknown(Refusal::OutcomeUnknown);
         }
         let state = State::Running { since: clock.now };
@@ -204,7 +228,7 @@
     fn evict_keys(&mut self) {
         while self.keys.len() > self.bounds.keys {
             let Some((issued, key)) = self.by_issue.first().cloned() else { break };
-            self.floor_ms = self.floor_ms.max(issued);
+            self.evicted_ms = self.evicted_ms.max(issued);
             self.forget(&key);
         }
     }
@@ -255,10 +279,27 @@
     }
 }
 
-/// The latest time of issue, by any caller's clock, of a key that ran under an earlier home.
-fn floor(wall_ms: u64) -> u64 {
-    // One tolerance for the caller's clock, one for the earlier home's.
-    wall_ms + 2 * SKEW_MS
+/// The shard of a key.
+pub fn shard(workspace: &name::Workspace, key: u128) -> u16 {
+    let digest = Sha256::new_with_prefix(key.to_be_bytes()).chain_update(workspace.as_str());
+    let digest = digest.finalize();
+    u16::from_be_bytes([digest[0], digest[1]]) % SHARDS
+}
+
+/// The home of a shard: the host with the highest hash among those that `config` keeps in
+/// service, so that a change of hosts moves only the shards of those that come or go.
+pub fn host(config: &Config, shard: u16) -> Option<&name::Host> {
+    let staying = config.endpoints.values().filter(|endpoint| !endpoint.drain);
+    let hosts: BTreeSet<&name::Host> = staying.map(|endpoint| &endpoint.host).collect();
+    hosts.into_iter().max_by_key(|host| {
+        let digest = Sha256::new_with_prefix(shard.to_be_bytes()).chain_update(host.as_str());
+        <[u8; 32]>::from(digest.finalize())
+    })
+}
+
+/// The shards whose home is `own`.
+pub fn shards(config: &Config, own: &name::Host) -> BTreeSet<u16> {
+    (0..SHARDS).filter(|shard| host(config, *shard) == Some(own)).collect()
 }
 
 /// Time of issue of a UUIDv7, in milliseconds since the Unix epoch.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -68,8 +68,8 @@
 
 /// What a side's records of requests cover: one run of the side and a period within it.
 ///
-/// An entry copies the latest one that the side told it into whatever may run there, and leaves
-/// it as it is when it sends the same message again. A side that no longer has the records of
+/// An entry copies the latest one that the side told it into whatever may run there. When it
+/// sends the same message again, or a later attempt of a non-idempotent call, it keeps the term. A side that no longer has the records of
 /// that time then knows that it cannot know. See `docs/design/at-most-once.md`.
 #[key]
 #[derive(Default)]
