--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,10 @@
 //!
 //! - [`clock`]: the process's monotonic clock as the decisions see it.
 //! - [`server`]: an HTTP server on a given listener.
+//! - [`engine`], [`service`]: adapters for model engines and plain services over [`http`].
 
 pub mod clock;
+pub mod engine;
+pub mod http;
 pub mod server;
+pub mod service;
