--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,9 +7,14 @@
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
+//! - [`entry`]: the decisions of an entry.
+//! - [`side`]: the decisions of a side; [`queue`], [`backlog`], [`ledger`], [`drain`] and [`home`]
+//!   are its parts.
 
+pub mod backlog;
 pub mod config;
 pub mod contract;
+pub mod drain;
 pub mod engine;
 pub mod entry;
 //! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
@@ -17,8 +22,11 @@
 pub mod config;
 pub mod contract;
 pub mod limit;
+pub mod home;
+pub mod ledger;
 pub mod message;
 pub mod name;
+pub mod queue;
 pub mod request;
 pub mod revision;
 pub mod roster;
