--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,10 +6,10 @@
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
-//! - [`share`]: messages by which entries share a contract's limits.
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry.
-//! - [`side`]: the decisions of a side; [`queue`], [`backlog`], [`ledger`], [`drain`] and [`home`]
-//!   are its parts.
+//! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
+//!   [`home`].
 
 pub mod backlog;
 pub mod config;
@@ -17,13 +17,9 @@
 pub mod drain;
 pub mod engine;
 pub mod entry;
-//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
-
-pub mod config;
-pub mod contract;
-pub mod limit;
 pub mod home;
 pub mod ledger;
+pub mod limit;
 pub mod message;
 pub mod name;
 pub mod queue;
