Add stand-ins for plain services and the weight store, and a relay

Cause: tests need services whose runs are counted, a rate-limited weight store, and silent, cut or degraded connections between processes. Change: standin::service, standin::weights, standin::relay and the binary oriole-standin.

--- /dev/null
+++ b/crates/standin/src/cmd/weights.rs
@@ -0,0 +1,36 @@
+//! `oriole-standin weights`.
+
+use std::net::SocketAddr;
+
+use bpaf::Bpaf;
+use tokio::net::TcpListener;
+
+use crate::fault::Switch;
+use crate::weights::{self, Settings};
+
+/// Flags of the subcommand.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(command))]
+pub struct Command {
+    #[bpaf(external(super::listen))]
+    listen: SocketAddr,
+    /// Bytes a second that all callers together may load
+    #[bpaf(argument("N"), fallback(1_000_000_000))]
+    bytes_per_second: u64,
+    /// Bytes of one layer
+    #[bpaf(argument("N"), fallback(1_000_000))]
+    layer_bytes: usize,
+}
+
+impl Command {
+    pub(super) async fn execute(self) -> std::io::Result<()> {
+        let listener = TcpListener::bind(self.listen).await?;
+        let settings = Settings {
+            bytes_per_second: self.bytes_per_second,
+            layer_bytes: self.layer_bytes,
+            ..Settings::default()
+        };
+        weights::serve(listener, settings, Switch::new()).await;
+        Ok(())
+    }
+}
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -18,6 +18,8 @@
     pub fail_next: u32,
     /// Calls whose reply is lost after they ran.
     pub lose_replies: u32,
+    /// Whether the process dies when the next call arrives, before it takes effect.
+    pub die_before_running: bool,
     /// Whether the process dies in the middle of the next call, after it took effect.
     pub die_after_running: bool,
 }
@@ -30,6 +32,7 @@
             slowness: 1.0,
             fail_next: 0,
             lose_replies: 0,
+            die_before_running: false,
             die_after_running: false,
         }
     }
@@ -83,6 +86,11 @@
         self.faults.send_modify(|f| f.lose_replies = calls);
     }
 
+    /// Dies when the next call arrives, before it takes effect.
+    pub fn die_before_running(&self) {
+        self.faults.send_modify(|f| f.die_before_running = true);
+    }
+
     /// Dies in the middle of the next call, after it took effect.
     pub fn die_after_running(&self) {
         self.faults.send_modify(|f| f.die_after_running = true);
@@ -107,8 +115,12 @@
         let _ = faults.wait_for(|f| !f.stalled).await;
     }
 
-    /// Takes one of the calls that are to fail.
+    /// Takes one of the calls that are to fail, and dies if that was asked for.
     pub(crate) fn take_failure(&self) -> bool {
+        if self.faults().die_before_running {
+            self.die();
+            return true;
+        }
         self.take(|f| &mut f.fail_next)
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,9 +2,17 @@
 //!
 //! - [`engine`]: a model engine that holds a range of layers; [`model`] computes the expected
 //!   answer of an undisturbed run.
+//! - [`service`]: a plain service that records how often each call ran.
+//! - [`weights`]: a rate-limited weight store.
+//! - [`relay`]: a TCP relay that injects faults of the network.
 //! - [`fault`], [`http`]: the fault switches and the HTTP server that the stand-ins share.
+//! - [`cmd`]: the subcommands of `oriole-standin`.
 
+pub mod cmd;
 pub mod engine;
 pub mod fault;
 pub mod http;
 pub mod model;
+pub mod relay;
+pub mod service;
+pub mod weights;
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,29 @@
+//! `oriole-standin`: stand-ins of the outside systems as processes of their own.
+
+use std::process::ExitCode;
+
+use oriole_standin::cmd;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    let command = cmd::command().run();
+    match run(command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!(error:% = e; "the stand-in failed");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: cmd::Command) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        result = command.execute() => result,
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,99 @@
+//! A plain service that records how often each call ran.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use oriole_macros::data;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::fault::Switch;
+use crate::http::{self, Call, Reply};
+
+/// How often each call ran, usable from any thread. Clones share the record.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    runs: Arc<Mutex<BTreeMap<String, u32>>>,
+}
+
+impl Record {
+    /// How often the call with this id ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.lock().get(id).copied().unwrap_or_default()
+    }
+
+    /// Ids of calls that ran more than once.
+    pub fn doubled(&self) -> Vec<String> {
+        self.lock().iter().filter(|(_, runs)| **runs > 1).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Calls that ran, each time counted.
+    pub fn total(&self) -> u64 {
+        self.lock().values().map(|runs| u64::from(*runs)).sum()
+    }
+
+    fn add(&self, id: &str) -> u32 {
+        let mut runs = self.lock();
+        let runs = runs.entry(id.to_owned()).or_default();
+        *runs += 1;
+        *runs
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, u32>> {
+        // The map is whole even if a holder panicked: each change is one operation.
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The service's answer.
+#[data]
+pub struct Answer {
+    /// Id of the call.
+    pub id: String,
+    /// How often the call has run, this time included.
+    pub runs: u32,
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+}
+
+/// The part of a body that names the call.
+#[data]
+struct Named {
+    id: String,
+}
+
+/// Serves the service until the switch tells it to die. Each call takes `delay`.
+pub async fn serve(listener: TcpListener, delay: Duration, switch: Switch, record: Record) {
+    let faults = switch.clone();
+    let handler = move |call| answer(call, delay, faults.clone(), record.clone());
+    http::serve(listener, switch, handler).await;
+}
+
+async fn answer(call: Call, delay: Duration, switch: Switch, record: Record) -> Reply {
+    switch.pass().await;
+    if switch.take_failure() {
+        return Reply::status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let id = id(&call);
+    let runs = record.add(&id);
+    sleep(switch.scaled(delay)).await;
+    if switch.take_loss() {
+        return Reply::Cut;
+    }
+    let answer = Answer { id, runs, method: call.method.to_string(), path: call.path };
+    Reply::json(StatusCode::OK, &answer)
+}
+
+/// The member `id` of the body, or else method, path and body as text.
+fn id(call: &Call) -> String {
+    match call.json::<Named>() {
+        Ok(named) => named.id,
+        Err(_) => {
+            format!("{} {} {}", call.method, call.path, String::from_utf8_lossy(&call.body))
+        }
+    }
+}
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -1,5 +1,5 @@
 //! The stand-in for engines over HTTP, through the platform's adapter.
-#![allow(clippy::unwrap_used)]
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
 use std::time::Duration;
 
