--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`clock`]: the process's monotonic clock as the decisions see it.
 //! - [`metrics`]: export of counters to a StatsD collector.
+//! - [`settings`], [`signal`]: settings files, and signals that ask a process to stop.
 //! - [`server`]: an HTTP server on a given listener.
 //! - [`engine`], [`service`]: adapters for model engines and plain services over [`http`].
 
@@ -11,3 +12,5 @@
 pub mod metrics;
 pub mod server;
 pub mod service;
+pub mod settings;
+pub mod signal;
