--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
-//! - [`share`]: messages by which entries share a contract's limits.
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry.
 //! - [`side`]: the decisions of a side; [`queue`], [`backlog`], [`ledger`], [`drain`] and [`home`]
 //!   are its parts.
@@ -19,11 +19,13 @@
 pub mod entry;
 pub mod home;
 pub mod ledger;
+pub mod limit;
 pub mod message;
 pub mod name;
 pub mod queue;
 pub mod request;
 pub mod revision;
+pub mod roster;
 pub mod share;
 pub mod side;
 pub mod time;
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -128,7 +128,7 @@
         /// The engine.
         endpoint: name::Endpoint,
         /// The sequence.
-        request: Id,
+        sequence: String,
     },
     /// Calls a plain service; [`Event::Answered`] must follow.
     Call {
--- a/crates/core/src/side/generation.rs
+++ b/crates/core/src/side/generation.rs
@@ -259,7 +259,7 @@
             let (position, count, attempt) = (pending.position, pending.count, work.open.attempt);
             slots.push(Slot { request, attempt, position, count });
             steps.push(engine::Step {
-                sequence: request.to_string(),
+                sequence: work.sequence.clone(),
                 position,
                 // The engine gets it once; a failure breaks the attempt.
                 input: std::mem::replace(&mut pending.input, Input::Tokens(Vec::new())),
@@ -397,18 +397,19 @@
         self.end(cx, request, attempt);
     }
 
-    /// Ends a request here and fences attempts up to `attempt` off. Returns whether it ran.
-    pub(super) fn end(&mut self, cx: &mut Context, request: Id, attempt: Attempt) -> bool {
-        let Some(work) = self.works.remove(&request) else { return false };
+    /// Ends a request here and fences attempts up to `attempt` off.
+    pub(super) fn end(&mut self, cx: &mut Context, request: Id, attempt: Attempt) {
+        let Some(work) = self.works.remove(&request) else { return };
+        let (started, held) = (work.started, work.held);
         self.queue.remove(request);
-        if work.started {
-            cx.out.push(Effect::Release { endpoint: self.name.clone(), request });
+        if started {
+            let (endpoint, sequence) = (self.name.clone(), work.sequence);
+            cx.out.push(Effect::Release { endpoint, sequence });
         } else {
             self.backlog.remove(&work.open.workspace, work.open.tokens);
         }
         let attempt = attempt.max(work.open.attempt);
-        self.ledger.tombstone(request, attempt, work.started);
-        self.note(cx, request, attempt, What::Ended { held: work.held });
-        work.started
+        self.ledger.tombstone(request, attempt, started);
+        self.note(cx, request, attempt, What::Ended { held });
     }
 }
--- a/crates/core/src/side/work.rs
+++ b/crates/core/src/side/work.rs
@@ -18,6 +18,9 @@
     pub(super) open: Open,
     pub(super) entry: name::Host,
     pub(super) deadline: Instant,
+    /// Name of the sequence at the engine. A request that comes back after it was cancelled gets
+    /// a new one, so that the freeing of the old one, still on its way, cannot hit it.
+    pub(super) sequence: String,
     /// Positions that the engine holds for this attempt.
     pub(super) held: Position,
     /// Whether a step of any attempt was handed to the engine.
@@ -62,6 +65,7 @@
     pub(super) fn new(now: Instant, entry: &name::Host, open: Open) -> Self {
         Self {
             deadline: ledger::deadline(now, open.deadline_ms),
+            sequence: format!("{}-{}", open.request, open.attempt),
             open,
             entry: entry.clone(),
             held: 0,
