--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -2,8 +2,12 @@
 //!
 //! - [`process`]: owns the decisions of one side and carries out their effects.
 //! - [`settings`]: what the process reads at its start.
+//! - [`status`]: what operators are told; served over HTTP.
 
+mod endpoint;
+mod http;
 pub mod process;
 pub mod settings;
+pub mod status;
 
-pub use process::{Handle, Setup, start};
+pub use process::{Builder, Handle, Setup, start};
