--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,8 +11,15 @@
 //! - [`share`]: messages by which entries share a contract's limits.
 
 pub mod answer;
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
+//! - [`entry`]: the decisions of an entry.
+//! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
+//!   [`home`].
+
+pub mod backlog;
 pub mod config;
 pub mod contract;
+pub mod drain;
 pub mod engine;
 pub mod entry;
 pub mod estimate;
@@ -21,9 +28,16 @@
 pub mod name;
 pub mod plan;
 pub mod recover;
+pub mod home;
+pub mod ledger;
+pub mod limit;
+pub mod message;
+pub mod name;
+pub mod queue;
 pub mod request;
 pub mod retry;
 pub mod revision;
+pub mod roster;
 pub mod share;
 pub mod side;
 pub mod time;
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder of the workspace layout.
+//! The process beside each endpoint: adapters around `oriole_core::side`.
+//!
+//! - [`process`]: owns the decisions of one side and carries out their effects.
+//! - [`settings`]: what the process reads at its start.
+//! - [`status`]: what operators are told; served over HTTP.
+
+mod endpoint;
+mod http;
+pub mod process;
+pub mod settings;
+pub mod status;
+
+pub use process::{Builder, Handle, Setup, start};
