--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -6,10 +6,13 @@
 //!
 //! - `generation`: a generation while all goes well.
 //! - `recovery`: what is done when it does not.
-//! - `call`: calls of plain services.
+//! - `admission`: admission by contract, limits shared with other entries.
+//! - `call`, `claim`: calls of plain services and their idempotency keys.
 //! - [`count`]: counters for each refusal and retry reason.
 
+mod admission;
 mod call;
+mod claim;
 pub mod count;
 mod event;
 mod generation;
@@ -17,19 +20,22 @@
 mod recovery;
 mod work;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::config::Config;
 use crate::estimate::Draw;
 use crate::explain::{self, Fact};
+use crate::limit::{self, Book};
 use crate::message::{Message, Stage, Term};
 use crate::plan::Planner;
 use crate::request::{Id, Refusal, Refused};
 use crate::retry;
+use crate::roster::Roster;
 use crate::time::{Instant, as_us};
 use crate::{contract, name};
 
+use admission::Parked;
 use count::{Counter, Counters};
 use pending::Pending;
 use work::Work;
@@ -56,6 +62,11 @@
     budget: retry::Budget,
     /// Part of the allowed answer length that answers use, by model.
     lengths: BTreeMap<name::Model, f64>,
+    book: Book,
+    parked: BTreeMap<Id, Parked>,
+    /// Workspaces for which a loan has come.
+    ready: BTreeSet<name::Workspace>,
+    shared: Instant,
     records: explain::Store,
     counters: Counters,
     draw: Draw,
@@ -81,13 +92,15 @@
 }
 
 impl Machine {
-    /// A machine that works by `config`; `seed` starts its choices among equals.
+    /// A machine that works by `config` without sharing limits; `seed` starts its choices among
+    /// equals.
     pub fn new(config: Config, seed: u64) -> Self {
         let now = Instant::default();
+        let host = name::Host::from("");
         let mut machine = Self {
             config: Config::default(),
             revision: 0,
-            planner: Planner::new("".into(), "".into()),
+            planner: Planner::new(host.clone(), "".into()),
             works: BTreeMap::new(),
             calls: BTreeMap::new(),
             doubts: BTreeMap::new(),
@@ -96,26 +109,49 @@
             terms: BTreeMap::new(),
             budget: retry::Budget::new(now),
             lengths: BTreeMap::new(),
+            book: Book::new(now, host.clone(), 0, limit::Settings::default()),
+            parked: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            shared: now,
             records: explain::Store::default(),
             counters: Counters::default(),
             draw: Draw::new(seed),
             forgotten: now,
             stopping: false,
         };
-        machine.configure(0, config);
+        let roster = Roster::first(BTreeMap::from([(host, 1)]));
+        machine.configure(now, 0, config, roster, &mut Vec::new());
         machine
     }
 
-    /// The same machine on `host`, which tells its availability zone by the configuration.
-    pub fn on_host(mut self, host: &name::Host) -> Self {
+    /// The same machine on `host`, which shares the limits with the other entries of its
+    /// configuration. `boot` is a random number that this run has drawn.
+    pub fn on_host(mut self, now: Instant, host: &name::Host, boot: u32) -> Self {
         let zone = self.config.entries.get(host).map_or("".into(), |entry| entry.zone.clone());
         self.planner = Planner::new(host.clone(), zone);
-        self.planner.configure(&self.config);
+        self.book = Book::new(now, host.clone(), boot, limit::Settings::default());
+        let weights =
+            |(host, entry): (&name::Host, &crate::config::Entry)| (host.clone(), entry.weight);
+        let mut entries: BTreeMap<name::Host, u32> =
+            self.config.entries.iter().map(weights).collect();
+        if entries.is_empty() {
+            entries.insert(host.clone(), 1);
+        }
+        let config = self.config.clone();
+        // Whom to greet is asked again at the first tick.
+        self.configure(now, self.revision, config, Roster::first(entries), &mut Vec::new());
         self
     }
 
     /// Works by `config`, which is revision `number`, from now on.
-    pub fn configure(&mut self, number: u64, config: Config) {
+    fn configure(
+        &mut self,
+        now: Instant,
+        number: u64,
+        config: Config,
+        roster: Roster,
+        effects: &mut Vec<Effect>,
+    ) {
         self.planner.configure(&config);
         let endpoints = &config.endpoints;
         self.heard.retain(|endpoint, _| endpoints.contains_key(endpoint));
@@ -123,6 +159,10 @@
         self.lengths.retain(|model, _| config.models.contains_key(model));
         self.config = config;
         self.revision = number;
+        let mut out = Vec::new();
+        self.book.on_contracts(now, &self.config.contracts, &mut out);
+        self.book.on_roster(now, roster, &mut out);
+        self.share(out, effects);
     }
 
     /// Reacts to one event.
@@ -136,14 +176,18 @@
             Event::Resume(id) => self.on_resume(now, id, &mut effects),
             Event::Message { from, message } => {
                 self.on_heard(&from);
-                self.on_message(now, message, &mut effects);
+                self.on_message(now, &from, message, &mut effects);
             }
             Event::Up(host) => self.on_heard(&host),
             Event::Lost(host) => self.on_lost(now, &host, &mut effects),
             Event::Leaving { endpoint, leaving } => self.planner.leave(&endpoint, leaving),
+            Event::Configured { revision, config, roster } => {
+                self.configure(now, revision, *config, roster, &mut effects);
+            }
             Event::Stop => self.stopping = true,
             Event::Tick => self.on_tick(now, &mut effects),
         }
+        self.retry_ready(now, &mut effects);
         effects
     }
 
@@ -154,7 +198,7 @@
 
     /// Whether nothing is in progress.
     pub fn is_idle(&self) -> bool {
-        self.works.is_empty() && self.calls.is_empty()
+        self.works.is_empty() && self.calls.is_empty() && self.parked.is_empty()
     }
 
     /// The counters of refusals and retries.
@@ -179,7 +223,13 @@
         }
     }
 
-    fn on_message(&mut self, now: Instant, message: Message, effects: &mut Vec<Effect>) {
+    fn on_message(
+        &mut self,
+        now: Instant,
+        from: &name::Host,
+        message: Message,
+        effects: &mut Vec<Effect>,
+    ) {
         match message {
             Message::Opened(opened) => self.on_opened(now, &opened, effects),
             Message::Token(token) => self.on_token(now, token, effects),
@@ -190,6 +240,8 @@
             Message::Refuse(refuse) => self.on_refuse(now, refuse, effects),
             Message::Reply(reply) => self.on_reply(now, reply, effects),
             Message::Report(report) => self.on_report(now, &report, effects),
+            Message::Claimed(claimed) => self.on_claimed(now, claimed, effects),
+            Message::Share(message) => self.on_share(now, from, message, effects),
             Message::Load(load) => {
                 self.terms.insert(load.endpoint.clone(), load.term);
                 self.planner.report(now, &load);
@@ -203,6 +255,7 @@
         self.tick_hosts(now, effects);
         self.tick_generations(now, effects);
         self.tick_calls(now, effects);
+        self.tick_admission(now, effects);
         if now.since(self.forgotten) >= FORGET {
             self.forgotten = now;
             self.planner.forget(now);
@@ -214,7 +267,10 @@
             let refused = work.refused(Refusal::Cancelled, None);
             self.note_refusal(now, id, &work.ask.workspace, &refused);
             self.release(&work, effects);
+            let used = work.used();
+            self.settle(now, work.permit, used, effects);
         }
+        self.abandon_parked(now, id);
         self.abandon_call(now, id, effects);
     }
 
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -3,10 +3,12 @@
 //! A call that may not be repeated goes to another endpoint only after the side before has proven
 //! that it did not run. Sending it again to the same side is safe, since that side knows it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::contract;
 use crate::explain::{Fact, Subject};
+use crate::limit::Permit;
 use crate::message::{Call, Message, Refuse, Reply, Report, Stage, State, Term, not_run};
 use crate::name;
 use crate::plan::Query;
@@ -15,13 +17,17 @@
 use crate::retry::Reason;
 use crate::time::{Instant, as_us};
 
+use super::admission::Ask;
 use super::count::Counter;
-use super::pending::{Due, MOST_ATTEMPTS, Pending, Resolving};
-use super::{Effect, Machine, Outcome, Request, left_ms, send};
+use super::pending::{Due, MOST_ATTEMPTS, Pending, Step};
+use super::{Effect, Machine, Request, left_ms, send};
 
 /// How long a side that was lost is asked whether a call ran, before that is given up.
 const UNKNOWN: Duration = Duration::from_millis(1500);
 
+/// Wait for the report of a side whose term is not known yet.
+const REPORT_WAIT: Duration = Duration::from_millis(40);
+
 /// How long an endpoint that failed a call is avoided.
 const SUSPECT: Duration = Duration::from_secs(5);
 
@@ -36,16 +42,20 @@
         let subject = Subject::Service(ask.service.clone());
         self.records.open(now, id, &ask.workspace, subject, self.revision);
         self.counters.add(Counter::Request, &ask.workspace);
-        if let Err(reason) = self.check_call(&ask) {
-            self.refuse(now, id, &ask.workspace, not_run(reason, None), effects);
-            return;
+        match self.check_call(&ask) {
+            Ok(()) => self.admit(now, id, Ask::Call(ask), effects),
+            Err(reason) => self.refuse(now, id, &ask.workspace, not_run(reason, None), effects),
         }
-        let Some((service, deadline)) = self.deadline(now, &ask.workspace, ask.deadline) else {
-            return;
-        };
-        let deadline_ms = left_ms(now, deadline);
-        self.records.add(now, id, Fact::Admitted { tokens: 0, roster: 0, deadline_ms });
-        self.budget.request();
+    }
+
+    /// Starts an admitted call: with an idempotency key, its home is asked first.
+    pub(super) fn run_call(
+        &mut self,
+        now: Instant,
+        (id, ask, permit, deadline): (Id, Request, Permit, Instant),
+        service: &contract::Service,
+        effects: &mut Vec<Effect>,
+    ) {
         let call = Call {
             request: id,
             attempt: 0,
@@ -53,29 +63,41 @@
             workspace: ask.workspace.clone(),
             priority: service.priority,
             weight: service.weight,
-            deadline_ms,
+            deadline_ms: left_ms(now, deadline),
             idempotent: self.is_idempotent(&ask),
             method: ask.method.clone(),
             path: ask.path.clone(),
             content_type: ask.content_type.clone(),
             body: ask.body.clone(),
-            roster: 0,
+            roster: permit.roster(),
             term: Term::default(),
         };
-        let failed = BTreeSet::new();
-        let stage = Stage {
-            endpoint: "".into(),
-            host: "".into(),
-            address: ([0, 0, 0, 0], 0).into(),
-            first: 0,
-            end: 0,
+        let keyed = ask.key.is_some();
+        let pending = Pending {
+            ask,
+            permit,
+            call,
+            stage: Stage {
+                endpoint: "".into(),
+                host: "".into(),
+                address: ([0, 0, 0, 0], 0).into(),
+                first: 0,
+                end: 0,
+            },
+            deadline,
+            step: Step::Waiting(now),
+            placed: now,
+            sent: now,
+            patience: Patience::new(Duration::ZERO),
+            claimed: false,
+            failed: BTreeSet::new(),
+            terms: BTreeMap::new(),
         };
-        let patience = Patience::new(Duration::ZERO);
-        let resolving = None;
-        let (placed, sent) = (now, now);
-        let pending =
-            Pending { ask, call, stage, deadline, placed, sent, patience, failed, resolving };
-        self.place(now, pending, effects);
+        if keyed {
+            self.claim(now, pending, effects);
+        } else {
+            self.place(now, pending, effects);
+        }
     }
 
     fn check_call(&self, ask: &Request) -> Result<(), Refusal> {
@@ -91,7 +113,7 @@
     }
 
     /// Sends the next attempt at a call, or refuses it; nothing of it may be running.
-    fn place(&mut self, now: Instant, mut pending: Pending, effects: &mut Vec<Effect>) {
+    pub(super) fn place(&mut self, now: Instant, mut pending: Pending, effects: &mut Vec<Effect>) {
         let id = pending.call.request;
         let query = Query {
             prompt_tokens: 0,
@@ -107,7 +129,7 @@
             Err(unplanned) => {
                 let refused = unplanned.refused.clone();
                 self.records.add(now, id, Fact::Unplanned(unplanned));
-                self.refuse(now, id, &pending.ask.workspace, refused, effects);
+                self.refuse_call(now, pending, refused, effects);
                 return;
             }
         };
@@ -116,12 +138,16 @@
         pending.call.attempt += 1;
         pending.call.endpoint = stage.endpoint.clone();
         pending.call.deadline_ms = left_ms(now, pending.deadline);
-        pending.call.term = self.term(&stage);
+        let latest = self.term(&stage);
+        pending.call.term = match latest.boot {
+            0 => pending.terms.get(&stage.endpoint).copied().unwrap_or_default(),
+            _ => *pending.terms.entry(stage.endpoint.clone()).or_insert(latest),
+        };
         pending.patience = Patience::new(Duration::from_micros(choice.first_us));
         pending.stage = stage;
         pending.placed = now;
         pending.sent = now;
-        pending.resolving = None;
+        pending.step = Step::Running;
         let attempt = pending.call.attempt;
         let degraded = self.degraded(now);
         self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
@@ -135,11 +161,7 @@
             let took = now.since(pending.placed);
             self.planner.observe_call(now, &pending.stage.endpoint, took);
         }
-        let id = reply.request;
-        self.records.add(now, id, Fact::Answered { tokens: 0 });
-        self.counters.add(Counter::Answered, &pending.ask.workspace);
-        let outcome = Outcome::Answered(reply.answer);
-        effects.push(Effect::Finish { request: id, outcome });
+        self.answer_call(now, pending, reply.answer, effects);
     }
 
     /// A side refused a call: if it did not run there, it may run elsewhere.
@@ -159,13 +181,19 @@
         self.heed(now, &endpoint, &refuse.refused);
         let mut refused = refuse.refused;
         // What was asked for is told; the tombstone that proves it is only the means.
-        if let Some(resolving) = pending.resolving.filter(|_| refused.reason == Refusal::Fenced) {
-            refused.reason = resolving.reason;
+        if let (Step::Resolving(reason, _), Refusal::Fenced) = (pending.step, refused.reason) {
+            refused.reason = reason;
         }
         let repeatable = refused.ran == Ran::No || pending.call.idempotent;
         let last = matches!(refused.reason, Refusal::Deadline | Refusal::Superseded);
         if last || !repeatable || pending.call.attempt >= MOST_ATTEMPTS {
-            self.refuse(now, id, &pending.ask.workspace, refused, effects);
+            self.refuse_call(now, pending, refused, effects);
+            return;
+        }
+        if refused.reason == Refusal::Restarted && refused.ran == Ran::No {
+            // The side's report with its term is on its way.
+            pending.step = Step::Waiting(now + REPORT_WAIT);
+            self.calls.insert(id, pending);
             return;
         }
         pending.failed.insert(endpoint.clone());
@@ -187,7 +215,7 @@
         }
         let retry_after_ms = Some(as_us(self.budget.wait()) / 1000);
         let refused = Refused { reason: Refusal::RetryBudget, retry_after_ms, ..refused };
-        self.refuse(now, pending.call.request, &pending.ask.workspace, refused, effects);
+        self.refuse_call(now, pending, refused, effects);
     }
 
     /// A side says whether a call ran.
@@ -197,7 +225,7 @@
         if pending.call.attempt != report.attempt {
             return;
         }
-        let Some(resolving) = pending.resolving else { return };
+        let Step::Resolving(reason, _) = pending.step else { return };
         self.records.add(now, id, Fact::Resolved(report.state));
         let ran = match report.state {
             State::Refused => Ran::No,
@@ -206,13 +234,13 @@
             State::Started | State::Done => return,
         };
         let Some(pending) = self.take_call(id) else { return };
-        let refused = Refused { reason: resolving.reason, ran, retry_after_ms: None };
-        if ran == Ran::No && resolving.reason != Refusal::Deadline {
+        let refused = Refused { reason, ran, retry_after_ms: None };
+        if ran == Ran::No && reason != Refusal::Deadline {
             self.note_failure(now, &pending, Reason::HostLost, Some(refused.clone()));
             self.again(now, pending, refused, effects);
             return;
         }
-        self.refuse(now, id, &pending.ask.workspace, refused, effects);
+        self.refuse_call(now, pending, refused, effects);
     }
 
     /// Sends the calls again whose message a lost connection may have held.
@@ -222,7 +250,7 @@
         host: &name::Host,
         effects: &mut Vec<Effect>,
     ) {
-        for pending in self.calls.values_mut().filter(|p| p.stage.host == *host) {
+        for pending in self.calls.values_mut().filter(|p| p.is_on(host)) {
             pending.sent = now;
             effects.push(pending.message());
         }
@@ -235,7 +263,7 @@
         host: &name::Host,
         effects: &mut Vec<Effect>,
     ) {
-        let on_host = self.calls.iter().filter(|(_, pending)| pending.stage.host == *host);
+        let on_host = self.calls.iter().filter(|(_, pending)| pending.is_on(host));
         let failed: Vec<Id> = on_host.map(|(id, _)| *id).collect();
         for id in failed {
             if self.calls.get(&id).is_some_and(|pending| pending.call.idempotent) {
@@ -253,7 +281,7 @@
         let reason = Refusal::EndpointFailed;
         let refused = Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
         if pending.call.attempt >= MOST_ATTEMPTS {
-            self.refuse(now, id, &pending.ask.workspace, refused, effects);
+            self.refuse_call(now, pending, refused, effects);
             return;
         }
         self.again(now, pending, refused, effects);
@@ -278,8 +306,8 @@
     ) {
         let Some(pending) = self.calls.get_mut(&id) else { return };
         let until = until.min(pending.deadline);
-        if pending.resolving.is_none() {
-            pending.resolving = Some(Resolving { reason, until });
+        if !matches!(pending.step, Step::Resolving(..)) {
+            pending.step = Step::Resolving(reason, until);
             let attempt = pending.call.attempt;
             self.records.add(now, id, Fact::Resolving { attempt });
         }
@@ -295,7 +323,13 @@
                 Due::GiveUp(reason) => {
                     let Some(pending) = self.take_call(id) else { continue };
                     let refused = Refused { ran: Ran::Unknown, ..not_run(reason, None) };
-                    self.refuse(now, id, &pending.ask.workspace, refused, effects);
+                    self.refuse_call(now, pending, refused, effects);
+                }
+                Due::Claim => self.claim_again(now, id, effects),
+                Due::Place => {
+                    if let Some(pending) = self.calls.remove(&id) {
+                        self.place(now, pending, effects);
+                    }
                 }
                 Due::Resolve(until) => {
                     self.resolve(now, id, Refusal::Deadline, until, effects);
@@ -315,17 +349,27 @@
         }
     }
 
-    /// The caller of a call went away: it is kept from running if it has not started.
+    /// The caller of a call went away: it is kept from running if it has not started. With an
+    /// idempotency key it goes on, for the caller will ask for the outcome again.
     pub(super) fn abandon_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+        let abandons = |pending: &Pending| pending.ask.key.is_none();
+        if !self.calls.get(&id).is_some_and(abandons) {
+            return;
+        }
         let Some(pending) = self.take_call(id) else { return };
-        effects.push(send(&pending.stage, Message::Resolve(pending.question())));
+        if pending.is_placed() {
+            effects.push(send(&pending.stage, Message::Resolve(pending.question())));
+        }
         let refused = Refused { ran: Ran::Unknown, ..not_run(Refusal::Cancelled, None) };
         self.note_refusal(now, id, &pending.ask.workspace, &refused);
+        self.settle(now, pending.permit, 0, effects);
     }
 
     fn take_call(&mut self, id: Id) -> Option<Pending> {
         let pending = self.calls.remove(&id)?;
-        self.planner.finish(std::slice::from_ref(&pending.stage));
+        if pending.is_placed() {
+            self.planner.finish(std::slice::from_ref(&pending.stage));
+        }
         Some(pending)
     }
 
--- a/crates/core/src/entry/event.rs
+++ b/crates/core/src/entry/event.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::config::Config;
 use crate::message::{Answer, Message};
 use crate::name;
 use crate::request::{Id, Refused};
+use crate::roster::Roster;
 
 /// A generation that a caller asks for.
 #[derive(Clone, Debug)]
@@ -37,6 +39,8 @@
     pub content_type: String,
     /// The body.
     pub body: Vec<u8>,
+    /// Idempotency key, a UUIDv7.
+    pub key: Option<u128>,
     /// Time until the answer must be complete.
     pub deadline: Option<Duration>,
 }
@@ -72,6 +76,15 @@
         /// Whether it leaves.
         leaving: bool,
     },
+    /// A configuration is in force.
+    Configured {
+        /// Number of its revision.
+        revision: u64,
+        /// The configuration.
+        config: Box<Config>,
+        /// The entries that share the limits.
+        roster: Roster,
+    },
     /// The entry takes no new requests any more.
     Stop,
     /// Time has passed.
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -5,6 +5,7 @@
 
 use crate::answer::{Answer, Verdict};
 use crate::explain::{Fact, Subject};
+use crate::limit::Permit;
 use crate::message::{Message, Open, Opened, Sample, Stage, Term, Token, not_run};
 use crate::name;
 use crate::plan::Query;
@@ -13,6 +14,7 @@
 use crate::retry;
 use crate::time::Instant;
 
+use super::admission::Ask;
 use super::count::Counter;
 use super::work::{Phase, Work};
 use super::{Effect, Generate, Machine, Outcome, left_ms, send};
@@ -43,18 +45,24 @@
         let subject = Subject::Model(ask.model.clone());
         self.records.open(now, request, &ask.workspace, subject, self.revision);
         self.counters.add(Counter::Request, &ask.workspace);
-        if let Err(reason) = self.check(&ask) {
-            let workspace = ask.workspace.clone();
-            self.refuse(now, request, &workspace, not_run(reason, None), effects);
-            return;
+        match self.check(&ask) {
+            Ok(()) => self.admit(now, request, Ask::Generate(ask), effects),
+            Err(reason) => {
+                self.refuse(now, request, &ask.workspace, not_run(reason, None), effects);
+            }
         }
-        let Some((_, deadline)) = self.deadline(now, &ask.workspace, ask.deadline) else { return };
-        let tokens = ask.most_tokens();
-        let deadline_ms = left_ms(now, deadline);
-        self.records.add(now, request, Fact::Admitted { tokens, roster: 0, deadline_ms });
-        self.budget.request();
+    }
+
+    /// Starts an admitted generation.
+    pub(super) fn run(
+        &mut self,
+        now: Instant,
+        (request, ask, permit, deadline): (Id, Generate, Permit, Instant),
+        effects: &mut Vec<Effect>,
+    ) {
         let work = Work {
             request,
+            permit,
             deadline,
             answer: Answer::new(ask.prompt.clone()),
             ask,
@@ -193,7 +201,7 @@
             resume: work.resume,
             tokens: work.ask.most_tokens(),
             seed: work.request.seq,
-            roster: 0,
+            roster: work.permit.roster(),
             term,
         };
         let wanted = |index: u16, stage: &Stage| match (host, &work.phase) {
@@ -314,6 +322,7 @@
         let ended = answer < work.ask.max_tokens;
         let outcome = Outcome::Complete { prompt, answer, ended };
         effects.push(Effect::Finish { request: id, outcome });
+        self.settle(now, work.permit, prompt.saturating_add(answer), effects);
     }
 
     /// Frees what the request holds at the stages.
@@ -335,7 +344,9 @@
     ) {
         self.release(&work, effects);
         let refused = work.refused(reason, retry_after_ms);
+        let used = work.used();
         self.refuse(now, work.request, &work.ask.workspace, refused, effects);
+        self.settle(now, work.permit, used, effects);
     }
 
     pub(super) fn on_hold(&mut self, id: Id) {
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -1,9 +1,10 @@
 //! One call of a plain service in progress.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::message::{Call, Message, Resolve, Stage};
+use crate::limit::Permit;
+use crate::message::{Call, Message, Resolve, Stage, Term};
 use crate::name;
 use crate::recover::Patience;
 use crate::request::Refusal;
@@ -23,25 +24,40 @@
 /// One call.
 pub(super) struct Pending {
     pub ask: Request,
+    pub permit: Permit,
     pub call: Call,
     pub stage: Stage,
     pub deadline: Instant,
+    pub step: Step,
+    /// When the present step began, and when its message was sent last.
     pub placed: Instant,
     pub sent: Instant,
     pub patience: Patience,
+    /// Whether the key's home let it run.
+    pub claimed: bool,
     pub failed: BTreeSet<name::Endpoint>,
-    /// Asked since then whether it ran, for this reason, and until when at most.
-    pub resolving: Option<Resolving>,
+    /// Terms under which the call was first sent to each side. A later attempt keeps them, so
+    /// that a side which has forgotten the earlier one does not run it again.
+    pub terms: BTreeMap<name::Endpoint, Term>,
 }
 
-#[derive(Clone, Copy)]
-pub(super) struct Resolving {
-    pub reason: Refusal,
-    pub until: Instant,
+/// Where a call stands.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Step {
+    /// The key's home is asked.
+    Claiming,
+    /// The next attempt is made then.
+    Waiting(Instant),
+    /// Sent to a side.
+    Running,
+    /// The side is asked whether it ran, for this reason, until then at most.
+    Resolving(Refusal, Instant),
 }
 
 /// What is due for a call.
 pub(super) enum Due {
+    Claim,
+    Place,
     GiveUp(Refusal),
     Resolve(Instant),
     Move,
@@ -51,28 +67,38 @@
 impl Pending {
     pub fn due(&self, now: Instant) -> Option<Due> {
         let silent = now.since(self.sent);
-        if let Some(resolving) = self.resolving {
-            if resolving.until <= now {
-                return Some(Due::GiveUp(resolving.reason));
+        match self.step {
+            Step::Claiming => (silent >= REPEAT).then_some(Due::Claim),
+            Step::Waiting(until) => (until <= now).then_some(Due::Place),
+            Step::Resolving(reason, until) if until <= now => Some(Due::GiveUp(reason)),
+            Step::Resolving(..) => (silent >= REPEAT).then_some(Due::Resend),
+            Step::Running if self.deadline.since(now) <= RESOLVE => {
+                Some(Due::Resolve(self.deadline))
+            }
+            Step::Running if silent < self.patience.retransmit.max(REPEAT) => None,
+            Step::Running => {
+                let suspect = now.since(self.placed) >= self.patience.suspect;
+                let moves = suspect && self.call.idempotent && self.call.attempt < MOST_ATTEMPTS;
+                Some(if moves { Due::Move } else { Due::Resend })
             }
-            return (silent >= REPEAT).then_some(Due::Resend);
-        }
-        if self.deadline.since(now) <= RESOLVE {
-            return Some(Due::Resolve(self.deadline));
-        }
-        if silent < self.patience.retransmit.max(REPEAT) {
-            return None;
         }
-        let suspect = now.since(self.placed) >= self.patience.suspect;
-        let moves = suspect && self.call.idempotent && self.call.attempt < MOST_ATTEMPTS;
-        Some(if moves { Due::Move } else { Due::Resend })
+    }
+
+    /// Whether the call is at a side now.
+    pub fn is_placed(&self) -> bool {
+        matches!(self.step, Step::Running | Step::Resolving(..))
+    }
+
+    /// Whether the call is at a side on `host` now.
+    pub fn is_on(&self, host: &name::Host) -> bool {
+        self.is_placed() && self.stage.host == *host
     }
 
     /// The call, or the question whether it ran.
     pub fn message(&self) -> Effect {
-        let message = match self.resolving {
-            Some(_) => Message::Resolve(self.question()),
-            None => Message::Call(self.call.clone()),
+        let message = match self.step {
+            Step::Resolving(..) => Message::Resolve(self.question()),
+            _ => Message::Call(self.call.clone()),
         };
         send(&self.stage, message)
     }
--- a/crates/core/src/entry/work.rs
+++ b/crates/core/src/entry/work.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::answer::Answer;
+use crate::limit::Permit;
 use crate::message::{Cancel, Feed, Message, Stage, Term};
 use crate::name;
 use crate::recover::Patience;
@@ -15,6 +16,7 @@
 pub(super) struct Work {
     pub request: Id,
     pub ask: Generate,
+    pub permit: Permit,
     pub deadline: Instant,
     pub answer: Answer,
     pub chain: Vec<Stage>,
@@ -70,6 +72,11 @@
         send(stage, Message::Cancel(Cancel { request, attempt }))
     }
 
+    /// Tokens that ran, as they are charged.
+    pub(super) fn used(&self) -> u32 {
+        if self.fed { self.answer.length() } else { 0 }
+    }
+
     /// How a refusal is told: it ran unless no token was ever sent to a stage.
     pub(super) fn refused(&self, reason: Refusal, retry_after_ms: Option<u64>) -> Refused {
         let ran = if self.fed { Ran::Unknown } else { Ran::No };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,16 +6,13 @@
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
+//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
 //!   [`explain`].
-//! - [`share`]: messages by which entries share a contract's limits.
-
-pub mod answer;
-//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
-//! - [`entry`]: the decisions of an entry.
 //! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
 //!   [`home`].
 
+pub mod answer;
 pub mod backlog;
 pub mod config;
 pub mod contract;
@@ -24,16 +21,14 @@
 pub mod entry;
 pub mod estimate;
 pub mod explain;
-pub mod message;
-pub mod name;
-pub mod plan;
-pub mod recover;
 pub mod home;
 pub mod ledger;
 pub mod limit;
 pub mod message;
 pub mod name;
+pub mod plan;
 pub mod queue;
+pub mod recover;
 pub mod request;
 pub mod retry;
 pub mod revision;
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -174,6 +174,7 @@
         path: path.to_owned(),
         content_type: String::new(),
         body: Vec::new(),
+        key: None,
         deadline: Some(Duration::from_secs(5)),
     }
 }
--- a/crates/core/tests/entry/world.rs
+++ b/crates/core/tests/entry/world.rs
@@ -148,7 +148,7 @@
 impl World {
     pub fn new(seed: u64) -> Self {
         Self {
-            machine: Machine::new(config(), seed).on_host(&"entry".into()),
+            machine: Machine::new(config(), seed),
             now: Instant::from_us(1_000_000),
             draw: Draw::new(seed),
             texts: BTreeMap::new(),
@@ -243,8 +243,10 @@
                 self.run(to, (request, attempt, 0), (position, inputs, sample));
             }
             Message::Step(step) => {
-                let inputs =
-                    step.activation.chunks(8).map(|c| u64::from_le_bytes(c.try_into().unwrap()));
+                let inputs = step
+                    .activation
+                    .chunks(8)
+                    .map(|c| u64::from_le_bytes(std::array::from_fn(|byte| c[byte])));
                 let run = (step.position, inputs.collect(), step.sample);
                 self.run(to, (step.request, step.attempt, step.stage), run);
             }
