Add oriole-load with its demo, and the two example deployments

Change: examples/kigali and examples/mu-south (40 engines, 3 plain services, 10 workspaces each); oriole-load runs each entry and side on a thread of its own, so that it can be killed, paused and its processor time read, over loopback on ports that the system picks; the demo. Conclusion: the demo exits non-zero until admission is in.

--- /dev/null
+++ b/crates/load/src/caller.rs
@@ -0,0 +1,293 @@
+//! A caller of the system: sends requests to an entry and judges the answers.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::error::SendRequestError;
+use bytes::Bytes;
+use futures_util::StreamExt;
+use oriole_core::request::Id;
+use oriole_core::token;
+use oriole_entry::chat;
+use oriole_standin::model;
+use serde_json::{Value, json};
+
+/// Time that a caller waits on top of its deadline before it gives up.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// Largest answer that is read at once, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// A generation to ask for.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The caller's key.
+    pub key: String,
+    /// The model.
+    pub model: String,
+    /// What the caller says.
+    pub content: String,
+    /// Most tokens of the answer.
+    pub max_tokens: u32,
+    /// Time until the answer must be complete.
+    pub deadline: Duration,
+    /// Layers of the model, to compute the expected answer.
+    pub layers: u16,
+}
+
+/// How a request ended for the caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    /// The answer says that it is complete.
+    Complete,
+    /// The system refused it.
+    Refused {
+        /// The reason, as the system names it.
+        reason: String,
+        /// Whether it ran, as the system says: `no` or `unknown`.
+        ran: String,
+    },
+    /// No connection to the entry could be opened.
+    Unreachable,
+    /// The connection ended before the answer did.
+    Cut,
+    /// Nothing came for much longer than the deadline.
+    Silent,
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The request id, if one was told.
+    pub id: Option<String>,
+    /// The text.
+    pub text: String,
+    /// How it ended.
+    pub end: End,
+    /// When each piece of text arrived.
+    pub times: Vec<Instant>,
+    /// When the request was sent.
+    pub sent: Instant,
+}
+
+impl Answer {
+    fn new() -> Self {
+        let (id, text, times) = (None, String::new(), Vec::new());
+        Self { id, text, end: End::Cut, times, sent: Instant::now() }
+    }
+
+    /// Time from sending to the first token.
+    pub fn first_token(&self) -> Option<Duration> {
+        self.times.first().map(|first| first.duration_since(self.sent))
+    }
+
+    /// Times between two tokens, each with the time of the later one.
+    pub fn gaps(&self) -> impl Iterator<Item = (Instant, Duration)> {
+        self.times.windows(2).map(|pair| (pair[1], pair[1].duration_since(pair[0])))
+    }
+
+    /// Whether the text is, or as far as it goes starts like, the answer of an undisturbed run.
+    pub fn is_right(&self, ask: &Ask) -> bool {
+        let Some(id) = self.id.as_ref().and_then(|id| id.parse::<Id>().ok()) else {
+            return self.text.is_empty();
+        };
+        let expected = expected(ask, id);
+        match self.end {
+            End::Complete => self.text == expected,
+            _ => expected.starts_with(&self.text),
+        }
+    }
+}
+
+/// The text that an undisturbed run gives for a request with this id.
+pub fn expected(ask: &Ask, id: Id) -> String {
+    let said = chat::Message { role: "user".to_owned(), content: ask.content.clone() };
+    let request = chat::Request {
+        model: ask.model.clone(),
+        messages: vec![said],
+        stream: true,
+        max_tokens: Some(ask.max_tokens),
+        max_completion_tokens: None,
+    };
+    let prompt = token::encode(&request.prompt());
+    let request = model::Request {
+        prompt: &prompt,
+        seed: id.seq,
+        max_tokens: ask.max_tokens,
+        layers: ask.layers,
+    };
+    model::expected_text(&request)
+}
+
+/// A call of a plain service to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The caller's key.
+    pub key: String,
+    /// The service.
+    pub service: String,
+    /// The path, from its slash on.
+    pub path: String,
+    /// Id that the stand-in counts the call by.
+    pub id: String,
+    /// The idempotency key, if the caller gives one.
+    pub idempotency_key: Option<String>,
+}
+
+/// Sends requests. Clones share its connections.
+#[derive(Clone)]
+pub struct Caller {
+    http: awc::Client,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        // No bound on connections: arrivals must not wait for each other.
+        let connector = awc::Connector::new().limit(0).timeout(Duration::from_secs(2));
+        let http = awc::Client::builder().connector(connector).disable_timeout().finish();
+        Self { http }
+    }
+}
+
+impl Caller {
+    /// Creates a caller without connections.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Asks for a generation and reads the streamed answer; `on_token` is told how many tokens
+    /// have arrived, and the request id.
+    pub async fn generate(
+        &self,
+        entry: SocketAddr,
+        ask: &Ask,
+        mut on_token: impl FnMut(usize, &str),
+    ) -> Answer {
+        let mut answer = Answer::new();
+        let reading = self.stream(entry, ask, &mut answer, &mut on_token);
+        match tokio::time::timeout(ask.deadline + GRACE, reading).await {
+            Ok(end) => answer.end = end,
+            Err(_) => answer.end = End::Silent,
+        }
+        answer
+    }
+
+    async fn stream(
+        &self,
+        entry: SocketAddr,
+        ask: &Ask,
+        answer: &mut Answer,
+        on_token: &mut impl FnMut(usize, &str),
+    ) -> End {
+        let body = json!({
+            "model": ask.model,
+            "messages": [{ "role": "user", "content": ask.content }],
+            "max_tokens": ask.max_tokens,
+            "stream": true,
+        });
+        let sending = self
+            .http
+            .post(format!("http://{entry}/v1/chat/completions"))
+            .insert_header(("authorization", format!("Bearer {}", ask.key)))
+            .insert_header(("content-type", "application/json"))
+            .insert_header(("x-deadline-ms", ask.deadline.as_millis().to_string()))
+            .send_body(body.to_string());
+        let mut response = match sending.await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(awc::error::ConnectError::Disconnected)) => {
+                return End::Cut;
+            }
+            Err(SendRequestError::Connect(_)) => return End::Unreachable,
+            Err(_) => return End::Cut,
+        };
+        let id = response.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+        answer.id = id.filter(|id| !id.is_empty()).map(str::to_owned);
+        if !response.status().is_success() {
+            return match response.body().limit(MAX_ANSWER_BYTES).await {
+                Ok(body) => refused(&serde_json::from_slice(&body).unwrap_or_default()),
+                Err(_) => End::Cut,
+            };
+        }
+        let mut events = Events::default();
+        while let Some(chunk) = response.next().await {
+            let Ok(chunk) = chunk else { return End::Cut };
+            for event in events.push(&chunk) {
+                if let Some(end) = take(&event, answer, on_token) {
+                    return end;
+                }
+            }
+        }
+        End::Cut
+    }
+
+    /// Calls a plain service; returns the HTTP status and the body, or how it failed.
+    pub async fn call(&self, entry: SocketAddr, call: &Call) -> Result<(u16, Value), End> {
+        let url = format!("http://{entry}/v1/services/{}{}", call.service, call.path);
+        let mut request = self
+            .http
+            .post(url)
+            .insert_header(("authorization", format!("Bearer {}", call.key)))
+            .insert_header(("content-type", "application/json"));
+        if let Some(key) = &call.idempotency_key {
+            request = request.insert_header(("idempotency-key", key.as_str()));
+        }
+        let sent = request.send_body(json!({ "id": call.id }).to_string()).await;
+        let mut response = sent.map_err(|_| End::Cut)?;
+        let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|_| End::Cut)?;
+        let value: Value = serde_json::from_slice(&body).unwrap_or_default();
+        if value.get("reason").is_some() {
+            Err(refused(&value))
+        } else {
+            Ok((response.status().as_u16(), value))
+        }
+    }
+
+    /// Gets a resource of an entry as text.
+    pub async fn get(&self, entry: SocketAddr, path: &str) -> Option<(u16, String)> {
+        let mut response = self.http.get(format!("http://{entry}{path}")).send().await.ok()?;
+        let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+        Some((response.status().as_u16(), String::from_utf8_lossy(&body).into_owned()))
+    }
+}
+
+/// Takes one event of a stream; returns how the answer ended, if it did.
+fn take(event: &str, answer: &mut Answer, on_token: &mut impl FnMut(usize, &str)) -> Option<End> {
+    if event == "[DONE]" {
+        return Some(End::Complete);
+    }
+    let value: Value = serde_json::from_str(event).unwrap_or_default();
+    if let Some(error) = value.get("error") {
+        return Some(refused(error));
+    }
+    let text = value.pointer("/choices/0/delta/content").and_then(Value::as_str)?;
+    answer.text.push_str(text);
+    answer.times.push(Instant::now());
+    on_token(answer.times.len(), answer.id.as_deref().unwrap_or_default());
+    None
+}
+
+fn refused(problem: &Value) -> End {
+    let member = |name| problem.get(name).and_then(Value::as_str).unwrap_or("?").to_owned();
+    End::Refused { reason: member("reason"), ran: member("ran") }
+}
+
+/// Splits a stream into server-sent events.
+#[derive(Default)]
+struct Events {
+    rest: Vec<u8>,
+}
+
+impl Events {
+    /// The data of the events that `chunk` completes.
+    fn push(&mut self, chunk: &Bytes) -> Vec<String> {
+        self.rest.extend_from_slice(chunk);
+        let mut events = Vec::new();
+        while let Some(end) = self.rest.windows(2).position(|pair| pair == b"\n\n") {
+            let event: Vec<u8> = self.rest.drain(..end + 2).collect();
+            let text = String::from_utf8_lossy(&event);
+            let data = text.lines().filter_map(|line| line.strip_prefix("data: "));
+            events.extend(data.map(str::to_owned));
+        }
+        events
+    }
+}
--- /dev/null
+++ b/crates/load/src/cluster/mod.rs
@@ -0,0 +1,307 @@
+//! Entries, sides and stand-ins of one deployment, over loopback in one process.
+//!
+//! Each entry and each side runs on a thread of its own, so that it can be killed with all its
+//! connections, paused as a whole, and its processor time measured, as if it were a process.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use oriole_core::config::{Config, Kind};
+use oriole_core::name;
+use oriole_standin::engine::Probe;
+use oriole_standin::service::Record;
+use oriole_standin::{fault, relay};
+
+pub use node::Node;
+use standin::Standins;
+
+pub mod node;
+mod standin;
+
+/// The secret of embedded deployments.
+const SECRET: &[u8] = b"loopback only";
+
+/// Tries to bind an address that was in use a moment ago.
+const BIND_TRIES: u32 = 50;
+
+/// Pause between two tries.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why a deployment could not be started.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// A socket could not be had.
+    #[display("opening a socket: {_0}")]
+    Io(std::io::Error),
+    /// There is no such host.
+    #[display("no such host")]
+    #[from(skip)]
+    Absent,
+}
+
+/// How a deployment is started.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Factor on the engines' times.
+    pub time_scale: f64,
+    /// Time of one call at a plain service.
+    pub service_delay: Duration,
+    /// Whether a relay stands before each side, to inject faults of the network.
+    pub relays: bool,
+    /// Threads for stand-ins.
+    pub standin_threads: usize,
+    /// Start of the processes' random numbers.
+    pub seed: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            time_scale: 1.0,
+            service_delay: Duration::from_millis(5),
+            relays: false,
+            standin_threads: 4,
+            seed: 1,
+        }
+    }
+}
+
+/// A running entry.
+pub struct Entry {
+    /// Its thread; `None` while it is dead.
+    pub node: Option<Node>,
+    /// Where callers reach it.
+    pub http: SocketAddr,
+}
+
+/// A running side.
+pub struct Side {
+    /// Its thread; `None` while it is dead.
+    pub node: Option<Node>,
+    /// Where it listens, behind the relay if there is one.
+    pub wire: SocketAddr,
+    /// The relay before it, if there is one.
+    pub relay: Option<relay::Switch>,
+}
+
+/// An endpoint's stand-in.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its fault switches.
+    pub switch: fault::Switch,
+    /// Which sequences an engine holds.
+    pub probe: Probe,
+    /// How often each call of a plain service ran.
+    pub record: Record,
+}
+
+/// A running deployment.
+pub struct Cluster {
+    /// The configuration, with the addresses in use.
+    pub config: Config,
+    /// Entries by host.
+    pub entries: BTreeMap<name::Host, Entry>,
+    /// Sides by host.
+    pub sides: BTreeMap<name::Host, Side>,
+    /// Stand-ins by endpoint.
+    pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
+    options: Options,
+    standins: Standins,
+    starts: u64,
+}
+
+impl Cluster {
+    /// Starts everything that `config` names, on addresses that the system picks.
+    pub fn start(mut config: Config, options: Options) -> Result<Self, Error> {
+        let mut standins = Standins::new(&options);
+        let endpoints = standins.start_endpoints(&mut config)?;
+        let (sides, side_listeners) = bind_sides(&mut config, &options, &mut standins)?;
+        let (entries, entry_listeners) = bind_entries(&mut config)?;
+        let starts = options.seed;
+        let mut cluster = Self { config, entries, sides, endpoints, options, standins, starts };
+        for (host, listener) in side_listeners {
+            let node = cluster.run_side(&host, listener);
+            cluster.side(&host)?.node = Some(node);
+        }
+        for (host, (wire, http)) in entry_listeners {
+            let node = cluster.run_entry(&host, wire, http);
+            cluster.entry(&host)?.node = Some(node);
+        }
+        Ok(cluster)
+    }
+
+    /// Ends an entry as the death of its process would.
+    pub fn kill_entry(&mut self, host: &name::Host) -> Result<(), Error> {
+        self.entry(host)?.node = None;
+        Ok(())
+    }
+
+    /// Starts a dead entry anew at its old addresses.
+    pub fn restart_entry(&mut self, host: &name::Host) -> Result<(), Error> {
+        let address = self.config.entries.get(host).ok_or(Error::Absent)?.address;
+        let http = self.entry(host)?.http;
+        let node = self.run_entry(host, rebind(address)?, rebind(http)?);
+        self.entry(host)?.node = Some(node);
+        Ok(())
+    }
+
+    /// Ends a side as the death of its process would.
+    pub fn kill_side(&mut self, host: &name::Host) -> Result<(), Error> {
+        self.side(host)?.node = None;
+        Ok(())
+    }
+
+    /// Starts a dead side anew at its old address.
+    pub fn restart_side(&mut self, host: &name::Host) -> Result<(), Error> {
+        let wire = self.side(host)?.wire;
+        let node = self.run_side(host, rebind(wire)?);
+        self.side(host)?.node = Some(node);
+        Ok(())
+    }
+
+    /// Starts an endpoint's dead stand-in anew at its old address, without what it held.
+    pub fn restart_endpoint(&mut self, endpoint: &name::Endpoint) -> Result<(), Error> {
+        let settings = self.config.endpoints.get(endpoint).ok_or(Error::Absent)?;
+        let standin = self.endpoints.get(endpoint).ok_or(Error::Absent)?;
+        standin.switch.revive();
+        let listener = rebind(settings.address)?;
+        self.standins.serve(listener, &self.config, &settings.kind, standin);
+        Ok(())
+    }
+
+    /// Ends everything in an availability zone: endpoints, sides and entries.
+    pub fn kill_zone(&mut self, zone: &name::Zone) -> Result<(), Error> {
+        let config = self.config.clone();
+        for (name, endpoint) in config.endpoints.iter().filter(|(_, e)| e.zone == *zone) {
+            if let Some(standin) = self.endpoints.get(name) {
+                standin.switch.die();
+            }
+            self.kill_side(&endpoint.host)?;
+        }
+        for (host, _) in config.entries.iter().filter(|(_, e)| e.zone == *zone) {
+            self.kill_entry(host)?;
+        }
+        Ok(())
+    }
+
+    /// Addresses for callers of the entries that run.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.values().filter(|e| e.node.is_some()).map(|e| e.http).collect()
+    }
+
+    /// Engines that hold the sequence of the request `id`.
+    pub fn holders(&self, id: &str) -> Vec<name::Endpoint> {
+        let holding = self.endpoints.iter().filter(|(_, endpoint)| endpoint.probe.holds(id));
+        holding.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn entry(&mut self, host: &name::Host) -> Result<&mut Entry, Error> {
+        self.entries.get_mut(host).ok_or(Error::Absent)
+    }
+
+    fn side(&mut self, host: &name::Host) -> Result<&mut Side, Error> {
+        self.sides.get_mut(host).ok_or(Error::Absent)
+    }
+
+    fn run_entry(&mut self, host: &name::Host, wire: TcpListener, http: TcpListener) -> Node {
+        self.starts += 1;
+        // The upper half tells one run of an entry from the next.
+        let seed = (self.starts << 32) | self.options.seed;
+        node::entry(node::EntrySetup {
+            host: host.clone(),
+            secret: SECRET.to_vec(),
+            config: self.config.clone(),
+            wire,
+            http,
+            seed,
+        })
+    }
+
+    fn run_side(&self, host: &name::Host, wire: TcpListener) -> Node {
+        node::side(node::SideSetup {
+            host: host.clone(),
+            secret: SECRET.to_vec(),
+            config: self.config.clone(),
+            wire,
+        })
+    }
+}
+
+/// Sides that do not run yet, and their listeners.
+type BoundSides = (BTreeMap<name::Host, Side>, Vec<(name::Host, TcpListener)>);
+
+/// Entries that do not run yet, and their listeners for processes and for callers.
+type BoundEntries = (BTreeMap<name::Host, Entry>, Vec<(name::Host, (TcpListener, TcpListener))>);
+
+/// Gives each side an address, and a relay before it if one is asked for.
+fn bind_sides(
+    config: &mut Config,
+    options: &Options,
+    standins: &mut Standins,
+) -> Result<BoundSides, Error> {
+    let mut sides: BTreeMap<name::Host, Side> = BTreeMap::new();
+    let mut seen = BTreeMap::new();
+    let mut listeners = Vec::new();
+    for endpoint in config.endpoints.values_mut() {
+        if let Some(address) = seen.get(&endpoint.host) {
+            endpoint.side = *address;
+            continue;
+        }
+        let listener = bind()?;
+        let wire = listener.local_addr()?;
+        let relay = options.relays.then(relay::Switch::new);
+        endpoint.side = match &relay {
+            Some(switch) => standins.relay(wire, switch)?,
+            None => wire,
+        };
+        seen.insert(endpoint.host.clone(), endpoint.side);
+        sides.insert(endpoint.host.clone(), Side { node: None, wire, relay });
+        listeners.push((endpoint.host.clone(), listener));
+    }
+    Ok((sides, listeners))
+}
+
+/// Gives each entry its addresses.
+fn bind_entries(config: &mut Config) -> Result<BoundEntries, Error> {
+    let mut entries = BTreeMap::new();
+    let mut listeners = Vec::new();
+    for (host, entry) in &mut config.entries {
+        let (wire, http) = (bind()?, bind()?);
+        entry.address = wire.local_addr()?;
+        entries.insert(host.clone(), Entry { node: None, http: http.local_addr()? });
+        listeners.push((host.clone(), (wire, http)));
+    }
+    Ok((entries, listeners))
+}
+
+fn bind() -> Result<TcpListener, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+/// Binds an address whose former listener may still be closing.
+fn rebind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match TcpListener::bind(address) {
+            Ok(listener) => {
+                listener.set_nonblocking(true)?;
+                return Ok(listener);
+            }
+            Err(e) if tries >= BIND_TRIES => return Err(e.into()),
+            Err(_) => std::thread::sleep(BIND_PAUSE),
+        }
+    }
+}
+
+/// Layers of the model that an engine holds a range of.
+fn layers(config: &Config, kind: &Kind) -> u16 {
+    match kind {
+        Kind::Engine { model, .. } => config.models.get(model).map_or(0, |model| model.layers),
+        Kind::Service { .. } => 0,
+    }
+}
--- /dev/null
+++ b/crates/load/src/demo.rs
@@ -0,0 +1,306 @@
+//! The demo: the main job of one deployment, with a failure in the middle.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use oriole_core::config::{Config, Kind};
+use oriole_core::name;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::caller::{Answer, Ask, Call, Caller, End};
+use crate::cluster::Cluster;
+
+/// Time within which the deployment must answer a first request.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two tries to reach a deployment that starts.
+const READY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Tokens of the answer in which a stage dies.
+const LONG_ANSWER_TOKENS: u32 = 48;
+
+/// Tokens that have arrived when the stage dies.
+const TOKENS_BEFORE_DEATH: usize = 8;
+
+/// Longest time from the death of a stage to the next token.
+const RECOVERY_TARGET: Duration = Duration::from_secs(1);
+
+/// Start of the keys of the example deployments.
+const KEY_PREFIX: &str = "example-key-";
+
+/// The outcome of one part of the demo.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Part {
+    /// What was tried.
+    pub title: String,
+    /// Whether it came out right.
+    pub right: bool,
+    /// What was seen.
+    pub seen: String,
+    /// The request id, if there is one.
+    pub request: Option<String>,
+    /// The system's own account of its decisions.
+    pub explain: Value,
+}
+
+/// The names that the demo uses.
+struct Scene {
+    model: String,
+    layers: u16,
+    service: String,
+    path: String,
+    large: name::Workspace,
+    small: name::Workspace,
+    burst: u32,
+}
+
+/// Runs the demo on a deployment; `progress` is told each part as it ends.
+pub async fn run(cluster: &mut Cluster, mut progress: impl FnMut(&Part)) -> Vec<Part> {
+    let Some(scene) = Scene::new(&cluster.config) else {
+        let title = "finds a model, a plain service and contracts".to_owned();
+        let seen = "the deployment lacks one".to_owned();
+        let part = Part { title, right: false, seen, request: None, explain: Value::Null };
+        progress(&part);
+        return vec![part];
+    };
+    let caller = Caller::new();
+    let mut parts = Vec::new();
+    let ready = wait_until_ready(cluster, &caller, &scene).await;
+    let mut keep = |part: Part| {
+        progress(&part);
+        parts.push(part);
+    };
+    keep(ready);
+    keep(generate(cluster, &caller, &scene).await);
+    keep(call_service(cluster, &caller, &scene).await);
+    keep(exceed_limit(cluster, &caller, &scene).await);
+    keep(kill_stage(cluster, &caller, &scene).await);
+    parts
+}
+
+impl Scene {
+    fn new(config: &Config) -> Option<Self> {
+        let (model, settings) = config.models.first_key_value()?;
+        let (service, routes) =
+            config.services.iter().find(|(_, service)| !service.non_idempotent.is_empty())?;
+        let route = routes.non_idempotent.iter().find(|route| route.method == "POST")?;
+        let rate = |w: &&name::Workspace| config.contracts[*w].limits.requests;
+        let ranked = |a: &&name::Workspace, b: &&name::Workspace| {
+            rate(a).per_second().total_cmp(&rate(b).per_second())
+        };
+        let large = config.contracts.keys().max_by(ranked)?.clone();
+        let small = config.contracts.keys().min_by(ranked)?.clone();
+        Some(Self {
+            model: model.to_string(),
+            layers: settings.layers,
+            service: service.to_string(),
+            path: route.path.clone(),
+            burst: config.contracts[&small].limits.request_burst,
+            large,
+            small,
+        })
+    }
+
+    fn ask(&self, workspace: &name::Workspace, content: &str, max_tokens: u32) -> Ask {
+        Ask {
+            key: key(workspace),
+            model: self.model.clone(),
+            content: content.to_owned(),
+            max_tokens,
+            deadline: Duration::from_secs(20),
+            layers: self.layers,
+        }
+    }
+}
+
+/// The key of a workspace of an example deployment.
+pub fn key(workspace: &name::Workspace) -> String {
+    format!("{KEY_PREFIX}{workspace}")
+}
+
+async fn wait_until_ready(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+    let start = Instant::now();
+    let ask = scene.ask(&scene.large, "Are you there?", 2);
+    let mut ready = 0;
+    for entry in cluster.callers() {
+        while start.elapsed() < READY_TIMEOUT {
+            if caller.generate(entry, &ask, |_, _| ()).await.end == End::Complete {
+                ready += 1;
+                break;
+            }
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+    }
+    let all = cluster.entries.len();
+    let endpoints = cluster.endpoints.len();
+    Part {
+        title: "starts".to_owned(),
+        right: ready == all,
+        seen: format!(
+            "{ready} of {all} entries answer, {endpoints} endpoints, after {} ms",
+            start.elapsed().as_millis()
+        ),
+        request: None,
+        explain: Value::Null,
+    }
+}
+
+async fn generate(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+    let ask = scene.ask(&scene.large, "Which rooms and gates need somebody this morning?", 24);
+    let Some(entry) = first_entry(cluster) else { return no_entry("generation") };
+    let answer = caller.generate(entry, &ask, |_, _| ()).await;
+    let first = answer.first_token().unwrap_or_default().as_millis();
+    Part {
+        title: "generation".to_owned(),
+        right: answer.end == End::Complete && answer.is_right(&ask),
+        seen: format!(
+            "{} tokens, first after {first} ms, {}:{}",
+            answer.times.len(),
+            judged(&answer, &ask),
+            answer.text
+        ),
+        explain: explain(caller, entry, answer.id.as_deref()).await,
+        request: answer.id,
+    }
+}
+
+async fn call_service(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+    let title = format!("non-idempotent call of {}{}", scene.service, scene.path);
+    let Some(entry) = first_entry(cluster) else { return no_entry(&title) };
+    let call = Call {
+        key: key(&scene.large),
+        service: scene.service.clone(),
+        path: scene.path.clone(),
+        id: "demo-1".to_owned(),
+        idempotency_key: None,
+    };
+    let called = caller.call(entry, &call).await;
+    let runs: u32 = cluster.endpoints.values().map(|e| e.record.runs(&call.id)).sum();
+    let (right, seen) = match &called {
+        Ok((status, body)) => (*status == 200, format!("status {status}, {body}")),
+        Err(end) => (false, format!("{end:?}")),
+    };
+    Part {
+        title,
+        right: right && runs == 1,
+        seen: format!("{seen}; ran {runs} time(s) in all"),
+        request: None,
+        explain: Value::Null,
+    }
+}
+
+/// Sends more requests at once than the contract's burst allows, over all entries.
+async fn exceed_limit(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+    let ask = Rc::new(scene.ask(&scene.small, "One more.", 2));
+    let entries = cluster.callers();
+    // The rate of the smallest contract adds at most a few while they are sent.
+    let count = scene.burst as usize * 4 + 8;
+    let targets = entries.iter().cycle().take(count);
+    let sent = targets.map(|entry| {
+        let ask = ask.clone();
+        async move { (*entry, caller.generate(*entry, &ask, |_, _| ()).await) }
+    });
+    let answers = join_all(sent).await;
+    let complete = answers.iter().filter(|(_, a)| a.end == End::Complete).count();
+    let all_right = answers.iter().all(|(_, answer)| answer.is_right(&ask));
+    let is_refused =
+        |answer: &Answer| matches!(&answer.end, End::Refused { ran, .. } if ran == "no");
+    let refused: Vec<_> = answers.iter().filter(|(_, answer)| is_refused(answer)).collect();
+    let first = refused.first();
+    let told = first.map(|(_, answer)| format!("{:?}", answer.end)).unwrap_or_default();
+    let request = first.and_then(|(_, answer)| answer.id.clone());
+    let entry = first.map(|(entry, _)| *entry);
+    let explain = match entry {
+        Some(entry) => explain(caller, entry, request.as_deref()).await,
+        None => Value::Null,
+    };
+    Part {
+        title: format!("{count} requests at once over the limit of {}", scene.small),
+        right: all_right && !refused.is_empty() && complete + refused.len() == count,
+        seen: format!("{complete} complete, {} refused as not run: {told}", refused.len()),
+        request,
+        explain,
+    }
+}
+
+/// Kills an engine that holds the request in the middle of its answer.
+async fn kill_stage(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+    let title = "stage dies in the middle of an answer".to_owned();
+    let Some(entry) = first_entry(cluster) else { return no_entry(&title) };
+    let ask = scene.ask(&scene.large, "Plan the escorts until noon.", LONG_ANSWER_TOKENS);
+    let mut death = None;
+    let answer = caller
+        .generate(entry, &ask, |tokens, id| {
+            if tokens == TOKENS_BEFORE_DEATH {
+                death = kill_holder(cluster, id).map(|victim| (victim, Instant::now()));
+            }
+        })
+        .await;
+    let Some((victim, at)) = death else {
+        let seen = format!("no engine held the request; it ended with {:?}", answer.end);
+        return Part { title, right: false, seen, request: answer.id, explain: Value::Null };
+    };
+    // The pause that the caller saw: the longest gap that ends after the death.
+    let gaps = answer.gaps().filter(|(end, _)| *end > at);
+    let recovery = gaps.map(|(_, gap)| gap).max().unwrap_or(Duration::MAX);
+    let right = answer.end == End::Complete && answer.is_right(&ask);
+    Part {
+        title,
+        right: right && recovery <= RECOVERY_TARGET,
+        seen: format!(
+            "{victim} killed after {TOKENS_BEFORE_DEATH} tokens; next token after {} ms; \
+             {} tokens, {}",
+            recovery.as_millis(),
+            answer.times.len(),
+            judged(&answer, &ask)
+        ),
+        explain: explain(caller, entry, answer.id.as_deref()).await,
+        request: answer.id,
+    }
+}
+
+/// Kills an engine that holds the sequence: one that does not have the first layer, if there is
+/// one, as its death is harder to see.
+fn kill_holder(cluster: &Cluster, id: &str) -> Option<name::Endpoint> {
+    let holders = cluster.holders(id);
+    let is_inner = |name: &&name::Endpoint| match cluster.config.endpoints.get(*name) {
+        Some(endpoint) => {
+            matches!(endpoint.kind, Kind::Engine { first_layer, .. } if first_layer > 0)
+        }
+        None => false,
+    };
+    let victim = holders.iter().find(is_inner).or(holders.first())?;
+    cluster.endpoints.get(victim)?.switch.die();
+    Some(victim.clone())
+}
+
+fn judged(answer: &Answer, ask: &Ask) -> &'static str {
+    match (&answer.end, answer.is_right(ask)) {
+        (End::Complete, true) => "byte for byte as expected",
+        (End::Complete, false) => "WRONG",
+        (_, true) => "incomplete",
+        (_, false) => "incomplete and WRONG",
+    }
+}
+
+fn first_entry(cluster: &Cluster) -> Option<SocketAddr> {
+    cluster.callers().first().copied()
+}
+
+fn no_entry(title: &str) -> Part {
+    let (title, seen) = (title.to_owned(), "no entry runs".to_owned());
+    Part { title, right: false, seen, request: None, explain: Value::Null }
+}
+
+/// The entry's account of a request.
+async fn explain(caller: &Caller, entry: SocketAddr, id: Option<&str>) -> Value {
+    let Some(id) = id else { return Value::Null };
+    match caller.get(entry, &format!("/v1/explain/{id}")).await {
+        Some((200, text)) => serde_json::from_str(&text).unwrap_or(Value::String(text)),
+        _ => Value::Null,
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder of the workspace layout.
+//! `oriole-load`: runs deployments on embedded stand-ins and measures them.
+//!
+//! - [`deployment`], [`cluster`]: reads a deployment and runs it over loopback.
+//! - [`caller`], [`arrivals`], [`tally`]: sends requests, judges and counts the answers.
+//! - [`demo`]: the main job of a deployment, with a failure in the middle.
+//! - [`cmd`]: the subcommands.
+
+pub mod arrivals;
+pub mod caller;
+pub mod cluster;
+pub mod cmd;
+pub mod demo;
+pub mod deployment;
+pub mod tally;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -4,7 +4,8 @@
 //! - [`server`]: its HTTP interface, as `oriole_core::engine` describes it.
 //! - [`sequence`], [`prefix`]: KV caches of sequences, and the cache of prompt prefixes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -50,6 +51,31 @@
     pub load_lag: Duration,
     /// Delay and loss of cache events.
     pub publishing: prefix::Publishing,
+    /// Tells a test which sequences are held.
+    pub probe: Probe,
+}
+
+/// Tells a test which sequences an engine holds now, from any thread. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Probe {
+    sequences: Arc<Mutex<BTreeSet<String>>>,
+}
+
+impl Probe {
+    /// Whether the engine holds the sequence.
+    pub fn holds(&self, sequence: &str) -> bool {
+        self.change(|held| held.contains(sequence))
+    }
+
+    /// Number of sequences held.
+    pub fn count(&self) -> usize {
+        self.change(|held| held.len())
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut BTreeSet<String>) -> T) -> T {
+        // The set is whole even if a holder panicked: each change is one operation.
+        change(&mut self.sequences.lock().unwrap_or_else(PoisonError::into_inner))
+    }
 }
 
 impl Default for Settings {
@@ -67,6 +93,7 @@
             order_time: Duration::from_millis(500),
             load_lag: Duration::from_millis(500),
             publishing: prefix::Publishing { delay: Duration::from_millis(500), lose_one_in: 7 },
+            probe: Probe::default(),
         }
     }
 }
@@ -104,6 +131,7 @@
 impl Engine {
     /// An engine that just started.
     pub fn new(settings: Settings) -> Self {
+        settings.probe.change(BTreeSet::clear);
         let state = State {
             model: settings.model.clone(),
             version: settings.version.clone(),
@@ -145,6 +173,7 @@
     /// Frees a sequence.
     pub fn free(&mut self, sequence: &str) -> Result<(), Error> {
         let freed = self.sequences.remove(sequence).ok_or(Error::Absent)?;
+        self.settings.probe.change(|held| held.remove(sequence));
         self.sequence_tokens = self.sequence_tokens.saturating_sub(freed.positions());
         Ok(())
     }
@@ -162,6 +191,7 @@
         let _ = self.free(sequence);
         self.sequence_tokens = self.sequence_tokens.saturating_add(imported.positions());
         self.sequences.insert(sequence.to_owned(), imported);
+        self.settings.probe.change(|held| held.insert(sequence.to_owned()));
         Ok(())
     }
 
@@ -221,17 +251,23 @@
         prompt_tokens: &mut u32,
     ) -> Result<Output, StepError> {
         let inputs = self.inputs(&step.input)?;
-        let fresh = Sequence::new(self.state.first_layer, self.layers());
-        let mut sequence = self.sequences.remove(&step.sequence).unwrap_or(fresh);
+        let mut sequence = match self.sequences.remove(&step.sequence) {
+            Some(sequence) => sequence,
+            None => self.fresh(&step.sequence),
+        };
         self.sequence_tokens = self.sequence_tokens.saturating_sub(sequence.positions());
         let result = self.run_step(now, step, &inputs, &mut sequence, prompt_tokens);
         self.sequence_tokens = self.sequence_tokens.saturating_add(sequence.positions());
-        if sequence.positions() > 0 {
-            self.sequences.insert(step.sequence.clone(), sequence);
-        }
+        // A sequence that was emptied by a failed step is kept until it is freed.
+        self.sequences.insert(step.sequence.clone(), sequence);
         result
     }
 
+    fn fresh(&self, name: &str) -> Sequence {
+        self.settings.probe.change(|held| held.insert(name.to_owned()));
+        Sequence::new(self.state.first_layer, self.layers())
+    }
+
     fn run_step(
         &mut self,
         now: Instant,
@@ -326,6 +362,7 @@
     /// Drops what belongs to the model that was loaded before.
     fn forget(&mut self) {
         self.sequences.clear();
+        self.settings.probe.change(BTreeSet::clear);
         self.sequence_tokens = 0;
         self.prefixes = prefix::Cache::new(self.settings.publishing);
     }
