Judge hosts by the host list and by what is seen of them

Cause: the list lags, flaps and contradicts; neither source may rule alone. Directory keeps one record a host; propose() says which entries a new roster should hold. Not yet wired into the entry.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry.
+//! - [`membership`]: which hosts may be given work.
 //! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
 //!   [`home`].
 
@@ -20,6 +21,7 @@
 pub mod home;
 pub mod ledger;
 pub mod limit;
+pub mod membership;
 pub mod message;
 pub mod name;
 pub mod queue;
