--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
 //!   [`explain`].
+//! - [`entry`]: the decisions of an entry.
+//! - [`membership`]: which hosts may be given work.
 //! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
 //!   [`home`].
 
@@ -24,6 +26,7 @@
 pub mod home;
 pub mod ledger;
 pub mod limit;
+pub mod membership;
 pub mod message;
 pub mod name;
 pub mod plan;
