Admit by contract, keep idempotency keys at their home, and bound callers

Cause: the entry process took any number of requests, buffered without bound for slow callers, knew no idempotency keys and told operators nothing.

Change: entry machine: admission by core::limit::Book with parking for loans, claims at a key's home, terms kept across attempts, configuration events. Process: builder, sides dialled at start so that their terms are known, Hold and Resume for slow callers, readiness that fails first, a stop that waits until callers have read their answers, operators' listener, explain, status, counters with export, problem details with a text for each reason.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -201,6 +201,17 @@
         self.works.is_empty() && self.calls.is_empty() && self.parked.is_empty()
     }
 
+    /// Number of the revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Counts a request that was refused before it came here.
+    pub fn reject(&mut self, reason: Refusal, workspace: Option<name::Workspace>) {
+        let workspace = workspace.unwrap_or_else(|| "".into());
+        self.counters.add(Counter::Refused(reason), &workspace);
+    }
+
     /// The counters of refusals and retries.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -4,11 +4,11 @@
 
 use crate::explain::Fact;
 use crate::message::{Broken, Fault, Message, Refuse};
-use crate::name;
 use crate::recover::{Silence, Step};
 use crate::request::{Id, Refusal, Refused};
 use crate::retry::{self, Reason};
 use crate::time::{Instant, as_us};
+use crate::{name, revision};
 
 use super::count::Counter;
 use super::work::{Phase, Work};
@@ -128,6 +128,13 @@
             doubted.flat_map(|work| self.opens(now, work, Some(host))).collect();
         effects.append(&mut opens);
         self.resend_calls(now, host, effects);
+        // Opens a new connection even if nothing is in progress there.
+        let address = self.planner.address(host);
+        if address.is_some() {
+            let number = revision::Message::Number(self.revision);
+            let message = Message::Revision(number);
+            effects.push(Effect::Send { host: host.clone(), address, message });
+        }
     }
 
     /// A host was heard: it is not dead.
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -15,6 +15,7 @@
 pub mod search;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use oriole_macros::data;
@@ -301,10 +302,10 @@
         }
     }
 
-    /// The endpoints whose side runs on `host`.
-    pub fn endpoints(&self, host: &name::Host) -> Vec<name::Endpoint> {
-        let nodes = self.nodes.values().filter(|node| node.stage.host == *host);
-        nodes.map(|node| node.name().clone()).collect()
+    /// Where the side of `host` listens.
+    pub fn address(&self, host: &name::Host) -> Option<SocketAddr> {
+        let mut nodes = self.nodes.values();
+        nodes.find(|node| node.stage.host == *host).map(|node| node.stage.address)
     }
 
     /// Estimated microseconds of one step over `chain` as it is loaded now; `tokens` is 1 for a
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,15 +1,22 @@
 //! The process on the entry hosts: adapters around `oriole_core::entry`.
 //!
 //! - [`process`]: owns the decisions of one entry and carries out their effects.
-//! - [`http`]: what callers and operators see.
+//! - [`settings`]: what the process reads at its start.
+//! - [`http`]: what callers and operators see; `complete`, `service` and `operate` answer.
+//! - `caller`: the channel to one caller, with backpressure.
 //! - [`chat`]: the JSON of chat completions.
 //! - [`problem`]: refusals as problem details.
 //! - [`auth`]: callers' keys.
 
 pub mod auth;
+mod caller;
 pub mod chat;
+mod complete;
 pub mod http;
+mod operate;
 pub mod problem;
 pub mod process;
+mod service;
+pub mod settings;
 
-pub use process::{Handle, Setup, start};
+pub use process::{Builder, Handle, Setup, start};
--- /dev/null
+++ b/crates/entry/src/operate.rs
@@ -0,0 +1,80 @@
+//! What operators see.
+
+use std::collections::BTreeMap;
+
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use oriole_core::name;
+use oriole_core::request::{Id, Refusal};
+use serde_json::Value;
+use tokio::sync::oneshot;
+
+use crate::http::{Problem, Shared, json, text};
+use crate::process::Command;
+
+/// Start of the paths of explanations.
+pub(crate) const EXPLAIN: &str = "/v1/explain/";
+
+/// Whether new requests are taken.
+pub(crate) async fn readiness(shared: &Shared) -> Result<Response<BoxBody>, Problem> {
+    let ready = ask(shared, Command::Ready).await.unwrap_or(false);
+    Ok(match ready {
+        true => text(StatusCode::OK, "ready\n"),
+        false => text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+    })
+}
+
+/// The state of the entry.
+pub(crate) async fn status(shared: &Shared) -> Result<Response<BoxBody>, Problem> {
+    let status = ask(shared, Command::Status).await?;
+    Ok(json(None, &serde_json::to_value(status).unwrap_or_default()))
+}
+
+/// All counters: for each name its sum, and its value for each workspace.
+pub(crate) async fn counters(shared: &Shared) -> Result<Response<BoxBody>, Problem> {
+    let mut counters: BTreeMap<String, BTreeMap<String, u64>> = BTreeMap::new();
+    for count in ask(shared, Command::Counters).await? {
+        let by_workspace = counters.entry(count.name).or_default();
+        *by_workspace.entry("total".to_owned()).or_default() += count.value;
+        if let Some(workspace) = count.workspace {
+            by_workspace.insert(format!("workspace/{workspace}"), count.value);
+        }
+    }
+    Ok(json(None, &serde_json::to_value(counters).unwrap_or_default()))
+}
+
+/// The record of a request; a caller sees those of its own workspace only.
+pub(crate) async fn explain(
+    path: &str,
+    workspace: Option<name::Workspace>,
+    shared: &Shared,
+) -> Result<Response<BoxBody>, Problem> {
+    let text = path.strip_prefix(EXPLAIN).unwrap_or_default();
+    let id: Id = text.parse().map_err(|e| {
+        Problem::new(Refusal::Malformed, format!("reading the request id {text:?}: {e}"))
+    })?;
+    let record = ask(shared, |reply| Command::Explain(id, reply)).await?;
+    let visible = |of: &name::Workspace| workspace.as_ref().is_none_or(|own| own == of);
+    match record.filter(|record| visible(&record.workspace)) {
+        Some(record) => {
+            let value: Value = serde_json::to_value(record).unwrap_or_default();
+            Ok(json(Some(text), &value))
+        }
+        None => {
+            let detail = format!(
+                "no record of {text}; records are kept for a while, by the entry \
+                that the id names"
+            );
+            Err(Problem::new(Refusal::NotFound, detail))
+        }
+    }
+}
+
+async fn ask<T>(
+    shared: &Shared,
+    command: impl FnOnce(oneshot::Sender<T>) -> Command,
+) -> Result<T, Problem> {
+    let (reply, answer) = oneshot::channel();
+    shared.send(command(reply)).await?;
+    answer.await.map_err(|_| Problem::stopping())
+}
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -7,6 +7,7 @@
 
 /// The members of a problem's body.
 pub fn body(id: &str, refused: &Refused, detail: &str) -> Value {
+    let detail = if detail.is_empty() { explanation(refused.reason) } else { detail };
     json!({
         "type": "about:blank",
         "title": status(refused.reason).canonical_reason().unwrap_or("Refused"),
@@ -55,3 +56,34 @@
         | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
+
+/// What a reason means for the caller.
+fn explanation(reason: Refusal) -> &'static str {
+    match reason {
+        Refusal::Unauthorized => "the key matches no workspace",
+        Refusal::Malformed => "the request could not be understood, or asks for no tokens",
+        Refusal::TooLarge => "prompt and answer are longer than the model allows",
+        Refusal::NotFound => "no such model or service, or none that the contract allows",
+        Refusal::RequestRate => "the contract's rate of requests is used up",
+        Refusal::TokenRate => "the contract's rate of tokens is used up",
+        Refusal::Concurrency => "the contract's number of concurrent requests is used up",
+        Refusal::Deadline => "the deadline cannot be met, or has passed",
+        Refusal::NoChain => "no endpoints that can serve the request are available now",
+        Refusal::Leaving => "the endpoint is leaving",
+        Refusal::QueueFull => "the endpoint's queue is full",
+        Refusal::Fenced => "a newer attempt fences this one off",
+        Refusal::Superseded => "the request was admitted under a superseded roster",
+        Refusal::RetryBudget => {
+            "the request could not run where it was sent, and the budget for \
+            retries is used up"
+        }
+        Refusal::KeyInUse => "a request with this idempotency key still runs",
+        Refusal::KeyMismatch => "the idempotency key was used for another request",
+        Refusal::OutcomeUnknown => "a request with this idempotency key may have run before",
+        Refusal::HomeUnreachable => "the idempotency key's home cannot be reached",
+        Refusal::EndpointFailed => "the endpoints that ran the request failed",
+        Refusal::Restarted => "the endpoint's side has restarted and cannot know",
+        Refusal::Cancelled => "the caller went away",
+        Refusal::Stopping => "the entry is stopping",
+    }
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,23 +1,38 @@
 //! The running entry: one task owns the decisions, others do the waiting.
 
-use std::collections::BTreeMap;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use oriole_core::config::Config;
-use oriole_core::entry::{Effect, Event, Generate, Machine, Outcome, Request};
-use oriole_core::name;
-use oriole_core::request::{Id, host_hash};
+use oriole_core::entry::{Effect, Event, Generate, Machine, Request, Status};
+use oriole_core::message::Message;
+use oriole_core::request::{Id, Refusal, host_hash};
+use oriole_core::{explain, name, revision};
 use oriole_platform::clock::Clock;
+use oriole_platform::metrics::{Count, Exporter};
 use oriole_wire::hub::{self, Kind as Wire};
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
 
+use crate::caller::{self, Piece};
 use crate::http;
 
 /// Interval at which time passes for the decisions.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(20);
+
+/// Interval at which hosts without a connection are dialled, and counters exported.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Hosts that are dialled at once.
+const DIALS: usize = 32;
+
+/// Time that callers have to read the end of their answers when the entry stops.
+const LINGER: Duration = Duration::from_secs(30);
 
 /// What an entry is started with.
 pub struct Setup {
@@ -29,7 +44,7 @@
     pub config: Config,
     /// Listener for the system's own connections.
     pub wire: TcpListener,
-    /// Listener for callers and operators.
+    /// Listener for callers, and for operators if they have none of their own.
     pub http: TcpListener,
     /// Heartbeats and deadlines of connections.
     pub liveness: Liveness,
@@ -37,40 +52,129 @@
     pub seed: u64,
 }
 
+/// Starts an entry with other than the default settings.
+pub struct Builder {
+    setup: Setup,
+    operators: Option<TcpListener>,
+    exporter: Option<Exporter>,
+    stop_wait: Duration,
+}
+
+impl Builder {
+    /// A builder with the default settings.
+    pub fn new(setup: Setup) -> Self {
+        Self { setup, operators: None, exporter: None, stop_wait: Duration::ZERO }
+    }
+
+    /// Serves operators over a listener of their own; callers then see nothing of theirs.
+    pub fn operators(mut self, listener: TcpListener) -> Self {
+        self.operators = Some(listener);
+        self
+    }
+
+    /// Exports counters.
+    pub fn exporter(mut self, exporter: Exporter) -> Self {
+        self.exporter = Some(exporter);
+        self
+    }
+
+    /// How long a stopping entry still takes requests after its readiness has failed, so that the
+    /// balancer can notice.
+    pub fn stop_wait(mut self, wait: Duration) -> Self {
+        self.stop_wait = wait;
+        self
+    }
+
+    /// Starts the entry in the current actix system.
+    pub fn start(self) -> Handle {
+        let Setup { host, secret, config, wire, http, liveness, seed } = self.setup;
+        let identity = Identity { host: host.clone(), secret };
+        let (hub, events) = Hub::new(hub::Settings { identity, liveness });
+        let (commands, asked) = mpsc::channel(1024);
+        let boot = u32::try_from(seed >> 32).unwrap_or_default();
+        let clock = Clock::start();
+        let shared = Rc::new(http::Shared {
+            config: RefCell::new(Rc::new(config.clone())),
+            commands: commands.clone(),
+            answers: Rc::new(()),
+        });
+        let mut tasks = vec![hub.listen(wire)];
+        let audience = match self.operators {
+            Some(_) => http::Audience::Callers,
+            None => http::Audience::All,
+        };
+        tasks.push(actix_rt::spawn(http::serve(http, shared.clone(), audience)));
+        if let Some(listener) = self.operators {
+            let operators = http::Audience::Operators;
+            tasks.push(actix_rt::spawn(http::serve(listener, shared.clone(), operators)));
+        }
+        let process = Process {
+            machine: Machine::new(config, seed).on_host(clock.now(), &host, boot),
+            host: host_hash(&host),
+            boot,
+            seq: 0,
+            callers: BTreeMap::new(),
+            clock,
+            hub: hub.clone(),
+            shared,
+            exporter: self.exporter,
+            cursor: 0,
+            ready: true,
+        };
+        tasks.push(actix_rt::spawn(process.run(events, asked, commands.clone())));
+        Handle { commands, hub, tasks, stop_wait: self.stop_wait }
+    }
+}
+
+/// Starts an entry with the default settings in the current actix system.
+pub fn start(setup: Setup) -> Handle {
+    Builder::new(setup).start()
+}
+
 /// A running entry. Dropping it kills the entry at once.
 pub struct Handle {
     commands: mpsc::Sender<Command>,
     hub: Hub,
     tasks: Vec<actix_rt::task::JoinHandle<()>>,
+    stop_wait: Duration,
 }
 
 /// What the HTTP tasks ask of the process.
 pub(crate) enum Command {
     /// Runs a generation.
-    Generate(Generate, mpsc::UnboundedSender<Piece>),
+    Generate(Generate, caller::Sender),
     /// Calls a plain service.
-    Call(Request, mpsc::UnboundedSender<Piece>),
+    Call(Request, caller::Sender),
     /// The caller went away.
     Gone(Id),
+    /// The caller has caught up.
+    Resume(Id),
+    /// A request was refused before the decisions saw it.
+    Rejected(Refusal, Option<name::Workspace>),
+    /// Whether new requests are taken.
+    Ready(oneshot::Sender<bool>),
+    /// What operators see.
+    Status(oneshot::Sender<Status>),
+    /// All counters.
+    Counters(oneshot::Sender<Vec<Count>>),
+    /// What was decided about a request.
+    Explain(Id, oneshot::Sender<Option<explain::Record>>),
+    /// Fails the readiness.
+    Unready,
     /// Stops gracefully.
     Stop(oneshot::Sender<()>),
 }
 
-/// What the process tells a caller's task.
-#[derive(Debug)]
-pub(crate) enum Piece {
-    /// The request has this id.
-    Accepted(Id),
-    /// Text of one token.
-    Text(String),
-    /// The end; nothing follows.
-    End(Outcome),
-}
-
 impl Handle {
-    /// Stops gracefully: returns when all work in progress is done.
+    /// Stops gracefully: readiness fails first, then no more requests are taken; returns when all
+    /// work in progress is done and its callers have it.
     pub async fn stop(self) {
         let (done, wait) = oneshot::channel();
+        // An entry that has stopped already needs no telling.
+        if self.commands.send(Command::Unready).await.is_err() {
+            return;
+        }
+        sleep(self.stop_wait).await;
         if self.commands.send(Command::Stop(done)).await.is_ok() {
             let _ = wait.await;
         }
@@ -86,36 +190,19 @@
     }
 }
 
-/// Starts an entry in the current actix system.
-pub fn start(setup: Setup) -> Handle {
-    let identity = Identity { host: setup.host.clone(), secret: setup.secret };
-    let settings = hub::Settings { identity, liveness: setup.liveness };
-    let (hub, events) = Hub::new(settings);
-    let listening = hub.listen(setup.wire);
-    let (commands, asked) = mpsc::channel(1024);
-    let shared = Rc::new(http::Shared::new(setup.config.clone(), commands.clone()));
-    let serving = actix_rt::spawn(http::serve(setup.http, shared));
-    let process = Process {
-        machine: Machine::new(setup.config, setup.seed),
-        host: host_hash(&setup.host),
-        boot: u32::try_from(setup.seed >> 32).unwrap_or_default(),
-        seq: 0,
-        callers: BTreeMap::new(),
-        clock: Clock::start(),
-        hub: hub.clone(),
-    };
-    let running = actix_rt::spawn(process.run(events, asked, commands.clone()));
-    Handle { commands, hub, tasks: vec![listening, serving, running] }
-}
-
 struct Process {
     machine: Machine,
     host: u32,
     boot: u32,
     seq: u64,
-    callers: BTreeMap<Id, mpsc::UnboundedSender<Piece>>,
+    callers: BTreeMap<Id, caller::Sender>,
     clock: Clock,
     hub: Hub,
+    shared: Rc<http::Shared>,
+    exporter: Option<Exporter>,
+    /// The host after which dialling goes on.
+    cursor: usize,
+    ready: bool,
 }
 
 impl Process {
@@ -126,21 +213,28 @@
         own: mpsc::Sender<Command>,
     ) {
         let mut tick = tokio::time::interval(TICK);
+        let mut round = tokio::time::interval(ROUND);
         let mut stopping: Option<oneshot::Sender<()>> = None;
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.on_wire(event),
                 Some(command) = commands.recv() => match command {
-                    Command::Stop(done) => stopping = Some(done),
+                    Command::Stop(done) => {
+                        stopping = Some(done);
+                        self.handle(Event::Stop);
+                    }
                     other => self.on_command(other, &own),
                 },
                 _ = tick.tick() => self.handle(Event::Tick),
+                _ = round.tick() => self.on_round(),
                 else => return,
             }
             if stopping.is_some() && self.machine.is_idle() {
                 break;
             }
         }
+        self.export();
+        self.drain(commands).await;
         self.hub.close();
         if let Some(done) = stopping {
             // Whoever asked may have given up waiting.
@@ -148,11 +242,36 @@
         }
     }
 
+    /// Lets callers read the end of their answers; what else is asked finds no one.
+    async fn drain(&mut self, commands: mpsc::Receiver<Command>) {
+        drop(commands);
+        let answers = self.shared.answers.clone();
+        let read = async {
+            // One is the HTTP tasks' own, one this one.
+            while Rc::strong_count(&answers) > 2 {
+                sleep(TICK).await;
+            }
+        };
+        let began = Instant::now();
+        if timeout(LINGER, read).await.is_err() {
+            let waited_s = began.elapsed().as_secs();
+            log::warn!(waited_s; "stopped before all callers had read their answers");
+        }
+    }
+
     fn on_wire(&mut self, event: hub::Event) {
+        let host = event.host;
         match event.kind {
-            Wire::Up => {}
-            Wire::Lost(_) => self.handle(Event::Lost(event.host)),
-            Wire::Message(message) => self.handle(Event::Message { from: event.host, message }),
+            Wire::Up => self.handle(Event::Up(host)),
+            Wire::Lost(_) => {
+                // Another connection to the host may be open still.
+                let linked = self.hub.is_linked(&host);
+                self.handle(Event::Lost(host.clone()));
+                if linked {
+                    self.handle(Event::Up(host));
+                }
+            }
+            Wire::Message(message) => self.handle(Event::Message { from: host, message }),
         }
     }
 
@@ -171,19 +290,34 @@
                     self.handle(Event::Gone(id));
                 }
             }
+            Command::Resume(id) => self.handle(Event::Resume(id)),
+            Command::Rejected(reason, workspace) => self.machine.reject(reason, workspace),
+            Command::Unready => self.ready = false,
+            // Whoever asked for what follows may have gone.
+            Command::Ready(reply) => {
+                let _ = reply.send(self.ready);
+            }
+            Command::Status(reply) => {
+                let _ = reply.send(self.machine.status(self.clock.now()));
+            }
+            Command::Counters(reply) => {
+                let _ = reply.send(self.counts());
+            }
+            Command::Explain(id, reply) => {
+                let _ = reply.send(self.machine.record(id).cloned());
+            }
             Command::Stop(_) => {}
         }
     }
 
     /// Gives a caller's request its id and watches for the caller's going away.
-    fn accept(&mut self, caller: mpsc::UnboundedSender<Piece>, own: &mpsc::Sender<Command>) -> Id {
+    fn accept(&mut self, caller: caller::Sender, own: &mpsc::Sender<Command>) -> Id {
         self.seq += 1;
         let id = Id { host: self.host, boot: self.boot, seq: self.seq };
-        // A caller that has gone already is noticed by the task below.
-        let _ = caller.send(Piece::Accepted(id));
-        let (watched, own) = (caller.clone(), own.clone());
+        caller.send(Piece::Accepted(id));
+        let (closed, own) = (caller.closed(), own.clone());
         actix_rt::spawn(async move {
-            watched.closed().await;
+            closed.await;
             // The process may have stopped meanwhile.
             let _ = own.send(Command::Gone(id)).await;
         });
@@ -193,6 +327,9 @@
 
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
+        if let Event::Configured { config, .. } = &event {
+            *self.shared.config.borrow_mut() = Rc::new(Config::clone(config));
+        }
         for effect in self.machine.handle(now, event) {
             self.carry_out(effect);
         }
@@ -204,16 +341,59 @@
                 self.hub.send(&host, address, message);
             }
             Effect::Deliver { request, text } => {
-                if let Some(caller) = self.callers.get(&request) {
-                    // A caller that has gone is noticed by its own task.
-                    let _ = caller.send(Piece::Text(text));
+                let behind = self.callers.get(&request).map(|c| c.send(Piece::Text(text)));
+                if behind == Some(true) {
+                    self.handle(Event::Hold(request));
                 }
             }
             Effect::Finish { request, outcome } => {
                 if let Some(caller) = self.callers.remove(&request) {
-                    let _ = caller.send(Piece::End(outcome));
+                    caller.send(Piece::End(outcome));
                 }
             }
         }
     }
+
+    fn on_round(&mut self) {
+        self.export();
+        self.dial();
+    }
+
+    /// Opens connections to sides that have none, a few at once: their reports tell what they
+    /// do, and whether a call may be sent there.
+    fn dial(&mut self) {
+        let endpoints = self.machine.config().endpoints.values();
+        let hosts: BTreeMap<&name::Host, SocketAddr> =
+            endpoints.map(|endpoint| (&endpoint.host, endpoint.side)).collect();
+        let unlinked: Vec<(name::Host, SocketAddr)> = hosts
+            .into_iter()
+            .filter(|(host, _)| !self.hub.is_linked(host))
+            .map(|(host, address)| (host.clone(), address))
+            .collect();
+        let number = self.machine.revision();
+        let start = self.cursor % unlinked.len().max(1);
+        let chosen: BTreeSet<usize> =
+            (0..unlinked.len().min(DIALS)).map(|i| (start + i) % unlinked.len()).collect();
+        for (host, address) in chosen.iter().filter_map(|index| unlinked.get(*index)) {
+            let message = Message::Revision(revision::Message::Number(number));
+            self.hub.send(host, Some(*address), message);
+        }
+        self.cursor = self.cursor.wrapping_add(DIALS);
+    }
+
+    fn counts(&self) -> Vec<Count> {
+        let count = |(workspace, counter, value): (&name::Workspace, _, u64)| Count {
+            name: format!("{counter}"),
+            workspace: Some(workspace.to_string()).filter(|name| !name.is_empty()),
+            value,
+        };
+        self.machine.counters().iter().map(count).collect()
+    }
+
+    fn export(&mut self) {
+        let counts = self.exporter.is_some().then(|| self.counts());
+        if let Some((exporter, counts)) = self.exporter.as_mut().zip(counts) {
+            exporter.export(counts);
+        }
+    }
 }
