Test one side event by event

Repetition from memory, fencing of batches and feeds of older attempts, gaps, drains, room for sequences, backlog, deadlines, orphans, lost links, failed engines, refuse-or-report, terms, foreign messages.

--- /dev/null
+++ b/crates/core/tests/side.rs
@@ -0,0 +1,404 @@
+//! One side, event by event: what goes out, and what does not.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use oriole_core::config::{Config, Endpoint, Entry, Kind, Service};
+use oriole_core::drain::Cause;
+use oriole_core::engine::{Batch, Output};
+use oriole_core::ledger::EPOCH_MS;
+use oriole_core::message::{
+    Answer, Call, Cancel, Fault, Feed, Load, Message, Open, Resolve, Stage, State, Step, Term,
+};
+use oriole_core::name;
+use oriole_core::request::{Id, Ran, Refusal, Refused, host_hash};
+use oriole_core::side::count::Count;
+use oriole_core::side::{Effect, Event, Machine, Settings};
+use oriole_core::time::Instant;
+
+struct Bench {
+    machine: Machine,
+    now: Instant,
+    term: Term,
+}
+
+fn entry() -> name::Host {
+    "entry".into()
+}
+
+fn id(seq: u64) -> Id {
+    Id { host: host_hash(&entry()), boot: 1, seq }
+}
+
+fn stage(index: u16) -> Stage {
+    let name = format!("e{index}");
+    let host = if index == 0 { "own".into() } else { "next".into() };
+    let address = "127.0.0.1:1".parse().unwrap();
+    let endpoint = name.as_str().into();
+    Stage { endpoint, host, address, first: index, end: index + 1 }
+}
+
+fn config(sequences: u32) -> Config {
+    let mut config = Config::default();
+    let address = "127.0.0.1:1".parse().unwrap();
+    config.services.insert("app".into(), Service { non_idempotent: Vec::new() });
+    let engine = Kind::Engine {
+        model: "m".into(),
+        first_layer: 0,
+        end_layer: 1,
+        accelerator: String::new(),
+        step_us: 1_000,
+        prompt_token_us: 10,
+        batch: 4,
+        sequences,
+    };
+    let service = Kind::Service { service: "app".into(), concurrency: 1 };
+    for (name, kind) in [("e0", engine), ("s0", service)] {
+        let endpoint = Endpoint {
+            host: "own".into(),
+            side: address,
+            address,
+            zone: "hall-a".into(),
+            kind,
+            checks_fencing: true,
+            drain: false,
+        };
+        config.endpoints.insert(name.into(), endpoint);
+    }
+    config.entries.insert(entry(), Entry { address, zone: "hall-a".into(), weight: 1 });
+    config
+}
+
+impl Bench {
+    fn new(sequences: u32) -> Self {
+        let now = Instant::from_us(1_000_000);
+        let mut settings = Settings::new("own".into(), 9);
+        settings.queue_tokens = 1_000;
+        let machine = Machine::new(now, 0, settings, &config(sequences));
+        let mut bench = Self { machine, now, term: Term::default() };
+        let out = bench.event(Event::Up(entry()));
+        let Effect::Send { message: Message::Load(load), .. } = &out[0] else { panic!("{out:?}") };
+        bench.term = load.term;
+        bench
+    }
+
+    fn event(&mut self, event: Event) -> Vec<Effect> {
+        self.machine.handle(self.now, event)
+    }
+
+    fn tell(&mut self, message: Message) -> Vec<Effect> {
+        self.event(Event::Message { from: entry(), message })
+    }
+
+    fn pass(&mut self, ms: u64) -> Vec<Effect> {
+        self.now = self.now + Duration::from_millis(ms);
+        self.event(Event::Tick { wall_ms: 0 })
+    }
+
+    fn open(&mut self, seq: u64, attempt: u32, resume: u32) -> Vec<Effect> {
+        self.tell(Message::Open(Open {
+            request: id(seq),
+            attempt,
+            stage: 0,
+            chain: vec![stage(0), stage(1)],
+            model: "m".into(),
+            workspace: "desk".into(),
+            priority: 3,
+            weight: 10,
+            deadline_ms: 10_000,
+            resume,
+            tokens: 100,
+            seed: 1,
+            roster: 0,
+            term: self.term,
+        }))
+    }
+
+    fn feed(&mut self, seq: u64, attempt: u32, position: u32) -> Vec<Effect> {
+        let (request, tokens) = (id(seq), vec![1]);
+        self.tell(Message::Feed(Feed { request, attempt, position, tokens, sample: false }))
+    }
+
+    fn ran(&mut self, outputs: &[&str]) -> Vec<Effect> {
+        let outcomes = outputs.iter().map(|o| Ok(Output::Activation((*o).to_owned()))).collect();
+        self.event(Event::Ran { endpoint: "e0".into(), outcomes: Some(outcomes) })
+    }
+
+    fn call(&mut self, seq: u64, idempotent: bool, term: Term) -> Vec<Effect> {
+        self.tell(Message::Call(Call {
+            request: id(seq),
+            attempt: 1,
+            endpoint: "s0".into(),
+            workspace: "desk".into(),
+            priority: 3,
+            weight: 10,
+            deadline_ms: 1_000,
+            idempotent,
+            method: "POST".into(),
+            path: "/".into(),
+            content_type: String::new(),
+            body: Vec::new(),
+            roster: 0,
+            term,
+        }))
+    }
+
+    fn resolve(&mut self, seq: u64) -> State {
+        let (request, attempt, term) = (id(seq), 1, self.term);
+        let out = self.tell(Message::Resolve(Resolve { request, attempt, term }));
+        let report = messages(&out).find_map(|m| match m {
+            Message::Report(report) => Some(report.state),
+            _ => None,
+        });
+        report.unwrap()
+    }
+
+    fn leave(&mut self, endpoint: &str, leaving: bool) -> Vec<Effect> {
+        let (endpoint, cause) = (endpoint.into(), Cause::Operator);
+        self.event(Event::Leaving { endpoint, cause, leaving })
+    }
+}
+
+fn messages(out: &[Effect]) -> impl Iterator<Item = &Message> {
+    out.iter().filter_map(|effect| match effect {
+        Effect::Send { message, .. } => Some(message),
+        _ => None,
+    })
+}
+
+fn refused(out: &[Effect]) -> Option<&Refused> {
+    messages(out).find_map(|m| match m {
+        Message::Refuse(refuse) => Some(&refuse.refused),
+        _ => None,
+    })
+}
+
+fn batches(out: &[Effect]) -> Vec<&Batch> {
+    let batches = out.iter().filter_map(|effect| match effect {
+        Effect::Run { batch, .. } => Some(batch),
+        _ => None,
+    });
+    batches.collect()
+}
+
+fn steps(out: &[Effect]) -> Vec<&Step> {
+    let steps = messages(out).filter_map(|m| match m {
+        Message::Step(step) => Some(step),
+        _ => None,
+    });
+    steps.collect()
+}
+
+fn broken(out: &[Effect]) -> Option<Fault> {
+    messages(out).find_map(|m| match m {
+        Message::Broken(broken) => Some(broken.fault),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_repeated_feed_is_answered_from_memory() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    assert_eq!(batches(&bench.feed(1, 1, 0)).len(), 1);
+    assert!(bench.feed(1, 1, 0).is_empty());
+    let first = bench.ran(&["a"]);
+    let again = bench.feed(1, 1, 0);
+    assert_eq!(steps(&first), steps(&again));
+    assert_eq!(steps(&again)[0].activation, b"a");
+    assert!(batches(&again).is_empty());
+}
+
+#[test]
+fn a_batch_of_an_older_attempt_gives_the_newer_one_nothing() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    bench.feed(1, 1, 0);
+    bench.open(1, 2, 0);
+    assert!(bench.feed(1, 1, 0).is_empty(), "fenced off");
+    assert!(bench.feed(1, 2, 0).is_empty(), "waits for the engine");
+    let out = bench.ran(&["old"]);
+    assert!(steps(&out).is_empty());
+    assert_eq!(batches(&out).len(), 1);
+    assert_eq!(steps(&bench.ran(&["new"]))[0].activation, b"new");
+}
+
+#[test]
+fn a_gap_is_refused() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    assert_eq!(broken(&bench.feed(1, 1, 3)), Some(Fault::Gap));
+    assert_eq!(broken(&bench.feed(2, 1, 0)), Some(Fault::Absent));
+}
+
+#[test]
+fn a_leaving_endpoint_refuses_new_work_and_finishes_the_rest() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    bench.feed(1, 1, 0);
+    let told = bench.leave("e0", true);
+    assert!(messages(&told).any(|m| matches!(m, Message::Load(Load { open: false, .. }))));
+    let out = bench.open(2, 1, 0);
+    let refused = refused(&out).unwrap();
+    assert_eq!((refused.reason, refused.ran), (Refusal::Leaving, Ran::No));
+    bench.ran(&["a"]);
+    assert_eq!(batches(&bench.feed(1, 1, 1)).len(), 1, "work in progress goes on");
+    bench.ran(&["b"]);
+    let out = bench.open(1, 2, 2);
+    assert!(messages(&out).any(|m| matches!(m, Message::Opened(o) if o.held == 2)));
+    assert!(!bench.machine.is_idle());
+    bench.tell(Message::Cancel(Cancel { request: id(1), attempt: 2 }));
+    assert!(bench.machine.is_idle());
+    bench.leave("e0", false);
+    assert!(messages(&bench.open(3, 1, 0)).any(|m| matches!(m, Message::Opened(_))));
+}
+
+#[test]
+fn a_cause_is_taken_back_only_by_its_own_source() {
+    let mut bench = Bench::new(8);
+    let signal = Event::Leaving { endpoint: "e0".into(), cause: Cause::Signal, leaving: true };
+    bench.event(signal);
+    bench.leave("e0", true);
+    bench.leave("e0", false);
+    assert_eq!(refused(&bench.open(1, 1, 0)).unwrap().reason, Refusal::Leaving);
+}
+
+#[test]
+fn sequences_wait_for_room_and_cancelling_makes_it() {
+    let mut bench = Bench::new(1);
+    for seq in [1, 2] {
+        bench.open(seq, 1, 0);
+    }
+    assert_eq!(batches(&bench.feed(1, 1, 0)).len(), 1);
+    bench.feed(2, 1, 0);
+    assert!(batches(&bench.ran(&["a"])).is_empty(), "the engine holds one sequence");
+    let out = bench.tell(Message::Cancel(Cancel { request: id(1), attempt: 1 }));
+    assert!(matches!(&out[0], Effect::Release { sequence, .. } if sequence.ends_with("-1")));
+    assert_eq!(batches(&out).len(), 1);
+    assert_eq!(refused(&bench.open(1, 1, 0)).unwrap().reason, Refusal::Fenced);
+}
+
+#[test]
+fn the_backlog_is_bounded() {
+    let mut bench = Bench::new(1);
+    let opened = |out: &[Effect]| messages(out).any(|m| matches!(m, Message::Opened(_)));
+    let taken = (1..20).filter(|seq| opened(&bench.open(*seq, 1, 0))).count();
+    assert_eq!(taken, 5, "half of 1000 tokens, 100 each");
+    let out = bench.open(30, 1, 0);
+    assert_eq!(refused(&out).unwrap().reason, Refusal::QueueFull);
+    assert!(bench.machine.counters().get(Count::Refused(Refusal::QueueFull)) > 0);
+}
+
+#[test]
+fn work_ends_at_its_deadline_and_without_its_entry() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    bench.feed(1, 1, 0);
+    bench.ran(&["a"]);
+    let out = bench.pass(10_001);
+    let late = refused(&out).unwrap();
+    assert_eq!((late.reason, late.ran), (Refusal::Deadline, Ran::Unknown));
+    assert!(out.iter().any(|e| matches!(e, Effect::Release { .. })));
+    bench.open(2, 1, 0);
+    bench.event(Event::Lost(entry()));
+    bench.pass(5_001);
+    assert!(bench.machine.is_idle());
+    assert_eq!(bench.machine.counters().get(Count::Orphaned), 1);
+}
+
+#[test]
+fn a_lost_next_stage_is_tried_again_once() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    bench.feed(1, 1, 0);
+    bench.ran(&["a"]);
+    assert_eq!(steps(&bench.event(Event::Lost("next".into()))).len(), 1);
+    assert_eq!(broken(&bench.event(Event::Lost("next".into()))), Some(Fault::Link));
+}
+
+#[test]
+fn an_engine_that_fails_breaks_its_steps_and_takes_no_new_ones() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    bench.feed(1, 1, 0);
+    let out = bench.event(Event::Ran { endpoint: "e0".into(), outcomes: None });
+    assert_eq!(broken(&out), Some(Fault::Engine));
+    assert_eq!(refused(&bench.open(2, 1, 0)).unwrap().reason, Refusal::EndpointFailed);
+    bench.pass(2_001);
+    assert!(refused(&bench.open(3, 1, 0)).is_none());
+}
+
+#[test]
+fn calls_run_once_and_are_refused_or_reported() {
+    let mut bench = Bench::new(8);
+    let term = bench.term;
+    let calls = |out: &[Effect]| out.iter().filter(|e| matches!(e, Effect::Call { .. })).count();
+    assert_eq!(calls(&bench.call(1, false, term)), 1);
+    assert_eq!(calls(&bench.call(2, false, term)), 0, "one at a time");
+    assert_eq!((bench.resolve(1), bench.resolve(2)), (State::Started, State::Refused));
+    let answer = Answer { status: 200, content_type: String::new(), body: Vec::new() };
+    let (endpoint, request, answer) = ("s0".into(), id(1), Ok(answer));
+    let out = bench.event(Event::Answered { endpoint, request, answer });
+    assert_eq!(calls(&out), 0, "the second was fenced off");
+    let again = bench.call(1, false, term);
+    assert_eq!(calls(&again), 0);
+    assert!(messages(&again).any(|m| matches!(m, Message::Reply(_))));
+    assert_eq!(refused(&bench.call(2, false, term)).unwrap().ran, Ran::No);
+    assert_eq!(bench.resolve(1), State::Done);
+}
+
+#[test]
+fn what_the_records_do_not_cover_does_not_run() {
+    let mut bench = Bench::new(8);
+    let unnamed = bench.call(1, false, Term::default());
+    let refusal = refused(&unnamed).unwrap();
+    assert_eq!((refusal.reason, refusal.ran), (Refusal::Restarted, Ran::No));
+    let other = Term { boot: bench.term.boot + 1, ..bench.term };
+    assert_eq!(refused(&bench.call(2, false, other)).unwrap().ran, Ran::Unknown);
+    bench.pass(2 * EPOCH_MS);
+    let out = bench.call(3, true, bench.term);
+    assert_eq!(refused(&out).unwrap().reason, Refusal::Restarted);
+    assert_eq!(bench.resolve(4), State::Unknown);
+}
+
+#[test]
+fn foreign_messages_are_dropped_and_counted() {
+    let mut bench = Bench::new(8);
+    bench.open(1, 1, 0);
+    let feed = Feed { request: id(1), attempt: 1, position: 0, tokens: vec![1], sample: false };
+    let from: name::Host = "stranger".into();
+    let out = bench.event(Event::Message { from: from.clone(), message: Message::Feed(feed) });
+    assert!(out.is_empty());
+    let step = Step {
+        request: id(1),
+        attempt: 1,
+        stage: 0,
+        position: 0,
+        count: u32::MAX,
+        sample: false,
+        activation: vec![0xff],
+        hops: Vec::new(),
+    };
+    bench.event(Event::Message { from, message: Message::Step(step) });
+    let mut huge = Open {
+        request: id(2),
+        attempt: 1,
+        stage: 7,
+        chain: Vec::new(),
+        model: "m".into(),
+        workspace: "nobody".into(),
+        priority: 255,
+        weight: 0,
+        deadline_ms: u64::MAX,
+        resume: u32::MAX,
+        tokens: u32::MAX,
+        seed: 0,
+        roster: 0,
+        term: bench.term,
+    };
+    assert_eq!(refused(&bench.tell(Message::Open(huge.clone()))).unwrap().ran, Ran::Unknown);
+    (huge.stage, huge.chain) = (0, vec![stage(0)]);
+    assert_eq!(refused(&bench.tell(Message::Open(huge))).unwrap().reason, Refusal::QueueFull);
+    assert_eq!(bench.machine.counters().get(Count::Foreign), 2);
+}
