core::revision: accept changes by compare-and-swap, follow them from service and peers

Accepted changes must be in force on every process within 17 s and never revert, through outages of the key-value service, lost replies and a service that comes back with older contents.

Operation is the state machine of one change: it rebases edits of other documents, tells clashes, and resolves a lost reply by the change's id. Follower is the state machine of one process: only entries poll, sides learn numbers from entries and fetch from peers, a side calls the service only when it hears no peer. core::status is what every process tells at /v1/status.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
+//! - [`status`]: what every process tells operators about itself.
 
 pub mod config;
 pub mod contract;
@@ -16,5 +17,6 @@
 pub mod request;
 pub mod revision;
 pub mod share;
+pub mod status;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/crates/core/src/revision/follower/dice.rs
@@ -0,0 +1,37 @@
+//! Random choices drawn from the one number that each event brings.
+
+use std::time::Duration;
+
+use crate::time::as_us;
+
+/// A sequence of random numbers that a seed determines (SplitMix64).
+pub(super) struct Dice(u64);
+
+impl Dice {
+    pub(super) fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A duration from `low`, at most `high`.
+    pub(super) fn between(&mut self, low: Duration, high: Duration) -> Duration {
+        let span = as_us(high.saturating_sub(low)).saturating_add(1);
+        low + Duration::from_micros(self.next() % span)
+    }
+
+    /// Removes and returns one of `items`.
+    pub(super) fn take<T>(&mut self, items: &mut Vec<T>) -> Option<T> {
+        if items.is_empty() {
+            return None;
+        }
+        let index = self.next() % items.len() as u64;
+        Some(items.swap_remove(usize::try_from(index).unwrap_or(0)))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/revision.rs
@@ -0,0 +1,222 @@
+//! Changes by several operators: which are accepted, and what becomes of lost replies.
+
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
+
+use std::collections::BTreeMap;
+
+use oriole_core::revision::follower::Version;
+use oriole_core::revision::{
+    CHANGES_LIMIT, Change, Clash, Edit, Hash, Head, HeadError, Operation, Proposal, Relation, Step,
+    propose,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn change(id: &str, name: &str, from: Option<&str>, to: &str) -> Change {
+    let hash = |text: &str| Hash::of(text.as_bytes());
+    let edit = Edit { from: from.map(hash), to: Some(hash(to)) };
+    Change { id: id.into(), edits: BTreeMap::from([(name.into(), edit)]) }
+}
+
+fn next(head: Option<&Head>, change: &Change) -> Head {
+    match propose(head, change).unwrap() {
+        Proposal::Replace(head) => head,
+        Proposal::Nothing => panic!("nothing to change"),
+    }
+}
+
+/// A chain of `count` revisions of the document `weights`.
+fn chain(count: usize, tag: &str) -> Vec<Head> {
+    let mut heads: Vec<Head> = Vec::new();
+    for index in 0..count {
+        let before = index.checked_sub(1).map(|i| format!("{tag}{i}"));
+        let change = change(
+            &format!("{tag}{index}"),
+            "weights",
+            before.as_deref(),
+            &format!("{tag}{index}"),
+        );
+        heads.push(next(heads.last(), &change));
+    }
+    heads
+}
+
+#[test]
+fn heads_round_trip_and_bad_ones_are_refused() {
+    let head = chain(3, "a").pop().unwrap();
+    let bytes = head.encode().unwrap();
+    assert_eq!(Head::decode(&bytes).unwrap(), head);
+    assert_eq!(Head::decode(&bytes[..bytes.len() - 1]), Err(HeadError::Malformed));
+    let oversized = vec![b' '; 1_000_001];
+    assert_eq!(Head::decode(&oversized), Err(HeadError::Oversized));
+    let skipped = Head { number: 9, ..head.clone() };
+    assert_eq!(skipped.check(), Err(HeadError::Inconsistent));
+    let mut unknown = head;
+    unknown.documents.insert("engines".into(), Hash::of(b""));
+    assert_eq!(unknown.check(), Err(HeadError::UnknownDocument));
+}
+
+#[test]
+fn descent_is_told_from_the_changes() {
+    let heads = chain(CHANGES_LIMIT + 3, "a");
+    let fork = chain(4, "b");
+    assert_eq!(heads[5].relation(&heads[5]), Relation::Same);
+    assert_eq!(heads[5].relation(&heads[2]), Relation::Successor);
+    assert_eq!(heads[2].relation(&heads[5]), Relation::Older);
+    assert_eq!(heads[5].relation(&fork[3]), Relation::Fork);
+    assert_eq!(fork[3].relation(&heads[5]), Relation::Fork);
+    assert_eq!(fork[3].relation(&heads[3]), Relation::Fork);
+    assert_eq!(heads[CHANGES_LIMIT + 2].relation(&heads[0]), Relation::Unproven);
+}
+
+#[test]
+fn a_conflict_names_the_fields() {
+    let base = "rate = 1\n[limits]\na = 1\nb = 1\n";
+    let theirs = "rate = 2\n[limits]\na = 1\nb = 1\n";
+    let ours = "rate = 1\n[limits]\na = 5\n";
+    let (accepted, wanted) = Clash::fields(base, theirs, ours);
+    let keys = |fields: &[oriole_core::revision::Field]| -> Vec<String> {
+        fields.iter().map(|f| f.key.clone()).collect()
+    };
+    assert_eq!(keys(&accepted), ["rate"]);
+    assert_eq!(keys(&wanted), ["limits.a", "limits.b", "rate"]);
+}
+
+/// The head's key in the key-value service, with writes that are still under way.
+#[derive(Default)]
+struct Store {
+    version: i64,
+    head: Option<Head>,
+    accepted: Vec<Head>,
+    under_way: Vec<(Version, Head)>,
+}
+
+impl Store {
+    /// Compares and swaps, as the service does.
+    fn write(&mut self, version: Version, head: Head) -> bool {
+        let applies = version.0 == self.version;
+        if applies {
+            self.version += 1;
+            self.head = Some(head.clone());
+            self.accepted.push(head);
+        }
+        applies
+    }
+}
+
+struct Operator {
+    operation: Operation,
+    seen: Option<(Version, Option<Head>)>,
+    end: Option<Step>,
+}
+
+impl Operator {
+    /// One call: reads the head, or decides on what was read and writes.
+    fn step(&mut self, store: &mut Store, fate: Fate) {
+        let Some((version, head)) = self.seen.take() else {
+            self.seen = Some((Version(store.version), store.head.clone()));
+            return;
+        };
+        let (version, head) = match self.operation.seen(version, head) {
+            Step::Write { version, head } => (version, head),
+            end => return self.end = Some(end),
+        };
+        match fate {
+            Fate::Answered => {
+                if store.write(version, head.clone()) {
+                    self.end = Some(Step::Accepted(head.number));
+                }
+            }
+            Fate::ReplyLost => drop(store.write(version, head)),
+            Fate::Lost => {}
+            Fate::Late => store.under_way.push((version, head)),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    ReplyLost,
+    Lost,
+    Late,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![Just(Fate::Answered), Just(Fate::ReplyLost), Just(Fate::Lost), Just(Fate::Late)]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        cases: 512,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever is lost or late: each change lands once or not, its operator is told which, of
+    /// those to one document exactly one lands, and those to different documents all land.
+    #[test]
+    fn operators_learn_the_truth(
+        targets in prop::collection::vec(0..3usize, 1..5),
+        schedule in prop::collection::vec((any::<prop::sample::Index>(), fate(), any::<bool>()), 0..40),
+    ) {
+        let mut store = Store::default();
+        for name in ["contract/a", "contract/b", "contract/c"] {
+            let head = next(store.head.as_ref(), &change(name, name, None, "base"));
+            store.write(Version(store.version), head);
+        }
+        let mut operators: Vec<Operator> = targets.iter().enumerate().map(|(index, target)| {
+            let name = ["contract/a", "contract/b", "contract/c"][*target];
+            let change = change(&format!("op{index}"), name, Some("base"), &format!("by {index}"));
+            Operator { operation: Operation::new(change), seen: None, end: None }
+        }).collect();
+        let mut run = |pick: usize, fate: Fate, late: bool| {
+            if late && !store.under_way.is_empty() {
+                let (version, head) = store.under_way.remove(pick % store.under_way.len());
+                store.write(version, head);
+            }
+            let count = operators.len();
+            if let Some(operator) = operators.get_mut(pick % count).filter(|o| o.end.is_none()) {
+                operator.step(&mut store, fate);
+            }
+        };
+        for (pick, fate, late) in &schedule {
+            run(pick.index(usize::MAX), *fate, *late);
+        }
+        // Afterwards replies arrive, in turn, and what is under way still may apply.
+        for round in 0..8 * targets.len() * targets.len() {
+            run(round, Fate::Answered, round % 3 == 0);
+        }
+        for pair in store.accepted.windows(2) {
+            prop_assert_eq!(pair[1].relation(&pair[0]), Relation::Successor);
+        }
+        for (index, operator) in operators.iter().enumerate() {
+            let id = format!("op{index}");
+            let landed: Vec<u64> = store.accepted.iter()
+                .filter(|head| head.changes.last() == Some(&id)).map(|head| head.number).collect();
+            match &operator.end {
+                Some(Step::Accepted(number)) => prop_assert_eq!(landed, vec![*number]),
+                Some(Step::Conflict(conflict)) => {
+                    prop_assert!(landed.is_empty());
+                    prop_assert_eq!(conflict.clashes.len(), 1);
+                }
+                other => prop_assert!(false, "{} ended as {:?}", id, other),
+            }
+        }
+        for target in 0..3 {
+            let accepted = operators.iter().zip(&targets)
+                .filter(|(o, t)| **t == target && matches!(o.end, Some(Step::Accepted(_)))).count();
+            prop_assert_eq!(accepted, usize::from(targets.contains(&target)));
+        }
+    }
+
+    #[test]
+    fn arbitrary_heads_never_panic(raw in any::<Vec<u8>>(), at in any::<prop::sample::Index>()) {
+        let _ = Head::decode(&raw);
+        let mut bytes = chain(2, "a").pop().unwrap().encode().unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = raw.first().copied().unwrap_or(0);
+        let _ = Head::decode(&bytes);
+    }
+}
