--- /dev/null
+++ b/crates/core/src/side/service.rs
@@ -0,0 +1,229 @@
+//! Calls of plain services.
+
+use std::collections::BTreeMap;
+
+use crate::config::Kind;
+use crate::ledger::{self, Verdict};
+use crate::message::{Answer, Call, Message, Refuse, Reply, not_run};
+use crate::name;
+use crate::queue::{Class, Item, Room};
+use crate::request::{Attempt, Id, Ran, Refusal, Refused};
+use crate::time::{Instant, as_us};
+
+use super::count::Count;
+use super::gate::Gate;
+use super::journal::What;
+use super::{Context, Effect};
+
+/// Largest answer that is passed on, in bytes, so that it fits into a frame.
+const MAX_ANSWER_BYTES: usize = 7 * 1024 * 1024;
+
+/// Bytes of a call's body that weigh as one token.
+const BYTES_PER_TOKEN: usize = 256;
+
+/// A call that waits.
+pub(super) struct Waiting {
+    call: Call,
+    entry: name::Host,
+    deadline: Instant,
+    since: Instant,
+}
+
+/// Takes a call in.
+pub(super) fn call(
+    gates: &mut BTreeMap<name::Endpoint, Gate>,
+    cx: &mut Context,
+    from: &name::Host,
+    call: Call,
+    superseded: bool,
+) {
+    match gates.get_mut(&call.endpoint) {
+        Some(gate) => gate.call(cx, from, call, superseded),
+        None => {
+            cx.count(Count::Refused(Refusal::NotFound));
+            // Another process may have served the endpoint here before.
+            let reason = Refusal::NotFound;
+            let refused = Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
+            refuse(cx, from, (call.request, call.attempt), refused);
+        }
+    }
+}
+
+impl Gate {
+    fn call(&mut self, cx: &mut Context, from: &name::Host, call: Call, superseded: bool) {
+        let id = (call.request, call.attempt);
+        let unknown = |reason| Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
+        let verdict = self.ledger.admit(call.request, call.attempt, call.term, call.idempotent);
+        let refused = match verdict {
+            Verdict::Run => return self.enqueue(cx, from, call, superseded),
+            Verdict::Attached => return self.attach(cx, from, call.request),
+            Verdict::Done(Some(answer)) => {
+                cx.count(Count::Repeated);
+                let (request, attempt) = id;
+                return cx.reply(from, Message::Reply(Reply { request, attempt, answer }));
+            }
+            Verdict::Done(None) => unknown(Refusal::OutcomeUnknown),
+            Verdict::Failed => unknown(Refusal::EndpointFailed),
+            Verdict::Fenced { started: true } => unknown(Refusal::Fenced),
+            Verdict::Fenced { started: false } => not_run(Refusal::Fenced, None),
+            Verdict::Uncovered => unknown(Refusal::Restarted),
+            Verdict::Unnamed => not_run(Refusal::Restarted, None),
+            Verdict::Full => self.refused(call.term, Refusal::QueueFull),
+        };
+        self.note_refused(cx, id, &call.workspace, refused.clone());
+        refuse(cx, from, id, refused);
+    }
+
+    /// Lets a call wait for its turn, or refuses it; the ledger has it as queued.
+    fn enqueue(&mut self, cx: &mut Context, from: &name::Host, call: Call, superseded: bool) {
+        let (request, attempt) = (call.request, call.attempt);
+        let tokens = tokens(&call);
+        let reason = match &self.kind {
+            Kind::Engine { .. } => Some(Refusal::NotFound),
+            Kind::Service { .. } => self.refusal(superseded, call.deadline_ms),
+        };
+        let full = |_| Refusal::QueueFull;
+        let admitted = match reason {
+            Some(reason) => Err(reason),
+            None => self.backlog.add(&call.workspace, tokens).map_err(full),
+        };
+        if let Err(reason) = admitted {
+            self.ledger.refuse(request);
+            let started = self.ledger.newest(request).is_none_or(|(_, started)| started);
+            let ran = if started { Ran::Unknown } else { self.refused(call.term, reason).ran };
+            let refused = Refused { reason, ran, retry_after_ms: None };
+            self.note_refused(cx, (request, attempt), &call.workspace, refused.clone());
+            return refuse(cx, from, (request, attempt), refused);
+        }
+        let backlog = self.backlog.held();
+        self.note(cx, request, attempt, What::Admitted { backlog, held: 0 });
+        let deadline = ledger::deadline(cx.now, call.deadline_ms);
+        self.queue.push(Item {
+            request,
+            workspace: call.workspace.clone(),
+            priority: call.priority,
+            weight: call.weight,
+            tokens,
+            class: Class::Decode,
+            deadline,
+            since: cx.now,
+        });
+        let waiting = Waiting { call, entry: from.clone(), deadline, since: cx.now };
+        self.waiting.insert(request, waiting);
+        self.call_next(cx);
+    }
+
+    /// Another copy or attempt of a call in progress.
+    fn attach(&mut self, cx: &mut Context, from: &name::Host, request: Id) {
+        cx.count(Count::Stale);
+        if let Some(waiting) = self.waiting.get_mut(&request) {
+            waiting.entry = from.clone();
+        }
+        if let Some(entry) = self.running.get_mut(&request) {
+            *entry = from.clone();
+        }
+    }
+
+    fn call_next(&mut self, cx: &mut Context) {
+        let Kind::Service { concurrency, .. } = self.kind else { return };
+        let running = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        let steps = concurrency.saturating_sub(running);
+        for item in self.queue.take(Room { steps, prompt_tokens: 0, starts: 0 }) {
+            let Some(waiting) = self.waiting.remove(&item.request) else { continue };
+            self.backlog.remove(&item.workspace, item.tokens);
+            if !self.ledger.start(item.request) {
+                continue;
+            }
+            let waited_us = as_us(cx.now.since(waiting.since));
+            let started = What::Started { waited_us, batch: 1 };
+            self.note(cx, item.request, waiting.call.attempt, started);
+            self.running.insert(item.request, waiting.entry);
+            let limit = waiting.deadline.since(cx.now);
+            cx.out.push(Effect::Call { call: waiting.call, limit });
+        }
+    }
+
+    /// The service has answered, or failed.
+    pub(super) fn answered(&mut self, cx: &mut Context, request: Id, answer: Result<Answer, Ran>) {
+        let Some(entry) = self.running.remove(&request) else { return };
+        let fits = |answer: &Answer| answer.body.len() <= MAX_ANSWER_BYTES;
+        let answer = answer.and_then(|a| if fits(&a) { Ok(a) } else { Err(Ran::Unknown) });
+        let attempt = self.ledger.finish(request, answer.clone());
+        let attempt = attempt.unwrap_or_default();
+        match answer {
+            Ok(answer) => {
+                self.note(cx, request, attempt, What::Answered { status: answer.status });
+                cx.reply(&entry, Message::Reply(Reply { request, attempt, answer }));
+            }
+            Err(ran) => {
+                cx.count(Count::CallFailed);
+                let started = self.ledger.newest(request).is_none_or(|(_, started)| started);
+                let ran = if started { Ran::Unknown } else { ran };
+                let reason = Refusal::EndpointFailed;
+                let refused = Refused { reason, ran, retry_after_ms: None };
+                self.note(cx, request, attempt, What::Refused(refused.clone()));
+                refuse(cx, &entry, (request, attempt), refused);
+            }
+        }
+        self.call_next(cx);
+    }
+
+    /// Refuses calls that cannot start in time.
+    pub(super) fn tick_calls(&mut self, cx: &mut Context) {
+        if matches!(self.kind, Kind::Engine { .. }) {
+            return;
+        }
+        let late: Vec<Id> =
+            self.waiting.iter().filter(|(_, w)| w.deadline <= cx.now).map(|(id, _)| *id).collect();
+        for request in late {
+            self.refuse_waiting(cx, request, None, Refusal::Deadline);
+        }
+        self.call_next(cx);
+    }
+
+    /// Refuses a call that waits, unless it is of a later attempt than `up_to`.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        cx: &mut Context,
+        request: Id,
+        up_to: Option<Attempt>,
+        reason: Refusal,
+    ) {
+        let Some((attempt, started)) = self.ledger.newest(request) else { return };
+        if up_to.is_some_and(|up_to| attempt > up_to) {
+            return;
+        }
+        let Some(waiting) = self.drop_waiting(cx, request) else { return };
+        let ran = if started { Ran::Unknown } else { self.refused(waiting.call.term, reason).ran };
+        let refused = Refused { reason, ran, retry_after_ms: None };
+        self.note_refused(cx, (request, attempt), &waiting.call.workspace, refused.clone());
+        refuse(cx, &waiting.entry, (request, attempt), refused);
+    }
+
+    /// Takes a call that waits out of the queue; it will not run.
+    pub(super) fn drop_waiting(&mut self, cx: &mut Context, request: Id) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&request)?;
+        self.queue.remove(request);
+        self.backlog.remove(&waiting.call.workspace, tokens(&waiting.call));
+        self.ledger.refuse(request);
+        self.call_next(cx);
+        Some(waiting)
+    }
+
+    /// Sends the answer of a call again if it is held.
+    pub(super) fn repeat_answer(&mut self, cx: &mut Context, to: &name::Host, request: Id) {
+        let Some((attempt, answer)) = self.ledger.answer(request) else { return };
+        let answer = answer.clone();
+        cx.count(Count::Repeated);
+        cx.reply(to, Message::Reply(Reply { request, attempt, answer }));
+    }
+}
+
+fn tokens(call: &Call) -> u32 {
+    u32::try_from(1 + call.body.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX)
+}
+
+fn refuse(cx: &mut Context, to: &name::Host, id: (Id, Attempt), refused: Refused) {
+    let (request, attempt) = id;
+    cx.reply(to, Message::Refuse(Refuse { request, attempt, stage: 0, refused }));
+}
--- /dev/null
+++ b/crates/side/src/http.rs
@@ -0,0 +1,137 @@
+//! What operators see over HTTP.
+//!
+//! | call | answer |
+//! | --- | --- |
+//! | `GET /healthz` | 200 while the process runs |
+//! | `GET /readyz` | 200 while an endpoint takes new work, else 503 |
+//! | `GET /v1/status` | [`Status`] |
+//! | `GET /v1/counters` | all counters that are not 0 |
+//! | `GET /v1/explain/ID` | what happened to a request here |
+//! | `POST /v1/drain`, `/v1/undrain` | [`Status`]; `?endpoint=NAME` for one endpoint |
+
+use actix_http::body::BoxBody;
+use actix_http::{Method, Request, Response, StatusCode};
+use derive_more::{Display, Error};
+use oriole_core::name;
+use oriole_core::request::{Id, ParseError};
+use oriole_platform::server;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::process::Command;
+use crate::status::Status;
+
+/// Start of the paths of explanations.
+const EXPLAIN: &str = "/v1/explain/";
+
+/// Why a call of an operator fails.
+#[derive(Debug, Display, Error)]
+enum Problem {
+    /// There is no such resource.
+    #[display("no resource at {path}")]
+    NoResource {
+        /// The path.
+        path: String,
+    },
+    /// The host has no such endpoint.
+    #[display("no endpoint {name} on this host")]
+    NoEndpoint {
+        /// The name.
+        name: String,
+    },
+    /// The request id cannot be read.
+    #[display("reading the request id: {source}")]
+    BadId {
+        /// The cause.
+        source: ParseError,
+    },
+    /// The process is stopping.
+    #[display("the side is stopping")]
+    Stopping,
+}
+
+/// Serves operators until the future is dropped.
+pub(crate) async fn serve(listener: TcpListener, commands: mpsc::Sender<Command>) {
+    server::serve(listener, move |request| answer(request, commands.clone())).await;
+}
+
+async fn answer(request: Request, commands: mpsc::Sender<Command>) -> Response<BoxBody> {
+    let result = route(&request, &commands).await;
+    result.unwrap_or_else(|problem| problem.response())
+}
+
+async fn route(
+    request: &Request,
+    commands: &mpsc::Sender<Command>,
+) -> Result<Response<BoxBody>, Problem> {
+    let path = request.path();
+    match (request.method(), path) {
+        (&Method::GET, "/healthz") => Ok(json(StatusCode::OK, &"ok")),
+        (&Method::GET, "/readyz") => {
+            let status = ask(commands, Command::Status).await?;
+            let ready = status.is_ready();
+            let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+            Ok(json(code, &ready))
+        }
+        (&Method::GET, "/v1/status") => {
+            Ok(json(StatusCode::OK, &ask(commands, Command::Status).await?))
+        }
+        (&Method::GET, "/v1/counters") => {
+            Ok(json(StatusCode::OK, &ask(commands, Command::Counters).await?))
+        }
+        (&Method::GET, path) if path.starts_with(EXPLAIN) => {
+            let id: Id =
+                path[EXPLAIN.len()..].parse().map_err(|source| Problem::BadId { source })?;
+            let explained = ask(commands, |done| Command::Explain(id, done)).await?;
+            Ok(json(StatusCode::OK, &explained))
+        }
+        (&Method::POST, "/v1/drain") => leave(request, commands, true).await,
+        (&Method::POST, "/v1/undrain") => leave(request, commands, false).await,
+        _ => Err(Problem::NoResource { path: path.to_owned() }),
+    }
+}
+
+async fn leave(
+    request: &Request,
+    commands: &mpsc::Sender<Command>,
+    leaving: bool,
+) -> Result<Response<BoxBody>, Problem> {
+    let query = request.uri().query().unwrap_or_default();
+    let name = query.split('&').find_map(|pair| pair.strip_prefix("endpoint="));
+    let endpoint = name.map(name::Endpoint::from);
+    let known = ask(commands, |done| Command::Leave { endpoint, leaving, done }).await?;
+    if !known {
+        return Err(Problem::NoEndpoint { name: name.unwrap_or_default().to_owned() });
+    }
+    let status: Status = ask(commands, Command::Status).await?;
+    Ok(json(StatusCode::OK, &status))
+}
+
+async fn ask<T>(
+    commands: &mpsc::Sender<Command>,
+    command: impl FnOnce(oneshot::Sender<T>) -> Command,
+) -> Result<T, Problem> {
+    let (done, wait) = oneshot::channel();
+    commands.send(command(done)).await.map_err(|_| Problem::Stopping)?;
+    wait.await.map_err(|_| Problem::Stopping)
+}
+
+impl Problem {
+    fn response(&self) -> Response<BoxBody> {
+        let code = match self {
+            Self::NoResource { .. } | Self::NoEndpoint { .. } => StatusCode::NOT_FOUND,
+            Self::BadId { .. } => StatusCode::BAD_REQUEST,
+            Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        json(code, &serde_json::json!({ "status": code.as_u16(), "detail": self.to_string() }))
+    }
+}
+
+fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<BoxBody> {
+    let mut body = serde_json::to_string(value).unwrap_or_default();
+    body.push('\n');
+    let mut response = Response::build(code);
+    response.insert_header(("content-type", "application/json"));
+    response.body(body).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/side/src/process.rs
@@ -0,0 +1,286 @@
+//! The running side: one task owns the decisions, others do the waiting.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriole_core::config::Config;
+use oriole_core::drain::Cause;
+use oriole_core::home;
+use oriole_core::name;
+use oriole_core::request::Id;
+use oriole_core::side::{self, Effect, Event, Machine};
+use oriole_core::time::as_us;
+use oriole_platform::clock::Clock;
+use oriole_wire::hub::{self, Kind as Wire};
+use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::endpoint::{Adapter, Job};
+use crate::http;
+use crate::status::{Counter, Explanation, Status};
+
+/// Interval at which time passes for the decisions.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time for which a side that has nothing in progress any more still answers before it stops.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// What a side is started with.
+pub struct Setup {
+    /// The host.
+    pub host: name::Host,
+    /// The secret of the deployment.
+    pub secret: Vec<u8>,
+    /// The configuration.
+    pub config: Config,
+    /// Listener for the system's own connections.
+    pub wire: TcpListener,
+    /// Heartbeats and deadlines of connections.
+    pub liveness: Liveness,
+}
+
+/// Starts a side with other than the default settings.
+pub struct Builder {
+    setup: Setup,
+    http: Option<TcpListener>,
+    queue_tokens: Option<u64>,
+    home: home::Bounds,
+}
+
+impl Builder {
+    /// A builder with the default settings.
+    pub fn new(setup: Setup) -> Self {
+        Self { setup, http: None, queue_tokens: None, home: home::Bounds::default() }
+    }
+
+    /// Serves operators over HTTP.
+    pub fn http(mut self, listener: TcpListener) -> Self {
+        self.http = Some(listener);
+        self
+    }
+
+    /// Tokens of requests that wait at one endpoint.
+    pub fn queue_tokens(mut self, tokens: u64) -> Self {
+        self.queue_tokens = Some(tokens);
+        self
+    }
+
+    /// Bounds and tolerances of the home of idempotency keys.
+    pub fn home(mut self, bounds: home::Bounds) -> Self {
+        self.home = bounds;
+        self
+    }
+
+    /// Starts the side in the current actix system.
+    pub fn start(self) -> Handle {
+        let Setup { host, secret, config, wire, liveness } = self.setup;
+        let identity = Identity { host: host.clone(), secret };
+        let (hub, events) = Hub::new(hub::Settings { identity, liveness });
+        let mut tasks = vec![hub.listen(wire)];
+        let (commands, asked) = mpsc::channel(64);
+        if let Some(listener) = self.http {
+            tasks.push(actix_rt::spawn(http::serve(listener, commands.clone())));
+        }
+        let mut settings = side::Settings::new(host.clone(), rand::random());
+        settings.home = self.home;
+        settings.queue_tokens = self.queue_tokens.unwrap_or(settings.queue_tokens);
+        let clock = Clock::start();
+        let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
+        let (results, finished) = mpsc::unbounded_channel();
+        let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == host);
+        let adapters = own.map(|(name, endpoint)| {
+            let (kind, address) = (&endpoint.kind, endpoint.address);
+            (name.clone(), Adapter::start(name, kind, address, results.clone()))
+        });
+        let adapters = adapters.collect();
+        let process = Process { machine, adapters, clock, hub: hub.clone(), results };
+        tasks.push(actix_rt::spawn(process.run(events, finished, asked)));
+        Handle { commands, hub, tasks }
+    }
+}
+
+/// Starts a side with the default settings in the current actix system.
+pub fn start(setup: Setup) -> Handle {
+    Builder::new(setup).start()
+}
+
+/// A running side. Dropping it kills the side at once.
+pub struct Handle {
+    commands: mpsc::Sender<Command>,
+    hub: Hub,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+/// What is asked of the process.
+pub(crate) enum Command {
+    /// An operator lets an endpoint, or all, leave or come back; answers whether there is such.
+    Leave { endpoint: Option<name::Endpoint>, leaving: bool, done: oneshot::Sender<bool> },
+    /// What the side does.
+    Status(oneshot::Sender<Status>),
+    /// All counters.
+    Counters(oneshot::Sender<Vec<Counter>>),
+    /// What happened to a request.
+    Explain(Id, oneshot::Sender<Explanation>),
+    /// Stops gracefully.
+    Stop(oneshot::Sender<()>),
+}
+
+impl Handle {
+    /// Tells the side that an endpoint is leaving, or is back.
+    pub async fn leave(&self, endpoint: name::Endpoint, leaving: bool) {
+        let (done, wait) = oneshot::channel();
+        let leave = Command::Leave { endpoint: Some(endpoint), leaving, done };
+        // A side that has stopped needs no telling.
+        if self.commands.send(leave).await.is_ok() {
+            let _ = wait.await;
+        }
+    }
+
+    /// Stops gracefully: takes no new work and returns when all work in progress is done.
+    pub async fn stop(self) {
+        let (done, wait) = oneshot::channel();
+        if self.commands.send(Command::Stop(done)).await.is_ok() {
+            let _ = wait.await;
+        }
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.hub.close();
+    }
+}
+
+struct Process {
+    machine: Machine,
+    adapters: BTreeMap<name::Endpoint, Adapter>,
+    clock: Clock,
+    hub: Hub,
+    results: mpsc::UnboundedSender<Event>,
+}
+
+impl Process {
+    async fn run(
+        mut self,
+        mut events: mpsc::Receiver<hub::Event>,
+        mut finished: mpsc::UnboundedReceiver<Event>,
+        mut commands: mpsc::Receiver<Command>,
+    ) {
+        let mut tick = tokio::time::interval(TICK);
+        let mut stopping = Vec::new();
+        let mut busy_at = Instant::now();
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.on_wire(event),
+                Some(event) = finished.recv() => self.handle(event),
+                Some(command) = commands.recv() => match command {
+                    Command::Stop(done) => {
+                        self.leave_all(Cause::Signal, true);
+                        stopping.push(done);
+                    }
+                    other => self.on_command(other),
+                },
+                _ = tick.tick() => self.handle(Event::Tick { wall_ms: wall_ms() }),
+                else => return,
+            }
+            if !self.machine.is_idle() {
+                busy_at = Instant::now();
+            } else if !stopping.is_empty() && busy_at.elapsed() > LINGER {
+                break;
+            }
+        }
+        self.hub.close();
+        for done in stopping {
+            // Whoever asked may have given up waiting.
+            let _ = done.send(());
+        }
+    }
+
+    fn on_wire(&mut self, event: hub::Event) {
+        match event.kind {
+            Wire::Up => self.handle(Event::Up(event.host)),
+            Wire::Lost(_) => {
+                self.handle(Event::Lost(event.host.clone()));
+                // Another connection to the host may be open still.
+                if self.hub.is_linked(&event.host) {
+                    self.handle(Event::Up(event.host));
+                }
+            }
+            Wire::Message(message) => self.handle(Event::Message { from: event.host, message }),
+        }
+    }
+
+    /// Carries out a command; whoever asked may have given up waiting for the answer.
+    fn on_command(&mut self, command: Command) {
+        match command {
+            Command::Leave { endpoint: None, leaving, done } => {
+                self.leave_all(Cause::Operator, leaving);
+                let _ = done.send(true);
+            }
+            Command::Leave { endpoint: Some(endpoint), leaving, done } => {
+                let known = self.adapters.contains_key(&endpoint);
+                self.handle(Event::Leaving { endpoint, cause: Cause::Operator, leaving });
+                let _ = done.send(known);
+            }
+            Command::Status(done) => drop(done.send(Status::of(&self.machine))),
+            Command::Counters(done) => drop(done.send(Counter::all(&self.machine))),
+            Command::Explain(request, done) => {
+                let explanation = Explanation::of(&self.machine, self.clock.now(), request);
+                drop(done.send(explanation));
+            }
+            Command::Stop(done) => drop(done),
+        }
+    }
+
+    fn leave_all(&mut self, cause: Cause, leaving: bool) {
+        let endpoints: Vec<_> = self.adapters.keys().cloned().collect();
+        for endpoint in endpoints {
+            self.handle(Event::Leaving { endpoint, cause, leaving });
+        }
+        log::info!(leaving, cause:? = cause; "endpoints leave or come back");
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.clock.now();
+        for effect in self.machine.handle(now, event) {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Send { host, address, message } => {
+                if !self.hub.send(&host, address, message) {
+                    // Reported as a lost connection: the receiver will ask again if it lives.
+                    let _ = self.results.send(Event::Lost(host));
+                }
+            }
+            Effect::Run { endpoint, batch } => {
+                if let Some(adapter) = self.adapters.get(&endpoint) {
+                    adapter.push(Job::Run(batch));
+                }
+            }
+            Effect::Release { endpoint, sequence } => {
+                if let Some(adapter) = self.adapters.get(&endpoint) {
+                    adapter.push(Job::Release(sequence));
+                }
+            }
+            Effect::Call { call, limit } => {
+                if let Some(adapter) = self.adapters.get(&call.endpoint) {
+                    adapter.call(call, limit, self.results.clone());
+                }
+            }
+        }
+    }
+}
+
+/// Milliseconds since the Unix epoch by the wall clock.
+fn wall_ms() -> u64 {
+    // A clock before 1970 makes every key look as if it came from the future, which is refused.
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| as_us(since) / 1000)
+}
