Measure admitted throughput over the contracts' bounds

Cause: the bound of each contract must hold in every window, and be used up. Change: oriole-load bound runs the dawn burst and all arrivals at one entry, each undisturbed, with an entry killed and with one paused; static shares and one central limiter are computed from the same arrivals.

--- a/crates/load/src/cluster/mod.rs
+++ b/crates/load/src/cluster/mod.rs
@@ -15,9 +15,11 @@
 use oriole_standin::{fault, relay};
 
 pub use node::Node;
+pub use ready::key;
 use standin::Standins;
 
 pub mod node;
+mod ready;
 mod standin;
 
 /// The secret of embedded deployments.
@@ -147,6 +149,14 @@
         Ok(())
     }
 
+    /// Lets an entry stand still for a while.
+    pub fn pause_entry(&mut self, host: &name::Host, pause: Duration) -> Result<(), Error> {
+        if let Some(node) = &self.entry(host)?.node {
+            node.pause(pause);
+        }
+        Ok(())
+    }
+
     /// Ends a side as the death of its process would.
     pub fn kill_side(&mut self, host: &name::Host) -> Result<(), Error> {
         self.side(host)?.node = None;
--- /dev/null
+++ b/crates/load/src/cluster/ready.rs
@@ -0,0 +1,59 @@
+//! Waits until a deployment that starts can answer.
+
+use std::time::{Duration, Instant};
+
+use oriole_core::name;
+
+use super::Cluster;
+use crate::caller::{Ask, Caller, End};
+
+/// Time within which the deployment must answer a first request at each entry.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two tries.
+const READY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Start of the keys of the example deployments.
+const KEY_PREFIX: &str = "example-key-";
+
+/// The key of a workspace of an example deployment.
+pub fn key(workspace: &name::Workspace) -> String {
+    format!("{KEY_PREFIX}{workspace}")
+}
+
+impl Cluster {
+    /// Sends a request of the workspace with the highest rate to each entry until it is
+    /// answered; returns how many entries have answered.
+    pub async fn wait_until_ready(&self) -> usize {
+        let Some(ask) = self.probe() else { return 0 };
+        let caller = Caller::new();
+        let start = Instant::now();
+        let mut ready = 0;
+        for entry in self.callers() {
+            while start.elapsed() < READY_TIMEOUT {
+                if caller.generate(entry, &ask, |_, _| ()).await.end == End::Complete {
+                    ready += 1;
+                    break;
+                }
+                tokio::time::sleep(READY_PAUSE).await;
+            }
+        }
+        ready
+    }
+
+    fn probe(&self) -> Option<Ask> {
+        let (model, settings) = self.config.models.first_key_value()?;
+        let rate = |workspace: &&name::Workspace| {
+            self.config.contracts.get(*workspace).map_or(0.0, |c| c.limits.requests.per_second())
+        };
+        let highest = self.config.contracts.keys().max_by(|a, b| rate(a).total_cmp(&rate(b)))?;
+        Some(Ask {
+            key: key(highest),
+            model: model.to_string(),
+            content: "Are you there?".to_owned(),
+            max_tokens: 2,
+            deadline: Duration::from_secs(5),
+            layers: settings.layers,
+        })
+    }
+}
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -1,18 +1,23 @@
 //! The subcommands of `oriole-load`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use bpaf::{Bpaf, Parser};
 use oriole_core::config::Config;
+use serde::Serialize;
 
-use crate::deployment;
+use crate::{deployment, plot};
 
+pub mod bound;
 pub mod demo;
 
 /// The deployment that is run if none is named.
 const DEFAULT_DEPLOYMENT: &str = "examples/kigali";
 
+/// Seed of the arrivals if none is given.
+const DEFAULT_SEED: u64 = 20_261_203;
+
 /// Runs deployments on embedded stand-ins and measures them
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, generate(command))]
@@ -20,6 +25,9 @@
     /// Shows the main job: answers, a refusal, and recovery from the death of a stage
     #[bpaf(command("demo"))]
     Demo(#[bpaf(external(demo::command))] demo::Command),
+    /// Measures admitted throughput over the bounds of the contracts
+    #[bpaf(command("bound"))]
+    Bound(#[bpaf(external(bound::command))] bound::Command),
 }
 
 impl Command {
@@ -27,6 +35,7 @@
     pub async fn execute(self) -> ExitCode {
         match self {
             Self::Demo(command) => command.execute().await,
+            Self::Bound(command) => command.execute().await,
         }
     }
 }
@@ -40,9 +49,32 @@
 }
 
 /// Reads the deployment, or says why that failed.
-fn read(directory: &std::path::Path) -> Result<Config, ExitCode> {
+fn read(directory: &Path) -> Result<Config, ExitCode> {
     deployment::read(directory).map_err(|e| {
         eprintln!("{e}");
         ExitCode::FAILURE
     })
 }
+
+/// Seed of the random numbers
+fn seed() -> impl Parser<u64> {
+    bpaf::long("seed")
+        .help("Seed of the arrivals (default: 20261203)")
+        .argument::<u64>("N")
+        .fallback(DEFAULT_SEED)
+}
+
+/// Draws bars into a file, or says why that failed.
+fn write_plot(path: &Path, bars: &plot::Bars) {
+    if let Err(e) = plot::bars(path, bars) {
+        eprintln!("{e}");
+    }
+}
+
+/// Prints the figures as JSON if that was asked for; the exit code tells whether all were met.
+fn conclude<T: Serialize>(json: bool, figures: &T, met: bool) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string_pretty(figures).unwrap_or_default());
+    }
+    if met { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -11,13 +11,7 @@
 use serde_json::Value;
 
 use crate::caller::{Answer, Ask, Call, Caller, End};
-use crate::cluster::Cluster;
-
-/// Time within which the deployment must answer a first request.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Pause between two tries to reach a deployment that starts.
-const READY_PAUSE: Duration = Duration::from_millis(200);
+use crate::cluster::{Cluster, key};
 
 /// Tokens of the answer in which a stage dies.
 const LONG_ANSWER_TOKENS: u32 = 48;
@@ -28,9 +22,6 @@
 /// Longest time from the death of a stage to the next token.
 const RECOVERY_TARGET: Duration = Duration::from_secs(1);
 
-/// Start of the keys of the example deployments.
-const KEY_PREFIX: &str = "example-key-";
-
 /// The outcome of one part of the demo.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -69,7 +60,7 @@
     };
     let caller = Caller::new();
     let mut parts = Vec::new();
-    let ready = wait_until_ready(cluster, &caller, &scene).await;
+    let ready = start(cluster).await;
     let mut keep = |part: Part| {
         progress(&part);
         parts.push(part);
@@ -117,24 +108,9 @@
     }
 }
 
-/// The key of a workspace of an example deployment.
-pub fn key(workspace: &name::Workspace) -> String {
-    format!("{KEY_PREFIX}{workspace}")
-}
-
-async fn wait_until_ready(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
+async fn start(cluster: &Cluster) -> Part {
     let start = Instant::now();
-    let ask = scene.ask(&scene.large, "Are you there?", 2);
-    let mut ready = 0;
-    for entry in cluster.callers() {
-        while start.elapsed() < READY_TIMEOUT {
-            if caller.generate(entry, &ask, |_, _| ()).await.end == End::Complete {
-                ready += 1;
-                break;
-            }
-            tokio::time::sleep(READY_PAUSE).await;
-        }
-    }
+    let ready = cluster.wait_until_ready().await;
     let all = cluster.entries.len();
     let endpoints = cluster.endpoints.len();
     Part {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,12 +3,18 @@
 //! - [`deployment`], [`cluster`]: reads a deployment and runs it over loopback.
 //! - [`caller`], [`arrivals`], [`tally`]: sends requests, judges and counts the answers.
 //! - [`demo`]: the main job of a deployment, with a failure in the middle.
+//! - [`run`]: streams of arrivals on several threads.
+//! - [`bound`]: admitted throughput over the contracts' bounds.
+//! - [`plot`]: plots as SVG files.
 //! - [`cmd`]: the subcommands.
 
 pub mod arrivals;
+pub mod bound;
 pub mod caller;
 pub mod cluster;
 pub mod cmd;
 pub mod demo;
 pub mod deployment;
+pub mod plot;
+pub mod run;
 pub mod tally;
--- /dev/null
+++ b/crates/load/src/plot.rs
@@ -0,0 +1,119 @@
+//! Plots as SVG files.
+
+use std::path::Path;
+
+use derive_more::{Display, Error};
+use plotters::prelude::*;
+
+/// Width and height of a plot, in pixels.
+const SIZE: (u32, u32) = (960, 540);
+
+/// Width of a group of bars that is left free, as a part of the group.
+const GAP: f64 = 0.2;
+
+/// A plot could not be drawn or written.
+#[derive(Debug, Display, Error)]
+#[display("drawing the plot: {reason}")]
+pub struct Error {
+    /// What the plotting library reports.
+    #[error(not(source))]
+    reason: String,
+}
+
+impl<E: std::error::Error + Send + Sync> From<DrawingAreaErrorKind<E>> for Error {
+    fn from(e: DrawingAreaErrorKind<E>) -> Self {
+        Self { reason: e.to_string() }
+    }
+}
+
+/// Groups of bars side by side.
+#[derive(Clone, Debug)]
+pub struct Bars {
+    /// Title of the plot.
+    pub title: String,
+    /// What the height of a bar means.
+    pub unit: String,
+    /// Names of the bars of each group.
+    pub names: Vec<String>,
+    /// Groups, each with one value for each name.
+    pub groups: Vec<(String, Vec<f64>)>,
+}
+
+/// Lines over one quantity.
+#[derive(Clone, Debug)]
+pub struct Lines {
+    /// Title of the plot.
+    pub title: String,
+    /// What the two axes mean.
+    pub units: (String, String),
+    /// Lines by name.
+    pub lines: Vec<(String, Vec<(f64, f64)>)>,
+}
+
+/// Draws bars into a file.
+pub fn bars(path: &Path, bars: &Bars) -> Result<(), Error> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let values = bars.groups.iter().flat_map(|(_, values)| values);
+    let top = values.copied().fold(0.0, f64::max).max(f64::MIN_POSITIVE) * 1.1;
+    let count = bars.groups.len();
+    let mut chart = ChartBuilder::on(&area)
+        .caption(&bars.title, ("sans-serif", 22))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..count as f64, 0.0..top)?;
+    let label = |x: &f64| match bars.groups.get(*x as usize) {
+        Some((name, _)) if (x.fract() - 0.5).abs() < 0.01 => name.clone(),
+        _ => String::new(),
+    };
+    chart
+        .configure_mesh()
+        .disable_x_mesh()
+        .x_labels(count * 2 + 1)
+        .x_label_formatter(&label)
+        .y_desc(&bars.unit)
+        .draw()?;
+    let width = (1.0 - GAP) / bars.names.len().max(1) as f64;
+    for (index, name) in bars.names.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        let rectangles = bars.groups.iter().enumerate().map(|(group, (_, values))| {
+            let left = group as f64 + GAP / 2.0 + index as f64 * width;
+            let height = values.get(index).copied().unwrap_or_default();
+            Rectangle::new([(left, 0.0), (left + width, height)], color.filled())
+        });
+        chart
+            .draw_series(rectangles)?
+            .label(name)
+            .legend(move |(x, y)| Rectangle::new([(x, y - 5), (x + 10, y + 5)], color.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
+
+/// Draws lines into a file.
+pub fn lines(path: &Path, lines: &Lines) -> Result<(), Error> {
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE)?;
+    let points = || lines.lines.iter().flat_map(|(_, points)| points);
+    let right = points().map(|(x, _)| *x).fold(f64::MIN_POSITIVE, f64::max) * 1.05;
+    let top = points().map(|(_, y)| *y).fold(f64::MIN_POSITIVE, f64::max) * 1.1;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(&lines.title, ("sans-serif", 22))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..right, 0.0..top)?;
+    chart.configure_mesh().x_desc(&lines.units.0).y_desc(&lines.units.1).draw()?;
+    for (index, (name, points)) in lines.lines.iter().enumerate() {
+        let color = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(points.iter().copied(), color.stroke_width(2)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 12, y)], color));
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/load/tests/examples.rs
+++ b/crates/load/tests/examples.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use oriole_core::config::{Config, Kind};
-use oriole_load::{demo, deployment};
+use oriole_load::{cluster, deployment};
 use sha2::{Digest, Sha256};
 
 fn read(name: &str) -> Config {
@@ -21,7 +21,7 @@
     assert_eq!((zones.len(), engines, config.endpoints.len()), (3, 40, 43));
     assert_eq!(config.contracts.len(), 10);
     for (workspace, contract) in &config.contracts {
-        let hash = hex::encode(Sha256::digest(demo::key(workspace)));
+        let hash = hex::encode(Sha256::digest(cluster::key(workspace)));
         assert!(contract.keys.contains(&hash), "{workspace}");
     }
 }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -62,9 +62,14 @@
 }
 
 impl Probe {
-    /// Whether the engine holds the sequence.
-    pub fn holds(&self, sequence: &str) -> bool {
-        self.change(|held| held.contains(sequence))
+    /// Whether the engine holds a sequence of the request with this id: sides name a sequence by
+    /// the request's id, or by it and a number.
+    pub fn holds(&self, id: &str) -> bool {
+        let numbered = format!("{id}-");
+        self.change(|held| {
+            let mut later = held.range(numbered.clone()..);
+            held.contains(id) || later.next().is_some_and(|name| name.starts_with(&numbered))
+        })
     }
 
     /// Number of sequences held.
