Measure the time from a fault to the next token

Cause: recovery is what one of the users weighs most. Change: oriole-load recover injects seven faults into running deployments and takes, for each request that the victims held, the time to its next token at the caller; times before, during and after; the baseline of running each request again from its beginning is worked out from the same run.

--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod bound;
 pub mod demo;
+pub mod recover;
 
 /// The deployment that is run if none is named.
 const DEFAULT_DEPLOYMENT: &str = "examples/kigali";
@@ -28,6 +29,9 @@
     /// Measures admitted throughput over the bounds of the contracts
     #[bpaf(command("bound"))]
     Bound(#[bpaf(external(bound::command))] bound::Command),
+    /// Measures the time from a fault to the next token
+    #[bpaf(command("recover"))]
+    Recover(#[bpaf(external(recover::command))] recover::Command),
 }
 
 impl Command {
@@ -36,6 +40,7 @@
         match self {
             Self::Demo(command) => command.execute().await,
             Self::Bound(command) => command.execute().await,
+            Self::Recover(command) => command.execute().await,
         }
     }
 }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`demo`]: the main job of a deployment, with a failure in the middle.
 //! - [`run`]: streams of arrivals on several threads.
 //! - [`bound`]: admitted throughput over the contracts' bounds.
+//! - [`recover`]: time from a fault to the next token.
 //! - [`plot`]: plots as SVG files.
 //! - [`cmd`]: the subcommands.
 
@@ -16,5 +17,6 @@
 pub mod demo;
 pub mod deployment;
 pub mod plot;
+pub mod recover;
 pub mod run;
 pub mod tally;
--- /dev/null
+++ b/crates/load/src/recover.rs
@@ -0,0 +1,328 @@
+//! Time from a fault to the next token at the caller.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use oriole_core::config::{Config, Kind};
+use oriole_core::name;
+use serde::Serialize;
+
+use crate::caller::{Ask, End};
+use crate::cluster::{Cluster, Error, Options, key};
+use crate::run::{self, Balancer, Run, Sample, Stream};
+use crate::tally::{Percentiles, Tally, Times};
+
+/// Longest 95th percentile for a death that shows.
+const SHOWN_TARGET: Duration = Duration::from_secs(1);
+
+/// Longest 95th percentile for a fault that does not show.
+const SILENT_TARGET: Duration = Duration::from_secs(2);
+
+/// Time before the fault.
+const BEFORE: Duration = Duration::from_secs(5);
+
+/// Time after the fault that counts as during it.
+const DURING: Duration = Duration::from_secs(3);
+
+/// Time for which requests arrive.
+const ARRIVING: Duration = Duration::from_secs(13);
+
+/// Start-up whose times do not count.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Delay of a degraded link.
+const DEGRADED: Duration = Duration::from_millis(500);
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 64;
+
+/// Workspaces that send requests.
+const WORKSPACES: usize = 3;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fault {
+    /// An engine dies; its side goes on.
+    StageDies,
+    /// A host dies: engine and side.
+    HostDies,
+    /// All open connections to a side go silent for good; new ones work.
+    ConnectionSilent,
+    /// Each byte from and to a side takes half a second.
+    LinkDegrades,
+    /// A side dies and is started anew at once.
+    SideRestarts,
+    /// An availability zone is lost: endpoints, sides and entry.
+    ZoneLost,
+    /// An engine dies while the connections to another host's side go silent.
+    TwoAtOnce,
+}
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Self; 7] = [
+        Self::StageDies,
+        Self::HostDies,
+        Self::ConnectionSilent,
+        Self::LinkDegrades,
+        Self::SideRestarts,
+        Self::ZoneLost,
+        Self::TwoAtOnce,
+    ];
+
+    /// Longest 95th percentile of the recovery.
+    pub fn target(self) -> Duration {
+        match self {
+            Self::StageDies | Self::HostDies | Self::SideRestarts | Self::ZoneLost => SHOWN_TARGET,
+            Self::ConnectionSilent | Self::LinkDegrades | Self::TwoAtOnce => SILENT_TARGET,
+        }
+    }
+}
+
+/// Figures of one fault, over all rounds.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Figures {
+    /// What went wrong.
+    pub fault: Fault,
+    /// Time from the fault to the next token of requests that the victims held.
+    pub recovery: Percentiles,
+    /// The same if each had been run again from its beginning: worked out from the recovery, the
+    /// median time to the first token and the median time between tokens.
+    pub from_beginning: Percentiles,
+    /// Longest 95th percentile allowed, in milliseconds.
+    pub target_ms: u64,
+    /// Counts of all requests.
+    pub tally: Tally,
+    /// Times before, during and after the fault.
+    pub phases: Vec<Phase>,
+    /// Whether the target was met and nothing was lost, doubled or wrong.
+    pub met: bool,
+}
+
+/// Times of one phase of a run.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Phase {
+    /// Before, during or after.
+    pub name: &'static str,
+    /// Time to the first token.
+    pub first_token: Percentiles,
+    /// Time between tokens.
+    pub inter_token: Percentiles,
+}
+
+/// Collects the times of all rounds.
+#[derive(Default)]
+struct Collected {
+    recovery: Times,
+    from_beginning: Times,
+    tally: Tally,
+    phases: [run::Summary; 3],
+}
+
+/// Runs one fault in `rounds` deployments.
+pub async fn run(config: &Config, fault: Fault, rounds: u64, seed: u64) -> Result<Figures, Error> {
+    let mut collected = Collected::default();
+    for round in 0..rounds {
+        run_round(config, fault, seed.wrapping_add(round), &mut collected).await?;
+    }
+    let recovery = collected.recovery.summary();
+    let target_ms = u64::try_from(fault.target().as_millis()).unwrap_or(u64::MAX);
+    let Tally { wrong, lost, doubled, .. } = collected.tally;
+    let clean = wrong == 0 && lost == 0 && doubled == 0 && failed(&collected.tally) == 0;
+    let names = ["before", "during", "after"];
+    let phases = names.into_iter().zip(&collected.phases).map(|(name, summary)| Phase {
+        name,
+        first_token: summary.first_token.summary(),
+        inter_token: summary.inter_token.summary(),
+    });
+    Ok(Figures {
+        fault,
+        from_beginning: collected.from_beginning.summary(),
+        target_ms,
+        phases: phases.collect(),
+        met: clean && recovery.count > 0 && recovery.p95_ms <= target_ms as f64,
+        recovery,
+        tally: collected.tally,
+    })
+}
+
+/// Requests that were refused after they may have run: lost to their callers.
+fn failed(tally: &Tally) -> u64 {
+    let unknown = tally.refused.iter().filter(|(reason, _)| !reason.ends_with("(ran: no)"));
+    unknown.map(|(_, count)| count).sum()
+}
+
+async fn run_round(
+    config: &Config,
+    fault: Fault,
+    seed: u64,
+    collected: &mut Collected,
+) -> Result<(), Error> {
+    let options = Options { relays: true, seed, ..Options::default() };
+    let mut cluster = Cluster::start(config.clone(), options)?;
+    cluster.wait_until_ready().await;
+    let balancer = Balancer::new(cluster.callers());
+    let load = Run::start(streams(&cluster.config, seed), &balancer, WORKSPACES);
+    let start = load.start;
+    tokio::time::sleep_until((start + BEFORE).into()).await;
+    let victims = victims(&cluster, fault);
+    let held = held(&cluster, &victims);
+    let at = Instant::now();
+    let dead = inject(&mut cluster, fault, &victims)?;
+    balancer.set(cluster.callers());
+    let samples = load.finish().await;
+    measure(&samples, &held, at, &dead, collected);
+    let ends = [start + WARM_UP, at, at + DURING, start + Duration::from_secs(3600)];
+    for (window, summary) in ends.windows(2).zip(&mut collected.phases) {
+        let summed = run::sum_up(&samples, window[0]..window[1]);
+        summary.first_token.merge(&summed.first_token);
+        summary.inter_token.merge(&summed.inter_token);
+    }
+    let whole = run::sum_up(&samples, start..at + Duration::from_secs(3600));
+    collected.tally.merge(&whole.tally);
+    Ok(())
+}
+
+fn streams(config: &Config, seed: u64) -> Vec<Stream> {
+    let Some((model, settings)) = config.models.first_key_value() else { return Vec::new() };
+    let rate = |w: &name::Workspace| config.contracts[w].limits.requests.per_second();
+    let mut workspaces: Vec<_> = config.contracts.keys().collect();
+    workspaces.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+    let numbered = workspaces.into_iter().take(WORKSPACES).zip(1_u64..);
+    numbered
+        .map(|(workspace, number)| Stream {
+            ask: Ask {
+                key: key(workspace),
+                model: model.to_string(),
+                content: String::new(),
+                max_tokens: ANSWER_TOKENS,
+                deadline: Duration::from_secs(20),
+                layers: settings.layers,
+            },
+            words: 40,
+            per_second: rate(workspace) * 0.4,
+            duration: ARRIVING,
+            seed: seed.wrapping_mul(1000).wrapping_add(number),
+        })
+        .collect()
+}
+
+/// Endpoints that the fault concerns: the engines that hold most sequences, or a zone's.
+fn victims(cluster: &Cluster, fault: Fault) -> Vec<name::Endpoint> {
+    if fault == Fault::ZoneLost {
+        let zone = cluster.config.entries.values().next_back().map(|entry| &entry.zone);
+        let endpoints = cluster.config.endpoints.iter();
+        let lost = endpoints.filter(|(_, endpoint)| Some(&endpoint.zone) == zone);
+        return lost.map(|(name, _)| name.clone()).collect();
+    }
+    let is_engine = |name: &name::Endpoint| {
+        let kind = cluster.config.endpoints.get(name).map(|endpoint| &endpoint.kind);
+        matches!(kind, Some(Kind::Engine { .. }))
+    };
+    let mut engines: Vec<_> =
+        cluster.endpoints.iter().filter(|(name, _)| is_engine(name)).collect();
+    engines.sort_by_key(|(_, endpoint)| std::cmp::Reverse(endpoint.probe.count()));
+    let count = if fault == Fault::TwoAtOnce { 2 } else { 1 };
+    engines.into_iter().take(count).map(|(name, _)| name.clone()).collect()
+}
+
+/// Ids of the requests that the endpoints hold.
+fn held(cluster: &Cluster, victims: &[name::Endpoint]) -> BTreeSet<String> {
+    let endpoints = victims.iter().filter_map(|victim| cluster.endpoints.get(victim));
+    let names = endpoints.flat_map(|endpoint| endpoint.probe.names());
+    // The first four parts of a sequence's name are the request's id.
+    names.map(|name| name.split('-').take(4).collect::<Vec<_>>().join("-")).collect()
+}
+
+/// Injects the fault; returns the addresses of entries that died.
+fn inject(
+    cluster: &mut Cluster,
+    fault: Fault,
+    victims: &[name::Endpoint],
+) -> Result<Vec<SocketAddr>, Error> {
+    let victim = victims.first().ok_or(Error::Absent)?;
+    let host = cluster.config.endpoints.get(victim).ok_or(Error::Absent)?.host.clone();
+    let before = cluster.callers();
+    match fault {
+        Fault::StageDies => die(cluster, victim),
+        Fault::HostDies => {
+            die(cluster, victim);
+            cluster.kill_side(&host)?;
+        }
+        Fault::ConnectionSilent => silence(cluster, &host),
+        Fault::LinkDegrades => {
+            if let Some(relay) = cluster.sides.get(&host).and_then(|side| side.relay.as_ref()) {
+                relay.degrade(DEGRADED, 0);
+            }
+        }
+        Fault::SideRestarts => {
+            cluster.kill_side(&host)?;
+            cluster.restart_side(&host)?;
+        }
+        Fault::ZoneLost => {
+            let zone = cluster.config.endpoints.get(victim).ok_or(Error::Absent)?.zone.clone();
+            cluster.kill_zone(&zone)?;
+        }
+        Fault::TwoAtOnce => {
+            die(cluster, victim);
+            let other = victims.get(1).and_then(|other| cluster.config.endpoints.get(other));
+            silence(cluster, &other.ok_or(Error::Absent)?.host.clone());
+        }
+    }
+    let after = cluster.callers();
+    Ok(before.into_iter().filter(|entry| !after.contains(entry)).collect())
+}
+
+fn die(cluster: &Cluster, victim: &name::Endpoint) {
+    if let Some(endpoint) = cluster.endpoints.get(victim) {
+        endpoint.switch.die();
+    }
+}
+
+fn silence(cluster: &Cluster, host: &name::Host) {
+    if let Some(relay) = cluster.sides.get(host).and_then(|side| side.relay.as_ref()) {
+        relay.silence_open();
+    }
+}
+
+/// Adds the recovery of each request that was held and whose entry lives.
+fn measure(
+    samples: &[Sample],
+    held: &BTreeSet<String>,
+    at: Instant,
+    dead: &[SocketAddr],
+    collected: &mut Collected,
+) {
+    let before = run::sum_up(samples, samples_start(samples)..at);
+    let first_token = millis(before.first_token.summary().p50_ms);
+    let inter_token = millis(before.inter_token.summary().p50_ms);
+    let concerned = samples.iter().filter(|sample| {
+        let id = sample.answer.id.as_ref();
+        id.is_some_and(|id| held.contains(id)) && !dead.contains(&sample.entry)
+    });
+    for sample in concerned {
+        let answer = &sample.answer;
+        let delivered = answer.times.iter().filter(|time| **time <= at).count();
+        let recovery = match answer.times.get(delivered) {
+            Some(next) => next.duration_since(at),
+            // It was complete, and only its release was under way.
+            None if answer.end == End::Complete => continue,
+            None => sample.ask.deadline,
+        };
+        collected.recovery.add(recovery);
+        let again = first_token + inter_token * u32::try_from(delivered).unwrap_or(u32::MAX);
+        collected.from_beginning.add(recovery + again);
+    }
+}
+
+fn samples_start(samples: &[Sample]) -> Instant {
+    samples.iter().map(|sample| sample.answer.sent).min().unwrap_or_else(Instant::now)
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_default()
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -72,6 +72,11 @@
         })
     }
 
+    /// Names of the sequences held.
+    pub fn names(&self) -> Vec<String> {
+        self.change(|held| held.iter().cloned().collect())
+    }
+
     /// Number of sequences held.
     pub fn count(&self) -> usize {
         self.change(|held| held.len())
