--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -33,7 +33,7 @@
 use crate::retry;
 use crate::roster::Roster;
 use crate::time::{Instant, as_us};
-use crate::{contract, name};
+use crate::{contract, home, name};
 
 use admission::Parked;
 use count::{Counter, Counters};
@@ -48,6 +48,8 @@
 /// All decisions of one entry.
 pub struct Machine {
     config: Config,
+    /// The home of each shard of idempotency keys.
+    homes: Vec<name::Host>,
     revision: u64,
     planner: Planner,
     works: BTreeMap<Id, Work>,
@@ -99,6 +101,7 @@
         let host = name::Host::from("");
         let mut machine = Self {
             config: Config::default(),
+            homes: Vec::new(),
             revision: 0,
             planner: Planner::new(host.clone(), "".into()),
             works: BTreeMap::new(),
@@ -157,6 +160,7 @@
         self.heard.retain(|endpoint, _| endpoints.contains_key(endpoint));
         self.terms.retain(|endpoint, _| endpoints.contains_key(endpoint));
         self.lengths.retain(|model, _| config.models.contains_key(model));
+        self.homes = home::hosts(&config);
         self.config = config;
         self.revision = number;
         let mut out = Vec::new();
--- a/crates/core/src/entry/claim.rs
+++ b/crates/core/src/entry/claim.rs
@@ -141,7 +141,7 @@
 
     /// The home of a key and where it listens.
     fn home(&self, workspace: &name::Workspace, key: u128) -> Option<(name::Host, SocketAddr)> {
-        let host = home::host(&self.config, home::shard(workspace, key))?;
+        let host = self.homes.get(usize::from(home::shard(workspace, key)))?;
         let mut endpoints = self.config.endpoints.values();
         let endpoint = endpoints.find(|endpoint| endpoint.host == *host)?;
         Some((host.clone(), endpoint.side))
--- a/crates/core/tests/chain/world.rs
+++ b/crates/core/tests/chain/world.rs
@@ -139,6 +139,7 @@
             path: "/dispatch".into(),
             content_type: String::new(),
             body: Vec::new(),
+            key: None,
             deadline: Some(Duration::from_secs(3)),
         };
         let id = self.id();
