--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
 //! - [`engine`]: what sides and engines say to each other.
+//! - [`share`]: messages by which entries share a contract's limits.
+//! - [`status`]: what every process tells operators about itself.
 //! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
 //!   [`explain`].
@@ -37,6 +39,7 @@
 pub mod revision;
 pub mod roster;
 pub mod share;
+pub mod status;
 pub mod side;
 pub mod time;
 pub mod token;
