--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -33,7 +33,7 @@
 use crate::retry;
 use crate::roster::Roster;
 use crate::time::{Instant, as_us};
-use crate::{contract, name};
+use crate::{contract, home, name};
 
 use admission::Parked;
 use count::{Counter, Counters};
@@ -67,6 +67,8 @@
     /// Workspaces for which a loan has come.
     ready: BTreeSet<name::Workspace>,
     shared: Instant,
+    /// The home of each shard of idempotency keys.
+    homes: Vec<name::Host>,
     records: explain::Store,
     counters: Counters,
     draw: Draw,
@@ -113,6 +115,7 @@
             parked: BTreeMap::new(),
             ready: BTreeSet::new(),
             shared: now,
+            homes: Vec::new(),
             records: explain::Store::default(),
             counters: Counters::default(),
             draw: Draw::new(seed),
@@ -157,6 +160,7 @@
         self.heard.retain(|endpoint, _| endpoints.contains_key(endpoint));
         self.terms.retain(|endpoint, _| endpoints.contains_key(endpoint));
         self.lengths.retain(|model, _| config.models.contains_key(model));
+        self.homes = home::hosts(&config);
         self.config = config;
         self.revision = number;
         let mut out = Vec::new();
--- a/crates/core/src/entry/claim.rs
+++ b/crates/core/src/entry/claim.rs
@@ -141,10 +141,8 @@
 
     /// The home of a key and where it listens.
     fn home(&self, workspace: &name::Workspace, key: u128) -> Option<(name::Host, SocketAddr)> {
-        let host = home::host(&self.config, home::shard(workspace, key))?;
-        let mut endpoints = self.config.endpoints.values();
-        let endpoint = endpoints.find(|endpoint| endpoint.host == *host)?;
-        Some((host.clone(), endpoint.side))
+        let host = self.homes.get(usize::from(home::shard(workspace, key)))?;
+        Some((host.clone(), self.planner.address(host)?))
     }
 }
 
