--- a/crates/core/tests/side.rs
+++ b/crates/core/tests/side.rs
@@ -216,7 +216,8 @@
     bench.open(1, 1, 0);
     bench.feed(1, 1, 0);
     bench.open(1, 2, 0);
-    assert!(bench.feed(1, 1, 0).is_empty(), "fenced off");
+    assert!(bench.feed(1, 1, 0).is_empty());
+    assert_eq!(bench.machine.counters().get(Count::Stale), 1, "fenced off");
     assert!(bench.feed(1, 2, 0).is_empty(), "waits for the engine");
     let out = bench.ran(&["old"]);
     assert!(steps(&out).is_empty());
