--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -286,21 +286,27 @@
     u16::from_be_bytes([digest[0], digest[1]]) % SHARDS
 }
 
-/// The home of each shard: the host with the highest weight for it among those that `config`
-/// keeps in service (rendezvous hashing), so that a change of hosts moves only the shards of those
-/// that come or go.
-pub fn hosts(config: &Config) -> Vec<name::Host> {
-    let staying = config.endpoints.values().filter(|endpoint| !endpoint.drain);
-    let names: BTreeSet<&name::Host> = staying.map(|endpoint| &endpoint.host).collect();
-    let seeds: Vec<(u64, &name::Host)> = names.into_iter().map(|n| (seed(n), n)).collect();
-    let heaviest = |shard: u16| seeds.iter().max_by_key(|(seed, _)| weight(*seed, shard));
-    (0..SHARDS).filter_map(|shard| heaviest(shard).map(|(_, name)| (*name).clone())).collect()
+/// The home of a shard: the host with the highest weight for it among those that `config` keeps
+/// in service (rendezvous hashing), so that a change of hosts moves only the shards of those that
+/// come or go.
+pub fn host(config: &Config, shard: u16) -> Option<&name::Host> {
+    heaviest(&seeds(config), shard)
 }
 
 /// The shards whose home is `own`.
 pub fn shards(config: &Config, own: &name::Host) -> BTreeSet<u16> {
-    let hosts = hosts(config);
-    (0..SHARDS).zip(&hosts).filter(|(_, host)| *host == own).map(|(shard, _)| shard).collect()
+    let seeds = seeds(config);
+    (0..SHARDS).filter(|shard| heaviest(&seeds, *shard) == Some(own)).collect()
+}
+
+fn seeds(config: &Config) -> Vec<(u64, &name::Host)> {
+    let staying = config.endpoints.values().filter(|endpoint| !endpoint.drain);
+    let names: BTreeSet<&name::Host> = staying.map(|endpoint| &endpoint.host).collect();
+    names.into_iter().map(|name| (seed(name), name)).collect()
+}
+
+fn heaviest<'a>(seeds: &[(u64, &'a name::Host)], shard: u16) -> Option<&'a name::Host> {
+    seeds.iter().max_by_key(|(seed, _)| weight(*seed, shard)).map(|(_, name)| *name)
 }
 
 fn seed(host: &name::Host) -> u64 {
