--- a/crates/core/tests/chain/world.rs
+++ b/crates/core/tests/chain/world.rs
@@ -140,6 +140,7 @@
             content_type: String::new(),
             body: Vec::new(),
             deadline: Some(Duration::from_secs(3)),
+            key: None,
         };
         let id = self.id();
         self.tell_entry(entry::Event::Call(id, ask));
