--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -286,11 +286,12 @@
     u16::from_be_bytes([digest[0], digest[1]]) % SHARDS
 }
 
-/// The home of a shard: the host with the highest weight for it among those that `config` keeps
-/// in service (rendezvous hashing), so that a change of hosts moves only the shards of those that
-/// come or go.
-pub fn host(config: &Config, shard: u16) -> Option<&name::Host> {
-    heaviest(&seeds(config), shard)
+/// The home of each shard: the host with the highest weight for it among those that `config`
+/// keeps in service (rendezvous hashing), so that a change of hosts moves only the shards of those
+/// that come or go. Empty if no host is in service.
+pub fn hosts(config: &Config) -> Vec<name::Host> {
+    let seeds = seeds(config);
+    (0..SHARDS).filter_map(|shard| heaviest(&seeds, shard).cloned()).collect()
 }
 
 /// The shards whose home is `own`.
