platform: adapters for the key-value service and the host list, with stand-ins

Revisions live in the platform's key-value service, spoken to as etcd v3's JSON gateway: range, put, txn, leases and watch, through awc. Each failure tells whether the call was certainly not applied; calls are counted by kind. kv::Documents carries out what the Follower and an Operation need; a poll is one read-only txn, so that an unchanged head costs no value. The stand-in loses replies after applying, delays, drops watches, goes back to a backup; Reply::Stream is added to the stand-ins' HTTP server for watches.

--- /dev/null
+++ b/crates/platform/src/documents.rs
@@ -0,0 +1,87 @@
+//! Documents of a configuration as files: `DIR/*.toml` and `DIR/contracts/*.toml`.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+
+use derive_more::{Display, Error};
+
+/// Ending of the files that hold documents.
+const EXTENSION: &str = "toml";
+
+/// Folder of the contracts, and start of their documents' names.
+const CONTRACTS_FOLDER: &str = "contracts";
+const CONTRACT_PREFIX: &str = "contract/";
+
+/// A file or folder that could not be read or written.
+#[derive(Debug, Display, Error)]
+#[display("{action} {}: {source}", path.display())]
+pub struct Error {
+    /// What was being done.
+    pub action: Action,
+    /// The file or folder.
+    pub path: PathBuf,
+    /// What the system reports.
+    pub source: io::Error,
+}
+
+/// What was being done with a file.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum Action {
+    /// Reading it.
+    #[display("reading")]
+    Read,
+    /// Writing it.
+    #[display("writing")]
+    Write,
+}
+
+/// Reads all documents of a folder by name; none of them is parsed.
+pub fn read(folder: &Path) -> Result<BTreeMap<String, String>, Error> {
+    let mut documents = BTreeMap::new();
+    read_into(&mut documents, folder, "")?;
+    let contracts = folder.join(CONTRACTS_FOLDER);
+    if contracts.is_dir() {
+        read_into(&mut documents, &contracts, CONTRACT_PREFIX)?;
+    }
+    Ok(documents)
+}
+
+fn read_into(
+    documents: &mut BTreeMap<String, String>,
+    folder: &Path,
+    prefix: &str,
+) -> Result<(), Error> {
+    let fail = |path: &Path, source| Error { action: Action::Read, path: path.to_owned(), source };
+    for entry in std::fs::read_dir(folder).map_err(|e| fail(folder, e))? {
+        let path = entry.map_err(|e| fail(folder, e))?.path();
+        let Some(stem) = path.file_stem().and_then(|stem| stem.to_str()) else {
+            continue;
+        };
+        if path.extension().is_some_and(|e| e == EXTENSION) && !stem.starts_with('.') {
+            let text = std::fs::read_to_string(&path).map_err(|e| fail(&path, e))?;
+            documents.insert(format!("{prefix}{stem}"), text);
+        }
+    }
+    Ok(())
+}
+
+/// Writes documents by name into a folder, over those that are there.
+pub fn write(folder: &Path, documents: &BTreeMap<String, String>) -> Result<(), Error> {
+    let fail = |path: &Path, source| Error { action: Action::Write, path: path.to_owned(), source };
+    let contracts = folder.join(CONTRACTS_FOLDER);
+    std::fs::create_dir_all(&contracts).map_err(|e| fail(&contracts, e))?;
+    for (name, text) in documents {
+        let path = file(folder, name);
+        std::fs::write(&path, text).map_err(|e| fail(&path, e))?;
+    }
+    Ok(())
+}
+
+/// The file of a document.
+pub fn file(folder: &Path, name: &str) -> PathBuf {
+    match name.strip_prefix(CONTRACT_PREFIX) {
+        Some(workspace) => folder.join(CONTRACTS_FOLDER).join(format!("{workspace}.{EXTENSION}")),
+        None => folder.join(format!("{name}.{EXTENSION}")),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/hosts.rs
@@ -0,0 +1,50 @@
+//! Adapter for the platform's list of hosts: `GET /v1/hosts`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use oriole_core::membership::Listing;
+use oriole_core::name;
+use oriole_macros::data;
+
+use crate::http::{self, Request};
+
+pub use crate::http::Error;
+
+/// Path of the list.
+pub const PATH: &str = "/v1/hosts";
+
+/// The list; it lags behind what happens.
+#[data]
+pub struct List {
+    /// What it says of each host.
+    pub hosts: BTreeMap<name::Host, Listing>,
+}
+
+/// A client of the host list.
+#[derive(Clone)]
+pub struct Client {
+    http: awc::Client,
+    address: SocketAddr,
+}
+
+impl Client {
+    /// A client of the list at `address`; connects when it is first used.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { http: http::client(), address }
+    }
+
+    /// Reads the list.
+    pub async fn list(&self, timeout: Duration) -> Result<List, Error> {
+        let (method, body) = (Method::GET, Bytes::new());
+        let request = Request { method, path: PATH, content_type: "", body };
+        let response = http::send(&self.http, self.address, request, timeout).await?;
+        if response.status != StatusCode::OK {
+            return Err(Error::Status { status: response.status.as_u16() });
+        }
+        serde_json::from_slice(&response.body).map_err(|_| Error::Malformed)
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -122,7 +122,7 @@
     })
 }
 
-fn send_error(error: SendRequestError) -> Error {
+pub(crate) fn send_error(error: SendRequestError) -> Error {
     match error {
         SendRequestError::Url(_) | SendRequestError::Http(_) => Error::Unsendable,
         // A pooled connection reports its end as `Disconnected` too, after the call was sent.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,11 +4,16 @@
 //! - [`metrics`]: export of counters to a StatsD collector.
 //! - [`settings`], [`signal`]: settings files, and signals that ask a process to stop.
 //! - [`server`]: an HTTP server on a given listener.
+//! - [`documents`]: the configuration as files.
+//! - [`kv`], [`hosts`]: adapters for the key-value service and the host list.
 //! - [`engine`], [`service`]: adapters for model engines and plain services over [`http`].
 
 pub mod clock;
+pub mod documents;
 pub mod engine;
+pub mod hosts;
 pub mod http;
+pub mod kv;
 pub mod metrics;
 pub mod server;
 pub mod service;
--- a/crates/standin/src/cmd/mod.rs
+++ b/crates/standin/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 use bpaf::{Bpaf, Parser};
 
 pub mod engine;
+pub mod kv;
 pub mod service;
 pub mod weights;
 
@@ -13,6 +14,9 @@
     /// Runs a model engine that holds a range of layers
     #[bpaf(command("engine"))]
     Engine(#[bpaf(external(engine::command))] engine::Command),
+    /// Runs a key-value service
+    #[bpaf(command("kv"))]
+    Kv(#[bpaf(external(kv::command))] kv::Command),
     /// Runs a plain service
     #[bpaf(command("service"))]
     Service(#[bpaf(external(service::command))] service::Command),
@@ -26,6 +30,7 @@
     pub async fn execute(self) -> std::io::Result<()> {
         match self {
             Self::Engine(command) => command.execute().await,
+            Self::Kv(command) => command.execute().await,
             Self::Service(command) => command.execute().await,
             Self::Weights(command) => command.execute().await,
         }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -6,15 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodyStream, BoxBody};
 use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use futures_util::stream::{self, Stream};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::fault::Switch;
 
@@ -47,7 +48,7 @@
 }
 
 /// What the stand-in does with a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Reply {
     /// Answers it.
     Answer {
@@ -58,6 +59,8 @@
         /// Body.
         body: Bytes,
     },
+    /// Answers with JSON in pieces, as they come, until their channel is closed.
+    Stream(mpsc::Receiver<Bytes>),
     /// Closes the connection without an answer.
     Cut,
 }
@@ -150,6 +153,10 @@
             .insert_header(("content-type", content_type))
             .body(body)
             .map_into_boxed_body()),
+        Reply::Stream(pieces) => Ok(Response::build(StatusCode::OK)
+            .insert_header(("content-type", "application/json"))
+            .body(BodyStream::new(streamed(pieces)))
+            .map_into_boxed_body()),
         Reply::Cut => {
             cut.notify_one();
             std::future::pending().await
@@ -157,6 +164,12 @@
     }
 }
 
+fn streamed(pieces: mpsc::Receiver<Bytes>) -> impl Stream<Item = Result<Bytes, Infallible>> {
+    stream::unfold(pieces, |mut pieces| async {
+        pieces.recv().await.map(|piece| (Ok(piece), pieces))
+    })
+}
+
 async fn read(mut request: Request) -> Option<Call> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
--- /dev/null
+++ b/crates/standin/src/kv/store.rs
@@ -0,0 +1,163 @@
+//! The contents: keys, revisions and leases.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_platform::kv::message::{
+    Change, Compare, Done, Header, KeyValue, Lease, Put, Range, RangeReply, Request, Response, Txn,
+    TxnReply,
+};
+use tokio::time::Instant;
+
+/// Keys by name, and leases by id.
+#[derive(Clone, Debug)]
+pub(super) struct Store {
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, KeyValue>,
+    leases: BTreeMap<i64, (Lease, Instant)>,
+    next_lease: i64,
+    changes: Vec<Change>,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        let (keys, leases) = (BTreeMap::new(), BTreeMap::new());
+        Self { revision: 1, keys, leases, next_lease: 1, changes: Vec::new() }
+    }
+}
+
+/// Whether `key` lies in the range from `first` to `end`; an empty end stands for the one key.
+pub(super) fn contains(first: &[u8], end: &[u8], key: &[u8]) -> bool {
+    if end.is_empty() { key == first } else { first <= key && key < end }
+}
+
+impl Store {
+    pub(super) fn header(&self) -> Header {
+        Header { revision: self.revision }
+    }
+
+    /// The changes since they were last taken.
+    pub(super) fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    pub(super) fn range(&self, range: &Range) -> RangeReply {
+        let within = |kv: &&KeyValue| contains(&range.key, &range.range_end, &kv.key);
+        let mut kvs: Vec<KeyValue> = self.keys.values().filter(within).cloned().collect();
+        let count = i64::try_from(kvs.len()).unwrap_or(i64::MAX);
+        if range.sort_order == "DESCEND" {
+            kvs.reverse();
+        }
+        if range.limit > 0 {
+            kvs.truncate(usize::try_from(range.limit).unwrap_or(usize::MAX));
+        }
+        RangeReply { header: self.header(), kvs, count }
+    }
+
+    /// Writes a key; `None` if it names a lease that does not exist.
+    pub(super) fn put(&mut self, put: &Put) -> Option<Done> {
+        self.check(put)?;
+        self.revision += 1;
+        self.write(put);
+        Some(Done { header: self.header() })
+    }
+
+    /// Compares, and carries out one of the lists; `None` if that cannot be done.
+    pub(super) fn txn(&mut self, txn: &Txn) -> Option<TxnReply> {
+        let succeeded = txn.compare.iter().all(|compare| self.holds(compare));
+        let requests = if succeeded { &txn.success } else { &txn.failure };
+        let puts = requests.iter().filter_map(|request| match request {
+            Request::RequestPut(put) => Some(put),
+            Request::RequestRange(_) => None,
+        });
+        let puts: Vec<&Put> = puts.collect();
+        for put in &puts {
+            self.check(put)?;
+        }
+        self.revision += i64::from(!puts.is_empty());
+        let responses = requests.iter().map(|request| self.carry_out(request)).collect();
+        Some(TxnReply { header: self.header(), succeeded, responses })
+    }
+
+    fn carry_out(&mut self, request: &Request) -> Response {
+        match request {
+            Request::RequestRange(range) => Response::ResponseRange(self.range(range)),
+            Request::RequestPut(put) => {
+                self.write(put);
+                Response::ResponsePut(Done { header: self.header() })
+            }
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let found = self.keys.get(&compare.key).map_or(0, |kv| kv.mod_revision);
+        found == compare.mod_revision
+    }
+
+    fn check(&self, put: &Put) -> Option<()> {
+        let known = put.lease == 0 || self.leases.contains_key(&put.lease);
+        (known && !put.key.is_empty()).then_some(())
+    }
+
+    fn write(&mut self, put: &Put) {
+        let created = self.keys.get(&put.key).map_or(self.revision, |kv| kv.create_revision);
+        let kv = KeyValue {
+            key: put.key.clone(),
+            value: put.value.clone(),
+            create_revision: created,
+            mod_revision: self.revision,
+            lease: put.lease,
+        };
+        self.keys.insert(put.key.clone(), kv.clone());
+        self.changes.push(Change { kind: String::new(), kv });
+    }
+
+    pub(super) fn grant(&mut self, asked: Lease, now: Instant) -> Lease {
+        let id = if asked.id == 0 { self.next_lease } else { asked.id };
+        self.next_lease = self.next_lease.max(id) + 1;
+        let lease = Lease { id, ttl: asked.ttl.max(1) };
+        self.leases.insert(id, (lease, now + life(lease)));
+        lease
+    }
+
+    /// Extends a lease; the answer's time is 0 if there is none.
+    pub(super) fn keep_alive(&mut self, id: i64, now: Instant) -> Lease {
+        match self.leases.get_mut(&id) {
+            Some((lease, end)) => {
+                *end = now + life(*lease);
+                *lease
+            }
+            None => Lease { id, ttl: 0 },
+        }
+    }
+
+    /// Ends a lease; `None` if there is none.
+    pub(super) fn revoke(&mut self, id: i64) -> Option<Done> {
+        self.leases.remove(&id)?;
+        self.remove_keys(id);
+        Some(Done { header: self.header() })
+    }
+
+    /// Ends the leases whose time has passed.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let expired = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        for id in expired.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.revoke(id);
+        }
+    }
+
+    fn remove_keys(&mut self, lease: i64) {
+        let keys = self.keys.values().filter(|kv| kv.lease == lease);
+        let keys: Vec<Vec<u8>> = keys.map(|kv| kv.key.clone()).collect();
+        self.revision += i64::from(!keys.is_empty());
+        for key in keys {
+            self.keys.remove(&key);
+            let kv = KeyValue { key, mod_revision: self.revision, ..KeyValue::default() };
+            self.changes.push(Change { kind: "DELETE".to_owned(), kv });
+        }
+    }
+}
+
+fn life(lease: Lease) -> Duration {
+    Duration::from_secs(u64::try_from(lease.ttl).unwrap_or(0))
+}
