--- /dev/null
+++ b/crates/ctl/src/cmd/explain.rs
@@ -0,0 +1,79 @@
+//! `oriolectl explain`.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use bpaf::Bpaf;
+use futures_util::future::join_all;
+use oriole_core::name;
+use oriole_core::request::{Id, ParseError, host_hash};
+use oriole_macros::data;
+use serde_json::Value;
+
+use super::Context;
+use crate::Error;
+
+/// Flags of the subcommand.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(command))]
+pub struct Command {
+    /// Asks all sides too for what they did with the request
+    sides: bool,
+    /// Id of the request, as the answer's headers and problem details name it
+    #[bpaf(positional::<String>("REQUEST-ID"), parse(parse))]
+    request: Id,
+}
+
+fn parse(text: String) -> Result<Id, ParseError> {
+    text.parse()
+}
+
+/// What the processes tell of a request.
+#[data]
+struct Report {
+    request: String,
+    processes: BTreeMap<name::Host, Value>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.request)?;
+        for (host, value) in &self.processes {
+            let text = serde_json::to_string_pretty(value).unwrap_or_default();
+            write!(f, "\n{host}")?;
+            for line in text.lines() {
+                write!(f, "\n  {line}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Command {
+    pub(super) async fn execute(self, context: &Context) -> Result<(), Error> {
+        let fleet = context.fleet().await?;
+        let path = format!("/v1/explain/{}", self.request);
+        let entry = fleet.hosts().find(|host| host_hash(host) == self.request.host);
+        let what = format!("entry that took {}", self.request);
+        let entry = entry.ok_or(Error::NotFound { what })?.clone();
+        let asked: Vec<&name::Host> =
+            fleet.hosts().filter(|host| self.sides || **host == entry).collect();
+        let answers = join_all(asked.iter().map(|host| fleet.get(host, &path))).await;
+        let told = asked.into_iter().cloned().zip(answers);
+        let processes: BTreeMap<name::Host, Value> =
+            told.filter_map(|(host, answer)| Some((host, answer?))).collect();
+        if !processes.contains_key(&entry) {
+            return Err(self.missing(&fleet, entry).await);
+        }
+        context.form.print(&Report { request: self.request.to_string(), processes });
+        Ok(())
+    }
+
+    /// Tells an entry that forgot the request from one that does not answer.
+    async fn missing(&self, fleet: &crate::fleet::Fleet, entry: name::Host) -> Error {
+        match fleet.get(&entry, "/v1/status").await {
+            Some(_) => Error::NotFound { what: format!("record of {} at {entry}", self.request) },
+            None => Error::Silent { host: entry },
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,11 @@
+//! `oriolectl`: the operators' command line.
+
+use std::process::ExitCode;
+
+use oriole_ctl::cmd;
+
+#[actix_rt::main]
+async fn main() -> ExitCode {
+    env_logger::init();
+    cmd::command().run().execute().await
+}
--- /dev/null
+++ b/crates/ctl/src/settings.rs
@@ -0,0 +1,43 @@
+//! Settings of `oriolectl`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use oriole_core::name;
+use oriole_platform::{kv, settings};
+use serde::{Deserialize, Serialize};
+
+use crate::Error;
+
+/// Settings, as they stand in the TOML file.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Settings {
+    /// The key-value service.
+    pub kv: kv::Settings,
+    /// Port at which entries serve operators, at the address that the configuration names.
+    #[serde(default = "default_entry_http_port")]
+    pub entry_http_port: u16,
+    /// Port at which sides serve operators, at the address that the configuration names.
+    #[serde(default = "default_side_http_port")]
+    pub side_http_port: u16,
+    /// Where hosts serve operators, if it is elsewhere or the configuration is out of reach.
+    #[serde(default)]
+    pub http: BTreeMap<name::Host, SocketAddr>,
+}
+
+fn default_entry_http_port() -> u16 {
+    7301
+}
+
+fn default_side_http_port() -> u16 {
+    7401
+}
+
+impl Settings {
+    /// Reads settings from a file.
+    pub fn load(path: &PathBuf) -> Result<Self, Error> {
+        settings::load(Path::new(path)).map_err(Error::Settings)
+    }
+}
