Add slopes, and show a repeated call with an idempotency key in the demo

Cause: docs/CAPACITY.md needs slopes for each role; the demo should show at most once. Change: oriole-load slopes measures processor time by thread, bytes by relay and memory while endpoints, entries, workspaces and requests grow; the demo sends the non-idempotent call again with its key through another entry, and prints the facts of each explanation.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -134,6 +134,15 @@
     pub idempotency_key: Option<String>,
 }
 
+/// What came of a call.
+#[derive(Clone, Debug)]
+pub struct Called {
+    /// The request id, if one was told.
+    pub id: Option<String>,
+    /// HTTP status and body of the service's answer, or how the call failed.
+    pub answer: Result<(u16, Value), End>,
+}
+
 /// Sends requests. Clones share its connections.
 #[derive(Clone)]
 pub struct Caller {
@@ -220,8 +229,8 @@
         End::Cut
     }
 
-    /// Calls a plain service; returns the HTTP status and the body, or how it failed.
-    pub async fn call(&self, entry: SocketAddr, call: &Call) -> Result<(u16, Value), End> {
+    /// Calls a plain service.
+    pub async fn call(&self, entry: SocketAddr, call: &Call) -> Called {
         let url = format!("http://{entry}/v1/services/{}{}", call.service, call.path);
         let mut request = self
             .http
@@ -232,19 +241,24 @@
             request = request.insert_header(("idempotency-key", key.as_str()));
         }
         let sent = request.send_body(json!({ "id": call.id }).to_string()).await;
-        let mut response = sent.map_err(|_| End::Cut)?;
-        let body = response.body().limit(MAX_ANSWER_BYTES).await.map_err(|_| End::Cut)?;
+        let Ok(mut response) = sent else { return Called { id: None, answer: Err(End::Cut) } };
+        let id = response.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+        let id = id.filter(|id| !id.is_empty()).map(str::to_owned);
+        let Ok(body) = response.body().limit(MAX_ANSWER_BYTES).await else {
+            return Called { id, answer: Err(End::Cut) };
+        };
         let value: Value = serde_json::from_slice(&body).unwrap_or_default();
-        if value.get("reason").is_some() {
-            Err(refused(&value))
-        } else {
-            Ok((response.status().as_u16(), value))
-        }
+        let is_refusal = value.get("reason").is_some();
+        let answer =
+            if is_refusal { Err(refused(&value)) } else { Ok((response.status().as_u16(), value)) };
+        Called { id, answer }
     }
 
     /// Gets a resource of an entry as text.
-    pub async fn get(&self, entry: SocketAddr, path: &str) -> Option<(u16, String)> {
-        let mut response = self.http.get(format!("http://{entry}{path}")).send().await.ok()?;
+    pub async fn get(&self, entry: SocketAddr, key: &str, path: &str) -> Option<(u16, String)> {
+        let request = self.http.get(format!("http://{entry}{path}"));
+        let request = request.insert_header(("authorization", format!("Bearer {key}")));
+        let mut response = request.send().await.ok()?;
         let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
         Some((response.status().as_u16(), String::from_utf8_lossy(&body).into_owned()))
     }
--- a/crates/load/src/cluster/mod.rs
+++ b/crates/load/src/cluster/mod.rs
@@ -50,7 +50,7 @@
     pub time_scale: f64,
     /// Time of one call at a plain service.
     pub service_delay: Duration,
-    /// Whether a relay stands before each side, to inject faults of the network.
+    /// Whether a relay stands before each side and entry, to count bytes and to inject faults of the network.
     pub relays: bool,
     /// Threads for stand-ins.
     pub standin_threads: usize,
@@ -76,6 +76,10 @@
     pub node: Option<Node>,
     /// Where callers reach it.
     pub http: SocketAddr,
+    /// Where it listens for other processes, behind the relay if there is one.
+    pub wire: SocketAddr,
+    /// The relay before it, if there is one.
+    pub relay: Option<relay::Switch>,
 }
 
 /// A running side.
@@ -120,7 +124,7 @@
         let mut standins = Standins::new(&options);
         let endpoints = standins.start_endpoints(&mut config)?;
         let (sides, side_listeners) = bind_sides(&mut config, &options, &mut standins)?;
-        let (entries, entry_listeners) = bind_entries(&mut config)?;
+        let (entries, entry_listeners) = bind_entries(&mut config, &options, &mut standins)?;
         let starts = options.seed;
         let mut cluster = Self { config, entries, sides, endpoints, options, standins, starts };
         for (host, listener) in side_listeners {
@@ -142,9 +146,9 @@
 
     /// Starts a dead entry anew at its old addresses.
     pub fn restart_entry(&mut self, host: &name::Host) -> Result<(), Error> {
-        let address = self.config.entries.get(host).ok_or(Error::Absent)?.address;
-        let http = self.entry(host)?.http;
-        let node = self.run_entry(host, rebind(address)?, rebind(http)?);
+        let entry = self.entry(host)?;
+        let (wire, http) = (entry.wire, entry.http);
+        let node = self.run_entry(host, rebind(wire)?, rebind(http)?);
         self.entry(host)?.node = Some(node);
         Ok(())
     }
@@ -262,10 +266,7 @@
         let listener = bind()?;
         let wire = listener.local_addr()?;
         let relay = options.relays.then(relay::Switch::new);
-        endpoint.side = match &relay {
-            Some(switch) => standins.relay(wire, switch)?,
-            None => wire,
-        };
+        endpoint.side = relayed(wire, relay.as_ref(), standins)?;
         seen.insert(endpoint.host.clone(), endpoint.side);
         sides.insert(endpoint.host.clone(), Side { node: None, wire, relay });
         listeners.push((endpoint.host.clone(), listener));
@@ -274,18 +275,33 @@
 }
 
 /// Gives each entry its addresses.
-fn bind_entries(config: &mut Config) -> Result<BoundEntries, Error> {
+fn bind_entries(
+    config: &mut Config,
+    options: &Options,
+    standins: &mut Standins,
+) -> Result<BoundEntries, Error> {
     let mut entries = BTreeMap::new();
     let mut listeners = Vec::new();
     for (host, entry) in &mut config.entries {
-        let (wire, http) = (bind()?, bind()?);
-        entry.address = wire.local_addr()?;
-        entries.insert(host.clone(), Entry { node: None, http: http.local_addr()? });
-        listeners.push((host.clone(), (wire, http)));
+        let (listener, callers) = (bind()?, bind()?);
+        let (wire, http) = (listener.local_addr()?, callers.local_addr()?);
+        let relay = options.relays.then(relay::Switch::new);
+        entry.address = relayed(wire, relay.as_ref(), standins)?;
+        entries.insert(host.clone(), Entry { node: None, http, wire, relay });
+        listeners.push((host.clone(), (listener, callers)));
     }
     Ok((entries, listeners))
 }
 
+/// The address of the relay to `wire`, or `wire` itself if there is none.
+fn relayed(
+    wire: SocketAddr,
+    relay: Option<&relay::Switch>,
+    standins: &mut Standins,
+) -> Result<SocketAddr, Error> {
+    relay.map_or(Ok(wire), |switch| standins.relay(wire, switch))
+}
+
 fn bind() -> Result<TcpListener, Error> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     listener.set_nonblocking(true)?;
--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -11,12 +11,6 @@
 use tokio::net;
 use tokio::sync::{mpsc, oneshot};
 
-/// Clock ticks a second in which the system counts processor time.
-const TICKS_PER_SECOND: f64 = 100.0;
-
-/// Fields of a thread's statistics, after its name, before its user time.
-const FIELDS_BEFORE_USER_TIME: usize = 11;
-
 /// A running process. Dropping it kills the process with all its connections.
 pub struct Node {
     thread: Arbiter,
@@ -52,11 +46,9 @@
     /// Processor time that the process has used.
     pub fn processor_time(&self) -> Option<Duration> {
         let text = std::fs::read_to_string(self.statistics.as_ref()?).ok()?;
-        let (_, fields) = text.rsplit_once(')')?;
-        let mut times = fields.split_whitespace().skip(FIELDS_BEFORE_USER_TIME);
-        let user: f64 = times.next()?.parse().ok()?;
-        let system: f64 = times.next()?.parse().ok()?;
-        Some(Duration::from_secs_f64((user + system) / TICKS_PER_SECOND))
+        // The first number is the time on a processor, in nanoseconds.
+        let ns = text.split_whitespace().next()?.parse().ok()?;
+        Some(Duration::from_nanos(ns))
     }
 }
 
@@ -147,6 +139,6 @@
         actix_rt::spawn(process(receiver));
     });
     let own = finding.recv_timeout(Duration::from_secs(5)).ok().flatten();
-    let statistics = own.map(|own| PathBuf::from("/proc").join(own).join("stat"));
+    let statistics = own.map(|own| PathBuf::from("/proc").join(own).join("schedstat"));
     Node { thread, commands, statistics }
 }
--- a/crates/load/src/cmd/demo.rs
+++ b/crates/load/src/cmd/demo.rs
@@ -9,6 +9,9 @@
 use crate::cluster::{Cluster, Options};
 use crate::demo::{self, Part};
 
+/// Characters of one line of an explanation.
+const LINE_CHARS: usize = 320;
+
 /// Flags of the subcommand.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(command))]
@@ -59,10 +62,19 @@
     if let Some(request) = &part.request {
         println!("       request {request}");
     }
-    if part.explain != Value::Null {
-        let text = serde_json::to_string_pretty(&part.explain).unwrap_or_default();
-        for line in text.lines() {
-            println!("       {line}");
-        }
+    for fact in part.explain.get("facts").and_then(Value::as_array).into_iter().flatten() {
+        println!("         {}", shorten(fact.clone()));
+    }
+}
+
+/// The fact without candidates that were not chosen, as one line of bounded length.
+fn shorten(mut fact: Value) -> String {
+    if let Some(Value::Array(candidates)) = fact.pointer_mut("/fact/planned/choice/candidates") {
+        candidates.retain(|candidate| candidate.get("chosen") == Some(&Value::Bool(true)));
+    }
+    let line = fact.to_string();
+    match line.char_indices().nth(LINE_CHARS) {
+        Some((end, _)) => format!("{}...", &line[..end]),
+        None => line,
     }
 }
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 pub mod bound;
 pub mod demo;
 pub mod recover;
+pub mod slopes;
 
 /// The deployment that is run if none is named.
 const DEFAULT_DEPLOYMENT: &str = "examples/kigali";
@@ -32,6 +33,9 @@
     /// Measures the time from a fault to the next token
     #[bpaf(command("recover"))]
     Recover(#[bpaf(external(recover::command))] recover::Command),
+    /// Measures how the costs of each role grow with the size of a deployment
+    #[bpaf(command("slopes"))]
+    Slopes(#[bpaf(external(slopes::command))] slopes::Command),
 }
 
 impl Command {
@@ -41,6 +45,7 @@
             Self::Demo(command) => command.execute().await,
             Self::Bound(command) => command.execute().await,
             Self::Recover(command) => command.execute().await,
+            Self::Slopes(command) => command.execute().await,
         }
     }
 }
--- /dev/null
+++ b/crates/load/src/cmd/slopes.rs
@@ -0,0 +1,91 @@
+//! `oriole-load slopes`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use crate::plot;
+use crate::slopes::{self, Axis, Point, Series};
+
+/// Flags of the subcommand.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(command))]
+pub struct Command {
+    #[bpaf(external(super::seed))]
+    seed: u64,
+    /// Seconds for which each point is measured (default: 6)
+    #[bpaf(argument("S"), fallback(6))]
+    seconds: u64,
+    /// Writes a plot (SVG) of processor time over endpoints to this file
+    #[bpaf(argument("FILE"), optional)]
+    plot: Option<PathBuf>,
+    /// Prints the figures as JSON
+    json: bool,
+}
+
+impl Command {
+    pub(super) async fn execute(self) -> ExitCode {
+        let mut all = Vec::new();
+        for axis in Axis::ALL {
+            let json = self.json;
+            let progress = |point: &Point| {
+                if !json {
+                    print(axis, point);
+                }
+            };
+            let period = Duration::from_secs(self.seconds);
+            match slopes::run(axis, period, self.seed, progress).await {
+                Ok(series) => {
+                    if !json {
+                        println!("{axis:?}, for each further one: {:?}", series.slope);
+                    }
+                    all.push(series);
+                }
+                Err(e) => {
+                    eprintln!("{e}");
+                    return ExitCode::FAILURE;
+                }
+            }
+        }
+        if let Some(path) = &self.plot {
+            if let Err(e) = plot::lines(path, &lines(&all)) {
+                eprintln!("{e}");
+            }
+        }
+        super::conclude(self.json, &all, true)
+    }
+}
+
+fn print(axis: Axis, point: &Point) {
+    println!(
+        "{axis:?} {}: entry {:.2} % of a core, {:.0} bytes/s; side {:.3} % of a core, \
+         {:.0} bytes/s; memory {:.0} KB",
+        point.value,
+        point.entry_core_percent,
+        point.entry_bytes_per_second,
+        point.side_core_percent,
+        point.side_bytes_per_second,
+        point.memory_kilobytes,
+    );
+    if point.tally.offered > 0 {
+        println!("    {}", point.tally.line());
+    }
+}
+
+fn lines(all: &[Series]) -> plot::Lines {
+    let of = |name: &str, value: fn(&Point) -> f64| {
+        let series = all.iter().find(|series| series.axis == Axis::Endpoints);
+        let points = series.into_iter().flat_map(|series| &series.points);
+        (name.to_owned(), points.map(|point| (point.value as f64, value(point))).collect())
+    };
+    plot::Lines {
+        title: "Processor time without requests".to_owned(),
+        units: ("endpoints".to_owned(), "% of a core".to_owned()),
+        lines: vec![
+            of("entry", |point| point.entry_core_percent),
+            of("side", |point| point.side_core_percent),
+        ],
+    }
+}
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -9,6 +9,7 @@
 use oriole_core::name;
 use serde::Serialize;
 use serde_json::Value;
+use uuid::Uuid;
 
 use crate::caller::{Answer, Ask, Call, Caller, End};
 use crate::cluster::{Cluster, key};
@@ -139,33 +140,41 @@
             judged(&answer, &ask),
             answer.text
         ),
-        explain: explain(caller, entry, answer.id.as_deref()).await,
+        explain: explain(caller, entry, &ask.key, answer.id.as_deref()).await,
         request: answer.id,
     }
 }
 
+/// Calls a plain service, and again with the same idempotency key through another entry, as a
+/// caller does that did not get the answer.
 async fn call_service(cluster: &Cluster, caller: &Caller, scene: &Scene) -> Part {
-    let title = format!("non-idempotent call of {}{}", scene.service, scene.path);
-    let Some(entry) = first_entry(cluster) else { return no_entry(&title) };
+    let title = format!("non-idempotent call of {}{}, sent twice", scene.service, scene.path);
+    let entries = cluster.callers();
+    let (Some(first), Some(second)) = (entries.first(), entries.last()) else {
+        return no_entry(&title);
+    };
+    let key = key(&scene.large);
     let call = Call {
-        key: key(&scene.large),
+        key: key.clone(),
         service: scene.service.clone(),
         path: scene.path.clone(),
         id: "demo-1".to_owned(),
-        idempotency_key: None,
+        idempotency_key: Some(Uuid::now_v7().to_string()),
     };
-    let called = caller.call(entry, &call).await;
+    let called = caller.call(*first, &call).await;
+    let again = caller.call(*second, &call).await;
     let runs: u32 = cluster.endpoints.values().map(|e| e.record.runs(&call.id)).sum();
-    let (right, seen) = match &called {
-        Ok((status, body)) => (*status == 200, format!("status {status}, {body}")),
-        Err(end) => (false, format!("{end:?}")),
+    let seen = match &called.answer {
+        Ok((status, body)) => format!("status {status}, {body}"),
+        Err(end) => format!("{end:?}"),
     };
+    let same = if again.answer == called.answer { "the same answer" } else { "ANOTHER answer" };
     Part {
         title,
-        right: right && runs == 1,
-        seen: format!("{seen}; ran {runs} time(s) in all"),
-        request: None,
-        explain: Value::Null,
+        right: matches!(called.answer, Ok((200, _))) && again.answer == called.answer && runs == 1,
+        seen: format!("{seen}; {same} through another entry; ran {runs} time(s) in all"),
+        explain: explain(caller, *first, &key, called.id.as_deref()).await,
+        request: called.id,
     }
 }
 
@@ -191,7 +200,7 @@
     let request = first.and_then(|(_, answer)| answer.id.clone());
     let entry = first.map(|(entry, _)| *entry);
     let explain = match entry {
-        Some(entry) => explain(caller, entry, request.as_deref()).await,
+        Some(entry) => explain(caller, entry, &ask.key, request.as_deref()).await,
         None => Value::Null,
     };
     Part {
@@ -234,7 +243,7 @@
             answer.times.len(),
             judged(&answer, &ask)
         ),
-        explain: explain(caller, entry, answer.id.as_deref()).await,
+        explain: explain(caller, entry, &ask.key, answer.id.as_deref()).await,
         request: answer.id,
     }
 }
@@ -273,9 +282,9 @@
 }
 
 /// The entry's account of a request.
-async fn explain(caller: &Caller, entry: SocketAddr, id: Option<&str>) -> Value {
+async fn explain(caller: &Caller, entry: SocketAddr, key: &str, id: Option<&str>) -> Value {
     let Some(id) = id else { return Value::Null };
-    match caller.get(entry, &format!("/v1/explain/{id}")).await {
+    match caller.get(entry, key, &format!("/v1/explain/{id}")).await {
         Some((200, text)) => serde_json::from_str(&text).unwrap_or(Value::String(text)),
         _ => Value::Null,
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`run`]: streams of arrivals on several threads.
 //! - [`bound`]: admitted throughput over the contracts' bounds.
 //! - [`recover`]: time from a fault to the next token.
+//! - [`slopes`], [`synthetic`]: how costs grow with the size of a deployment.
 //! - [`plot`]: plots as SVG files.
 //! - [`cmd`]: the subcommands.
 
@@ -19,4 +20,6 @@
 pub mod plot;
 pub mod recover;
 pub mod run;
+pub mod slopes;
+pub mod synthetic;
 pub mod tally;
--- /dev/null
+++ b/crates/load/src/slopes.rs
@@ -0,0 +1,249 @@
+//! How the costs of each role grow with the size of a deployment.
+
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+
+use crate::caller::Ask;
+use crate::cluster::{Cluster, Error, Node, Options, key};
+use crate::run::{Balancer, Run, Stream, sum_up};
+use crate::synthetic::{self, Size};
+use crate::tally::Tally;
+
+/// Time after the start that is not measured.
+const SETTLING: Duration = Duration::from_secs(4);
+
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 32;
+
+/// Kilobytes of a page of memory.
+const PAGE_KILOBYTES: f64 = 4.0;
+
+/// What grows in a series.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Axis {
+    /// Endpoints, one a host.
+    Endpoints,
+    /// Entries.
+    Entries,
+    /// Workspaces.
+    Workspaces,
+    /// Requests a second over the whole deployment.
+    Requests,
+}
+
+impl Axis {
+    /// All axes.
+    pub const ALL: [Self; 4] = [Self::Endpoints, Self::Entries, Self::Workspaces, Self::Requests];
+
+    /// The points that are measured.
+    fn points(self) -> &'static [usize] {
+        match self {
+            Self::Endpoints => &[20, 60, 120, 200],
+            Self::Entries => &[2, 4, 8, 16],
+            Self::Workspaces => &[10, 200, 810],
+            Self::Requests => &[0, 20, 40, 80],
+        }
+    }
+
+    fn place(self, point: usize) -> (Size, usize) {
+        let base = Size { endpoints: 40, entries: 3, workspaces: 10 };
+        match self {
+            Self::Endpoints => (Size { endpoints: point, ..base }, 0),
+            Self::Entries => (Size { entries: point, ..base }, 0),
+            Self::Workspaces => (Size { workspaces: point, ..base }, 0),
+            Self::Requests => (base, point),
+        }
+    }
+}
+
+/// Figures of one point.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Point {
+    /// The value on the axis.
+    pub value: usize,
+    /// Size of the deployment.
+    pub size: Size,
+    /// Processor time of one entry, as a percentage of a core.
+    pub entry_core_percent: f64,
+    /// Processor time of one side, as a percentage of a core.
+    pub side_core_percent: f64,
+    /// Bytes a second that one entry exchanges with the system's other processes.
+    pub entry_bytes_per_second: f64,
+    /// Bytes a second that one side exchanges with the system's other processes.
+    pub side_bytes_per_second: f64,
+    /// Memory of everything in this process, stand-ins included, in kilobytes.
+    pub memory_kilobytes: f64,
+    /// Counts of the requests.
+    pub tally: Tally,
+}
+
+/// Growth of each figure for each further unit on the axis, by least squares.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Slope {
+    /// Processor time of one entry, as a percentage of a core.
+    pub entry_core_percent: f64,
+    /// Processor time of one side, as a percentage of a core.
+    pub side_core_percent: f64,
+    /// Bytes a second of one entry.
+    pub entry_bytes_per_second: f64,
+    /// Bytes a second of one side.
+    pub side_bytes_per_second: f64,
+    /// Memory of everything in this process, in kilobytes.
+    pub memory_kilobytes: f64,
+}
+
+/// Figures of one axis.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Series {
+    /// What grows.
+    pub axis: Axis,
+    /// The points.
+    pub points: Vec<Point>,
+    /// Growth.
+    pub slope: Slope,
+}
+
+/// What a point's counters show at one time.
+struct Reading {
+    at: Instant,
+    entry_time: Duration,
+    side_time: Duration,
+    entry_bytes: u64,
+    side_bytes: u64,
+}
+
+/// Measures one axis; `progress` is told each point.
+pub async fn run(
+    axis: Axis,
+    period: Duration,
+    seed: u64,
+    mut progress: impl FnMut(&Point),
+) -> Result<Series, Error> {
+    let mut points = Vec::new();
+    for value in axis.points() {
+        let (size, requests) = axis.place(*value);
+        let point = measure(*value, size, requests, period, seed).await?;
+        progress(&point);
+        points.push(point);
+    }
+    let slope = |of: fn(&Point) -> f64| {
+        let pairs: Vec<_> = points.iter().map(|p| (p.value as f64, of(p))).collect();
+        least_squares(&pairs)
+    };
+    let slope = Slope {
+        entry_core_percent: slope(|p| p.entry_core_percent),
+        side_core_percent: slope(|p| p.side_core_percent),
+        entry_bytes_per_second: slope(|p| p.entry_bytes_per_second),
+        side_bytes_per_second: slope(|p| p.side_bytes_per_second),
+        memory_kilobytes: slope(|p| p.memory_kilobytes),
+    };
+    Ok(Series { axis, points, slope })
+}
+
+async fn measure(
+    value: usize,
+    size: Size,
+    requests: usize,
+    period: Duration,
+    seed: u64,
+) -> Result<Point, Error> {
+    let memory_before = memory_kilobytes();
+    let options = Options { relays: true, seed, ..Options::default() };
+    let cluster = Cluster::start(synthetic::config(size), options)?;
+    cluster.wait_until_ready().await;
+    let balancer = Balancer::new(cluster.callers());
+    let streams = streams(&cluster, requests, SETTLING + period, seed);
+    let load = Run::start(streams, &balancer, 4);
+    tokio::time::sleep(SETTLING).await;
+    let before = read(&cluster);
+    tokio::time::sleep(period).await;
+    let after = read(&cluster);
+    let memory = memory_kilobytes() - memory_before;
+    let start = load.start;
+    let samples = load.finish().await;
+    let seconds = after.at.duration_since(before.at).as_secs_f64();
+    let percent = |later: Duration, earlier: Duration, count: usize| {
+        let used = later.saturating_sub(earlier).as_secs_f64();
+        100.0 * used / seconds / count.max(1) as f64
+    };
+    let bytes = |later: u64, earlier: u64, count: usize| {
+        later.saturating_sub(earlier) as f64 / seconds / count.max(1) as f64
+    };
+    Ok(Point {
+        value,
+        size,
+        entry_core_percent: percent(after.entry_time, before.entry_time, size.entries),
+        side_core_percent: percent(after.side_time, before.side_time, size.endpoints),
+        entry_bytes_per_second: bytes(after.entry_bytes, before.entry_bytes, size.entries),
+        side_bytes_per_second: bytes(after.side_bytes, before.side_bytes, size.endpoints),
+        memory_kilobytes: memory,
+        tally: sum_up(&samples, start..after.at).tally,
+    })
+}
+
+fn streams(cluster: &Cluster, requests: usize, duration: Duration, seed: u64) -> Vec<Stream> {
+    let Some((model, settings)) = cluster.config.models.first_key_value() else {
+        return Vec::new();
+    };
+    if requests == 0 {
+        return Vec::new();
+    }
+    let workspaces: Vec<_> = cluster.config.contracts.keys().take(4).collect();
+    let rate = requests as f64 / workspaces.len().max(1) as f64;
+    let numbered = workspaces.into_iter().zip(1_u64..);
+    numbered
+        .map(|(workspace, number)| Stream {
+            ask: Ask {
+                key: key(workspace),
+                model: model.to_string(),
+                content: String::new(),
+                max_tokens: ANSWER_TOKENS,
+                deadline: Duration::from_secs(20),
+                layers: settings.layers,
+            },
+            words: 20,
+            per_second: rate,
+            duration,
+            seed: seed.wrapping_mul(1000).wrapping_add(number),
+        })
+        .collect()
+}
+
+fn read(cluster: &Cluster) -> Reading {
+    let time = |node: Option<&Node>| node.and_then(Node::processor_time).unwrap_or_default();
+    let entries = cluster.entries.values();
+    let sides = cluster.sides.values();
+    let bytes = |relay: Option<&oriole_standin::relay::Switch>| relay.map_or(0, |r| r.bytes());
+    let entry_to_entry: u64 = entries.clone().map(|e| bytes(e.relay.as_ref())).sum();
+    let to_sides: u64 = sides.clone().map(|s| bytes(s.relay.as_ref())).sum();
+    Reading {
+        at: Instant::now(),
+        entry_time: entries.map(|e| time(e.node.as_ref())).sum(),
+        side_time: sides.map(|s| time(s.node.as_ref())).sum(),
+        // Each connection between entries is seen by two of them.
+        entry_bytes: to_sides + 2 * entry_to_entry,
+        side_bytes: to_sides,
+    }
+}
+
+/// Memory that this process holds now.
+fn memory_kilobytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or_default() * PAGE_KILOBYTES
+}
+
+/// Slope of the line that fits the points best.
+fn least_squares(points: &[(f64, f64)]) -> f64 {
+    let count = points.len().max(1) as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    if variance > 0.0 { covariance / variance } else { 0.0 }
+}
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -38,11 +39,13 @@
 #[derive(Clone, Debug)]
 pub struct Switch {
     state: Arc<watch::Sender<State>>,
+    bytes: Arc<AtomicU64>,
 }
 
 impl Default for Switch {
     fn default() -> Self {
-        Self { state: Arc::new(watch::Sender::new(State::default())) }
+        let state = Arc::new(watch::Sender::new(State::default()));
+        Self { state, bytes: Arc::default() }
     }
 }
 
@@ -87,6 +90,11 @@
         });
     }
 
+    /// Bytes that were read so far, in both directions of all connections.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
     fn number(&self) -> u64 {
         let mut number = 0;
         self.state.send_modify(|s| {
@@ -148,6 +156,7 @@
     loop {
         let Ok(len) = from.read(&mut buffer).await else { return };
         let Some(read) = buffer.get(..len).filter(|read| !read.is_empty()) else { return };
+        switch.bytes.fetch_add(len as u64, Ordering::Relaxed);
         let (delay, rate) = {
             let state = switch.state.borrow();
             (state.delay, state.bytes_per_second)
