Check what entries hold together at each instant; bind loans to rosters

Cause: the window check alone did not notice a borrower that counts a loan's life from its receipt, and a lender that has missed a roster could lend what it no longer owns.

Change: the test world sums parts, levels and slots over all entries every 10 ms. A grant carries the lender's roster; a borrower with a newer one does not use it, and gives all loans back when it learns of a roster. Slots are divided among all entries, rates among few if the burst is small.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -271,6 +271,7 @@
             if missed && let Some(account) = self.accounts.get_mut(key) {
                 account.push_share(now, Terms::default());
             }
+            self.return_all(now, key, out);
             self.divide(now, key);
         }
         self.greet(now, out);
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -72,8 +72,10 @@
     pub borrowed: BTreeMap<u64, Borrowed>,
     /// Unanswered requests for loans, by number.
     pub pending: BTreeMap<u64, Pending>,
-    /// The entries that own a share, without this one.
+    /// The other entries, first those that own a part of the rates.
     pub lenders: Vec<name::Host>,
+    /// How many of `lenders` own a part of the rates.
+    pub holders: usize,
     /// Index into `lenders` of the one to ask next.
     pub cursor: usize,
     /// Rounds of requests for loans that brought nothing.
@@ -113,6 +115,7 @@
             borrowed: BTreeMap::new(),
             pending: BTreeMap::new(),
             lenders: Vec::new(),
+            holders: 0,
             cursor: 0,
             fruitless: 0,
             next_ask: now,
@@ -241,11 +244,11 @@
 
     /// Takes over the entries that may lend. Each entry starts at another one.
     pub fn set_lenders(&mut self, host: &name::Host, roster: &Roster) {
-        let holders = roster.holders(&self.workspace, &self.limits);
-        self.lenders =
-            holders.into_iter().map(|(h, _)| h).filter(|h| *h != host).cloned().collect();
-        let place = roster.entries.keys().position(|h| h == host).unwrap_or(0);
-        self.cursor = place % self.lenders.len().max(1);
+        let ring = roster.ring(&self.workspace);
+        let holders = roster.holders(&ring, &self.limits).iter().filter(|(h, _)| *h != host);
+        self.holders = holders.count();
+        self.lenders = ring.iter().map(|(h, _)| *h).filter(|h| *h != host).cloned().collect();
+        self.cursor = roster.entries.keys().position(|h| h == host).unwrap_or(0);
     }
 
     /// Slots that are free to be used or lent.
--- a/crates/core/src/limit/ask.rs
+++ b/crates/core/src/limit/ask.rs
@@ -87,12 +87,11 @@
             at: now,
             renew: request.renew,
             hold: account.longest,
-            sporadic: account.demand.sporadic(now),
+            brief: account.is_brief(now, request.least),
         };
         account.pending.insert(number, pending);
         let ask = Ask {
             number,
-            boot: self.boot,
             workspace: account.workspace.clone(),
             least: request.least,
             want: request.want,
@@ -113,7 +112,8 @@
         let Some(key) = self.names.get(&grant.workspace).copied() else {
             return;
         };
-        let Some(account) = self.accounts.get_mut(key).filter(|_| grant.boot == self.boot) else {
+        let roster = self.roster();
+        let Some(account) = self.accounts.get_mut(key) else {
             return;
         };
         let Some(pending) = account.take_pending(from, grant.number) else {
@@ -122,11 +122,13 @@
         account.advance(now);
         let life = self.settings.loan().min(Duration::from_millis(grant.life_ms.into()));
         let until = pending.at + life;
+        // A lender that has missed the present roster may lend what it no longer owns.
+        let useless = grant.terms.is_empty() || until <= now || grant.roster < roster;
         if pending.renew.is_some() {
-            account.extend(&grant, until);
+            account.extend(&grant, until, useless);
             return;
         }
-        if grant.terms.is_empty() || until <= now {
+        if useless {
             account.on_refusal(now);
         } else {
             account.receive(now, &grant, pending, until);
@@ -154,28 +156,36 @@
     /// Whom to ask next, and for what, if something is short and the tries last.
     fn next_ask(&mut self, now: Instant) -> Option<(name::Host, Terms, Terms)> {
         let short = self.short.filter(|s| s.until > now && s.tries > 0)?;
+        let least = self.missing(short.tokens);
+        let brief = self.is_brief(now, least);
         // One lender at a time for a single request; several when much is short.
-        let sporadic = self.demand.sporadic(now);
-        let most = if sporadic { 1 } else { MAX_OPEN };
+        let most = if brief { 1 } else { MAX_OPEN };
         if self.open_asks(now) >= most {
             return None;
         }
-        let least = self.missing(short.tokens);
-        let lack = if sporadic { Terms::default() } else { self.need(now).minus(self.held) };
+        let lack = if brief { Terms::default() } else { self.need(now).minus(self.held) };
         let want = least.max(lack);
         if want.is_empty() {
             return None;
         }
-        let to = self.next_lender(now)?;
+        let all = want.requests == 0 && want.tokens == 0;
+        let to = self.next_lender(now, if all { self.lenders.len() } else { self.holders })?;
         self.short = Some(Short { tries: short.tries - 1, ..short });
         Some((to, least, want))
     }
 
-    /// The next entry that is not being asked.
-    fn next_lender(&mut self, now: Instant) -> Option<name::Host> {
-        for _ in 0..self.lenders.len() {
-            let host = self.lenders.get(self.cursor % self.lenders.len())?.clone();
-            self.cursor = (self.cursor + 1) % self.lenders.len();
+    /// Whether the demand is so low that a loan of `least` would mostly lie idle here, so that it
+    /// is given back after one request.
+    fn is_brief(&self, now: Instant, least: Terms) -> bool {
+        let need = self.need(now);
+        need.requests < least.requests || need.tokens < least.tokens
+    }
+
+    /// The next of the first `count` lenders that is not being asked.
+    fn next_lender(&mut self, now: Instant, count: usize) -> Option<name::Host> {
+        for _ in 0..count {
+            let host = self.lenders.get(self.cursor % count)?.clone();
+            self.cursor = (self.cursor + 1) % count;
             if !self.pending.values().any(|p| p.to == host && p.is_open(now)) {
                 return Some(host);
             }
@@ -185,7 +195,7 @@
 
     /// Whether the rate held is below the demand and the bucket is running out.
     fn runs_low(&self, now: Instant) -> bool {
-        if self.next_early > now || self.next_ask > now || self.demand.sporadic(now) {
+        if self.next_early > now || self.next_ask > now {
             return false;
         }
         let lack = self.need(now).minus(self.held);
@@ -199,8 +209,8 @@
         self.pending.remove(&number)
     }
 
-    fn extend(&mut self, grant: &Grant, until: Instant) {
-        if grant.terms.is_empty() {
+    fn extend(&mut self, grant: &Grant, until: Instant, useless: bool) {
+        if useless {
             return;
         }
         if let Some(loan) = self.borrowed.get_mut(&grant.loan).filter(|l| l.active) {
@@ -230,7 +240,7 @@
             until,
             hold: pending.hold,
             active: true,
-            brief: grant.brief || pending.sporadic,
+            brief: grant.brief || pending.brief,
             since: now,
             slots_back: 0,
             levels: Levels::default(),
--- a/crates/core/src/limit/demand.rs
+++ b/crates/core/src/limit/demand.rs
@@ -36,11 +36,6 @@
         self.tokens * self.kept(now)
     }
 
-    /// Whether so little arrives that a loan would serve a single request.
-    pub fn sporadic(&self, now: Instant) -> bool {
-        self.requests(now) * HORIZON_S < 1.8
-    }
-
     fn kept(&self, now: Instant) -> f64 {
         (-now.since(self.at).as_secs_f64() / HORIZON_S).exp()
     }
--- a/crates/core/src/limit/keep.rs
+++ b/crates/core/src/limit/keep.rs
@@ -28,6 +28,18 @@
         }
     }
 
+    /// Gives all loans back, since their lenders may have missed the present roster.
+    pub(super) fn return_all(&mut self, now: Instant, key: Key, out: &mut Vec<Effect>) {
+        let Some(account) = self.accounts.get_mut(key).filter(|a| !a.borrowed.is_empty()) else {
+            return;
+        };
+        account.advance(now);
+        let loans: Vec<u64> = account.borrowed.keys().copied().collect();
+        for loan in loans {
+            account.give_back(loan, out);
+        }
+    }
+
     /// Returns slots of ended loans as requests end.
     pub(super) fn return_slots(&mut self, key: Key, out: &mut Vec<Effect>) {
         if let Some(account) = self.accounts.get_mut(key).filter(|a| !a.borrowed.is_empty()) {
--- a/crates/core/src/limit/lend.rs
+++ b/crates/core/src/limit/lend.rs
@@ -30,8 +30,8 @@
         let mut grant = Grant {
             number: ask.number,
             loan,
-            boot: ask.boot,
             workspace: ask.workspace.clone(),
+            roster: self.roster(),
             terms: Terms::default(),
             levels: Levels::default(),
             life_ms: self.settings.loan_ms,
@@ -62,7 +62,6 @@
                 grant.levels = account.take(grant.terms);
                 let lent = Lent {
                     to: from.clone(),
-                    boot: ask.boot,
                     number: ask.number,
                     terms: grant.terms,
                     rates_out: true,
@@ -100,7 +99,7 @@
 impl Account {
     /// Whether this very request was answered with a loan that is still out.
     fn has_lent(&self, from: &name::Host, ask: &Ask) -> bool {
-        let same = |l: &Lent| l.number == ask.number && l.boot == ask.boot && l.to == *from;
+        let same = |l: &Lent| l.number == ask.number && l.to == *from;
         self.lent.values().any(same)
     }
 
--- a/crates/core/src/limit/loan.rs
+++ b/crates/core/src/limit/loan.rs
@@ -11,8 +11,6 @@
 pub struct Lent {
     /// The borrower.
     pub to: name::Host,
-    /// The borrower's boot number.
-    pub boot: u32,
     /// The borrower's number of the request for the loan.
     pub number: u64,
     /// What was lent.
@@ -56,7 +54,7 @@
     pub hold: Duration,
     /// Whether requests may be admitted under it.
     pub active: bool,
-    /// Whether the lender needs it back as soon as it has been used.
+    /// Whether it is to be given back as soon as it has been used.
     pub brief: bool,
     /// When it was received.
     pub since: Instant,
@@ -96,6 +94,6 @@
     pub renew: Option<u64>,
     /// Every request that uses the loan is over this long after its end.
     pub hold: Duration,
-    /// Whether a loan would serve a single request.
-    pub sporadic: bool,
+    /// Whether the loan serves a single request and is to be given back then.
+    pub brief: bool,
 }
--- a/crates/core/src/limit/start.rs
+++ b/crates/core/src/limit/start.rs
@@ -204,7 +204,6 @@
         account.advance(now);
         let lent = Lent {
             to: from.clone(),
-            boot: 0,
             number: 0,
             terms: held.terms,
             rates_out: true,
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -42,47 +42,45 @@
         Self { number: self.number.saturating_add(1), previous: self.number, entries }
     }
 
-    /// The entries that own a part of a contract's bound, in the order of the division.
-    ///
-    /// A contract with a small burst is divided among few, since a part that is smaller than one
-    /// request admits nothing. The workspace's name picks which, so that load spreads.
-    pub fn holders(&self, workspace: &name::Workspace, limits: &Limits) -> Vec<(&name::Host, u32)> {
+    /// The entries of some weight, in the order in which a workspace's bounds are divided. Its
+    /// name picks the first, so that what is not divided among all is spread over all.
+    pub fn ring(&self, workspace: &name::Workspace) -> Vec<(&name::Host, u32)> {
         let mut ring: Vec<_> =
             self.entries.iter().filter(|(_, w)| **w > 0).map(|(h, w)| (h, *w)).collect();
-        if ring.is_empty() {
-            return ring;
-        }
-        let start = spread(workspace) as usize % ring.len();
+        let start = spread(workspace) as usize % ring.len().max(1);
         ring.rotate_left(start);
-        let tokens = limits.token_burst / HOLDER_TOKENS;
-        let count = limits.request_burst.min(tokens).min(limits.concurrency).max(1);
-        ring.truncate(usize::try_from(count).unwrap_or(usize::MAX));
         ring
     }
 
-    /// What `host` owns of a contract's bound. Over all entries the parts sum to the whole.
+    /// The entries of a ring that own a part of the rates and bursts.
+    ///
+    /// A contract with a small burst is divided among few, since a part that is smaller than one
+    /// request admits nothing.
+    pub fn holders<'r, 'h>(
+        &self,
+        ring: &'r [(&'h name::Host, u32)],
+        limits: &Limits,
+    ) -> &'r [(&'h name::Host, u32)] {
+        let count = limits.request_burst.min(limits.token_burst / HOLDER_TOKENS).max(1);
+        let count = usize::try_from(count).unwrap_or(usize::MAX).min(ring.len());
+        ring.get(..count).unwrap_or(ring)
+    }
+
+    /// What `host` owns of a contract's bounds. Over all entries the parts sum to the whole.
     pub fn own(&self, host: &name::Host, workspace: &name::Workspace, limits: &Limits) -> Terms {
-        let holders = self.holders(workspace, limits);
-        let sum: u64 = holders.iter().map(|(_, w)| u64::from(*w)).sum();
-        let mut before = 0u64;
-        for (holder, weight) in holders {
-            let after = before + u64::from(weight);
-            if holder == host {
-                let parts = slice(WHOLE, before, after, sum);
-                let slots = slice(limits.concurrency, before, after, sum);
-                return Terms { requests: parts, tokens: parts, slots };
-            }
-            before = after;
-        }
-        Terms::default()
+        let ring = self.ring(workspace);
+        let parts = slice(WHOLE, host, self.holders(&ring, limits));
+        Terms { requests: parts, tokens: parts, slots: slice(limits.concurrency, host, &ring) }
     }
 }
 
-/// The integers of `0..whole` that fall to the slice `before..after` of `sum`; slices that cover
-/// `sum` without gap or overlap share out the whole exactly.
-fn slice(whole: u32, before: u64, after: u64, sum: u64) -> u32 {
+/// The part of `whole` that falls to `host`. The parts of a ring sum to the whole exactly.
+fn slice(whole: u32, host: &name::Host, ring: &[(&name::Host, u32)]) -> u32 {
+    let sum: u64 = ring.iter().map(|(_, w)| u64::from(*w)).sum();
+    let before = ring.iter().take_while(|(h, _)| *h != host).map(|(_, w)| u64::from(*w)).sum();
+    let weight = ring.iter().find(|(h, _)| *h == host).map_or(0, |(_, w)| u64::from(*w));
     let cut = |at: u64| u128::from(whole) * u128::from(at) / u128::from(sum.max(1));
-    u32::try_from(cut(after) - cut(before)).unwrap_or(0)
+    u32::try_from(cut(before + weight) - cut(before)).unwrap_or(0)
 }
 
 /// A number that spreads workspaces evenly.
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -145,12 +145,9 @@
 /// Asks for a part of the receiver's share.
 #[data]
 pub struct Ask {
-    /// Number that the borrower never uses twice in one run.
+    /// Number that the borrower never uses twice, in this run or another.
     #[serde(rename = "n")]
     pub number: u64,
-    /// Random number that the borrower drew when it started.
-    #[serde(rename = "b")]
-    pub boot: u32,
     /// The workspace.
     #[serde(rename = "w")]
     pub workspace: name::Workspace,
@@ -177,12 +174,12 @@
     /// The lender's number of the loan, never used twice.
     #[serde(rename = "i")]
     pub loan: u64,
-    /// The borrower's boot number.
-    #[serde(rename = "b")]
-    pub boot: u32,
     /// The workspace.
     #[serde(rename = "w")]
     pub workspace: name::Workspace,
+    /// Number of the lender's roster. A borrower with a newer one does not use the loan.
+    #[serde(rename = "o")]
+    pub roster: u64,
     /// What is lent; empty if nothing can be spared.
     #[serde(rename = "t")]
     pub terms: Terms,
--- a/crates/core/tests/limit/bound.rs
+++ b/crates/core/tests/limit/bound.rs
@@ -66,11 +66,12 @@
         .to_vec()
 }
 
-fn load(world: &mut World, ms: u64, nodes: u8) {
+fn load(world: &mut World, ms: u64, nodes: u8) -> Result<(), String> {
     let end = world.now + ms * MS;
     let nodes: Vec<usize> = members(nodes).into_iter().collect();
     while world.now < end {
         world.advance(world.now + 10 * MS);
+        world.check_sums()?;
         for (workspace, _) in workspaces() {
             let Some(node) = nodes.get(world.rng.random_range(0..nodes.len().max(1))) else {
                 continue;
@@ -81,11 +82,12 @@
             world.arrive(*node, &workspace, Work { estimate, used, run_us });
         }
     }
+    Ok(())
 }
 
-fn apply(world: &mut World, op: &Op) {
+fn apply(world: &mut World, op: &Op) -> Result<(), String> {
     match *op {
-        Op::Load { ms, nodes } => load(world, ms, nodes),
+        Op::Load { ms, nodes } => return load(world, ms, nodes),
         Op::Pause(node) => world.pause(node),
         Op::Resume(node) => world.resume(node),
         Op::Kill(node) => world.kill(node),
@@ -95,6 +97,7 @@
             world.wire = Wire { loss, double, delay_us: 100..delay_ms * MS };
         }
     }
+    Ok(())
 }
 
 proptest! {
@@ -113,7 +116,7 @@
             workspaces().into_iter().map(|(w, l)| contract(&w, l, longest)).collect();
         let mut world = World::new(seed, NODES, settings(), contracts);
         for op in &ops {
-            apply(&mut world, op);
+            prop_assert_eq!(apply(&mut world, op), Ok(()));
         }
         prop_assert_eq!(world.check(), Ok(()));
     }
--- a/crates/core/tests/limit/world.rs
+++ b/crates/core/tests/limit/world.rs
@@ -7,8 +7,8 @@
 use oriole_core::contract::{Contract, Limits, Service};
 use oriole_core::limit::{Book, Effect, PARK_MS, Permit, Settings, TICK_MS};
 use oriole_core::name::{Host, Workspace};
-use oriole_core::roster::Roster;
-use oriole_core::share::Message;
+use oriole_core::roster::{Roster, WHOLE};
+use oriole_core::share::{Message, Terms};
 use oriole_core::time::Instant;
 use oriole_core::units::Rate;
 use rand::{RngExt, SeedableRng};
@@ -89,6 +89,8 @@
 pub struct World {
     pub now: u64,
     pub wire: Wire,
+    /// Within this time every process learns of a new roster.
+    pub spread_ms: u64,
     pub figures: Figures,
     pub log: BTreeMap<Workspace, Vec<Admission>>,
     pub rng: ChaCha8Rng,
@@ -133,6 +135,7 @@
         let mut world = Self {
             now: 0,
             wire: calm(),
+            spread_ms: settings.propagation_ms.into(),
             figures: Figures::default(),
             log: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -231,7 +234,7 @@
     }
 
     fn spread(&mut self, node: usize, roster: usize) {
-        let last = self.rosters[roster].0 + u64::from(self.settings.propagation_ms) * MS;
+        let last = self.rosters[roster].0 + self.spread_ms * MS;
         let at = self.rng.random_range(self.now..last.max(self.now + 1));
         self.schedule(at, node, Event::Learn(roster));
     }
@@ -392,6 +395,37 @@
         self.send(node, out);
     }
 
+    /// Checks that what the entries hold together, at this instant, is not above the whole.
+    pub fn check_sums(&mut self) -> Result<(), String> {
+        let current = self.rosters[self.in_force()].1.number;
+        for (workspace, contract) in &self.contracts {
+            let running = self.running.get(workspace).map_or(0, BTreeSet::len);
+            let mut sum = Terms { slots: running as u32, ..Terms::default() };
+            let mut levels = [0, 0];
+            for node in &mut self.nodes {
+                let now = node.clock(self.now);
+                let book = node.book.as_mut().filter(|b| b.roster() >= current);
+                let Some(view) = book.and_then(|b| b.view(now, workspace)) else {
+                    continue;
+                };
+                let slots = view.held.slots.saturating_sub(view.in_use);
+                sum = sum.plus(Terms { slots, ..view.held });
+                levels[0] += view.requests.max(0);
+                levels[1] += view.tokens.max(0);
+            }
+            let whole = i64::from(WHOLE);
+            let limits = &contract.limits;
+            let most = Terms { requests: WHOLE, tokens: WHOLE, slots: limits.concurrency };
+            if !most.covers(sum)
+                || levels[0] > whole * i64::from(limits.request_burst)
+                || levels[1] > whole * i64::from(limits.token_burst)
+            {
+                return Err(format!("{workspace} at {} us: {sum:?}, {levels:?}", self.now));
+            }
+        }
+        Ok(())
+    }
+
     /// Checks every window of every workspace against the bound.
     pub fn check(&self) -> Result<(), String> {
         for (workspace, admissions) in &self.log {
