Give brief loans back at once; order holders by rendezvous hashing

Change: a loan is kept only where at least five arrivals in two seconds call for it; else it returns after one request. Back-off is not reset by a loan from a lender that is itself short. The ring of holders is ordered by rendezvous hashing.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -204,6 +204,11 @@
         out: &mut Vec<Effect>,
     ) {
         for (workspace, contract) in contracts {
+            let known = self.account(workspace).filter(|a| a.gone.is_none());
+            let longest = contract.service.longest_deadline;
+            if known.is_some_and(|a| a.limits == contract.limits && a.longest >= longest) {
+                continue;
+            }
             let key = self.open(now, workspace, contract);
             self.divide(now, key);
         }
--- a/crates/core/src/limit/ask.rs
+++ b/crates/core/src/limit/ask.rs
@@ -22,6 +22,7 @@
 
 const FIRST_BACKOFF_MS: u64 = 20;
 const MAX_BACKOFF_SHIFT: u32 = 6;
+const MIN_BACKOFF_SHIFT: u32 = 2;
 
 /// Least time between two requests for loans that are made before anything is denied.
 const EARLY_INTERVAL_MS: u64 = 250;
@@ -178,7 +179,8 @@
     /// is given back after one request.
     fn is_brief(&self, now: Instant, least: Terms) -> bool {
         let need = self.need(now);
-        need.requests < least.requests || need.tokens < least.tokens
+        let small = need.requests < least.requests || need.tokens < least.tokens;
+        small || !self.demand.is_steady(now)
     }
 
     /// The next of the first `count` lenders that is not being asked.
@@ -195,7 +197,7 @@
 
     /// Whether the rate held is below the demand and the bucket is running out.
     fn runs_low(&self, now: Instant) -> bool {
-        if self.next_early > now || self.next_ask > now {
+        if self.next_early > now || self.next_ask > now || !self.demand.is_steady(now) {
             return false;
         }
         let lack = self.need(now).minus(self.held);
@@ -224,11 +226,20 @@
         if self.short.is_some_and(|s| s.tries > 0) {
             return;
         }
-        let shift = self.fruitless.min(MAX_BACKOFF_SHIFT);
+        // Without a part that admits a request, everything depends on loans.
+        let alone = self.holds_one();
+        let shift = self.fruitless.min(if alone { MAX_BACKOFF_SHIFT } else { MIN_BACKOFF_SHIFT });
         self.next_ask = now + Duration::from_millis(FIRST_BACKOFF_MS << shift);
         self.fruitless = self.fruitless.saturating_add(1);
     }
 
+    /// Whether the own part can hold what the denied request needs.
+    fn holds_one(&self) -> bool {
+        let tokens = self.short.map_or(0, |s| s.tokens);
+        self.own.requests >= self.requests.bound().parts(UNIT)
+            && self.own.tokens >= self.tokens.bound().parts(tokens)
+    }
+
     fn receive(&mut self, now: Instant, grant: &Grant, pending: Pending, until: Instant) {
         // The one that could lend is asked first the next time.
         if let Some(place) = self.lenders.iter().position(|h| *h == pending.to) {
@@ -249,7 +260,10 @@
         self.borrowed.insert(grant.loan, loan);
         self.recount();
         self.add(grant.levels);
-        self.fruitless = 0;
+        // A lender that is itself short shows that there is little to be had.
+        if !grant.brief {
+            self.fruitless = 0;
+        }
     }
 }
 
--- a/crates/core/src/limit/demand.rs
+++ b/crates/core/src/limit/demand.rs
@@ -3,6 +3,7 @@
 use crate::time::Instant;
 
 const HORIZON_S: f64 = 2.0;
+const STEADY_ARRIVALS: f64 = 5.0;
 
 /// Exponentially weighted rates of requests and of tokens that arrive.
 #[derive(Clone, Debug)]
@@ -36,6 +37,11 @@
         self.tokens * self.kept(now)
     }
 
+    /// Whether enough arrives for the estimate to mean more than a chance coincidence.
+    pub fn is_steady(&self, now: Instant) -> bool {
+        self.requests(now) * HORIZON_S >= STEADY_ARRIVALS
+    }
+
     fn kept(&self, now: Instant) -> f64 {
         (-now.since(self.at).as_secs_f64() / HORIZON_S).exp()
     }
--- a/crates/core/src/roster.rs
+++ b/crates/core/src/roster.rs
@@ -42,13 +42,14 @@
         Self { number: self.number.saturating_add(1), previous: self.number, entries }
     }
 
-    /// The entries of some weight, in the order in which a workspace's bounds are divided. Its
-    /// name picks the first, so that what is not divided among all is spread over all.
+    /// The entries of some weight, in the order in which a workspace's bounds are divided.
+    ///
+    /// The order is by rendezvous hashing: it differs between workspaces, so that what is not
+    /// divided among all is spread over all, and an entry that joins or leaves moves no other.
     pub fn ring(&self, workspace: &name::Workspace) -> Vec<(&name::Host, u32)> {
         let mut ring: Vec<_> =
             self.entries.iter().filter(|(_, w)| **w > 0).map(|(h, w)| (h, *w)).collect();
-        let start = spread(workspace) as usize % ring.len().max(1);
-        ring.rotate_left(start);
+        ring.sort_by_cached_key(|(host, _)| score(workspace, host));
         ring
     }
 
@@ -83,8 +84,11 @@
     u32::try_from(cut(before + weight) - cut(before)).unwrap_or(0)
 }
 
-/// A number that spreads workspaces evenly.
-fn spread(workspace: &name::Workspace) -> u32 {
-    let digest = Sha256::digest(workspace.as_str().as_bytes());
-    u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]])
+/// The place of a host in the order of a workspace.
+fn score(workspace: &name::Workspace, host: &name::Host) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(workspace.as_str().as_bytes());
+    hash.update([0]);
+    hash.update(host.as_str().as_bytes());
+    hash.finalize().into()
 }
