Add oriole-side: settings, command line, operators' HTTP, graceful stop

Also: the home of keys goes by the shard held and the revision of the configuration, not by the number of the entries' roster (numbers of the two are different things, and no claim could have matched); the process follows revisions from its peers (no adapter of the key-value service yet); side.rs and generation.rs split.

--- a/crates/core/src/home.rs
+++ b/crates/core/src/home.rs
@@ -62,14 +62,15 @@
 /// Keys of the shards that one side is the home of.
 pub struct Home {
     bounds: Bounds,
-    roster: u64,
+    /// Number of the configuration's revision.
+    revision: u64,
     /// Shards held.
     shards: BTreeMap<u16, Tenure>,
     /// Keys issued at or before this wall-clock time may have been evicted.
     evicted_ms: u64,
     /// When the process was last known to be running.
     ticked: Instant,
-    /// Whether the roster must be confirmed after a pause.
+    /// Whether the revision must be confirmed after a pause.
     doubtful: bool,
     keys: BTreeMap<Key, Record>,
     by_issue: BTreeSet<(u64, Key)>,
@@ -103,7 +104,7 @@
     pub fn new(now: Instant, bounds: Bounds) -> Self {
         Self {
             bounds,
-            roster: 0,
+            revision: 0,
             shards: BTreeMap::new(),
             evicted_ms: 0,
             ticked: now,
@@ -115,15 +116,15 @@
         }
     }
 
-    /// Adopts a roster that gives `shards` to this home.
+    /// Adopts a revision of the configuration that gives `shards` to this home.
     ///
     /// Shards that it did not hold may have run keys under another home, or under this host's
     /// former process: they stay silent for a while, and keys from before are unknown.
-    pub fn adopt(&mut self, clock: Clock, roster: u64, shards: &BTreeSet<u16>) {
-        if roster < self.roster {
+    pub fn adopt(&mut self, clock: Clock, revision: u64, shards: &BTreeSet<u16>) {
+        if revision < self.revision {
             return;
         }
-        self.roster = roster;
+        self.revision = revision;
         self.shards.retain(|shard, _| shards.contains(shard));
         let silence = Duration::from_millis(self.bounds.takeover_ms);
         // One tolerance for the caller's clock, one for the earlier home's.
@@ -139,21 +140,21 @@
         }
     }
 
-    /// The process is running. After a pause the roster may be superseded, and claims are refused
-    /// until [`Home::confirm`].
+    /// The process is running. After a pause it may be superseded, and claims are refused until
+    /// [`Home::confirm`].
     pub fn tick(&mut self, now: Instant) {
         self.doubtful |= self.has_paused(now);
         self.ticked = now;
     }
 
-    /// Another process has this roster, as of now.
-    pub fn confirm(&mut self, roster: u64) {
-        self.doubtful &= roster != self.roster;
+    /// Another process has this revision in force, as of now.
+    pub fn confirm(&mut self, revision: u64) {
+        self.doubtful &= revision != self.revision;
     }
 
-    /// Number of the roster.
-    pub fn roster(&self) -> u64 {
-        self.roster
+    /// Number of the configuration's revision.
+    pub fn revision(&self) -> u64 {
+        self.revision
     }
 
     /// Keys held.
@@ -169,9 +170,9 @@
     /// Decides on a claim.
     pub fn claim(&mut self, clock: Clock, claim: &Claim) -> Verdict {
         let shard = shard(&claim.workspace, claim.key);
-        let Some(tenure) = self.shards.get(&shard).filter(|_| claim.roster == self.roster) else {
-            return unknown(Refusal::Superseded);
-        };
+        // Holding the shard is what counts: an entry with another configuration that comes to the
+        // present home does no harm.
+        let Some(tenure) = self.shards.get(&shard) else { return unknown(Refusal::Superseded) };
         if self.doubtful || self.has_paused(clock.now) || clock.now < tenure.serves_at {
             return unknown(Refusal::HomeUnreachable);
         }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -9,9 +9,12 @@
 //! - `service`: calls of plain services.
 //! - `resolve`: cancelling, and refuse-or-report.
 //! - `report`: load reports to entries.
+//! - `end`: the ways in which work ends.
 //! - [`count`], [`journal`]: what operators can ask.
 
 pub mod count;
+mod end;
+mod event;
 mod gate;
 mod generation;
 pub mod journal;
@@ -21,16 +24,17 @@
 mod work;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::config::Config;
 use crate::drain::Cause;
 use crate::home::{self, Home};
-use crate::message::{Answer, Call, Claimed, Load, Message};
-use crate::request::{Id, Ran, host_hash};
+use crate::message::{Claimed, Load, Message};
+use crate::request::{Id, host_hash};
 use crate::time::{Instant, as_us};
-use crate::{engine, ledger, name};
+use crate::{ledger, name};
+
+pub use event::{Effect, Event};
 
 use count::{Count, Counters};
 use gate::Gate;
@@ -40,105 +44,6 @@
 /// Time for which work admitted under the roster before the present one is still taken.
 const ROSTER_GRACE: Duration = Duration::from_secs(20);
 
-/// Something that a side must react to.
-#[derive(Debug)]
-pub enum Event {
-    /// A message arrived.
-    Message {
-        /// The sender.
-        from: name::Host,
-        /// The message.
-        message: Message,
-    },
-    /// A connection to a host is open.
-    Up(name::Host),
-    /// The connection to a host ended; messages sent to it may be lost.
-    Lost(name::Host),
-    /// An engine has run a batch, or failed as a whole.
-    Ran {
-        /// The engine.
-        endpoint: name::Endpoint,
-        /// Outcomes in the order of the batch's steps; `None` if the engine failed.
-        outcomes: Option<Vec<Result<engine::Output, engine::StepError>>>,
-    },
-    /// A plain service has answered, or failed.
-    Answered {
-        /// The service's endpoint.
-        endpoint: name::Endpoint,
-        /// The request.
-        request: Id,
-        /// The answer, or whether the call may have run.
-        answer: Result<Answer, Ran>,
-    },
-    /// What an engine says of itself, which may lag.
-    Observed {
-        /// The engine.
-        endpoint: name::Endpoint,
-        /// Tokens of KV cache that are free.
-        free: u32,
-        /// Hashes of prompt prefixes that were added to its cache.
-        stored: Vec<u64>,
-    },
-    /// An endpoint is leaving, or is back.
-    Leaving {
-        /// The endpoint.
-        endpoint: name::Endpoint,
-        /// Who says so.
-        cause: Cause,
-        /// Whether it leaves.
-        leaving: bool,
-    },
-    /// A configuration is in force.
-    Configured {
-        /// The configuration.
-        config: Box<Config>,
-        /// Number of its roster.
-        roster: u64,
-    },
-    /// Another process has this roster.
-    Roster(u64),
-    /// Time has passed.
-    Tick {
-        /// Milliseconds since the Unix epoch.
-        wall_ms: u64,
-    },
-}
-
-/// Something that the adapter must do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Sends a message to a host, dialling the address if one is given.
-    Send {
-        /// The receiver.
-        host: name::Host,
-        /// Where it listens.
-        address: Option<SocketAddr>,
-        /// The message.
-        message: Message,
-    },
-    /// Runs a batch on an engine; [`Event::Ran`] must follow.
-    Run {
-        /// The engine.
-        endpoint: name::Endpoint,
-        /// The batch.
-        batch: engine::Batch,
-    },
-    /// Frees a sequence at an engine, after the batch that runs and before the next one.
-    Release {
-        /// The engine.
-        endpoint: name::Endpoint,
-        /// The sequence.
-        sequence: String,
-    },
-    /// Calls a plain service; [`Event::Answered`] must follow.
-    Call {
-        /// The call.
-        call: Call,
-        /// Time until its deadline.
-        limit: Duration,
-    },
-}
-
 /// What a machine is created with.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -215,7 +120,7 @@
             wall_ms,
             ticked: now,
         };
-        machine.configure(now, config, 0);
+        machine.configure(now, config, 0, 0);
         machine
     }
 
@@ -245,8 +150,10 @@
                     gate.drain.set(cause, leaving);
                 });
             }
-            Event::Configured { config, roster } => self.configure(now, &config, roster),
-            Event::Roster(roster) => self.home.confirm(roster),
+            Event::Configured { config, revision, roster } => {
+                self.configure(now, &config, revision, roster);
+            }
+            Event::Revision(revision) => self.home.confirm(revision),
             Event::Tick { wall_ms } => self.on_tick(now, wall_ms, &mut out),
         }
         self.reports.send(now, &mut self.gates, &mut out);
@@ -370,8 +277,8 @@
         self.gates.retain(|_, gate| !gate.removed || !gate.is_idle());
     }
 
-    fn configure(&mut self, now: Instant, config: &Config, roster: u64) {
-        if roster < self.roster {
+    fn configure(&mut self, now: Instant, config: &Config, revision: u64, roster: u64) {
+        if revision < self.home.revision() {
             return;
         }
         if roster > self.roster {
@@ -380,7 +287,7 @@
         }
         let host = &self.settings.host;
         let wall_ms = self.wall_ms + as_us(now.since(self.ticked)) / 1000;
-        self.home.adopt(home::Clock { now, wall_ms }, roster, &home::shards(config, host));
+        self.home.adopt(home::Clock { now, wall_ms }, revision, &home::shards(config, host));
         self.log.counters.name(config.contracts.keys());
         let own = |name| config.endpoints.get(name).filter(|endpoint| endpoint.host == *host);
         for (name, gate) in &mut self.gates {
--- a/crates/side/src/endpoint.rs
+++ b/crates/side/src/endpoint.rs
@@ -27,10 +27,13 @@
 pub(crate) type Results = mpsc::UnboundedSender<Event>;
 
 /// The adapter of one endpoint. Dropping it ends its tasks.
-pub(crate) enum Adapter {
-    /// A model engine.
+pub(crate) struct Adapter {
+    address: SocketAddr,
+    client: Client,
+}
+
+enum Client {
     Engine(mpsc::UnboundedSender<Job>),
-    /// A plain service.
     Service(Rc<service::Client>),
 }
 
@@ -51,18 +54,24 @@
         results: Results,
     ) -> Self {
         let Kind::Engine { .. } = kind else {
-            return Self::Service(Rc::new(service::Client::new(address)));
+            let client = Client::Service(Rc::new(service::Client::new(address)));
+            return Self { address, client };
         };
         let (jobs, queue) = mpsc::unbounded_channel();
         let client = engine::Client::new(address);
         actix_rt::spawn(observe(name.clone(), client.clone(), jobs.downgrade(), results.clone()));
         actix_rt::spawn(work(name.clone(), client, queue, results));
-        Self::Engine(jobs)
+        Self { address, client: Client::Engine(jobs) }
+    }
+
+    /// Where the endpoint listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Gives an engine something to do.
     pub(crate) fn push(&self, job: Job) {
-        if let Self::Engine(jobs) = self {
+        if let Client::Engine(jobs) = &self.client {
             // The task ends only when this adapter is dropped.
             let _ = jobs.send(job);
         }
@@ -70,7 +79,7 @@
 
     /// Calls a plain service.
     pub(crate) fn call(&self, call: Call, limit: Duration, results: Results) {
-        let Self::Service(client) = self else { return };
+        let Client::Service(client) = &self.client else { return };
         let client = client.clone();
         actix_rt::spawn(async move {
             let answer = client.call(&call, limit).await;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -6,8 +6,10 @@
 use oriole_core::config::Config;
 use oriole_core::drain::Cause;
 use oriole_core::home;
+use oriole_core::message::Message;
 use oriole_core::name;
 use oriole_core::request::Id;
+use oriole_core::revision::{self, Adopted, follower};
 use oriole_core::side::{self, Effect, Event, Machine};
 use oriole_core::time::as_us;
 use oriole_platform::clock::Clock;
@@ -18,6 +20,7 @@
 use tokio::time::Instant;
 
 use crate::endpoint::{Adapter, Job};
+use crate::follow::Follow;
 use crate::http;
 use crate::status::{Counter, Explanation, Status};
 
@@ -89,13 +92,11 @@
         let clock = Clock::start();
         let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
         let (results, finished) = mpsc::unbounded_channel();
-        let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == host);
-        let adapters = own.map(|(name, endpoint)| {
-            let (kind, address) = (&endpoint.kind, endpoint.address);
-            (name.clone(), Adapter::start(name, kind, address, results.clone()))
-        });
-        let adapters = adapters.collect();
-        let process = Process { machine, adapters, clock, hub: hub.clone(), results };
+        let follow = Follow::new(&host, &config, hub.clone(), clock.now());
+        let adapters = BTreeMap::new();
+        let mut process = Process { host, machine, adapters, follow, clock, hub, results };
+        process.adapt(&config);
+        let hub = process.hub.clone();
         tasks.push(actix_rt::spawn(process.run(events, finished, asked)));
         Handle { commands, hub, tasks }
     }
@@ -157,8 +158,10 @@
 }
 
 struct Process {
+    host: name::Host,
     machine: Machine,
     adapters: BTreeMap<name::Endpoint, Adapter>,
+    follow: Follow,
     clock: Clock,
     hub: Hub,
     results: mpsc::UnboundedSender<Event>,
@@ -185,7 +188,7 @@
                     }
                     other => self.on_command(other),
                 },
-                _ = tick.tick() => self.handle(Event::Tick { wall_ms: wall_ms() }),
+                _ = tick.tick() => self.tick(),
                 else => return,
             }
             if !self.machine.is_idle() {
@@ -201,17 +204,63 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.handle(Event::Tick { wall_ms: wall_ms() });
+        let adopted = self.follow.tick(self.clock.now());
+        self.adopt(adopted);
+    }
+
     fn on_wire(&mut self, event: hub::Event) {
+        let host = event.host;
         match event.kind {
-            Wire::Up => self.handle(Event::Up(event.host)),
+            Wire::Up => {
+                self.handle(Event::Up(host.clone()));
+                self.follow(follower::Event::Up(host));
+            }
             Wire::Lost(_) => {
-                self.handle(Event::Lost(event.host.clone()));
+                self.handle(Event::Lost(host.clone()));
                 // Another connection to the host may be open still.
-                if self.hub.is_linked(&event.host) {
-                    self.handle(Event::Up(event.host));
+                if self.hub.is_linked(&host) {
+                    self.handle(Event::Up(host));
+                } else {
+                    self.follow(follower::Event::Lost(host));
                 }
             }
-            Wire::Message(message) => self.handle(Event::Message { from: event.host, message }),
+            Wire::Message(Message::Revision(message)) => {
+                if let revision::Message::Number(number) = message {
+                    self.handle(Event::Revision(number));
+                }
+                self.follow(follower::Event::Message(host, message));
+            }
+            Wire::Message(message) => self.handle(Event::Message { from: host, message }),
+        }
+    }
+
+    fn follow(&mut self, event: follower::Event) {
+        let adopted = self.follow.handle(self.clock.now(), event);
+        self.adopt(adopted);
+    }
+
+    /// Puts a revision in force.
+    fn adopt(&mut self, adopted: Option<Adopted>) {
+        let Some(adopted) = adopted else { return };
+        let (config, revision) = (&adopted.config, adopted.head.number);
+        self.adapt(config);
+        // The limits' roster has no number in the configuration yet.
+        let config = Box::new((**config).clone());
+        self.handle(Event::Configured { config, revision, roster: 0 });
+        log::info!(revision; "a revision is in force");
+    }
+
+    /// Starts adapters of endpoints that are new; those that are gone end with their work.
+    fn adapt(&mut self, config: &Config) {
+        let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == self.host);
+        for (name, endpoint) in own {
+            let (kind, address) = (&endpoint.kind, endpoint.address);
+            if self.adapters.get(name).is_none_or(|adapter| adapter.address() != address) {
+                let adapter = Adapter::start(name, kind, address, self.results.clone());
+                self.adapters.insert(name.clone(), adapter);
+            }
         }
     }
 
@@ -227,7 +276,10 @@
                 self.handle(Event::Leaving { endpoint, cause: Cause::Operator, leaving });
                 let _ = done.send(known);
             }
-            Command::Status(done) => drop(done.send(Status::of(&self.machine))),
+            Command::Status(done) => {
+                let revision = self.follow.number();
+                drop(done.send(Status::of(&self.machine, revision)));
+            }
             Command::Counters(done) => drop(done.send(Counter::all(&self.machine))),
             Command::Explain(request, done) => {
                 let explanation = Explanation::of(&self.machine, self.clock.now(), request);
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
-use derive_more::{Display, Error};
-use oriole_core::name;
+use oriole_core::home::Bounds;
+use oriole_core::time::as_us;
+use oriole_core::{name, units};
 use serde::{Deserialize, Serialize};
 
 /// Settings of one side, as they stand in its TOML file.
@@ -21,32 +23,44 @@
     pub secret_file: PathBuf,
     /// Folder of the configuration's documents.
     pub config: PathBuf,
+    /// Tokens of requests that wait at one endpoint.
+    #[serde(default = "default_queue_tokens")]
+    pub queue_tokens: u64,
+    /// The home of idempotency keys.
+    #[serde(default)]
+    pub home: Home,
 }
 
-/// Why settings cannot be used.
-#[derive(Debug, Display, Error)]
-pub enum Error {
-    /// The file cannot be read.
-    #[display("reading {}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: std::io::Error,
-    },
-    /// The file does not hold valid settings.
-    #[display("in {}: {source}", path.display())]
-    Parse {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: toml::de::Error,
-    },
+fn default_queue_tokens() -> u64 {
+    262_144
 }
 
-/// Loads settings from a TOML file.
-pub fn load(path: &PathBuf) -> Result<Settings, Error> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|source| Error::Read { path: path.clone(), source })?;
-    toml::from_str(&text).map_err(|source| Error::Parse { path: path.clone(), source })
+/// Tolerances of the home of idempotency keys.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
+pub struct Home {
+    /// By how much the clocks of callers, and of hosts among each other, may differ.
+    #[serde(with = "units::duration")]
+    pub skew: Duration,
+    /// How long a new home stays silent until the old one has surely stopped.
+    #[serde(with = "units::duration")]
+    pub takeover: Duration,
+}
+
+impl Default for Home {
+    fn default() -> Self {
+        let bounds = Bounds::default();
+        Self {
+            skew: Duration::from_millis(bounds.skew_ms),
+            takeover: Duration::from_millis(bounds.takeover_ms),
+        }
+    }
+}
+
+impl Home {
+    /// The bounds of a home with these tolerances.
+    pub fn bounds(&self) -> Bounds {
+        let ms = |duration| as_us(duration) / 1000;
+        Bounds { skew_ms: ms(self.skew), takeover_ms: ms(self.takeover), ..Bounds::default() }
+    }
 }
--- a/crates/side/src/status.rs
+++ b/crates/side/src/status.rs
@@ -12,6 +12,8 @@
 /// What a side does.
 #[data]
 pub struct Status {
+    /// Revision of the configuration, 0 if it is that of the settings.
+    pub revision: u64,
     /// Whether nothing is in progress.
     pub idle: bool,
     /// Records and keys held.
@@ -31,14 +33,14 @@
 
 impl Status {
     /// The status of a side now.
-    pub fn of(machine: &Machine) -> Self {
+    pub fn of(machine: &Machine, revision: u64) -> Self {
         let causes = machine.causes();
         let endpoints = machine.loads().into_iter().map(|load| {
             let leaving = causes.get(&load.endpoint).cloned().unwrap_or_default();
             Endpoint { leaving, load }
         });
         let endpoints = endpoints.collect();
-        Self { idle: machine.is_idle(), records: machine.held(), endpoints }
+        Self { revision, idle: machine.is_idle(), records: machine.held(), endpoints }
     }
 
     /// Whether any endpoint takes new work.
