--- a/crates/core/tests/chain/world.rs
+++ b/crates/core/tests/chain/world.rs
@@ -141,7 +141,6 @@
             body: Vec::new(),
             key: None,
             deadline: Some(Duration::from_secs(3)),
-            key: None,
         };
         let id = self.id();
         self.tell_entry(entry::Event::Call(id, ask));
