Show in bound what is admitted in each second

Cause: where throughput is lost can't be seen from one number. Change: the figures hold admitted requests of each second over the rates.

--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -100,6 +100,8 @@
     pub static_shares: f64,
     /// The same for one central limiter, which a fault would stop.
     pub central: Option<f64>,
+    /// Requests admitted in each second, over the rates of all contracts without their bursts.
+    pub timeline: Vec<f64>,
     /// Whether the bound held in every window and the target was met.
     pub met: bool,
 }
@@ -198,12 +200,27 @@
         throughput,
         static_shares: total(|s| s.static_shares as f64) / allowed,
         central: (!disturbed).then(|| total(|s| s.central as f64) / allowed),
+        timeline: timeline(&cluster.config, case, start, samples),
         met: held && clean && throughput >= target,
         tally,
         workspaces,
     }
 }
 
+fn timeline(config: &Config, case: &Case, start: Instant, samples: &[Sample]) -> Vec<f64> {
+    let contracts = config.contracts.values();
+    let rate: f64 = contracts.map(|contract| contract.limits.requests.per_second()).sum();
+    let sent: Vec<f64> = samples.iter().filter_map(|s| admitted(s, start)).map(|t| t.0).collect();
+    let seconds = 0..case.duration.as_secs();
+    seconds
+        .map(|second| {
+            let second = second as f64;
+            let count = sent.iter().filter(|at| (second..second + 1.0).contains(at)).count();
+            count as f64 / rate.max(1.0)
+        })
+        .collect()
+}
+
 fn share(
     limits: &Limits,
     case: &Case,
--- a/crates/load/src/cmd/bound.rs
+++ b/crates/load/src/cmd/bound.rs
@@ -89,6 +89,8 @@
         figures.static_shares,
     );
     println!("     {}", figures.tally.line());
+    let timeline: Vec<String> = figures.timeline.iter().map(|part| format!("{part:.2}")).collect();
+    println!("     admitted each second over the rates: {}", timeline.join(" "));
     let over = figures.workspaces.iter().filter(|(_, share)| share.excess > 0.0);
     for (workspace, share) in over {
         println!("     {workspace}: a window passed the bound by {:.1} requests", share.excess);
