--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -48,8 +48,6 @@
 /// All decisions of one entry.
 pub struct Machine {
     config: Config,
-    /// The home of each shard of idempotency keys.
-    homes: Vec<name::Host>,
     revision: u64,
     planner: Planner,
     works: BTreeMap<Id, Work>,
@@ -69,6 +67,8 @@
     /// Workspaces for which a loan has come.
     ready: BTreeSet<name::Workspace>,
     shared: Instant,
+    /// The home of each shard of idempotency keys.
+    homes: Vec<name::Host>,
     records: explain::Store,
     counters: Counters,
     draw: Draw,
@@ -101,7 +101,6 @@
         let host = name::Host::from("");
         let mut machine = Self {
             config: Config::default(),
-            homes: Vec::new(),
             revision: 0,
             planner: Planner::new(host.clone(), "".into()),
             works: BTreeMap::new(),
@@ -116,6 +115,7 @@
             parked: BTreeMap::new(),
             ready: BTreeSet::new(),
             shared: now,
+            homes: Vec::new(),
             records: explain::Store::default(),
             counters: Counters::default(),
             draw: Draw::new(seed),
