Follow revisions in entries and sides alike

Cause: the side had an adapter of its own without the key-value service, the entry had none, and the limits' roster had no number in the configuration. New crate follow carries out the follower's effects for both; settings name a folder, or seeds and the key-value service. The head says which revision made the roster (the last that changed the entries), so it grows by itself and names its predecessor. An entry without a configuration has no roster and is not ready.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -79,8 +79,6 @@
 /// What an operator sees of an entry's state.
 #[oriole_macros::data]
 pub struct Status {
-    /// Number of the configuration's revision.
-    pub revision: u64,
     /// Generations in progress.
     pub generations: usize,
     /// Calls in progress.
@@ -123,7 +121,7 @@
             stopping: false,
         };
         let roster = Roster::first(BTreeMap::from([(host, 1)]));
-        machine.configure(now, 0, config, roster, &mut Vec::new());
+        machine.configure(now, 0, config, Some(roster), &mut Vec::new());
         machine
     }
 
@@ -133,26 +131,35 @@
         let zone = self.config.entries.get(host).map_or("".into(), |entry| entry.zone.clone());
         self.planner = Planner::new(host.clone(), zone);
         self.book = Book::new(now, host.clone(), boot, limit::Settings::default());
-        let weights =
-            |(host, entry): (&name::Host, &crate::config::Entry)| (host.clone(), entry.weight);
-        let mut entries: BTreeMap<name::Host, u32> =
-            self.config.entries.iter().map(weights).collect();
-        if entries.is_empty() {
-            entries.insert(host.clone(), 1);
-        }
+        let roster = self.first_roster(host);
         let config = self.config.clone();
         // Whom to greet is asked again at the first tick.
-        self.configure(now, self.revision, config, Roster::first(entries), &mut Vec::new());
+        self.configure(now, self.revision, config, roster, &mut Vec::new());
         self
     }
 
+    /// The roster of a configuration that came with the start of the process. An entry that
+    /// starts without one has none until it adopts its first revision.
+    fn first_roster(&self, host: &name::Host) -> Option<Roster> {
+        let entries = self.config.entries.iter();
+        let mut weights: BTreeMap<name::Host, u32> =
+            entries.map(|(host, entry)| (host.clone(), entry.weight)).collect();
+        if weights.is_empty() {
+            if self.config.contracts.is_empty() {
+                return None;
+            }
+            weights.insert(host.clone(), 1);
+        }
+        Some(Roster::first(weights))
+    }
+
     /// Works by `config`, which is revision `number`, from now on.
     fn configure(
         &mut self,
         now: Instant,
         number: u64,
         config: Config,
-        roster: Roster,
+        roster: Option<Roster>,
         effects: &mut Vec<Effect>,
     ) {
         self.planner.configure(&config);
@@ -165,7 +172,9 @@
         self.revision = number;
         let mut out = Vec::new();
         self.book.on_contracts(now, &self.config.contracts, &mut out);
-        self.book.on_roster(now, roster, &mut out);
+        if let Some(roster) = roster {
+            self.book.on_roster(now, roster, &mut out);
+        }
         self.share(out, effects);
     }
 
@@ -186,7 +195,7 @@
             Event::Lost(host) => self.on_lost(now, &host, &mut effects),
             Event::Leaving { endpoint, leaving } => self.planner.leave(&endpoint, leaving),
             Event::Configured { revision, config, roster } => {
-                self.configure(now, revision, *config, roster, &mut effects);
+                self.configure(now, revision, *config, Some(roster), &mut effects);
             }
             Event::Stop => self.stopping = true,
             Event::Tick => self.on_tick(now, &mut effects),
@@ -229,7 +238,6 @@
     /// What an operator sees of the state.
     pub fn status(&self, now: Instant) -> Status {
         Status {
-            revision: self.revision,
             generations: self.works.len(),
             calls: self.calls.len(),
             lost: self.lost.keys().cloned().collect(),
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -134,6 +134,9 @@
     /// Takes over a configuration; what was learned of endpoints that remain is kept.
     pub fn configure(&mut self, config: &Config) {
         self.links.configure(&config.links);
+        if let Some(entry) = config.entries.get(&self.host) {
+            self.zone = entry.zone.clone();
+        }
         self.origin = self.links.node(&self.host, &self.zone);
         let mut old = std::mem::take(&mut self.nodes);
         let old_names = std::mem::take(&mut self.names);
--- a/crates/core/src/revision.rs
+++ b/crates/core/src/revision.rs
@@ -39,6 +39,24 @@
     pub documents: BTreeMap<String, Hash>,
     /// Ids of the latest changes, newest last, one for each revision.
     pub changes: Vec<String>,
+    /// The roster by which limits are divided.
+    pub roster: Division,
+}
+
+/// Which revision made the roster: the last one that changed the document `entries`.
+#[data]
+#[derive(Copy, Eq)]
+#[serde(deny_unknown_fields)]
+pub struct Division {
+    /// Number of that revision; it is the roster's number.
+    pub number: u64,
+    /// Number of the roster before, 0 if it is the first.
+    pub previous: u64,
+}
+
+impl Division {
+    /// The first one.
+    pub const FIRST: Self = Self { number: 1, previous: 0 };
 }
 
 /// A message between two processes.
--- a/crates/core/src/revision/adopted.rs
+++ b/crates/core/src/revision/adopted.rs
@@ -5,8 +5,9 @@
 
 use oriole_macros::failure;
 
-use super::{Hash, Head, HeadError};
+use super::{Division, Hash, Head, HeadError};
 use crate::config::{self, Config, DOCUMENT_LIMIT_BYTES};
+use crate::roster::Roster;
 
 /// Why a revision cannot be put in force.
 #[failure]
@@ -70,6 +71,13 @@
         Ok(Self { head: head.into(), hash, config: config.into(), documents: kept.into() })
     }
 
+    /// The roster by which this revision divides the limits.
+    pub fn roster(&self) -> Roster {
+        let weights = self.config.entries.iter().map(|(host, e)| (host.clone(), e.weight));
+        let Division { number, previous } = self.head.roster;
+        Roster { number, previous, entries: weights.collect() }
+    }
+
     /// The first revision, made of these documents by name.
     pub fn first(documents: &BTreeMap<String, String>) -> Result<Self, Refusal> {
         let mut head = Head {
@@ -77,6 +85,7 @@
             previous: None,
             documents: BTreeMap::new(),
             changes: vec!["first".to_owned()],
+            roster: Division::FIRST,
         };
         let mut contents = BTreeMap::new();
         for (name, text) in documents {
--- a/crates/core/src/revision/change.rs
+++ b/crates/core/src/revision/change.rs
@@ -6,7 +6,10 @@
 use oriole_macros::{data, failure};
 
 use super::head::CHANGES_LIMIT;
-use super::{Field, Hash, Head, Relation, fields};
+use super::{Division, Field, Hash, Head, Relation, fields};
+
+/// The document that lists the entries.
+const ENTRIES: &str = "entries";
 
 /// A set of edits that is accepted whole or not at all.
 #[data]
@@ -99,12 +102,22 @@
     changes.push(id);
     let surplus = changes.len().saturating_sub(CHANGES_LIMIT);
     changes.drain(..surplus);
+    let roster = head.map_or(Division::FIRST, |head| divide(head, &documents));
     Head {
         number: head.map_or(1, |h| h.number + 1),
         previous: head.map(Head::hash),
         documents,
         changes,
+        roster,
+    }
+}
+
+/// The roster of the successor of `head`: a new one if the entries change.
+fn divide(head: &Head, documents: &BTreeMap<String, Hash>) -> Division {
+    if documents.get(ENTRIES) == head.documents.get(ENTRIES) {
+        return head.roster;
     }
+    Division { number: head.number + 1, previous: head.roster.number }
 }
 
 /// What became of a write whose reply was lost.
--- a/crates/core/src/revision/head.rs
+++ b/crates/core/src/revision/head.rs
@@ -66,6 +66,8 @@
         for change in &self.changes {
             put(change.as_bytes());
         }
+        put(&self.roster.number.to_be_bytes());
+        put(&self.roster.previous.to_be_bytes());
         Hash(digest.finalize().into())
     }
 
@@ -92,7 +94,9 @@
         let consistent = self.number >= 1
             && self.changes.len() as u64 == listed
             && self.changes.iter().all(sized)
-            && self.previous.is_none() == (self.number == 1);
+            && self.previous.is_none() == (self.number == 1)
+            && (1..=self.number).contains(&self.roster.number)
+            && self.roster.previous < self.roster.number;
         if !consistent {
             return Err(HeadError::Inconsistent);
         }
--- a/crates/core/tests/revision.rs
+++ b/crates/core/tests/revision.rs
@@ -6,8 +6,8 @@
 
 use oriole_core::revision::follower::Version;
 use oriole_core::revision::{
-    CHANGES_LIMIT, Change, Clash, Edit, Hash, Head, HeadError, Operation, Proposal, Relation, Step,
-    propose,
+    CHANGES_LIMIT, Change, Clash, Division, Edit, Hash, Head, HeadError, Operation, Proposal,
+    Relation, Step, propose,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -220,3 +220,15 @@
         let _ = Head::decode(&bytes);
     }
 }
+
+#[test]
+fn only_a_change_of_the_entries_makes_a_new_roster() {
+    let first = next(None, &change("a", "entries", None, "two entries"));
+    let second = next(Some(&first), &change("b", "weights", None, "w"));
+    let third = next(Some(&second), &change("c", "entries", Some("two entries"), "three"));
+    let fourth = next(Some(&third), &change("d", "weights", Some("w"), "v"));
+    let rosters = [&first, &second, &third, &fourth].map(|h| (h.roster.number, h.roster.previous));
+    assert_eq!(rosters, [(1, 0), (1, 0), (3, 1), (3, 1)]);
+    let forged = Division { number: 5, previous: 1 };
+    assert_eq!(Head { roster: forged, ..fourth }.check(), Err(HeadError::Inconsistent));
+}
--- /dev/null
+++ b/crates/entry/src/cmd.rs
@@ -0,0 +1,106 @@
+//! The command line.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use derive_more::{Display, Error, From};
+use oriole_core::name;
+use oriole_platform::metrics::{self, Exporter};
+use oriole_platform::{settings as files, signal};
+use oriole_wire::conn::Liveness;
+use tokio::net::TcpListener;
+
+use crate::settings::Settings;
+use crate::{Builder, Setup};
+
+/// Start of the names of exported counters.
+const METRICS_PREFIX: &str = "oriole.entry";
+
+/// An entry: takes callers' requests, admits them by contract, and answers each once. SIGTERM
+/// stops it once all requests in progress are answered.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub struct Command {
+    /// Check the settings and the configuration, and exit
+    check: bool,
+    /// File of the settings
+    #[bpaf(positional("SETTINGS"))]
+    settings: PathBuf,
+}
+
+/// Why an entry cannot run.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// The settings or the secret cannot be used.
+    Settings(files::Error),
+    /// The configuration cannot be used.
+    Config(oriole_follow::Error),
+    /// The configuration does not name the host.
+    #[display("host {host} of the settings is not among the entries of the configuration")]
+    #[from(skip)]
+    NoEntry {
+        /// The host.
+        host: name::Host,
+    },
+    /// An address cannot be listened on.
+    #[display("listening on {address}: {source}")]
+    #[from(skip)]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Counters cannot be exported.
+    Metrics(metrics::Error),
+    /// Signals cannot be received.
+    #[display("waiting for a signal: {_0}")]
+    Signal(io::Error),
+}
+
+impl Command {
+    /// Runs the entry until it is told to stop.
+    pub async fn execute(self) -> Result<(), Error> {
+        let settings: Settings = files::load(&self.settings)?;
+        let secret = files::load_secret(&settings.secret_file)?;
+        let source = settings.configuration;
+        let config = source.load()?;
+        let host = settings.host;
+        if source.folder.is_some() && !config.entries.contains_key(&host) {
+            return Err(Error::NoEntry { host });
+        }
+        if self.check {
+            return Ok(());
+        }
+        let setup = Setup {
+            host: host.clone(),
+            secret,
+            config,
+            wire: listen(settings.listen).await?,
+            http: listen(settings.http).await?,
+            liveness: Liveness::default(),
+            seed: rand::random(),
+        };
+        let operators = listen(settings.operators).await?;
+        let builder = Builder::new(setup).operators(operators).stop_wait(settings.stop_wait);
+        let mut builder = builder.seeds(source.seeds);
+        if let Some(kv) = source.kv {
+            builder = builder.kv(kv);
+        }
+        if let Some(collector) = settings.metrics {
+            builder = builder.exporter(Exporter::new(METRICS_PREFIX, collector)?);
+        }
+        let handle = builder.start();
+        log::info!(host:% = host, http:% = settings.http; "the entry runs");
+        signal::stop().await?;
+        log::info!("the entry stops once its requests in progress are answered");
+        handle.stop().await;
+        Ok(())
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The process on the entry hosts: adapters around `oriole_core::entry`.
 //!
+//! - [`cmd`]: the command line.
 //! - [`process`]: owns the decisions of one entry and carries out their effects.
 //! - [`settings`]: what the process reads at its start.
 //! - [`http`]: what callers and operators see; `complete`, `service` and `operate` answer.
@@ -11,9 +12,10 @@
 pub mod auth;
 mod caller;
 pub mod chat;
+pub mod cmd;
 mod complete;
 pub mod http;
-mod operate;
+pub mod operate;
 pub mod problem;
 pub mod process;
 mod service;
--- a/crates/entry/src/operate.rs
+++ b/crates/entry/src/operate.rs
@@ -4,8 +4,12 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{Response, StatusCode};
-use oriole_core::name;
 use oriole_core::request::{Id, Refusal};
+use oriole_core::revision::Follower;
+use oriole_core::revision::follower::Role;
+use oriole_core::status::{self, Readiness};
+use oriole_core::{entry, name};
+use oriole_macros::data;
 use serde_json::Value;
 use tokio::sync::oneshot;
 
@@ -15,6 +19,29 @@
 /// Start of the paths of explanations.
 pub(crate) const EXPLAIN: &str = "/v1/explain/";
 
+/// What an entry does.
+#[data]
+pub struct Status {
+    /// What every process tells; revision 0 stands for a configuration from a folder.
+    #[serde(flatten)]
+    pub process: status::Status,
+    /// What is in progress, and what is wrong.
+    #[serde(flatten)]
+    pub machine: entry::Status,
+}
+
+impl Status {
+    /// The status of the entry on `host`.
+    pub(crate) fn new(
+        host: name::Host,
+        ready: Readiness,
+        follower: &Follower,
+        machine: entry::Status,
+    ) -> Self {
+        Self { process: status::Status::new(host, Role::Entry, ready, follower), machine }
+    }
+}
+
 /// Whether new requests are taken.
 pub(crate) async fn readiness(shared: &Shared) -> Result<Response<BoxBody>, Problem> {
     let ready = ask(shared, Command::Ready).await.unwrap_or(false);
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,11 +7,15 @@
 use std::time::Duration;
 
 use oriole_core::config::Config;
-use oriole_core::entry::{Effect, Event, Generate, Machine, Request, Status};
+use oriole_core::entry::{Effect, Event, Generate, Machine, Request};
 use oriole_core::message::Message;
 use oriole_core::request::{Id, Refusal, host_hash};
-use oriole_core::{explain, name, revision};
+use oriole_core::revision::{self, Adopted, follower};
+use oriole_core::status::Readiness;
+use oriole_core::{explain, name};
+use oriole_follow::Follow;
 use oriole_platform::clock::Clock;
+use oriole_platform::kv;
 use oriole_platform::metrics::{Count, Exporter};
 use oriole_wire::hub::{self, Kind as Wire};
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
@@ -21,6 +25,7 @@
 
 use crate::caller::{self, Piece};
 use crate::http;
+use crate::operate::Status;
 
 /// Interval at which time passes for the decisions.
 const TICK: Duration = Duration::from_millis(20);
@@ -61,12 +66,17 @@
     operators: Option<TcpListener>,
     exporter: Option<Exporter>,
     stop_wait: Duration,
+    seeds: BTreeMap<name::Host, SocketAddr>,
+    kv: Option<kv::Settings>,
 }
 
 impl Builder {
     /// A builder with the default settings.
     pub fn new(setup: Setup) -> Self {
-        Self { setup, operators: None, exporter: None, stop_wait: Duration::ZERO }
+        let entries = setup.config.entries.iter();
+        let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
+        let stop_wait = Duration::ZERO;
+        Self { setup, operators: None, exporter: None, stop_wait, seeds, kv: None }
     }
 
     /// Serves operators over a listener of their own; callers then see nothing of theirs.
@@ -88,6 +98,18 @@
         self
     }
 
+    /// Where entries listen, besides those of the configuration.
+    pub fn seeds(mut self, seeds: BTreeMap<name::Host, SocketAddr>) -> Self {
+        self.seeds.extend(seeds);
+        self
+    }
+
+    /// The key-value service that holds the configuration.
+    pub fn kv(mut self, settings: kv::Settings) -> Self {
+        self.kv = Some(settings);
+        self
+    }
+
     /// Starts the entry in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, http, liveness, seed } = self.setup;
@@ -111,9 +133,15 @@
             let operators = http::Audience::Operators;
             tasks.push(actix_rt::spawn(http::serve(listener, shared.clone(), operators)));
         }
+        let role = follower::Role::Entry;
+        let following =
+            oriole_follow::Setup { host: host.clone(), role, seeds: self.seeds, kv: self.kv };
+        let (follow, revisions) = Follow::new(following, hub.clone(), clock.now());
         let process = Process {
             machine: Machine::new(config, seed).on_host(clock.now(), &host, boot),
             host: host_hash(&host),
+            name: host,
+            follow,
             boot,
             seq: 0,
             callers: BTreeMap::new(),
@@ -124,7 +152,7 @@
             cursor: 0,
             ready: true,
         };
-        tasks.push(actix_rt::spawn(process.run(events, asked, commands.clone())));
+        tasks.push(actix_rt::spawn(process.run(events, revisions, asked, commands.clone())));
         Handle { commands, hub, tasks, stop_wait: self.stop_wait }
     }
 }
@@ -195,7 +223,10 @@
 
 struct Process {
     machine: Machine,
+    /// The hash of the host's name, for request ids.
     host: u32,
+    name: name::Host,
+    follow: Follow,
     boot: u32,
     seq: u64,
     callers: BTreeMap<Id, caller::Sender>,
@@ -212,6 +243,7 @@
     async fn run(
         mut self,
         mut events: mpsc::Receiver<hub::Event>,
+        mut revisions: mpsc::UnboundedReceiver<follower::Event>,
         mut commands: mpsc::Receiver<Command>,
         own: mpsc::Sender<Command>,
     ) {
@@ -221,6 +253,7 @@
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.on_wire(event),
+                Some(event) = revisions.recv() => self.follow(event),
                 Some(command) = commands.recv() => match command {
                     Command::Stop(done) => {
                         stopping = Some(done);
@@ -228,7 +261,7 @@
                     }
                     other => self.on_command(other, &own),
                 },
-                _ = tick.tick() => self.handle(Event::Tick),
+                _ = tick.tick() => self.on_tick(),
                 _ = round.tick() => self.on_round(),
                 else => return,
             }
@@ -267,19 +300,63 @@
     fn on_wire(&mut self, event: hub::Event) {
         let host = event.host;
         match event.kind {
-            Wire::Up => self.handle(Event::Up(host)),
-            Wire::Lost(_) => {
-                // Another connection to the host may be open still.
-                let linked = self.hub.is_linked(&host);
-                self.handle(Event::Lost(host.clone()));
-                if linked {
-                    self.handle(Event::Up(host));
-                }
+            Wire::Up => {
+                self.handle(Event::Up(host.clone()));
+                self.follow(follower::Event::Up(host));
+            }
+            Wire::Lost(_) => self.on_lost(host),
+            Wire::Message(Message::Revision(message)) => {
+                self.follow(follower::Event::Message(host, message));
             }
             Wire::Message(message) => self.handle(Event::Message { from: host, message }),
         }
     }
 
+    fn on_lost(&mut self, host: name::Host) {
+        self.handle(Event::Lost(host.clone()));
+        // Another connection to the host may be open still.
+        if self.hub.is_linked(&host) {
+            self.handle(Event::Up(host));
+        } else {
+            self.follow(follower::Event::Lost(host));
+        }
+    }
+
+    fn on_tick(&mut self) {
+        self.handle(Event::Tick);
+        let adopted = self.follow.tick(self.clock.now());
+        self.adopt(adopted);
+    }
+
+    fn follow(&mut self, event: follower::Event) {
+        let adopted = self.follow.handle(self.clock.now(), event);
+        self.adopt(adopted);
+    }
+
+    /// Puts a revision in force.
+    fn adopt(&mut self, adopted: Option<Adopted>) {
+        let Some(adopted) = adopted else { return };
+        let (revision, roster) = (adopted.head.number, adopted.roster());
+        let config = Box::new((*adopted.config).clone());
+        self.handle(Event::Configured { revision, config, roster });
+    }
+
+    fn readiness(&self) -> Readiness {
+        if !self.ready {
+            Readiness::Leaving
+        } else if self.machine.config().contracts.is_empty() {
+            Readiness::Starting
+        } else {
+            Readiness::Ready
+        }
+    }
+
+    fn status(&self) -> Status {
+        let follower = self.follow.follower();
+        let machine = self.machine.status(self.clock.now());
+        Status::new(self.name.clone(), self.readiness(), follower, machine)
+    }
+
     fn on_command(&mut self, command: Command, own: &mpsc::Sender<Command>) {
         match command {
             Command::Generate(ask, caller) => {
@@ -300,10 +377,10 @@
             Command::Unready => self.ready = false,
             // Whoever asked for what follows may have gone.
             Command::Ready(reply) => {
-                let _ = reply.send(self.ready);
+                let _ = reply.send(self.readiness() == Readiness::Ready);
             }
             Command::Status(reply) => {
-                let _ = reply.send(self.machine.status(self.clock.now()));
+                let _ = reply.send(self.status());
             }
             Command::Counters(reply) => {
                 let _ = reply.send(self.counts());
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use oriole_core::{name, units};
+use oriole_follow::Source;
 use serde::{Deserialize, Serialize};
 
 /// Settings of one entry, as they stand in its TOML file.
@@ -21,8 +22,8 @@
     pub operators: SocketAddr,
     /// File that holds the secret of the deployment.
     pub secret_file: PathBuf,
-    /// Folder of the configuration's documents.
-    pub config: PathBuf,
+    /// Where the configuration comes from.
+    pub configuration: Source,
     /// StatsD collector to which counters are exported.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/side/src/cmd.rs
+++ b/crates/side/src/cmd.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 
 use crate::settings::Settings;
-use crate::{Builder, Setup, documents};
+use crate::{Builder, Setup};
 
 /// The side beside the endpoints of one host: their gate, their queue, and the only one that
 /// orders them about. SIGTERM stops it once all work in progress is done.
@@ -32,7 +32,7 @@
     /// The settings or the secret cannot be used.
     Settings(files::Error),
     /// The configuration cannot be used.
-    Config(documents::Error),
+    Config(oriole_follow::Error),
     /// No endpoint of the configuration is on the host.
     #[display("host {host} of the settings has no endpoint in the configuration")]
     #[from(skip)]
@@ -59,9 +59,11 @@
     pub async fn execute(self) -> Result<(), Error> {
         let settings: Settings = files::load(&self.settings)?;
         let secret = files::load_secret(&settings.secret_file)?;
-        let config = documents::load(&settings.config)?;
+        let source = settings.configuration;
+        let config = source.load()?;
         let host = settings.host.clone();
-        if !config.endpoints.values().any(|endpoint| endpoint.host == host) {
+        let has_endpoint = config.endpoints.values().any(|endpoint| endpoint.host == host);
+        if source.folder.is_some() && !has_endpoint {
             return Err(Error::NoEndpoint { host });
         }
         if self.check {
@@ -71,7 +73,11 @@
         let liveness = Liveness::default();
         let setup = Setup { host, secret, config, wire, liveness };
         let builder = Builder::new(setup).http(http).queue_tokens(settings.queue_tokens);
-        let handle = builder.home(settings.home.bounds()).start();
+        let mut builder = builder.home(settings.home.bounds()).seeds(source.seeds);
+        if let Some(kv) = source.kv {
+            builder = builder.kv(kv);
+        }
+        let handle = builder.start();
         log::info!(host:% = settings.host, listen:% = settings.listen; "the side runs");
         signal::stop().await?;
         log::info!("the side stops once its work in progress is done");
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -1,15 +1,12 @@
 //! The process beside each endpoint: adapters around `oriole_core::side`.
 //!
 //! - [`cmd`]: the command line.
-//! - [`documents`]: reads the configuration.
 //! - [`process`]: owns the decisions of one side and carries out their effects.
 //! - [`settings`]: what the process reads at its start.
 //! - [`status`]: what operators are told; served over HTTP.
 
 pub mod cmd;
-pub mod documents;
 mod endpoint;
-mod follow;
 mod http;
 pub mod process;
 pub mod settings;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -1,6 +1,7 @@
 //! The running side: one task owns the decisions, others do the waiting.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oriole_core::config::Config;
@@ -12,7 +13,9 @@
 use oriole_core::revision::{self, Adopted, follower};
 use oriole_core::side::{self, Effect, Event, Machine};
 use oriole_core::time::as_us;
+use oriole_follow::Follow;
 use oriole_platform::clock::Clock;
+use oriole_platform::kv;
 use oriole_wire::hub::{self, Kind as Wire};
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
@@ -20,7 +23,6 @@
 use tokio::time::Instant;
 
 use crate::endpoint::{Adapter, Job};
-use crate::follow::Follow;
 use crate::http;
 use crate::status::{Counter, Explanation, Status};
 
@@ -50,12 +52,17 @@
     http: Option<TcpListener>,
     queue_tokens: Option<u64>,
     home: home::Bounds,
+    seeds: BTreeMap<name::Host, SocketAddr>,
+    kv: Option<kv::Settings>,
 }
 
 impl Builder {
     /// A builder with the default settings.
     pub fn new(setup: Setup) -> Self {
-        Self { setup, http: None, queue_tokens: None, home: home::Bounds::default() }
+        let entries = setup.config.entries.iter();
+        let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
+        let home = home::Bounds::default();
+        Self { setup, http: None, queue_tokens: None, home, seeds, kv: None }
     }
 
     /// Serves operators over HTTP.
@@ -76,6 +83,18 @@
         self
     }
 
+    /// Where entries listen, besides those of the configuration.
+    pub fn seeds(mut self, seeds: BTreeMap<name::Host, SocketAddr>) -> Self {
+        self.seeds.extend(seeds);
+        self
+    }
+
+    /// The key-value service, which the side calls only if it hears of no entry.
+    pub fn kv(mut self, settings: kv::Settings) -> Self {
+        self.kv = Some(settings);
+        self
+    }
+
     /// Starts the side in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, liveness } = self.setup;
@@ -92,12 +111,15 @@
         let clock = Clock::start();
         let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
         let (results, finished) = mpsc::unbounded_channel();
-        let follow = Follow::new(&host, &config, hub.clone(), clock.now());
+        let role = follower::Role::Side;
+        let following =
+            oriole_follow::Setup { host: host.clone(), role, seeds: self.seeds, kv: self.kv };
+        let (follow, revisions) = Follow::new(following, hub.clone(), clock.now());
         let adapters = BTreeMap::new();
         let mut process = Process { host, machine, adapters, follow, clock, hub, results };
         process.adapt(&config);
         let hub = process.hub.clone();
-        tasks.push(actix_rt::spawn(process.run(events, finished, asked)));
+        tasks.push(actix_rt::spawn(process.run(events, finished, revisions, asked)));
         Handle { commands, hub, tasks }
     }
 }
@@ -172,6 +194,7 @@
         mut self,
         mut events: mpsc::Receiver<hub::Event>,
         mut finished: mpsc::UnboundedReceiver<Event>,
+        mut revisions: mpsc::UnboundedReceiver<follower::Event>,
         mut commands: mpsc::Receiver<Command>,
     ) {
         let mut tick = tokio::time::interval(TICK);
@@ -181,6 +204,7 @@
             tokio::select! {
                 Some(event) = events.recv() => self.on_wire(event),
                 Some(event) = finished.recv() => self.handle(event),
+                Some(event) = revisions.recv() => self.follow(event),
                 Some(command) = commands.recv() => match command {
                     Command::Stop(done) => {
                         self.leave_all(Cause::Signal, true);
@@ -246,10 +270,9 @@
         let Some(adopted) = adopted else { return };
         let (config, revision) = (&adopted.config, adopted.head.number);
         self.adapt(config);
-        // The limits' roster has no number in the configuration yet.
+        let roster = adopted.head.roster.number;
         let config = Box::new((**config).clone());
-        self.handle(Event::Configured { config, revision, roster: 0 });
-        log::info!(revision; "a revision is in force");
+        self.handle(Event::Configured { config, revision, roster });
     }
 
     /// Starts adapters of endpoints that are new; those that are gone end with their work.
@@ -277,8 +300,8 @@
                 let _ = done.send(known);
             }
             Command::Status(done) => {
-                let revision = self.follow.number();
-                drop(done.send(Status::of(&self.machine, revision)));
+                let status = Status::of(&self.machine, &self.host, self.follow.follower());
+                drop(done.send(status));
             }
             Command::Counters(done) => drop(done.send(Counter::all(&self.machine))),
             Command::Explain(request, done) => {
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -7,6 +7,7 @@
 use oriole_core::home::Bounds;
 use oriole_core::time::as_us;
 use oriole_core::{name, units};
+use oriole_follow::Source;
 use serde::{Deserialize, Serialize};
 
 /// Settings of one side, as they stand in its TOML file.
@@ -21,8 +22,8 @@
     pub http: SocketAddr,
     /// File that holds the secret of the deployment.
     pub secret_file: PathBuf,
-    /// Folder of the configuration's documents.
-    pub config: PathBuf,
+    /// Where the configuration comes from.
+    pub configuration: Source,
     /// Tokens of requests that wait at one endpoint.
     #[serde(default = "default_queue_tokens")]
     pub queue_tokens: u64,
--- a/crates/side/src/status.rs
+++ b/crates/side/src/status.rs
@@ -4,16 +4,20 @@
 use oriole_core::message::Load;
 use oriole_core::name;
 use oriole_core::request::Id;
+use oriole_core::revision::Follower;
+use oriole_core::revision::follower::Role;
 use oriole_core::side::Machine;
 use oriole_core::side::journal::What;
+use oriole_core::status::{self, Readiness};
 use oriole_core::time::{Instant, as_us};
 use oriole_macros::data;
 
 /// What a side does.
 #[data]
 pub struct Status {
-    /// Revision of the configuration, 0 if it is that of the settings.
-    pub revision: u64,
+    /// What every process tells; revision 0 stands for a configuration from a folder.
+    #[serde(flatten)]
+    pub process: status::Status,
     /// Whether nothing is in progress.
     pub idle: bool,
     /// Records and keys held.
@@ -33,19 +37,27 @@
 
 impl Status {
     /// The status of a side now.
-    pub fn of(machine: &Machine, revision: u64) -> Self {
+    pub fn of(machine: &Machine, host: &name::Host, follower: &Follower) -> Self {
         let causes = machine.causes();
         let endpoints = machine.loads().into_iter().map(|load| {
             let leaving = causes.get(&load.endpoint).cloned().unwrap_or_default();
             Endpoint { leaving, load }
         });
-        let endpoints = endpoints.collect();
-        Self { revision, idle: machine.is_idle(), records: machine.held(), endpoints }
+        let endpoints: Vec<Endpoint> = endpoints.collect();
+        let ready = if endpoints.is_empty() {
+            Readiness::Starting
+        } else if endpoints.iter().any(|endpoint| endpoint.load.open) {
+            Readiness::Ready
+        } else {
+            Readiness::Leaving
+        };
+        let process = status::Status::new(host.clone(), Role::Side, ready, follower);
+        Self { process, idle: machine.is_idle(), records: machine.held(), endpoints }
     }
 
     /// Whether any endpoint takes new work.
     pub fn is_ready(&self) -> bool {
-        self.endpoints.iter().any(|endpoint| endpoint.load.open)
+        self.process.ready == Readiness::Ready
     }
 }
 
--- a/crates/side/tests/process.rs
+++ b/crates/side/tests/process.rs
@@ -9,8 +9,9 @@
 use oriole_core::config::{Config, Endpoint, Entry, Kind, Service};
 use oriole_core::message::{Call, Load, Message};
 use oriole_core::request::{Id, Refusal, host_hash};
+use oriole_follow::Source;
 use oriole_side::settings::Settings;
-use oriole_side::{Builder, Handle, Setup, documents};
+use oriole_side::{Builder, Handle, Setup};
 use oriole_wire::conn::Liveness;
 use oriole_wire::handshake::Identity;
 use oriole_wire::hub::{self, Event};
@@ -180,7 +181,7 @@
 #[test]
 fn settings_name_what_is_wrong() {
     let good = "host = 'h'\nlisten = '127.0.0.1:0'\nhttp = '127.0.0.1:0'\n\
-                secret-file = 's'\nconfig = 'c'\nhome = { takeover = '30s' }\n";
+                secret-file = 's'\nconfiguration = { folder = 'c' }\nhome = { takeover = '30s' }\n";
     let settings: Settings = toml::from_str(good).unwrap();
     assert_eq!(settings.home.bounds().takeover_ms, 30_000);
     let unknown = toml::from_str::<Settings>(&format!("queue = 1\n{good}"));
@@ -193,6 +194,13 @@
 fn the_examples_load() {
     for name in ["kigali", "mu-south"] {
         let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples").join(name);
-        assert!(documents::load(&folder).unwrap().contracts.len() >= 10);
+        assert!(
+            Source { folder: Some(folder.clone()), ..Source::default() }
+                .load()
+                .unwrap()
+                .contracts
+                .len()
+                >= 10
+        );
     }
 }
