--- a/crates/core/examples/limit_bound.rs
+++ b/crates/core/examples/limit_bound.rs
@@ -14,10 +14,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+#[path = "../tests/limit/terms.rs"]
+mod terms;
 #[path = "../tests/limit/world.rs"]
 mod world;
 
-use world::{Work, World, contract, limits};
+use terms::{contract, limits};
+use world::{Work, World};
 
 const S: u64 = 1_000_000;
 const SEED: u64 = 20_261_203;
@@ -103,6 +106,7 @@
         }
     }
     assert_eq!(world.check(), Ok(()));
+    assert!(World::own(&mut world, 0, &workspace).requests <= 1_000_000);
     let log = world.log.get(&workspace).map_or(&[][..], |l| l.as_slice());
     let counted = log.iter().filter(|a| a.at >= WARM_UP_S * S).count();
     let messages = world.figures.messages as f64 / nodes as f64 / (world.now / S) as f64;
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -21,13 +21,12 @@
 mod keep;
 mod lend;
 mod loan;
+mod outcome;
+mod settings;
 mod start;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
-use derive_more::{Display, Error};
-use oriole_macros::{data, key};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::contract::Contract;
@@ -39,6 +38,8 @@
 
 use account::Account;
 use bucket::UNIT;
+pub use outcome::{Denial, Effect, Permit, View};
+pub use settings::Settings;
 use start::Start;
 
 /// How often [`Book::tick`] is to be called, in milliseconds.
@@ -55,116 +56,6 @@
     struct Key;
 }
 
-/// Times by which loans and rosters are kept apart. All entries must agree on them.
-#[data]
-#[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
-pub struct Settings {
-    /// Milliseconds that a loan lasts unless it is renewed.
-    pub loan_ms: u32,
-    /// Milliseconds within which a new revision is in force on every reachable process.
-    pub propagation_ms: u32,
-    /// Most by which a monotonic clock may run fast or slow, in parts per million.
-    pub drift_ppm: u32,
-    /// Whether loans are given and asked for; without them the shares are static.
-    pub lend: bool,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self { loan_ms: 6000, propagation_ms: 17_000, drift_ppm: 500, lend: true }
-    }
-}
-
-impl Settings {
-    /// How long a borrower may use a loan, from when it asked.
-    fn loan(&self) -> Duration {
-        Duration::from_millis(self.loan_ms.into())
-    }
-
-    /// How long a new revision takes to every reachable process.
-    fn propagation(&self) -> Duration {
-        self.surely(Duration::from_millis(self.propagation_ms.into()))
-    }
-
-    /// `time` by the fastest clock, once it has passed by the slowest one.
-    fn surely(&self, time: Duration) -> Duration {
-        let slack = time.as_micros() * 3 * u128::from(self.drift_ppm) / 1_000_000;
-        time + Duration::from_micros(u64::try_from(slack).unwrap_or(u64::MAX)) + TICK_SLACK
-    }
-
-    /// How long a replaced share still bounds the present one.
-    fn wait(&self) -> Duration {
-        self.propagation() + self.surely(self.loan())
-    }
-}
-
-/// Covers the rounding of times to milliseconds in messages.
-const TICK_SLACK: Duration = Duration::from_millis(2);
-
-/// Something that the caller of the decisions is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    /// Send a message to an entry. It may get lost.
-    Send(name::Host, Message),
-    /// A loan has come: requests of the workspace that were denied with [`Denial::asked`] may be
-    /// tried again now, by [`Book::retry`].
-    Retry(name::Workspace),
-}
-
-/// Proof that a request was admitted; it is to be given to [`Book::settle`] when the request ends.
-#[derive(Debug, PartialEq)]
-#[must_use]
-pub struct Permit {
-    key: Key,
-    number: u64,
-    tokens: u32,
-    roster: u64,
-}
-
-impl Permit {
-    /// Number of the roster under which the request was admitted.
-    pub fn roster(&self) -> u64 {
-        self.roster
-    }
-
-    /// Tokens that were charged.
-    pub fn tokens(&self) -> u32 {
-        self.tokens
-    }
-}
-
-/// Why a request was not admitted.
-#[key]
-#[derive(Display, Error)]
-#[display("{refusal}")]
-pub struct Denial {
-    /// The reason.
-    pub refusal: Refusal,
-    /// Milliseconds after which another try is useful; none if it never is.
-    pub retry_after_ms: Option<u64>,
-    /// Whether a loan has been asked for, so that waiting up to [`PARK_MS`] for
-    /// [`Effect::Retry`] may help.
-    pub asked: bool,
-}
-
-/// What the entry holds of one workspace's bound, for status and explanations.
-#[data]
-#[derive(Copy)]
-pub struct View {
-    /// The share that it owns, less what a recent change withholds.
-    pub own: Terms,
-    /// Lent to others.
-    pub lent: Terms,
-    /// Own share, less lent, plus borrowed.
-    pub held: Terms,
-    /// Requests in the bucket, in millionths.
-    pub requests: i64,
-    /// Tokens in the bucket, in millionths; negative if estimates were too low.
-    pub tokens: i64,
-    /// Requests in progress.
-    pub in_use: u32,
-}
-
 /// One entry's accounts for all workspaces.
 #[derive(Debug)]
 pub struct Book {
--- a/crates/core/src/limit/account.rs
+++ b/crates/core/src/limit/account.rs
@@ -193,10 +193,15 @@
         self.tokens.add(i64::try_from(levels.tokens).unwrap_or(0));
     }
 
-    /// The amounts that the demand seen here calls for.
+    /// The amounts that the demand seen here calls for, with some headroom.
     pub fn need(&self, now: Instant) -> Terms {
+        self.need_for(now, HEADROOM)
+    }
+
+    /// The amounts that `factor` times the demand seen here calls for.
+    pub fn need_for(&self, now: Instant, factor: f64) -> Terms {
         let parts = |demand: f64, bound: Bound| {
-            let share = demand * HEADROOM * UNIT as f64 / (bound.rate.max(1) as f64);
+            let share = demand * factor * UNIT as f64 / (bound.rate.max(1) as f64);
             (share.min(1.0) * f64::from(WHOLE)) as u32
         };
         let requests = self.demand.requests(now);
--- a/crates/core/src/limit/bucket.rs
+++ b/crates/core/src/limit/bucket.rs
@@ -144,6 +144,11 @@
         self.clamp();
     }
 
+    /// Whether nearly nothing more can be added.
+    pub fn is_full(&self) -> bool {
+        self.level >= self.capacity() / 8 * 7
+    }
+
     /// Whether less than half of the capacity is left.
     pub fn is_low(&self) -> bool {
         self.level < self.capacity() / 2
--- a/crates/core/src/limit/demand.rs
+++ b/crates/core/src/limit/demand.rs
@@ -3,6 +3,7 @@
 use crate::time::Instant;
 
 const HORIZON_S: f64 = 2.0;
+const STOP_INTERVALS: f64 = 8.0;
 const STEADY_ARRIVALS: f64 = 5.0;
 
 /// Exponentially weighted rates of requests and of tokens that arrive.
@@ -29,12 +30,12 @@
 
     /// Requests a second.
     pub fn requests(&self, now: Instant) -> f64 {
-        self.requests * self.kept(now)
+        if self.has_stopped(now) { 0.0 } else { self.requests * self.kept(now) }
     }
 
     /// Tokens a second.
     pub fn tokens(&self, now: Instant) -> f64 {
-        self.tokens * self.kept(now)
+        if self.has_stopped(now) { 0.0 } else { self.tokens * self.kept(now) }
     }
 
     /// Whether enough arrives for the estimate to mean more than a chance coincidence.
@@ -42,6 +43,12 @@
         self.requests(now) * HORIZON_S >= STEADY_ARRIVALS
     }
 
+    /// Whether nothing has come for much longer than chance explains, as when a balancer has
+    /// turned to other entries.
+    fn has_stopped(&self, now: Instant) -> bool {
+        now.since(self.at).as_secs_f64() * self.requests > STOP_INTERVALS
+    }
+
     fn kept(&self, now: Instant) -> f64 {
         (-now.since(self.at).as_secs_f64() / HORIZON_S).exp()
     }
--- a/crates/core/src/limit/keep.rs
+++ b/crates/core/src/limit/keep.rs
@@ -12,6 +12,9 @@
 /// How long a loan that the lender itself needs may be kept unused.
 const BRIEF_MS: u64 = 60;
 
+/// How long a loan is kept at least, unless it is brief.
+const IDLE_MS: u64 = 1000;
+
 /// The part of a loan's life, as a divisor, before whose end it is renewed.
 const RENEW_DIVISOR: u32 = 3;
 
@@ -97,13 +100,25 @@
             }
             return None;
         }
-        let rest = self.held.minus(loan.terms);
-        let helps = loan.terms.zip(need.minus(rest), Ord::min);
-        if helps.is_empty() || loan.until > now + early {
+        let (from, terms, until) = (loan.from.clone(), loan.terms, loan.until);
+        let rest = self.held.minus(terms);
+        let settled = now.since(loan.since) >= Duration::from_millis(IDLE_MS);
+        if settled && self.is_surplus(now, rest) {
+            self.give_back(number, out);
+            return None;
+        }
+        let helps = terms.min(need.minus(rest));
+        if helps.is_empty() || until > now + early {
             return None;
         }
         let asked = self.pending.values().any(|p| p.renew == Some(number));
-        (!asked).then(|| (loan.from.clone(), loan.terms))
+        (!asked).then_some((from, terms))
+    }
+
+    /// Whether `rest` is enough by far, or just enough while the buckets are full.
+    fn is_surplus(&self, now: Instant, rest: Terms) -> bool {
+        let full = self.requests.is_full() && self.tokens.is_full();
+        rest.covers(self.need_for(now, 2.0)) || (full && rest.covers(self.need_for(now, 1.0)))
     }
 
     /// Ends a loan before its time. The account must have been advanced.
--- a/crates/core/tests/limit/bound.rs
+++ b/crates/core/tests/limit/bound.rs
@@ -10,7 +10,8 @@
 use proptest::test_runner::RngSeed;
 use rand::RngExt;
 
-use crate::world::{Wire, Work, World, contract, limits};
+use crate::terms::{contract, limits};
+use crate::world::{Wire, Work, World};
 
 const MS: u64 = 1000;
 const NODES: usize = 6;
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -2,4 +2,5 @@
 
 mod bound;
 mod share;
+mod terms;
 mod world;
--- a/crates/core/tests/limit/world.rs
+++ b/crates/core/tests/limit/world.rs
@@ -2,15 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
-use std::time::Duration;
 
-use oriole_core::contract::{Contract, Limits, Service};
+use oriole_core::contract::Contract;
 use oriole_core::limit::{Book, Effect, PARK_MS, Permit, Settings, TICK_MS};
 use oriole_core::name::{Host, Workspace};
 use oriole_core::roster::{Roster, WHOLE};
 use oriole_core::share::{Message, Terms};
 use oriole_core::time::Instant;
-use oriole_core::units::Rate;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -104,28 +102,6 @@
     serial: u64,
 }
 
-/// A contract of the given bounds.
-pub fn contract(workspace: &Workspace, limits: Limits, longest: Duration) -> Contract {
-    Contract {
-        workspace: workspace.clone(),
-        keys: BTreeSet::new(),
-        models: BTreeSet::new(),
-        services: BTreeSet::new(),
-        limits,
-        service: Service { longest_deadline: longest, ..Service::default() },
-    }
-}
-
-pub fn limits(requests: f64, request_burst: u32, tokens: f64, token_burst: u32) -> Limits {
-    Limits {
-        requests: Rate::from_per_second(requests),
-        request_burst,
-        tokens: Rate::from_per_second(tokens),
-        token_burst,
-        concurrency: 1000,
-    }
-}
-
 pub fn host(node: usize) -> Host {
     Host::from(format!("entry-{node:02}").as_str())
 }
@@ -395,6 +371,14 @@
         self.send(node, out);
     }
 
+    /// The share that a node may use or lend now.
+    pub fn own(&mut self, node: usize, workspace: &Workspace) -> Terms {
+        let entry = &mut self.nodes[node];
+        let now = entry.clock(self.now);
+        let view = entry.book.as_mut().and_then(|b| b.view(now, workspace));
+        view.map(|v| v.own).unwrap_or_default()
+    }
+
     /// Checks that what the entries hold together, at this instant, is not above the whole.
     pub fn check_sums(&mut self) -> Result<(), String> {
         let current = self.rosters[self.in_force()].1.number;
