Give grants back that cannot be used, and end loans when a contract changes

Cause: a grant that came too late, or to a former run, kept its slots out of use for the longest deadline; a contract with a longer deadline made requests outlast what lenders wait for.

Change: such a grant is answered by a return; a changed contract ends its loans.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -101,6 +101,8 @@
                 continue;
             }
             let key = self.open(now, workspace, contract);
+            // Lenders wait for requests as long as was said when the loans were made.
+            self.return_all(now, key, out);
             self.divide(now, key);
         }
         let names: BTreeSet<_> = contracts.keys().collect();
--- a/crates/core/src/limit/ask.rs
+++ b/crates/core/src/limit/ask.rs
@@ -8,7 +8,7 @@
 use crate::limit::start::millis;
 use crate::limit::{Book, Effect, Key, PARK_MS};
 use crate::name;
-use crate::share::{Ask, Grant, Levels, Message, Terms};
+use crate::share::{Ask, Grant, Levels, Message, Return, Terms};
 use crate::time::Instant;
 
 /// How long an answer is waited for before another entry is asked.
@@ -117,10 +117,11 @@
         let Some(account) = self.accounts.get_mut(key) else {
             return;
         };
+        account.advance(now);
         let Some(pending) = account.take_pending(from, grant.number) else {
+            account.reject(from, &grant, Levels::default(), out);
             return;
         };
-        account.advance(now);
         let life = self.settings.loan().min(Duration::from_millis(grant.life_ms.into()));
         let until = pending.at + life;
         // A lender that has missed the present roster may lend what it no longer owns.
@@ -131,6 +132,7 @@
         }
         if useless {
             account.on_refusal(now);
+            account.reject(from, &grant, grant.levels, out);
         } else {
             account.receive(now, &grant, pending, until);
             out.push(Effect::Retry(grant.workspace));
@@ -221,6 +223,20 @@
         }
     }
 
+    /// Gives back at once what cannot be used, unless it is in use by an earlier copy of the grant.
+    fn reject(&self, from: &name::Host, grant: &Grant, levels: Levels, out: &mut Vec<Effect>) {
+        if grant.terms.is_empty() || self.borrowed.contains_key(&grant.loan) {
+            return;
+        }
+        let back = Return {
+            loan: grant.loan,
+            workspace: grant.workspace.clone(),
+            levels,
+            slots: grant.terms.slots,
+        };
+        out.push(Effect::Send(from.clone(), Message::Return(back)));
+    }
+
     /// Backs off once all tries for a request have brought nothing.
     fn on_refusal(&mut self, now: Instant) {
         if self.short.is_some_and(|s| s.tries > 0) {
