--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,16 +5,42 @@
 //!
 //! - [`name`], [`request`], [`time`], [`units`], [`message`]: the shared vocabulary.
 //! - [`contract`], [`config`], [`revision`]: what operators write and how it is agreed.
+//! - [`engine`]: what sides and engines say to each other.
+//! - [`share`]: messages by which entries share a contract's limits.
+//! - [`status`]: what every process tells operators about itself.
 //! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
+//! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
+//!   [`explain`].
+//! - [`entry`]: the decisions of an entry.
+//! - [`membership`]: which hosts may be given work.
+//! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
+//!   [`home`].
 
+pub mod answer;
+pub mod backlog;
 pub mod config;
 pub mod contract;
+pub mod drain;
+pub mod engine;
+pub mod entry;
+pub mod estimate;
+pub mod explain;
+pub mod home;
+pub mod ledger;
 pub mod limit;
+pub mod membership;
 pub mod message;
 pub mod name;
+pub mod plan;
+pub mod queue;
+pub mod recover;
 pub mod request;
+pub mod retry;
 pub mod revision;
 pub mod roster;
 pub mod share;
+pub mod side;
+pub mod status;
 pub mod time;
+pub mod token;
 pub mod units;
