Move slow requests in progress to another chain

Steps over the link took half a second each way, so nothing was silent for long; and steps that were sent again were not learned from, so the link kept being chosen.

Change: slow steps are always learned from.

It fails without the move, and without the learning.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,7 +5,7 @@
 //! token from the last, and when a stage fails goes on from the last position delivered.
 //!
 //! - `generation`: a generation while all goes well.
-//! - `recovery`: what is done when it does not.
+//! - `recovery`: what is done when it does not; `migrate`: when it goes slowly.
 //! - `admission`: admission by contract, limits shared with other entries.
 //! - `call`, `claim`: calls of plain services and their idempotency keys.
 //! - [`count`]: counters for each refusal and retry reason.
@@ -16,6 +16,7 @@
 pub mod count;
 mod event;
 mod generation;
+mod migrate;
 mod pending;
 mod recovery;
 mod work;
@@ -60,6 +61,7 @@
     heard: BTreeMap<name::Endpoint, Instant>,
     terms: BTreeMap<name::Endpoint, Term>,
     budget: retry::Budget,
+    moves: retry::Budget,
     /// Part of the allowed answer length that answers use, by model.
     lengths: BTreeMap<name::Model, f64>,
     book: Book,
@@ -109,7 +111,8 @@
             lost: BTreeMap::new(),
             heard: BTreeMap::new(),
             terms: BTreeMap::new(),
-            budget: retry::Budget::new(now),
+            budget: retry::Budget::new(now, retry::RETRIES),
+            moves: retry::Budget::new(now, retry::MOVES),
             lengths: BTreeMap::new(),
             book: Book::new(now, host.clone(), 0, limit::Settings::default()),
             parked: BTreeMap::new(),
--- a/crates/core/src/entry/admission.rs
+++ b/crates/core/src/entry/admission.rs
@@ -83,6 +83,7 @@
         let deadline_ms = left_ms(now, deadline);
         self.records.add(now, id, Fact::Admitted { tokens, roster, deadline_ms });
         self.budget.request();
+        self.moves.request();
         match ask {
             Ask::Generate(ask) => self.run(now, (id, ask, permit, deadline), effects),
             Ask::Call(ask) => self.run_call(now, (id, ask, permit, deadline), &service, effects),
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -75,6 +75,8 @@
             resume: 0,
             failed: BTreeSet::new(),
             retries: 0,
+            token: Duration::ZERO,
+            slow: 0,
             fault_at: None,
             fed: false,
             held: false,
@@ -106,7 +108,11 @@
         let keep = work.chain.iter().map(|stage| stage.endpoint.clone()).collect();
         let query = Query {
             prompt_tokens: work.answer.length(),
-            answer_tokens: if first { self.expected(&work.ask) } else { REST_TOKENS },
+            answer_tokens: if first {
+                self.expected(work.ask.max_tokens, &work.ask.model)
+            } else {
+                REST_TOKENS
+            },
             // An answer in progress goes on even if it is expected to be late.
             left: if work.fed { Duration::MAX } else { work.deadline.since(now) },
             prefixes: &[],
@@ -136,6 +142,8 @@
         effects.extend(left.map(|stage| work.cancel_at(stage)));
         work.resume = plan.resume;
         work.chain.clone_from(&choice.chain);
+        work.token = Duration::from_micros(choice.token_us);
+        work.slow = 0;
         let run_again = if plan.way == Way::Refill { work.answer.length() } else { 1 };
         if !first {
             self.records.add(now, work.request, Fact::Recovers { attempt, plan });
@@ -279,9 +287,10 @@
         for stage in &work.chain {
             self.heard.insert(stage.endpoint.clone(), now);
         }
-        let learns = token.position % LEARN_EVERY == 0 && work.since == work.sent;
-        if token.position - started == 1 && learns {
-            self.planner.observe(now, &work.chain, &token.hops, now.since(work.since));
+        let took = now.since(work.since);
+        let slow = token.position - started == 1 && work.note(took);
+        if token.position - started == 1 && (slow || token.position % LEARN_EVERY == 0) {
+            self.planner.observe(now, &work.chain, &token.hops, took);
         }
         if let Some(sample) = token.sampled {
             let recovery_us = work.fault_at.take().map(|at| crate::time::as_us(now.since(at)));
@@ -296,7 +305,9 @@
                 return;
             }
         }
-        self.feed(now, id, effects);
+        if !(slow && self.migrate(now, id, took, effects)) {
+            self.feed(now, id, effects);
+        }
     }
 
     /// Delivers a token; returns whether the answer is complete.
@@ -362,9 +373,9 @@
         }
     }
 
-    /// Tokens of the answer that are expected.
-    fn expected(&self, ask: &Generate) -> u32 {
-        let part = self.lengths.get(&ask.model).copied().unwrap_or(EXPECTED_LENGTH);
-        ((f64::from(ask.max_tokens) * part) as u32).max(1)
+    /// Tokens that are expected of an answer that may have `most`.
+    pub(super) fn expected(&self, most: u32, model: &name::Model) -> u32 {
+        let part = self.lengths.get(model).copied().unwrap_or(EXPECTED_LENGTH);
+        ((f64::from(most) * part) as u32).max(1)
     }
 }
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -250,7 +250,13 @@
     }
 
     /// Gives an attempt up and starts the next one, at once or after a wait.
-    fn fail(&mut self, now: Instant, id: Id, failure: Failure, effects: &mut Vec<Effect>) {
+    pub(super) fn fail(
+        &mut self,
+        now: Instant,
+        id: Id,
+        failure: Failure,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(mut work) = self.works.remove(&id) else { return };
         self.planner.finish(&work.chain);
         work.phase = Phase::Waiting(now);
--- a/crates/core/src/entry/work.rs
+++ b/crates/core/src/entry/work.rs
@@ -1,6 +1,7 @@
 //! One generation in progress.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::answer::Answer;
 use crate::limit::Permit;
@@ -32,6 +33,10 @@
     /// Endpoints that failed this request.
     pub failed: BTreeSet<name::Endpoint>,
     pub retries: u32,
+    /// Time between tokens that the choice of the chain expected.
+    pub token: Duration,
+    /// Tokens in a row that took much longer.
+    pub slow: u32,
     /// When the trouble began from which the request has not recovered yet.
     pub fault_at: Option<Instant>,
     /// Whether any token may have run.
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -8,14 +8,22 @@
 use crate::message::Fault;
 use crate::time::Instant;
 
-/// Retries that requests in progress may add, as a part of the requests.
-const RATIO: f64 = 0.2;
+/// How fast a budget fills.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    /// Retries that each request adds.
+    pub ratio: f64,
+    /// Most retries that are saved up.
+    pub burst: f64,
+    /// Retries a second that are allowed without requests.
+    pub per_second: f64,
+}
 
-/// Retries that may be made without requests, for when there is little traffic.
-const BURST: f64 = 10.0;
+/// Retries after refusals and silence.
+pub const RETRIES: Rate = Rate { ratio: 0.2, burst: 10.0, per_second: 1.0 };
 
-/// Retries a second that are allowed in any case.
-const PER_SECOND: f64 = 1.0;
+/// Moves of slow requests in progress; a link that degrades slows many at once.
+pub const MOVES: Rate = Rate { ratio: 0.2, burst: 64.0, per_second: 4.0 };
 
 /// The first wait.
 const BACKOFF: Duration = Duration::from_millis(20);
@@ -49,6 +57,9 @@
     /// No outcome came in time.
     #[display("silent")]
     Silent,
+    /// Tokens came much more slowly than another chain is estimated to bring them.
+    #[display("slow")]
+    Slow,
     /// No chain could be found for a request in progress.
     #[display("no-chain")]
     NoChain,
@@ -78,29 +89,30 @@
 
 /// Retries that one entry may still make: a token bucket that requests fill.
 ///
-/// In an outage each entry adds at most a fifth to its load, however many requests fail.
+/// In an outage each entry adds at most a fixed part to its load, however many requests fail.
 #[derive(Clone, Debug)]
 pub struct Budget {
+    rate: Rate,
     tokens: f64,
     filled: Instant,
 }
 
 impl Budget {
     /// A full budget.
-    pub fn new(now: Instant) -> Self {
-        Self { tokens: BURST, filled: now }
+    pub fn new(now: Instant, rate: Rate) -> Self {
+        Self { rate, tokens: rate.burst, filled: now }
     }
 
     /// Counts a request that was admitted.
     pub fn request(&mut self) {
-        self.tokens = (self.tokens + RATIO).min(BURST.max(self.tokens));
+        self.tokens = (self.tokens + self.rate.ratio).min(self.rate.burst);
     }
 
     /// Takes one retry out of the budget, if there is one.
     pub fn take(&mut self, now: Instant) -> bool {
         let passed = now.since(self.filled).as_secs_f64();
         self.filled = self.filled.max(now);
-        self.tokens = (self.tokens + passed * PER_SECOND).min(BURST);
+        self.tokens = (self.tokens + passed * self.rate.per_second).min(self.rate.burst);
         if self.tokens < 1.0 {
             return false;
         }
@@ -110,7 +122,7 @@
 
     /// When the next retry will be possible.
     pub fn wait(&self) -> Duration {
-        Duration::from_secs_f64(((1.0 - self.tokens) / PER_SECOND).max(0.0))
+        Duration::from_secs_f64(((1.0 - self.tokens) / self.rate.per_second).max(0.0))
     }
 }
 
--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -85,6 +85,33 @@
     }
 }
 
+/// A degraded link lets every step through, late. 200 tokens at half a second would take 100 s;
+/// the request moves instead, and later ones avoid the link.
+#[test]
+fn a_request_leaves_a_degraded_link() {
+    for seed in 0..20 {
+        let mut world = World::new(seed);
+        world.handle(Event::Generate(id(1), generate(PROMPT.to_vec(), 200)));
+        for _ in 0..40 {
+            world.step();
+        }
+        let slow = world.serving(id(1))[0].clone();
+        world.slow.insert(slow.clone());
+        let began = world.now;
+        while !world.outcomes.contains_key(&id(1)) {
+            world.step();
+        }
+        let took = world.now.since(began);
+        assert!(took < Duration::from_secs(10), "seed {seed}: {took:?}");
+        assert_eq!(world.texts[&id(1)], reference(&PROMPT, 200));
+        for seq in 2..10 {
+            world.handle(Event::Generate(id(seq), generate(PROMPT.to_vec(), 20)));
+            world.step();
+            assert!(!world.serving(id(seq)).contains(&slow), "seed {seed}: used again at once");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(settings(192))]
 
--- a/crates/core/tests/entry/world.rs
+++ b/crates/core/tests/entry/world.rs
@@ -137,6 +137,8 @@
     pub outcomes: BTreeMap<Id, Vec<Outcome>>,
     dead: BTreeSet<name::Host>,
     silent: BTreeSet<name::Host>,
+    /// Hosts to which each message takes half a second.
+    pub slow: BTreeSet<name::Host>,
     /// Messages in a hundred that are lost, and doubled.
     pub lose: usize,
     pub double: usize,
@@ -155,6 +157,7 @@
             outcomes: BTreeMap::new(),
             dead: BTreeSet::new(),
             silent: BTreeSet::new(),
+            slow: BTreeSet::new(),
             lose: 0,
             double: 0,
             works: BTreeMap::new(),
@@ -187,9 +190,10 @@
         let chance = self.draw.below(100);
         let copies =
             if chance < self.lose { 0 } else { 1 + usize::from(chance > 99 - self.double) };
+        let extra = if self.slow.contains(&to) { 500_000 } else { 0 };
         for _ in 0..copies {
             let delay = 200 + self.draw.below(if self.double > 0 { 30_000 } else { 300 }) as u64;
-            let at = self.now + Duration::from_micros(delay);
+            let at = self.now + Duration::from_micros(delay + extra);
             self.wire.push((at, to.clone(), message.clone()));
         }
     }
