--- a/crates/standin/src/cmd/mod.rs
+++ b/crates/standin/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 use bpaf::{Bpaf, Parser};
 
 pub mod engine;
+pub mod hosts;
 pub mod kv;
 pub mod service;
 pub mod weights;
@@ -17,6 +18,9 @@
     /// Runs a key-value service
     #[bpaf(command("kv"))]
     Kv(#[bpaf(external(kv::command))] kv::Command),
+    /// Runs a host list
+    #[bpaf(command("hosts"))]
+    Hosts(#[bpaf(external(hosts::command))] hosts::Command),
     /// Runs a plain service
     #[bpaf(command("service"))]
     Service(#[bpaf(external(service::command))] service::Command),
@@ -31,6 +35,7 @@
         match self {
             Self::Engine(command) => command.execute().await,
             Self::Kv(command) => command.execute().await,
+            Self::Hosts(command) => command.execute().await,
             Self::Service(command) => command.execute().await,
             Self::Weights(command) => command.execute().await,
         }
