Count a recovery only once tokens flow again

Cause: with a degraded link the next token came after 21 ms (it was on its way), while 34 of 597 requests then missed their deadline of 20 s: the time to the next token hid the fault. Change: recovery lasts to the end of the last pause over 250 ms; a request without a whole answer counts with its deadline. The measure is stricter for every fault.

--- a/crates/load/src/cmd/recover.rs
+++ b/crates/load/src/cmd/recover.rs
@@ -57,7 +57,7 @@
     let verdict = if figures.met { "met " } else { "MISS" };
     let (recovery, again) = (&figures.recovery, &figures.from_beginning);
     println!(
-        "{verdict} {:?}: next token after p50 {:.0} ms, p95 {:.0} ms, max {:.0} ms \
+        "{verdict} {:?}: tokens flow after p50 {:.0} ms, p95 {:.0} ms, max {:.0} ms \
          (target {} ms, {} requests; from the beginning p95 {:.0} ms)",
         figures.fault,
         recovery.p50_ms,
@@ -91,7 +91,7 @@
         (format!("{:?}", figures.fault), values)
     };
     crate::plot::Bars {
-        title: "Time from the fault to the next token".to_owned(),
+        title: "Time from the fault until tokens flow again".to_owned(),
         unit: "ms".to_owned(),
         names: ["p50", "p95", "p95 from the beginning", "target"].map(str::to_owned).to_vec(),
         groups: all.iter().map(group).collect(),
--- a/crates/load/src/recover.rs
+++ b/crates/load/src/recover.rs
@@ -1,4 +1,4 @@
-//! Time from a fault to the next token at the caller.
+//! Time from a fault until tokens flow again at the caller.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -34,6 +34,9 @@
 /// Delay of a degraded link.
 const DEGRADED: Duration = Duration::from_millis(500);
 
+/// A pause between two tokens that a caller notices.
+const STALL: Duration = Duration::from_millis(250);
+
 /// Tokens of each answer.
 const ANSWER_TOKENS: u32 = 64;
 
@@ -87,7 +90,9 @@
 pub struct Figures {
     /// What went wrong.
     pub fault: Fault,
-    /// Time from the fault to the next token of requests that the victims held.
+    /// Time from the fault until tokens of requests that the victims held flow again: to the next
+    /// token, or to the end of the last noticeable pause. A request that got no whole answer
+    /// counts with its deadline.
     pub recovery: Percentiles,
     /// The same if each had been run again from its beginning: worked out from the recovery, the
     /// median time to the first token and the median time between tokens.
@@ -307,11 +312,14 @@
     for sample in concerned {
         let answer = &sample.answer;
         let delivered = answer.times.iter().filter(|time| **time <= at).count();
-        let recovery = match answer.times.get(delivered) {
-            Some(next) => next.duration_since(at),
+        let next = answer.times.get(delivered);
+        let stalls = answer.gaps().filter(|(end, gap)| *end > at && *gap > STALL);
+        let recovered = stalls.map(|(end, _)| end).last().or(next.copied());
+        let recovery = match recovered {
+            _ if answer.end != End::Complete => sample.ask.deadline,
+            Some(recovered) => recovered.duration_since(at),
             // It was complete, and only its release was under way.
-            None if answer.end == End::Complete => continue,
-            None => sample.ask.deadline,
+            None => continue,
         };
         collected.recovery.add(recovery);
         let again = first_token + inter_token * u32::try_from(delivered).unwrap_or(u32::MAX);
