Report loads to entries that the configuration names later

Cause: seen with processes by hand, entries and sides start without a configuration; a side that was connected before it knew its entries never reported to them, so they lacked its term and calls were refused as 'restarted' (12 counted) until a new connection. Reports are due again when a connected host becomes an entry. The test fails without the change.

--- a/crates/core/src/side/report.rs
+++ b/crates/core/src/side/report.rs
@@ -25,15 +25,22 @@
 /// Who gets reports, and what was reported.
 #[derive(Default)]
 pub(super) struct Reports {
-    /// Hosts that are entries.
+    /// Hosts that are entries by the configuration in force.
     expected: BTreeSet<name::Host>,
+    /// Hosts that are connected, entries or not: one may become an entry later.
     connected: BTreeSet<name::Host>,
     last: BTreeMap<name::Endpoint, (Instant, Load)>,
 }
 
 impl Reports {
     pub(super) fn expect<'a>(&mut self, entries: impl Iterator<Item = &'a name::Host>) {
-        self.expected = entries.cloned().collect();
+        let expected: BTreeSet<name::Host> = entries.cloned().collect();
+        let joined = expected.difference(&self.expected);
+        if joined.into_iter().any(|host| self.connected.contains(host)) {
+            // All reports are due again.
+            self.last.clear();
+        }
+        self.expected = expected;
     }
 
     /// An entry is connected: it gets all reports at once.
@@ -43,7 +50,7 @@
         gates: &mut BTreeMap<name::Endpoint, Gate>,
         out: &mut Vec<Effect>,
     ) {
-        if !self.expected.contains(host) || !self.connected.insert(host.clone()) {
+        if !self.connected.insert(host.clone()) || !self.expected.contains(host) {
             return;
         }
         for gate in gates.values() {
@@ -68,7 +75,7 @@
             if self.last.get(name).is_some_and(|(at, last)| !is_due(now, *at, last, &load)) {
                 continue;
             }
-            for host in &self.connected {
+            for host in self.connected.intersection(&self.expected) {
                 out.push(report(host, &load));
             }
             gate.stored.clear();
--- a/crates/core/tests/side.rs
+++ b/crates/core/tests/side.rs
@@ -403,3 +403,18 @@
     assert_eq!(refused(&bench.tell(Message::Open(huge))).unwrap().reason, Refusal::QueueFull);
     assert_eq!(bench.machine.counters().get(Count::Foreign), 2);
 }
+
+#[test]
+fn an_entry_that_came_before_the_configuration_gets_reports_with_it() {
+    let mut bench = Bench::new(4);
+    let second = name::Host::from("entry-2");
+    assert!(bench.event(Event::Up(second.clone())).is_empty());
+    let mut named = config(4);
+    let address = "127.0.0.1:1".parse().unwrap();
+    named.entries.insert(second.clone(), Entry { address, zone: "hall-a".into(), weight: 1 });
+    let out = bench.event(Event::Configured { config: Box::new(named), revision: 1, roster: 1 });
+    let reported = out.iter().filter(|effect| {
+        matches!(effect, Effect::Send { host, message: Message::Load(_), .. } if *host == second)
+    });
+    assert_eq!(reported.count(), 2);
+}
