Refuse as starting while an entry has no configuration

Cause: by hand, an entry without a configuration told callers that their key is wrong (401), which a caller takes as final. It now answers 503 'starting', not run, with Retry-After. The test fails with the old answer (401).

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -143,6 +143,9 @@
     /// The idempotency key was used before for another request.
     #[display("key-mismatch")]
     KeyMismatch,
+    /// The entry has no configuration yet.
+    #[display("starting")]
+    Starting,
     /// The entry is stopping.
     #[display("stopping")]
     Stopping,
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -55,6 +55,9 @@
     }
 }
 
+/// Milliseconds after which an entry that was starting is likely to have its configuration.
+const STARTING_RETRY_MS: u64 = 1_000;
+
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Audience {
@@ -84,6 +87,13 @@
         Self::new(Refusal::Stopping, "the entry is stopping")
     }
 
+    /// The process has no configuration yet.
+    fn starting() -> Self {
+        let refused = not_run(Refusal::Starting, Some(STARTING_RETRY_MS));
+        let detail = "the entry has no configuration yet".to_owned();
+        Self { refused, detail, workspace: None }
+    }
+
     /// The same, counted for a workspace.
     pub(crate) fn of(mut self, workspace: &name::Workspace) -> Self {
         self.workspace = Some(workspace.clone());
@@ -147,8 +157,13 @@
 
 /// The workspace whose contract lists the caller's key.
 pub(crate) fn authorize(request: &Request, shared: &Shared) -> Result<name::Workspace, Problem> {
+    let config = shared.config();
+    if config.contracts.is_empty() {
+        // A caller whose key cannot be looked up yet must not be told that it is wrong.
+        return Err(Problem::starting());
+    }
     let key = header(request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
-    key.and_then(|key| auth::find(&shared.config(), key)).ok_or_else(|| {
+    key.and_then(|key| auth::find(&config, key)).ok_or_else(|| {
         let detail = "header authorization: expected \"Bearer KEY\" with the key of a workspace";
         Problem::new(Refusal::Unauthorized, detail)
     })
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -53,6 +53,7 @@
         | Refusal::RetryBudget
         | Refusal::HomeUnreachable
         | Refusal::Cancelled
+        | Refusal::Starting
         | Refusal::Stopping => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
@@ -84,6 +85,7 @@
         Refusal::EndpointFailed => "the endpoints that ran the request failed",
         Refusal::Restarted => "the endpoint's side has restarted and cannot know",
         Refusal::Cancelled => "the caller went away",
+        Refusal::Starting => "the entry has no configuration yet",
         Refusal::Stopping => "the entry is stopping",
     }
 }
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -188,3 +188,16 @@
     assert!(body.ends_with(b"data: [DONE]\n\n"));
     stopped.await.unwrap();
 }
+
+#[actix_rt::test]
+async fn an_entry_without_a_configuration_says_so_and_not_that_the_key_is_wrong() {
+    let (_entry, address) = bench::start_without_configuration();
+    let get = |path: &str| Client::default().get(format!("http://{address}{path}")).send();
+    assert_eq!(get("/readyz").await.unwrap().status(), 503);
+    let chat = Client::default().post(format!("http://{address}{CHAT}")).bearer_auth(KEY);
+    let mut response = chat.send_body(ask(false, 1)).await.unwrap();
+    assert_eq!(response.status(), 503);
+    assert_eq!(response.headers().get("retry-after").unwrap(), "1");
+    let problem: Value = response.json().await.unwrap();
+    assert_eq!((&problem["reason"], &problem["ran"]), (&json!("starting"), &json!("no")));
+}
--- a/crates/entry/tests/http/bench.rs
+++ b/crates/entry/tests/http/bench.rs
@@ -101,6 +101,15 @@
     config
 }
 
+/// An entry that has no configuration, and where callers reach it.
+pub fn start_without_configuration() -> (Handle, SocketAddr) {
+    let ((wire, _), (http, address)) = (listener(), listener());
+    let (host, secret) = ("entry".into(), SECRET.to_vec());
+    let (config, liveness) = (Config::default(), Liveness::default());
+    let setup = Setup { host, secret, config, wire, http, liveness, seed: 1 };
+    (Builder::new(setup).start(), address)
+}
+
 impl Bench {
     pub async fn start() -> Self {
         let (listening, side_address) = listener();
