--- a/crates/core/examples/limit_bound.rs
+++ b/crates/core/examples/limit_bound.rs
@@ -151,18 +151,18 @@
 }
 
 /// Workspaces of very different sizes, the largest a few hundred times the smallest.
-fn fleet_contract(i: u64, sum: f64) -> Contract {
+fn fleet_contract(i: u64, sum: f64, load: f64) -> Contract {
     let share = 1.0 / (i + 10) as f64 / sum;
-    let rate = FLEET_REQUESTS_PER_S as f64 * share / 0.6;
+    let rate = FLEET_REQUESTS_PER_S as f64 * share / load;
     let burst = (rate * 10.0).max(5.0) as u32;
     let limits = limits(rate, burst, rate * 2000.0, burst * 2000);
     contract(&Workspace::from(format!("w{i:03}").as_str()), limits, Duration::from_secs(60))
 }
 
 /// The size of the letter: what the sharing costs a node, and how many are refused below bound.
-fn fleet(nodes: usize) {
+fn fleet(nodes: usize, load: f64) {
     let sum: f64 = (0..WORKSPACES).map(|i| 1.0 / (i + 10) as f64).sum();
-    let contracts: Vec<_> = (0..WORKSPACES).map(|i| fleet_contract(i, sum)).collect();
+    let contracts: Vec<_> = (0..WORKSPACES).map(|i| fleet_contract(i, sum, load)).collect();
     let mut world = World::new(SEED, nodes, Settings::default(), contracts.clone());
     let seconds = 60;
     let mut before = (0, 0, 0, 0);
@@ -188,7 +188,7 @@
     let f = &world.figures;
     let each = |now: u64, then: u64| (now - then) as f64 / nodes as f64 / (seconds - 20) as f64;
     println!(
-        "fleet: {WORKSPACES} workspaces, {FLEET_REQUESTS_PER_S} requests/s at 60 % of the bounds, \
+        "fleet: {WORKSPACES} workspaces, {FLEET_REQUESTS_PER_S} requests/s at {load} of the bounds, \
          {nodes} entries: {:.1} messages/s and {:.0} bytes/s sent a node, {:.2} % refused",
         each(f.messages, before.0),
         each(f.bytes, before.1),
@@ -217,6 +217,7 @@
         }
     }
     for nodes in [4, 20] {
-        fleet(nodes);
+        fleet(nodes, 0.6);
+        fleet(nodes, 1.5);
     }
 }
--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -51,6 +51,12 @@
 /// Retry hint while all slots are taken, in milliseconds.
 const SLOT_RETRY_MS: u64 = 250;
 
+/// New requests for loans that one tick allows, over all workspaces. It bounds what the sharing
+/// of limits costs when many workspaces are at their bounds at once.
+const ASKS_PER_TICK: u32 = 5;
+
+const MAX_ASKS: u32 = 50;
+
 new_key_type! {
     /// Index of a workspace's account.
     struct Key;
@@ -68,6 +74,8 @@
     names: BTreeMap<name::Workspace, Key>,
     serial: u32,
     charges: u64,
+    /// Requests for loans that may be sent now.
+    asks: u32,
 }
 
 impl Book {
@@ -84,6 +92,7 @@
             names: BTreeMap::new(),
             serial: 0,
             charges: 0,
+            asks: MAX_ASKS,
         }
     }
 
@@ -256,6 +265,7 @@
     /// Does what is due: renews and returns loans, and takes up shares that have become free.
     /// To be called every [`TICK_MS`]; late calls cost throughput only.
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Effect>) {
+        self.asks = self.asks.saturating_add(ASKS_PER_TICK).min(MAX_ASKS);
         self.greet(now, out);
         let keys: Vec<Key> = self.accounts.keys().collect();
         for key in keys {
--- a/crates/core/src/limit/ask.rs
+++ b/crates/core/src/limit/ask.rs
@@ -17,6 +17,9 @@
 /// Requests for loans of one workspace that may be unanswered at once.
 const MAX_OPEN: usize = 4;
 
+/// Unanswered requests for loans and renewals that are remembered for one workspace.
+const MAX_PENDING: usize = 64;
+
 /// Lenders that are tried for one request.
 const MAX_TRIES: usize = 6;
 
@@ -64,8 +67,11 @@
 
     /// Asks further lenders, as long as something is short and the tries last.
     fn ask_next(&mut self, now: Instant, key: Key, out: &mut Vec<Effect>) {
-        while let Some((to, least, want)) = self.accounts.get_mut(key).and_then(|a| a.next_ask(now))
+        while self.asks > 0
+            && let Some(account) = self.accounts.get_mut(key)
+            && let Some((to, least, want)) = account.next_ask(now)
         {
+            self.asks -= 1;
             self.send_ask(now, key, to, Request { least, want, renew: None }, out);
         }
     }
@@ -91,6 +97,10 @@
             brief: account.is_brief(now, request.least),
         };
         account.pending.insert(number, pending);
+        if account.pending.len() > MAX_PENDING {
+            // A grant that still comes for the oldest is given back.
+            account.pending.pop_first();
+        }
         let ask = Ask {
             number,
             workspace: account.workspace.clone(),
