revision::Follower: ask peers before a starting process trusts the key-value service

Mutation trials showed a race: with the service set back and changed again (a fork with a higher number), an entry that started and read the service before its first peer answered no longer asked that peer, whose number was smaller, and adopted the fork. Cause: the unconfirmed candidate counted as known. Now it does not count until a revision is in force; a starting process tells three entries at once and waits 2 s instead of 1 s for a contradiction. Sides also take documents from peers first, so that a restart of all costs the service less.

Tests added for the four mutants that survived (settle, fork by content, corrupt documents, a silent peer).

--- a/crates/core/src/revision/follower.rs
+++ b/crates/core/src/revision/follower.rs
@@ -42,7 +42,7 @@
 use crate::time::Instant;
 
 /// Time for which a starting process waits for a peer to contradict the key-value service.
-const BOOTSTRAP_WAIT: Duration = Duration::from_secs(1);
+const BOOTSTRAP_WAIT: Duration = Duration::from_secs(2);
 
 /// Most documents that are asked of a peer at once.
 const FETCH_LIMIT: usize = 64;
--- a/crates/core/src/revision/follower/exchange.rs
+++ b/crates/core/src/revision/follower/exchange.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use super::candidate::Candidate;
 use super::dice::Dice;
-use super::{Effect, FETCH_LIMIT, Follower, Origin, Turn};
+use super::{Effect, FETCH_LIMIT, Follower, Origin, Role, Turn};
 use crate::name;
 use crate::revision::{Hash, Message};
 use crate::time::Instant;
@@ -18,6 +19,13 @@
 /// Spread of the fetches of a new head, so that one entry does not serve them all.
 const FETCH_SPREAD: Duration = Duration::from_secs(1);
 
+/// The same for a process that has no revision; well below the time for which it waits for a peer
+/// to contradict the key-value service.
+const START_FETCH_SPREAD: Duration = Duration::from_millis(200);
+
+/// Entries to which a process without a revision tells so at once.
+const START_PARTNERS: usize = 3;
+
 /// Time after which a head that was asked of a peer is asked of another.
 const HEAD_DEADLINE: Duration = Duration::from_secs(2);
 
@@ -77,7 +85,8 @@
         self.peers.set_number(&host, number, turn.now);
         let own = self.number();
         if number > self.known() && !self.refused.announced(&host, number, turn.now) {
-            let at = turn.now + turn.dice.between(Duration::ZERO, FETCH_SPREAD);
+            let spread = if own > 0 { FETCH_SPREAD } else { START_FETCH_SPREAD };
+            let at = turn.now + turn.dice.between(Duration::ZERO, spread);
             self.exchange.fetch_at.get_or_insert(at);
         }
         // An equal number is answered too: it shows a side that it need not call the service.
@@ -87,9 +96,14 @@
         }
     }
 
-    /// Number of the latest revision that is in force or being fetched.
+    /// Number of the latest revision that is in force, or being fetched.
+    ///
+    /// As long as none is in force, a head of the key-value service does not count: peers may have
+    /// a revision in force that it leaves out, and whose number is smaller.
     fn known(&self) -> u64 {
-        self.candidate.as_ref().map_or(0, |c| c.head.number).max(self.number())
+        let unconfirmed = |c: &&Candidate| self.current.is_none() && c.origin == Origin::Service;
+        let candidate = self.candidate.as_ref().filter(|c| !unconfirmed(c));
+        candidate.map_or(0, |c| c.head.number).max(self.number())
     }
 
     fn serve(&self, turn: &mut Turn, host: &name::Host, hashes: &[Hash]) {
@@ -128,28 +142,37 @@
         turn.effects.push(Effect::Send(host, Message::FetchHead));
     }
 
-    /// Tells one entry this process's number; it answers unless its own is older.
+    /// Tells an entry this process's number; it answers unless its own is older.
     pub(super) fn exchange_numbers(&mut self, turn: &mut Turn) {
         if turn.now < self.exchange.exchange_at {
             return;
         }
-        let (low, high) = match self.current {
-            Some(_) => (EXCHANGE_SHORTEST, EXCHANGE_LONGEST),
-            None => (START_EXCHANGE / 2, START_EXCHANGE),
+        let (low, high, count) = match self.current {
+            Some(_) => (EXCHANGE_SHORTEST, EXCHANGE_LONGEST, 1),
+            None => (START_EXCHANGE / 2, START_EXCHANGE, START_PARTNERS),
         };
         self.exchange.exchange_at = turn.now + turn.dice.between(low, high);
         let mut partners = self.peers.partners();
-        if let Some(host) = turn.dice.take(&mut partners) {
-            self.tell(turn, host);
+        for _ in 0..count {
+            if let Some(host) = turn.dice.take(&mut partners) {
+                self.tell(turn, host);
+            }
         }
     }
 
-    /// Asks for documents that the candidate lacks, from where its head came from first.
+    /// Asks for documents that the candidate lacks: a side of peers first, an entry of where the
+    /// head came from.
     pub(super) fn fetch_documents(&mut self, turn: &mut Turn) {
+        let side = self.service.role() == Role::Side;
         let Some(candidate) = self.candidate.as_mut().filter(|c| c.wants()) else {
             return;
         };
-        let by_service = (candidate.origin == Origin::Service) != candidate.alternates();
+        // A side leaves entries the time to fetch them first.
+        if side && turn.now < candidate.not_before {
+            return;
+        }
+        let first = candidate.origin == Origin::Service && !side;
+        let by_service = first != candidate.alternates();
         let mut holders = self.peers.holders(candidate.head.number, &self.refused, turn.now);
         let host = turn.dice.take(&mut holders);
         match host.filter(|_| !by_service || !self.service.idle()) {
--- a/crates/core/src/revision/follower/service.rs
+++ b/crates/core/src/revision/follower/service.rs
@@ -48,6 +48,11 @@
         Self { role, due, busy, failures: 0, batch: READ_LIMIT, up, set_back: false, version }
     }
 
+    /// The process's role.
+    pub(super) fn role(&self) -> Role {
+        self.role
+    }
+
     /// Whether a call may be sent now.
     pub(super) fn idle(&self) -> bool {
         self.busy.is_none()
--- a/crates/core/tests/revision.rs
+++ b/crates/core/tests/revision.rs
@@ -6,8 +6,8 @@
 
 use oriole_core::revision::follower::Version;
 use oriole_core::revision::{
-    CHANGES_LIMIT, Change, Clash, Edit, Hash, Head, HeadError, Operation, Proposal, Relation, Step,
-    propose,
+    Adopted, CHANGES_LIMIT, Change, Clash, Edit, Hash, Head, HeadError, Operation, Outcome,
+    Proposal, Refusal, Relation, Step, propose, settle,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -67,6 +67,45 @@
     assert_eq!(fork[3].relation(&heads[5]), Relation::Fork);
     assert_eq!(fork[3].relation(&heads[3]), Relation::Fork);
     assert_eq!(heads[CHANGES_LIMIT + 2].relation(&heads[0]), Relation::Unproven);
+    // The same changes in the same order, but other contents.
+    let mut altered = heads[2].clone();
+    altered.documents.insert("weights".into(), Hash::of(b"other"));
+    assert_eq!(heads[3].relation(&altered), Relation::Fork);
+    assert_eq!(heads[2].relation(&altered), Relation::Fork);
+}
+
+#[test]
+fn a_lost_reply_is_settled_by_the_head() {
+    let heads = chain(4, "a");
+    let fork = chain(4, "b");
+    let cases = [
+        (None, None, Outcome::Undecided),
+        (None, Some(&heads[0]), Outcome::Refused),
+        (Some(&heads[1]), Some(&heads[1]), Outcome::Undecided),
+        (Some(&heads[1]), Some(&heads[3]), Outcome::Refused),
+        (Some(&heads[1]), Some(&heads[0]), Outcome::SetBack),
+        (Some(&heads[1]), Some(&fork[3]), Outcome::SetBack),
+        (Some(&heads[1]), None, Outcome::SetBack),
+    ];
+    for (base, seen, outcome) in cases {
+        assert_eq!(settle(base, seen, "x"), outcome);
+    }
+    assert_eq!(settle(Some(&heads[1]), Some(&heads[3]), "a2"), Outcome::Accepted(3));
+}
+
+#[test]
+fn only_whole_revisions_are_adopted() {
+    let good = Adopted::first(&BTreeMap::from([("services".into(), "[a]\n".into())])).unwrap();
+    let head = (*good.head).clone();
+    let adopt = |bytes: &[u8]| {
+        let hash = head.documents["services"];
+        Adopted::new(head.clone(), &BTreeMap::from([(hash, bytes.into())])).err()
+    };
+    assert_eq!(adopt(b"[a]\n"), None);
+    assert_eq!(adopt(b"[b]\n"), Some(Refusal::Corrupt));
+    assert_eq!(adopt(&vec![b'#'; 1_000_000]), Some(Refusal::Oversized));
+    let missing = Adopted::new(head.clone(), &BTreeMap::new()).err();
+    assert_eq!(missing, Some(Refusal::Missing { name: "services".into() }));
 }
 
 #[test]
--- a/crates/core/tests/revision_follower.rs
+++ b/crates/core/tests/revision_follower.rs
@@ -97,13 +97,37 @@
     }
     assert_eq!(net.without(&head), []);
     assert!(net.follower("entry-1").counts().forks > 0);
-    // A process that starts now follows its peers.
-    for host in ["entry-0", "side-3"].map(Host::from) {
-        net.stop(&host);
-        net.start(&host);
+    // A process that starts now follows its peers, whoever answers it first.
+    for round in 0..30 {
+        for host in ["entry-0", "side-3"].map(Host::from) {
+            net.stop(&host);
+            net.start(&host);
+        }
+        net.run(IN_FORCE);
+        assert_eq!(net.without(&head), [], "start {round}");
     }
-    net.run(IN_FORCE);
-    assert_eq!(net.without(&head), []);
+}
+
+#[test]
+fn a_peer_that_does_not_answer_is_left_for_another() {
+    let settings = Settings { host: "a".into(), role: Role::Side, seeds: [].into() };
+    let mut now = Instant::default();
+    let mut follower = Follower::new(settings, now, 1);
+    let mut asked = Vec::new();
+    for peer in ["b", "c"].map(Host::from) {
+        follower.handle(now, 1, Event::Message(peer, Message::Number(3)));
+    }
+    for _ in 0..50 {
+        now = now + Duration::from_millis(100);
+        for effect in follower.handle(now, 1, Event::Tick) {
+            if let Effect::Send(host, Message::FetchHead) = effect {
+                asked.push(host);
+            }
+        }
+    }
+    asked.sort();
+    assert_eq!(asked, ["b", "c"].map(Host::from));
+    assert_eq!(follower.counts().peer_timeouts, 2);
 }
 
 #[test]
