--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -100,6 +100,28 @@
     }
 }
 
+#[test]
+fn the_reference_lists_every_key() {
+    let mut documents = documents();
+    let call = "[[status-app.non-idempotent]]\nmethod = \"POST\"\npath = \"/\"\n";
+    documents.insert("services".into(), call.into());
+    let service = "[s1]\nhost = \"host-s1\"\nside = \"127.0.0.1:7020\"\n\
+                   address = \"127.0.0.1:7021\"\nzone = \"hall-a\"\n[s1.kind.service]\n\
+                   service = \"status-app\"\nconcurrency = 1\n";
+    documents.entry("endpoints".into()).and_modify(|text| text.push_str(service));
+    let written = Config::load(&documents).unwrap().documents().unwrap();
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/reference.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    for (name, text) in written {
+        for line in text.lines().filter(|line| !line.starts_with('[')) {
+            let Some((key, _)) = line.split_once(" = ") else { continue };
+            let listed =
+                ["", "limits.", "service."].iter().any(|p| page.contains(&format!("`{p}{key}`")));
+            assert!(listed, "docs/reference.md does not list {key} of {name}");
+        }
+    }
+}
+
 #[test]
 fn a_key_belongs_to_one_workspace() {
     let mut documents = documents();
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -21,16 +21,17 @@
 pub mod status;
 
 const FOOTER: &str = "Exit codes:
-0 done
-1 wrong usage, settings or files
-2 the documents are no valid configuration
-3 conflict: others changed the same documents, or the folder's revision is not known
-4 the key-value service cannot be reached; nothing was changed
-5 it is not known whether the change was accepted
-6 accepted, but not in force everywhere yet
-7 the key-value service went back to older contents, or is damaged; nothing was changed
-8 no such endpoint, document or request
-9 a process did not answer";
+
+    0 done
+    1 wrong usage, settings or files
+    2 the documents are no valid configuration
+    3 conflict: others changed the same documents, or the folder's revision is not known
+    4 the key-value service cannot be reached; nothing was changed
+    5 it is not known whether the change was accepted
+    6 accepted, but not in force everywhere yet
+    7 the key-value service went back to older contents, or is damaged; nothing was changed
+    8 no such endpoint, document or request
+    9 a process did not answer";
 
 /// Drives oriolelanding through its configuration
 #[derive(Clone, Debug, Bpaf)]
