--- a/crates/core/tests/limit/world.rs
+++ b/crates/core/tests/limit/world.rs
@@ -2,15 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
-use std::time::Duration;
 
-use oriole_core::contract::{Contract, Limits, Service};
+use oriole_core::contract::Contract;
 use oriole_core::limit::{Book, Effect, PARK_MS, Permit, Settings, TICK_MS};
 use oriole_core::name::{Host, Workspace};
-use oriole_core::roster::Roster;
-use oriole_core::share::Message;
+use oriole_core::roster::{Roster, WHOLE};
+use oriole_core::share::{Message, Terms};
 use oriole_core::time::Instant;
-use oriole_core::units::Rate;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -89,6 +87,8 @@
 pub struct World {
     pub now: u64,
     pub wire: Wire,
+    /// Within this time every process learns of a new roster.
+    pub spread_ms: u64,
     pub figures: Figures,
     pub log: BTreeMap<Workspace, Vec<Admission>>,
     pub rng: ChaCha8Rng,
@@ -102,28 +102,6 @@
     serial: u64,
 }
 
-/// A contract of the given bounds.
-pub fn contract(workspace: &Workspace, limits: Limits, longest: Duration) -> Contract {
-    Contract {
-        workspace: workspace.clone(),
-        keys: BTreeSet::new(),
-        models: BTreeSet::new(),
-        services: BTreeSet::new(),
-        limits,
-        service: Service { longest_deadline: longest, ..Service::default() },
-    }
-}
-
-pub fn limits(requests: f64, request_burst: u32, tokens: f64, token_burst: u32) -> Limits {
-    Limits {
-        requests: Rate::from_per_second(requests),
-        request_burst,
-        tokens: Rate::from_per_second(tokens),
-        token_burst,
-        concurrency: 1000,
-    }
-}
-
 pub fn host(node: usize) -> Host {
     Host::from(format!("entry-{node:02}").as_str())
 }
@@ -133,6 +111,7 @@
         let mut world = Self {
             now: 0,
             wire: calm(),
+            spread_ms: settings.propagation_ms.into(),
             figures: Figures::default(),
             log: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -231,7 +210,7 @@
     }
 
     fn spread(&mut self, node: usize, roster: usize) {
-        let last = self.rosters[roster].0 + u64::from(self.settings.propagation_ms) * MS;
+        let last = self.rosters[roster].0 + self.spread_ms * MS;
         let at = self.rng.random_range(self.now..last.max(self.now + 1));
         self.schedule(at, node, Event::Learn(roster));
     }
@@ -392,6 +371,45 @@
         self.send(node, out);
     }
 
+    /// The share that a node may use or lend now.
+    pub fn own(&mut self, node: usize, workspace: &Workspace) -> Terms {
+        let entry = &mut self.nodes[node];
+        let now = entry.clock(self.now);
+        let view = entry.book.as_mut().and_then(|b| b.view(now, workspace));
+        view.map(|v| v.own).unwrap_or_default()
+    }
+
+    /// Checks that what the entries hold together, at this instant, is not above the whole.
+    pub fn check_sums(&mut self) -> Result<(), String> {
+        let current = self.rosters[self.in_force()].1.number;
+        for (workspace, contract) in &self.contracts {
+            let running = self.running.get(workspace).map_or(0, BTreeSet::len);
+            let mut sum = Terms { slots: running as u32, ..Terms::default() };
+            let mut levels = [0, 0];
+            for node in &mut self.nodes {
+                let now = node.clock(self.now);
+                let book = node.book.as_mut().filter(|b| b.roster() >= current);
+                let Some(view) = book.and_then(|b| b.view(now, workspace)) else {
+                    continue;
+                };
+                let slots = view.held.slots.saturating_sub(view.in_use);
+                sum = sum.plus(Terms { slots, ..view.held });
+                levels[0] += view.requests.max(0);
+                levels[1] += view.tokens.max(0);
+            }
+            let whole = i64::from(WHOLE);
+            let limits = &contract.limits;
+            let most = Terms { requests: WHOLE, tokens: WHOLE, slots: limits.concurrency };
+            if !most.covers(sum)
+                || levels[0] > whole * i64::from(limits.request_burst)
+                || levels[1] > whole * i64::from(limits.token_burst)
+            {
+                return Err(format!("{workspace} at {} us: {sum:?}, {levels:?}", self.now));
+            }
+        }
+        Ok(())
+    }
+
     /// Checks every window of every workspace against the bound.
     pub fn check(&self) -> Result<(), String> {
         for (workspace, admissions) in &self.log {
--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -6,16 +6,15 @@
 
 use actix_rt::Arbiter;
 use oriole_core::config::Config;
-use oriole_core::name;
+use oriole_core::{home, name};
 use oriole_wire::conn::Liveness;
 use tokio::net;
 use tokio::sync::{mpsc, oneshot};
 
-/// Clock ticks a second in which the system counts processor time.
-const TICKS_PER_SECOND: f64 = 100.0;
-
-/// Fields of a thread's statistics, after its name, before its user time.
-const FIELDS_BEFORE_USER_TIME: usize = 11;
+/// Tolerances of the homes of idempotency keys: all processes share one clock, and each has ended
+/// before its successor starts.
+const HOME_BOUNDS: home::Bounds =
+    home::Bounds { skew_ms: 50, takeover_ms: 500, keys: 65_536, answer_bytes: 16 * 1024 * 1024 };
 
 /// A running process. Dropping it kills the process with all its connections.
 pub struct Node {
@@ -52,11 +51,9 @@
     /// Processor time that the process has used.
     pub fn processor_time(&self) -> Option<Duration> {
         let text = std::fs::read_to_string(self.statistics.as_ref()?).ok()?;
-        let (_, fields) = text.rsplit_once(')')?;
-        let mut times = fields.split_whitespace().skip(FIELDS_BEFORE_USER_TIME);
-        let user: f64 = times.next()?.parse().ok()?;
-        let system: f64 = times.next()?.parse().ok()?;
-        Some(Duration::from_secs_f64((user + system) / TICKS_PER_SECOND))
+        // The first number is the time on a processor, in nanoseconds.
+        let ns = text.split_whitespace().next()?.parse().ok()?;
+        Some(Duration::from_nanos(ns))
     }
 }
 
@@ -114,13 +111,15 @@
 pub(super) fn side(setup: SideSetup) -> Node {
     run(move |mut commands| async move {
         let Ok(wire) = net::TcpListener::from_std(setup.wire) else { return };
-        let handle = oriole_side::start(oriole_side::Setup {
+        let handle = oriole_side::process::Builder::new(oriole_side::Setup {
             host: setup.host,
             secret: setup.secret,
             config: setup.config,
             wire,
             liveness: Liveness::default(),
-        });
+        })
+        .home(HOME_BOUNDS)
+        .start();
         while let Some(command) = commands.recv().await {
             match command {
                 Command::Leave { endpoint, leaving } => handle.leave(endpoint, leaving).await,
@@ -147,6 +146,6 @@
         actix_rt::spawn(process(receiver));
     });
     let own = finding.recv_timeout(Duration::from_secs(5)).ok().flatten();
-    let statistics = own.map(|own| PathBuf::from("/proc").join(own).join("stat"));
+    let statistics = own.map(|own| PathBuf::from("/proc").join(own).join("schedstat"));
     Node { thread, commands, statistics }
 }
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -1,9 +1,11 @@
 //! The process beside each endpoint: adapters around `oriole_core::side`.
 //!
+//! - [`cmd`]: the command line.
 //! - [`process`]: owns the decisions of one side and carries out their effects.
 //! - [`settings`]: what the process reads at its start.
 //! - [`status`]: what operators are told; served over HTTP.
 
+pub mod cmd;
 mod endpoint;
 mod http;
 pub mod process;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -1,16 +1,21 @@
 //! The running side: one task owns the decisions, others do the waiting.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oriole_core::config::Config;
 use oriole_core::drain::Cause;
 use oriole_core::home;
+use oriole_core::message::Message;
 use oriole_core::name;
 use oriole_core::request::Id;
+use oriole_core::revision::{self, Adopted, follower};
 use oriole_core::side::{self, Effect, Event, Machine};
 use oriole_core::time::as_us;
+use oriole_follow::Follow;
 use oriole_platform::clock::Clock;
+use oriole_platform::kv;
 use oriole_wire::hub::{self, Kind as Wire};
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
@@ -47,12 +52,17 @@
     http: Option<TcpListener>,
     queue_tokens: Option<u64>,
     home: home::Bounds,
+    seeds: BTreeMap<name::Host, SocketAddr>,
+    kv: Option<kv::Settings>,
 }
 
 impl Builder {
     /// A builder with the default settings.
     pub fn new(setup: Setup) -> Self {
-        Self { setup, http: None, queue_tokens: None, home: home::Bounds::default() }
+        let entries = setup.config.entries.iter();
+        let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
+        let home = home::Bounds::default();
+        Self { setup, http: None, queue_tokens: None, home, seeds, kv: None }
     }
 
     /// Serves operators over HTTP.
@@ -73,6 +83,18 @@
         self
     }
 
+    /// Where entries listen, besides those of the configuration.
+    pub fn seeds(mut self, seeds: BTreeMap<name::Host, SocketAddr>) -> Self {
+        self.seeds.extend(seeds);
+        self
+    }
+
+    /// The key-value service, which the side calls only if it hears of no entry.
+    pub fn kv(mut self, settings: kv::Settings) -> Self {
+        self.kv = Some(settings);
+        self
+    }
+
     /// Starts the side in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, liveness } = self.setup;
@@ -89,14 +111,15 @@
         let clock = Clock::start();
         let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
         let (results, finished) = mpsc::unbounded_channel();
-        let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == host);
-        let adapters = own.map(|(name, endpoint)| {
-            let (kind, address) = (&endpoint.kind, endpoint.address);
-            (name.clone(), Adapter::start(name, kind, address, results.clone()))
-        });
-        let adapters = adapters.collect();
-        let process = Process { machine, adapters, clock, hub: hub.clone(), results };
-        tasks.push(actix_rt::spawn(process.run(events, finished, asked)));
+        let role = follower::Role::Side;
+        let following =
+            oriole_follow::Setup { host: host.clone(), role, seeds: self.seeds, kv: self.kv };
+        let (follow, revisions) = Follow::new(following, hub.clone(), clock.now());
+        let adapters = BTreeMap::new();
+        let mut process = Process { host, machine, adapters, follow, clock, hub, results };
+        process.adapt(&config);
+        let hub = process.hub.clone();
+        tasks.push(actix_rt::spawn(process.run(events, finished, revisions, asked)));
         Handle { commands, hub, tasks }
     }
 }
@@ -157,8 +180,10 @@
 }
 
 struct Process {
+    host: name::Host,
     machine: Machine,
     adapters: BTreeMap<name::Endpoint, Adapter>,
+    follow: Follow,
     clock: Clock,
     hub: Hub,
     results: mpsc::UnboundedSender<Event>,
@@ -169,6 +194,7 @@
         mut self,
         mut events: mpsc::Receiver<hub::Event>,
         mut finished: mpsc::UnboundedReceiver<Event>,
+        mut revisions: mpsc::UnboundedReceiver<follower::Event>,
         mut commands: mpsc::Receiver<Command>,
     ) {
         let mut tick = tokio::time::interval(TICK);
@@ -178,6 +204,7 @@
             tokio::select! {
                 Some(event) = events.recv() => self.on_wire(event),
                 Some(event) = finished.recv() => self.handle(event),
+                Some(event) = revisions.recv() => self.follow(event),
                 Some(command) = commands.recv() => match command {
                     Command::Stop(done) => {
                         self.leave_all(Cause::Signal, true);
@@ -185,7 +212,7 @@
                     }
                     other => self.on_command(other),
                 },
-                _ = tick.tick() => self.handle(Event::Tick { wall_ms: wall_ms() }),
+                _ = tick.tick() => self.tick(),
                 else => return,
             }
             if !self.machine.is_idle() {
@@ -201,17 +228,62 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.handle(Event::Tick { wall_ms: wall_ms() });
+        let adopted = self.follow.tick(self.clock.now());
+        self.adopt(adopted);
+    }
+
     fn on_wire(&mut self, event: hub::Event) {
+        let host = event.host;
         match event.kind {
-            Wire::Up => self.handle(Event::Up(event.host)),
+            Wire::Up => {
+                self.handle(Event::Up(host.clone()));
+                self.follow(follower::Event::Up(host));
+            }
             Wire::Lost(_) => {
-                self.handle(Event::Lost(event.host.clone()));
+                self.handle(Event::Lost(host.clone()));
                 // Another connection to the host may be open still.
-                if self.hub.is_linked(&event.host) {
-                    self.handle(Event::Up(event.host));
+                if self.hub.is_linked(&host) {
+                    self.handle(Event::Up(host));
+                } else {
+                    self.follow(follower::Event::Lost(host));
+                }
+            }
+            Wire::Message(Message::Revision(message)) => {
+                if let revision::Message::Number(number) = message {
+                    self.handle(Event::Revision(number));
                 }
+                self.follow(follower::Event::Message(host, message));
+            }
+            Wire::Message(message) => self.handle(Event::Message { from: host, message }),
+        }
+    }
+
+    fn follow(&mut self, event: follower::Event) {
+        let adopted = self.follow.handle(self.clock.now(), event);
+        self.adopt(adopted);
+    }
+
+    /// Puts a revision in force.
+    fn adopt(&mut self, adopted: Option<Adopted>) {
+        let Some(adopted) = adopted else { return };
+        let (config, revision) = (&adopted.config, adopted.head.number);
+        self.adapt(config);
+        let roster = adopted.head.roster.number;
+        let config = Box::new((**config).clone());
+        self.handle(Event::Configured { config, revision, roster });
+    }
+
+    /// Starts adapters of endpoints that are new; those that are gone end with their work.
+    fn adapt(&mut self, config: &Config) {
+        let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == self.host);
+        for (name, endpoint) in own {
+            let (kind, address) = (&endpoint.kind, endpoint.address);
+            if self.adapters.get(name).is_none_or(|adapter| adapter.address() != address) {
+                let adapter = Adapter::start(name, kind, address, self.results.clone());
+                self.adapters.insert(name.clone(), adapter);
             }
-            Wire::Message(message) => self.handle(Event::Message { from: event.host, message }),
         }
     }
 
@@ -227,7 +299,10 @@
                 self.handle(Event::Leaving { endpoint, cause: Cause::Operator, leaving });
                 let _ = done.send(known);
             }
-            Command::Status(done) => drop(done.send(Status::of(&self.machine))),
+            Command::Status(done) => {
+                let status = Status::of(&self.machine, &self.host, self.follow.follower());
+                drop(done.send(status));
+            }
             Command::Counters(done) => drop(done.send(Counter::all(&self.machine))),
             Command::Explain(request, done) => {
                 let explanation = Explanation::of(&self.machine, self.clock.now(), request);
