--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod membership;
 pub mod message;
 pub mod name;
+pub mod order;
 pub mod plan;
 pub mod queue;
 pub mod recover;
