Ask whether a host is linked before its loss dials it

Cause: since the follower came in, the entry asked after the loss had been handled, whose probe dials the host: it always looked linked, so that a dead host was never held to be dead and was dialled without end.

Change: the question comes first again.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -313,9 +313,11 @@
     }
 
     fn on_lost(&mut self, host: name::Host) {
+        // Another connection to the host may be open still. The reaction to the loss dials a new
+        // one, which does not count.
+        let linked = self.hub.is_linked(&host);
         self.handle(Event::Lost(host.clone()));
-        // Another connection to the host may be open still.
-        if self.hub.is_linked(&host) {
+        if linked {
             self.handle(Event::Up(host));
         } else {
             self.follow(follower::Event::Lost(host));
