Look prompts up in the hints of prefix caches

Cause: the planner weighs cached prefixes, but the entry passed none.

Later stages hash activations, which an entry cannot know, so the hint counts for the first stage only.

--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -13,6 +13,7 @@
 use crate::request::{Id, Position, Refusal, Refused};
 use crate::retry;
 use crate::time::Instant;
+use crate::token;
 
 use super::admission::Ask;
 use super::count::Counter;
@@ -106,6 +107,7 @@
     pub(super) fn start(&mut self, now: Instant, mut work: Work, effects: &mut Vec<Effect>) {
         let first = work.answer.attempt() == 0;
         let keep = work.chain.iter().map(|stage| stage.endpoint.clone()).collect();
+        let prefixes = token::prefixes(&work.ask.prompt);
         let query = Query {
             prompt_tokens: work.answer.length(),
             answer_tokens: if first {
@@ -115,7 +117,7 @@
             },
             // An answer in progress goes on even if it is expected to be late.
             left: if work.fed { Duration::MAX } else { work.deadline.since(now) },
-            prefixes: &[],
+            prefixes: &prefixes,
             avoid: &work.failed,
             keep: &keep,
             random: self.draw.number(),
