Put the key-value service into the measured deployments

Change: the embedded deployments of bound and recover have a stand-in key-value service, in which the configuration is accepted as an operator does it, and which entries follow; new cases: service out (accepts calls, answers none), service out and a stage dies. Conclusion: sides have no access to the service, as few processes are to watch it.

--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -49,6 +49,8 @@
     EntryKilled,
     /// An entry stands still for a while and goes on; the balancer avoids it meanwhile.
     EntryPaused,
+    /// The key-value service accepts calls and answers none.
+    KvOut,
 }
 
 /// How one case is run.
@@ -108,8 +110,10 @@
 
 /// Runs one case on a deployment of its own.
 pub async fn run(config: &Config, case: &Case) -> Result<Figures, Error> {
-    let options = Options { time_scale: TIME_SCALE, seed: case.seed, ..Options::default() };
+    let seed = case.seed;
+    let options = Options { time_scale: TIME_SCALE, kv: true, seed, ..Options::default() };
     let mut cluster = Cluster::start(config.clone(), options)?;
+    cluster.publish().await?;
     cluster.wait_until_ready().await;
     let balancer = Balancer::new(targets(&cluster, case.arrival));
     let streams = streams(&cluster.config, case);
@@ -158,6 +162,11 @@
     let others: Vec<SocketAddr> = cluster.callers().into_iter().rev().skip(1).rev().collect();
     match case.fault {
         Fault::None => {}
+        Fault::KvOut => {
+            if let Some(kv) = &cluster.kv {
+                kv.switch.stall(true);
+            }
+        }
         Fault::EntryKilled => {
             cluster.kill_entry(&host)?;
             if case.arrival == Arrival::Dawn {
--- /dev/null
+++ b/crates/load/src/cluster/kv.rs
@@ -0,0 +1,75 @@
+//! The key-value service of a deployment.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriole_core::config::Config;
+use oriole_ctl::settings::Settings;
+use oriole_ctl::store::{Plan, Store};
+use oriole_platform::kv;
+use oriole_standin::fault;
+use oriole_standin::kv::{Service, serve};
+use tokio::net;
+
+use super::standin::Standins;
+use super::{Cluster, Error, bind};
+
+/// Time of one call.
+const CALL_TIME: Duration = Duration::from_millis(2);
+
+/// Time within which a call must be answered.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A running key-value service.
+pub struct Kv {
+    /// Its fault switches.
+    pub switch: fault::Switch,
+    /// Its data and counts of calls.
+    pub service: Service,
+    address: SocketAddr,
+}
+
+impl Kv {
+    pub(super) fn start(standins: &mut Standins) -> Result<Self, Error> {
+        let listener = bind()?;
+        let address = listener.local_addr()?;
+        let (switch, service) = (fault::Switch::new(), Service::default());
+        service.delay(CALL_TIME);
+        let (faults, data) = (switch.clone(), service.clone());
+        standins.spawn(move || async move {
+            if let Ok(listener) = net::TcpListener::from_std(listener) {
+                serve(listener, data, faults).await;
+            }
+        });
+        Ok(Self { switch, service, address })
+    }
+
+    /// How processes reach it.
+    pub fn settings(&self) -> kv::Settings {
+        kv::Settings { addresses: vec![self.address], timeout: TIMEOUT }
+    }
+
+    /// Has a configuration accepted, as an operator does; returns the revision's number.
+    pub async fn apply(&self, config: &Config, id: &str) -> Result<u64, Error> {
+        let settings = Settings {
+            kv: self.settings(),
+            entry_http_port: 0,
+            side_http_port: 0,
+            http: Default::default(),
+        };
+        let wanted = config.documents().map_err(Error::Config)?;
+        let (id, note) = (id.to_owned(), "oriole-load".to_owned());
+        let plan = Plan { id, note, base: None, wanted };
+        Ok(Store::new(&settings).apply(&plan).await.map_err(Error::Apply)?.number)
+    }
+}
+
+impl Cluster {
+    /// Has the configuration in use accepted by the key-value service, if there is one.
+    pub async fn publish(&self) -> Result<(), Error> {
+        if let Some(kv) = &self.kv {
+            kv.apply(&self.config, "oriole-load-1").await?;
+        }
+        Ok(())
+    }
+}
--- a/crates/load/src/cluster/mod.rs
+++ b/crates/load/src/cluster/mod.rs
@@ -14,10 +14,12 @@
 use oriole_standin::service::Record;
 use oriole_standin::{fault, relay};
 
+pub use kv::Kv;
 pub use node::Node;
 pub use ready::key;
 use standin::Standins;
 
+pub mod kv;
 pub mod node;
 mod ready;
 mod standin;
@@ -37,6 +39,12 @@
     /// A socket could not be had.
     #[display("opening a socket: {_0}")]
     Io(std::io::Error),
+    /// The configuration cannot be written as documents.
+    #[display("{_0}")]
+    Config(oriole_core::config::Error),
+    /// The key-value service did not accept the configuration.
+    #[display("{_0}")]
+    Apply(oriole_ctl::Error),
     /// There is no such host.
     #[display("no such host")]
     #[from(skip)]
@@ -52,6 +60,8 @@
     pub service_delay: Duration,
     /// Whether a relay stands before each side and entry, to count bytes and to inject faults of the network.
     pub relays: bool,
+    /// Whether entries follow the configuration in a key-value service.
+    pub kv: bool,
     /// Threads for stand-ins.
     pub standin_threads: usize,
     /// Start of the processes' random numbers.
@@ -64,6 +74,7 @@
             time_scale: 1.0,
             service_delay: Duration::from_millis(5),
             relays: false,
+            kv: false,
             standin_threads: 4,
             seed: 1,
         }
@@ -113,6 +124,8 @@
     pub sides: BTreeMap<name::Host, Side>,
     /// Stand-ins by endpoint.
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
+    /// The key-value service, if there is one.
+    pub kv: Option<Kv>,
     options: Options,
     standins: Standins,
     starts: u64,
@@ -125,8 +138,9 @@
         let endpoints = standins.start_endpoints(&mut config)?;
         let (sides, side_listeners) = bind_sides(&mut config, &options, &mut standins)?;
         let (entries, entry_listeners) = bind_entries(&mut config, &options, &mut standins)?;
+        let kv = if options.kv { Some(Kv::start(&mut standins)?) } else { None };
         let starts = options.seed;
-        let mut cluster = Self { config, entries, sides, endpoints, options, standins, starts };
+        let mut cluster = Self { config, entries, sides, endpoints, kv, options, standins, starts };
         for (host, listener) in side_listeners {
             let node = cluster.run_side(&host, listener);
             cluster.side(&host)?.node = Some(node);
@@ -229,6 +243,7 @@
             config: self.config.clone(),
             wire,
             http,
+            kv: self.kv.as_ref().map(Kv::settings),
             seed,
         })
     }
--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -7,6 +7,7 @@
 use actix_rt::Arbiter;
 use oriole_core::config::Config;
 use oriole_core::{home, name};
+use oriole_platform::kv;
 use oriole_wire::conn::Liveness;
 use tokio::net;
 use tokio::sync::{mpsc, oneshot};
@@ -70,6 +71,7 @@
     pub(super) config: Config,
     pub(super) wire: TcpListener,
     pub(super) http: TcpListener,
+    pub(super) kv: Option<kv::Settings>,
     pub(super) seed: u64,
 }
 
@@ -87,7 +89,7 @@
         let wire = net::TcpListener::from_std(setup.wire);
         let http = net::TcpListener::from_std(setup.http);
         let (Ok(wire), Ok(http)) = (wire, http) else { return };
-        let handle = oriole_entry::start(oriole_entry::Setup {
+        let mut builder = oriole_entry::process::Builder::new(oriole_entry::Setup {
             host: setup.host,
             secret: setup.secret,
             config: setup.config,
@@ -96,6 +98,10 @@
             liveness: Liveness::default(),
             seed: setup.seed,
         });
+        if let Some(kv) = setup.kv {
+            builder = builder.kv(kv);
+        }
+        let handle = builder.start();
         while let Some(command) = commands.recv().await {
             if let Command::Stop(done) = command {
                 handle.stop().await;
--- a/crates/load/src/cluster/standin.rs
+++ b/crates/load/src/cluster/standin.rs
@@ -106,7 +106,7 @@
     }
 
     /// Runs a task, which is made there, on the next thread.
-    fn spawn<F>(&mut self, task: impl FnOnce() -> F + Send + 'static)
+    pub(super) fn spawn<F>(&mut self, task: impl FnOnce() -> F + Send + 'static)
     where
         F: Future<Output = ()> + 'static,
     {
--- a/crates/load/src/cmd/bound.rs
+++ b/crates/load/src/cmd/bound.rs
@@ -9,13 +9,15 @@
 use crate::bound::{self, Arrival, Case, Fault, Figures};
 
 /// All cases, in the order in which they run.
-const CASES: [(Arrival, Fault); 6] = [
+const CASES: [(Arrival, Fault); 8] = [
     (Arrival::Dawn, Fault::None),
     (Arrival::Dawn, Fault::EntryKilled),
     (Arrival::Dawn, Fault::EntryPaused),
+    (Arrival::Dawn, Fault::KvOut),
     (Arrival::OneEntry, Fault::None),
     (Arrival::OneEntry, Fault::EntryKilled),
     (Arrival::OneEntry, Fault::EntryPaused),
+    (Arrival::OneEntry, Fault::KvOut),
 ];
 
 /// Flags of the subcommand.
@@ -75,6 +77,7 @@
         Fault::None => "undisturbed",
         Fault::EntryKilled => "entry killed",
         Fault::EntryPaused => "entry paused",
+        Fault::KvOut => "key-value service out",
     };
     format!("{arrival}, {fault}")
 }
--- a/crates/load/src/recover.rs
+++ b/crates/load/src/recover.rs
@@ -59,26 +59,33 @@
     SideRestarts,
     /// An availability zone is lost: endpoints, sides and entry.
     ZoneLost,
+    /// An engine dies while the key-value service answers nothing.
+    KvOutAndStageDies,
     /// An engine dies while the connections to another host's side go silent.
     TwoAtOnce,
 }
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::StageDies,
         Self::HostDies,
         Self::ConnectionSilent,
         Self::LinkDegrades,
         Self::SideRestarts,
         Self::ZoneLost,
+        Self::KvOutAndStageDies,
         Self::TwoAtOnce,
     ];
 
     /// Longest 95th percentile of the recovery.
     pub fn target(self) -> Duration {
         match self {
-            Self::StageDies | Self::HostDies | Self::SideRestarts | Self::ZoneLost => SHOWN_TARGET,
+            Self::StageDies
+            | Self::HostDies
+            | Self::SideRestarts
+            | Self::ZoneLost
+            | Self::KvOutAndStageDies => SHOWN_TARGET,
             Self::ConnectionSilent | Self::LinkDegrades | Self::TwoAtOnce => SILENT_TARGET,
         }
     }
@@ -167,8 +174,9 @@
     seed: u64,
     collected: &mut Collected,
 ) -> Result<(), Error> {
-    let options = Options { relays: true, seed, ..Options::default() };
+    let options = Options { relays: true, kv: true, seed, ..Options::default() };
     let mut cluster = Cluster::start(config.clone(), options)?;
+    cluster.publish().await?;
     cluster.wait_until_ready().await;
     let balancer = Balancer::new(cluster.callers());
     let load = Run::start(streams(&cluster.config, seed), &balancer, WORKSPACES);
@@ -272,6 +280,12 @@
             let zone = cluster.config.endpoints.get(victim).ok_or(Error::Absent)?.zone.clone();
             cluster.kill_zone(&zone)?;
         }
+        Fault::KvOutAndStageDies => {
+            if let Some(kv) = &cluster.kv {
+                kv.switch.stall(true);
+            }
+            die(cluster, victim);
+        }
         Fault::TwoAtOnce => {
             die(cluster, victim);
             let other = victims.get(1).and_then(|other| cluster.config.endpoints.get(other));
