Measure slopes of changes and of key-value calls; let bursts fill before dawn

Change: bound waits five seconds without requests first, as before dawn; slopes has an axis of changes and counts calls of the key-value service.

--- a/crates/load/src/bound.rs
+++ b/crates/load/src/bound.rs
@@ -23,6 +23,9 @@
 /// Time for which a paused entry stands still.
 const PAUSE: Duration = Duration::from_secs(4);
 
+/// Time without requests before the arrivals, as before dawn, in which bursts can fill up.
+const IDLE: Duration = Duration::from_secs(5);
+
 /// Offered rate over the bound.
 const OVERLOAD: f64 = 1.5;
 
@@ -115,6 +118,7 @@
     let mut cluster = Cluster::start(config.clone(), options)?;
     cluster.publish().await?;
     cluster.wait_until_ready().await;
+    tokio::time::sleep(IDLE).await;
     let balancer = Balancer::new(targets(&cluster, case.arrival));
     let streams = streams(&cluster.config, case);
     let load = Run::start(streams, &balancer, 4);
--- a/crates/load/src/cmd/slopes.rs
+++ b/crates/load/src/cmd/slopes.rs
@@ -61,12 +61,13 @@
 fn print(axis: Axis, point: &Point) {
     println!(
         "{axis:?} {}: entry {:.2} % of a core, {:.0} bytes/s; side {:.3} % of a core, \
-         {:.0} bytes/s; memory {:.0} KB",
+         {:.0} bytes/s; key-value service {:.2} calls/s; memory {:.0} KB",
         point.value,
         point.entry_core_percent,
         point.entry_bytes_per_second,
         point.side_core_percent,
         point.side_bytes_per_second,
+        point.kv_calls_per_second,
         point.memory_kilobytes,
     );
     if point.tally.offered > 0 {
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -31,11 +31,14 @@
     Workspaces,
     /// Requests a second over the whole deployment.
     Requests,
+    /// Changes of the configuration a minute.
+    Changes,
 }
 
 impl Axis {
     /// All axes.
-    pub const ALL: [Self; 4] = [Self::Endpoints, Self::Entries, Self::Workspaces, Self::Requests];
+    pub const ALL: [Self; 5] =
+        [Self::Endpoints, Self::Entries, Self::Workspaces, Self::Requests, Self::Changes];
 
     /// The points that are measured.
     fn points(self) -> &'static [usize] {
@@ -44,20 +47,34 @@
             Self::Entries => &[2, 4, 8, 16],
             Self::Workspaces => &[10, 200, 810],
             Self::Requests => &[0, 20, 40, 80],
+            Self::Changes => &[0, 30, 60, 120],
         }
     }
 
-    fn place(self, point: usize) -> (Size, usize) {
+    fn place(self, point: usize) -> Place {
         let base = Size { endpoints: 40, entries: 3, workspaces: 10 };
+        let place = Place { value: point, size: base, requests: 0, changes: 0 };
         match self {
-            Self::Endpoints => (Size { endpoints: point, ..base }, 0),
-            Self::Entries => (Size { entries: point, ..base }, 0),
-            Self::Workspaces => (Size { workspaces: point, ..base }, 0),
-            Self::Requests => (base, point),
+            Self::Endpoints => Place { size: Size { endpoints: point, ..base }, ..place },
+            Self::Entries => Place { size: Size { entries: point, ..base }, ..place },
+            Self::Workspaces => Place { size: Size { workspaces: point, ..base }, ..place },
+            Self::Requests => Place { requests: point, ..place },
+            Self::Changes => Place { changes: point, ..place },
         }
     }
 }
 
+/// What is measured at one point.
+#[derive(Clone, Copy)]
+struct Place {
+    value: usize,
+    size: Size,
+    /// Requests a second.
+    requests: usize,
+    /// Changes a minute.
+    changes: usize,
+}
+
 /// Figures of one point.
 #[derive(Clone, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -74,6 +91,8 @@
     pub entry_bytes_per_second: f64,
     /// Bytes a second that one side exchanges with the system's other processes.
     pub side_bytes_per_second: f64,
+    /// Calls of the key-value service a second, by all processes and the operator.
+    pub kv_calls_per_second: f64,
     /// Memory of everything in this process, stand-ins included, in kilobytes.
     pub memory_kilobytes: f64,
     /// Counts of the requests.
@@ -92,6 +111,8 @@
     pub entry_bytes_per_second: f64,
     /// Bytes a second of one side.
     pub side_bytes_per_second: f64,
+    /// Calls of the key-value service a second.
+    pub kv_calls_per_second: f64,
     /// Memory of everything in this process, in kilobytes.
     pub memory_kilobytes: f64,
 }
@@ -115,6 +136,7 @@
     side_time: Duration,
     entry_bytes: u64,
     side_bytes: u64,
+    kv_calls: u64,
 }
 
 /// Measures one axis; `progress` is told each point.
@@ -126,8 +148,7 @@
 ) -> Result<Series, Error> {
     let mut points = Vec::new();
     for value in axis.points() {
-        let (size, requests) = axis.place(*value);
-        let point = measure(*value, size, requests, period, seed).await?;
+        let point = measure(axis.place(*value), period, seed).await?;
         progress(&point);
         points.push(point);
     }
@@ -140,28 +161,26 @@
         side_core_percent: slope(|p| p.side_core_percent),
         entry_bytes_per_second: slope(|p| p.entry_bytes_per_second),
         side_bytes_per_second: slope(|p| p.side_bytes_per_second),
+        kv_calls_per_second: slope(|p| p.kv_calls_per_second),
         memory_kilobytes: slope(|p| p.memory_kilobytes),
     };
     Ok(Series { axis, points, slope })
 }
 
-async fn measure(
-    value: usize,
-    size: Size,
-    requests: usize,
-    period: Duration,
-    seed: u64,
-) -> Result<Point, Error> {
+async fn measure(place: Place, period: Duration, seed: u64) -> Result<Point, Error> {
+    let Place { value, size, requests, changes } = place;
     let memory_before = memory_kilobytes();
-    let options = Options { relays: true, seed, ..Options::default() };
+    let options = Options { relays: true, kv: true, seed, ..Options::default() };
     let cluster = Cluster::start(synthetic::config(size), options)?;
+    cluster.publish().await?;
     cluster.wait_until_ready().await;
     let balancer = Balancer::new(cluster.callers());
     let streams = streams(&cluster, requests, SETTLING + period, seed);
     let load = Run::start(streams, &balancer, 4);
     tokio::time::sleep(SETTLING).await;
     let before = read(&cluster);
-    tokio::time::sleep(period).await;
+    change(&cluster, changes, period).await?;
+    tokio::time::sleep_until((before.at + period).into()).await;
     let after = read(&cluster);
     let memory = memory_kilobytes() - memory_before;
     let start = load.start;
@@ -171,7 +190,7 @@
         let used = later.saturating_sub(earlier).as_secs_f64();
         100.0 * used / seconds / count.max(1) as f64
     };
-    let bytes = |later: u64, earlier: u64, count: usize| {
+    let rate = |later: u64, earlier: u64, count: usize| {
         later.saturating_sub(earlier) as f64 / seconds / count.max(1) as f64
     };
     Ok(Point {
@@ -179,13 +198,30 @@
         size,
         entry_core_percent: percent(after.entry_time, before.entry_time, size.entries),
         side_core_percent: percent(after.side_time, before.side_time, size.endpoints),
-        entry_bytes_per_second: bytes(after.entry_bytes, before.entry_bytes, size.entries),
-        side_bytes_per_second: bytes(after.side_bytes, before.side_bytes, size.endpoints),
+        entry_bytes_per_second: rate(after.entry_bytes, before.entry_bytes, size.entries),
+        side_bytes_per_second: rate(after.side_bytes, before.side_bytes, size.endpoints),
+        kv_calls_per_second: rate(after.kv_calls, before.kv_calls, 1),
         memory_kilobytes: memory,
         tally: sum_up(&samples, start..after.at).tally,
     })
 }
 
+/// Has `per_minute` changes a minute accepted for a while, evenly spaced.
+async fn change(cluster: &Cluster, per_minute: usize, period: Duration) -> Result<(), Error> {
+    let Some(kv) = cluster.kv.as_ref().filter(|_| per_minute > 0) else { return Ok(()) };
+    let interval = Duration::from_secs(60) / u32::try_from(per_minute).unwrap_or(u32::MAX);
+    let start = Instant::now();
+    let mut config = cluster.config.clone();
+    let mut number = 0;
+    while start.elapsed() + interval < period {
+        number += 1;
+        config.weights.megabytes_per_second += 1;
+        kv.apply(&config, &format!("oriole-load-change-{number}")).await?;
+        tokio::time::sleep_until((start + interval * number).into()).await;
+    }
+    Ok(())
+}
+
 fn streams(cluster: &Cluster, requests: usize, duration: Duration, seed: u64) -> Vec<Stream> {
     let Some((model, settings)) = cluster.config.models.first_key_value() else {
         return Vec::new();
@@ -228,6 +264,7 @@
         // Each connection between entries is seen by two of them.
         entry_bytes: to_sides + 2 * entry_to_entry,
         side_bytes: to_sides,
+        kv_calls: cluster.kv.as_ref().map_or(0, |kv| kv.service.calls().values().sum()),
     }
 }
 
