revision::Follower: bound calls by a timeout of its own, test announcements and reads

A setting of the adapter's timeout above the follower's deadline would have let a late answer pass for that of the next call. Documents::carry_out now ends within follower::CALL_TIMEOUT whatever the settings say. Two mutants that had survived (no announcement on adoption, sides that do not wait for entries) are killed by new tests.

--- a/crates/core/src/revision/follower.rs
+++ b/crates/core/src/revision/follower.rs
@@ -17,7 +17,7 @@
 //!
 //! - [`Effect::Poll`] and [`Effect::Read`]: call the adapter in a task of its own
 //!   (`oriole_platform::kv::Documents`) and pass its answer in as [`Event::Service`]. There is
-//!   never more than one such call.
+//!   never more than one such call, and it ends within [`CALL_TIMEOUT`].
 //! - [`Effect::Send`]: send over the hub. The address of a seed stands in the settings, that of
 //!   another entry in the configuration in force; a message that cannot be sent may be dropped.
 //! - [`Effect::Adopt`]: put the configuration in force, in this order: stop using the old one,
@@ -34,7 +34,9 @@
 
 use self::candidate::Candidate;
 use self::dice::Dice;
-pub use self::event::{Availability, Counts, Effect, Event, Reply, Role, Settings, Version};
+pub use self::event::{
+    Availability, CALL_TIMEOUT, Counts, Effect, Event, Reply, Role, Settings, Version,
+};
 use self::peers::{Peers, Refused};
 use self::service::Service;
 use super::{Adopted, Head, HeadError, Refusal, Relation};
--- a/crates/core/src/revision/follower/event.rs
+++ b/crates/core/src/revision/follower/event.rs
@@ -1,12 +1,17 @@
 //! What goes into a [`Follower`](super::Follower) and what comes out.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use oriole_macros::{data, key};
 
 use crate::name;
 use crate::revision::{Adopted, Hash, Message};
 
+/// Time within which a call to the key-value service must end, so that its answer is not taken for
+/// that of a later call.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(3500);
+
 /// What a process does in the system.
 #[key]
 #[serde(rename_all = "kebab-case")]
--- a/crates/core/src/revision/follower/service.rs
+++ b/crates/core/src/revision/follower/service.rs
@@ -15,7 +15,7 @@
 /// Spread of the first poll, for processes that restart together.
 const START_SPREAD: Duration = Duration::from_secs(1);
 
-/// Time after which a call that was not answered counts as failed.
+/// Time after which a call that was not answered counts as failed; above [`super::CALL_TIMEOUT`].
 const CALL_DEADLINE: Duration = Duration::from_secs(4);
 
 /// A side polls only if no peer with a revision was heard for this long.
--- a/crates/core/tests/revision_follower.rs
+++ b/crates/core/tests/revision_follower.rs
@@ -108,6 +108,27 @@
     }
 }
 
+#[test]
+fn an_adopted_revision_is_announced_to_connected_peers() {
+    let settings = Settings { host: "a".into(), role: Role::Entry, seeds: [].into() };
+    let now = Instant::default();
+    let mut follower = Follower::new(settings, now, 1);
+    for peer in ["b", "c"].map(Host::from) {
+        follower.handle(now, 1, Event::Up(peer));
+    }
+    let whole = first(&[("services", "")]);
+    let (hash, bytes) = whole.documents.iter().next().unwrap();
+    let document = Message::Document(*hash, bytes.to_vec());
+    follower.handle(now, 1, Event::Message("b".into(), Message::Head((*whole.head).clone())));
+    let effects = follower.handle(now, 1, Event::Message("b".into(), document));
+    let told = |e: &Effect| match e {
+        Effect::Send(host, Message::Number(1)) => Some(host.clone()),
+        _ => None,
+    };
+    // The peer that gave the revision has it.
+    assert_eq!(effects.iter().filter_map(told).collect::<Vec<_>>(), ["c".into()]);
+}
+
 #[test]
 fn a_peer_that_does_not_answer_is_left_for_another() {
     let settings = Settings { host: "a".into(), role: Role::Side, seeds: [].into() };
@@ -235,6 +256,10 @@
     println!("restart: {} calls in 17 s, busiest second {}", net.calls.len(), net.busiest_second());
     assert!(net.busiest_second() <= READS_PER_SECOND);
     assert_eq!(net.without(&head), []);
+    let sides = net.nodes.values().filter(|n| n.role == Role::Side);
+    let reads = sides.filter_map(|n| n.follower.as_ref()).map(|f| f.counts().reads).sum::<u64>();
+    println!("sides read documents {reads} times");
+    assert!(reads <= 35, "more than a tenth of the sides did not wait for the entries");
     let last = net.nodes.values().flat_map(|n| n.adopted.last()).map(|(at, _)| *at).max().unwrap();
     println!("in force everywhere {:?} after the service came back", last.since(from));
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -44,7 +44,7 @@
     #[display("{_0}")]
     Conflict(#[error(ignore)] Clashes),
     /// The key-value service cannot be reached; nothing was changed.
-    #[display("{_0}; nothing was changed")]
+    #[display("{_0}")]
     Unreachable(kv::Error),
     /// Others changed the configuration at each try.
     #[from(skip)]
--- a/crates/platform/src/kv/documents.rs
+++ b/crates/platform/src/kv/documents.rs
@@ -6,9 +6,10 @@
 //! | `/oriole/document/<hash>` | a document |
 //! | `/oriole/history/<number>` | a [`Record`] of the change that made a revision |
 
-use oriole_core::revision::follower::{Effect, Reply, Version};
+use oriole_core::revision::follower::{CALL_TIMEOUT, Effect, Reply, Version};
 use oriole_core::revision::{Change, Hash, Head};
 use oriole_macros::data;
+use tokio::time::timeout;
 
 use super::message::{Compare, Put, Range, RangeReply, Request, Response, Txn};
 use super::{Cause, Client, Error, Operation};
@@ -45,14 +46,20 @@
         &self.client
     }
 
-    /// Carries out a follower's call; `None` if the effect is not one.
+    /// Carries out a follower's call, within [`CALL_TIMEOUT`] whatever the settings say; `None` if
+    /// the effect is not a call.
     pub async fn carry_out(&self, effect: &Effect) -> Option<Reply> {
-        let reply = match effect {
-            Effect::Poll { known } => self.poll(*known).await,
-            Effect::Read(hashes) => self.read(hashes).await.map(Reply::Documents),
-            Effect::Send(..) | Effect::Adopt(_) => return None,
+        let call = async {
+            Some(match effect {
+                Effect::Poll { known } => self.poll(*known).await,
+                Effect::Read(hashes) => self.read(hashes).await.map(Reply::Documents),
+                Effect::Send(..) | Effect::Adopt(_) => return None,
+            })
         };
-        Some(reply.unwrap_or(Reply::Failed))
+        match timeout(CALL_TIMEOUT, call).await {
+            Ok(reply) => reply.map(|reply| reply.unwrap_or(Reply::Failed)),
+            Err(_) => Some(Reply::Failed),
+        }
     }
 
     /// Reads the head, unless it is still of the version `known`, in one call.
