oriolectl: failures as JSON, and orders about endpoints that do not shut each other out

It now prints code, message, faults, clashes and where a revision is not in force. drain and undrain edit one document, so two orders at the same time about different endpoints ended as a conflict of one; they are made anew up to five times, on the latest revision.

--- a/crates/ctl/src/cmd/check.rs
+++ b/crates/ctl/src/cmd/check.rs
@@ -32,25 +32,9 @@
 impl Command {
     pub(super) fn execute(self, form: Form) -> Result<(), Error> {
         let documents = documents::read(&self.folder)?;
-        let config = match Config::load(&documents) {
-            Ok(config) => config,
-            Err(e) => {
-                if form == Form::Json {
-                    form.print(&Faults { faults: e.faults.clone() });
-                }
-                return Err(e.into());
-            }
-        };
+        let config = Config::load(&documents)?;
         let (contracts, endpoints) = (config.contracts.len(), config.endpoints.len());
         form.print(&Report { documents: documents.len(), contracts, endpoints });
         Ok(())
     }
 }
-
-/// The faults, for scripts.
-#[data]
-#[derive(Display)]
-#[display("{} faults", faults.len())]
-struct Faults {
-    faults: Vec<oriole_core::config::Fault>,
-}
--- a/crates/ctl/src/cmd/drain.rs
+++ b/crates/ctl/src/cmd/drain.rs
@@ -11,10 +11,13 @@
 use crate::Error;
 use crate::base::Base;
 use crate::fleet::Fleet;
-use crate::store::Plan;
+use crate::store::{Plan, Snapshot};
 
 const DOCUMENT: &str = "endpoints";
 
+/// Tries of a change that conflicts with others.
+const CONFLICT_TRIES: u32 = 5;
+
 /// Flags of the subcommand.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(command))]
@@ -43,25 +46,52 @@
 impl Command {
     pub(super) async fn execute(self, context: &Context, drain: bool) -> Result<(), Error> {
         let endpoint = name::Endpoint::from(self.endpoint.as_str());
-        let snapshot = context.store.snapshot().await?;
-        let config = Config::load(&snapshot.documents)?;
-        let what = format!("endpoint {endpoint}");
-        let host = config.endpoints.get(&endpoint).ok_or(Error::NotFound { what })?.host.clone();
-        let mut wanted = snapshot.documents.clone();
-        if let Some(text) = wanted.get_mut(DOCUMENT) {
-            *text = set(text, &config, &endpoint, drain)?;
-        }
-        let base = snapshot.head.map(|head| Base { documents: head.documents.clone(), head });
         let verb = if drain { "drain" } else { "undrain" };
-        let id = Uuid::now_v7().to_string();
-        let plan = Plan { id, note: format!("{verb} {endpoint}"), base, wanted };
-        let accepted = context.store.apply(&plan).await?;
+        let (host, revision, config) = self.accept(context, &endpoint, drain).await?;
         let fleet = Fleet::new(&context.settings, Some(&config));
         let told = fleet.post(&host, &format!("/v1/{verb}?endpoint={endpoint}")).await;
-        let revision = accepted.number;
         context.form.print(&Report { endpoint, drain, revision, told });
         apply::in_force(context, revision, self.wait_s).await
     }
+
+    /// Has the change accepted; made anew if others change endpoints at the same time, as an
+    /// order about one endpoint contradicts none about another.
+    async fn accept(
+        &self,
+        context: &Context,
+        endpoint: &name::Endpoint,
+        drain: bool,
+    ) -> Result<(name::Host, u64, Config), Error> {
+        let mut tries = 1;
+        loop {
+            let snapshot = context.store.snapshot().await?;
+            let config = Config::load(&snapshot.documents)?;
+            let what = format!("endpoint {endpoint}");
+            let known = config.endpoints.get(endpoint).ok_or(Error::NotFound { what })?;
+            let host = known.host.clone();
+            match context.store.apply(&plan(snapshot, &config, endpoint, drain)?).await {
+                Ok(accepted) => return Ok((host, accepted.number, config)),
+                Err(Error::Conflict(_)) if tries < CONFLICT_TRIES => tries += 1,
+                Err(e) => return Err(e),
+            }
+        }
+    }
+}
+
+fn plan(
+    snapshot: Snapshot,
+    config: &Config,
+    endpoint: &name::Endpoint,
+    drain: bool,
+) -> Result<Plan, Error> {
+    let mut wanted = snapshot.documents;
+    if let Some(text) = wanted.get_mut(DOCUMENT) {
+        *text = set(text, config, endpoint, drain)?;
+    }
+    let base = snapshot.head.map(|head| Base { documents: head.documents.clone(), head });
+    let verb = if drain { "drain" } else { "undrain" };
+    let id = Uuid::now_v7().to_string();
+    Ok(Plan { id, note: format!("{verb} {endpoint}"), base, wanted })
 }
 
 /// The document `endpoints` with one endpoint drained or not. Comments stay where the key can be
--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 use bpaf::{Bpaf, Parser};
 
 use crate::Error;
+use crate::error::Failure;
 use crate::fleet::Fleet;
 use crate::output::Form;
 use crate::settings::Settings;
@@ -101,18 +102,26 @@
 impl Command {
     /// Runs the command; its failure is printed and gives the exit code.
     pub async fn execute(self) -> ExitCode {
+        let form = self.form();
         match self.run().await {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
+                if form == Form::Json {
+                    form.print(&Failure::from(&e));
+                }
                 eprintln!("oriolectl: {e}");
                 ExitCode::from(&e)
             }
         }
     }
 
+    fn form(&self) -> Form {
+        if self.json { Form::Json } else { Form::Text }
+    }
+
     /// Runs the command.
     pub async fn run(self) -> Result<(), Error> {
-        let form = if self.json { Form::Json } else { Form::Text };
+        let form = self.form();
         if let Action::Check(command) = self.action {
             return command.execute(form);
         }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -5,6 +5,7 @@
 
 use derive_more::{Display, Error as StdError, From};
 use oriole_core::{config, name};
+use oriole_macros::data;
 use oriole_platform::{documents, kv, settings};
 
 use crate::fleet::Missing;
@@ -140,6 +141,39 @@
     }
 }
 
+/// A failure as JSON, for scripts.
+#[data]
+#[derive(Display)]
+#[display("{message}")]
+#[serde(rename_all = "kebab-case")]
+pub struct Failure {
+    /// The exit code.
+    pub code: u8,
+    /// The failure, for people.
+    pub message: String,
+    /// What is wrong with the documents.
+    pub faults: Vec<config::Fault>,
+    /// The documents that clash.
+    pub clashes: Option<Clashes>,
+    /// Where a revision is not in force.
+    pub missing: Option<Missing>,
+}
+
+impl From<&Error> for Failure {
+    fn from(e: &Error) -> Self {
+        let faults = match e {
+            Error::Invalid(e) => e.faults.clone(),
+            _ => Vec::new(),
+        };
+        let (clashes, missing) = match e {
+            Error::Conflict(clashes) => (Some(clashes.clone()), None),
+            Error::NotInForce(missing) => (None, Some(missing.clone())),
+            _ => (None, None),
+        };
+        Self { code: e.code(), message: e.to_string(), faults, clashes, missing }
+    }
+}
+
 impl From<&Error> for ExitCode {
     fn from(e: &Error) -> Self {
         Self::from(e.code())
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -126,9 +126,15 @@
     assert_eq!(f.run(&["drain", "none"], "").await, 8);
     assert_eq!(f.run(&["drain", "status-1"], "").await, 0);
     assert!(f.document("endpoints").contains("# kept\n[status-1]\ndrain = true\n"));
+    // Orders about endpoints at the same time do not shut each other out.
+    let again = ["drain", "status-1", "--wait-s", "0"];
+    let both = futures_util::future::join(f.run(&again, ""), f.run(&["undrain", "status-1"], ""));
+    assert_eq!(both.await, (0, 0));
     assert_eq!(f.run(&["undrain", "status-1"], "").await, 0);
     assert!(!f.document("endpoints").contains("drain"));
-    assert_eq!(f.posts(), ["/v1/drain?endpoint=status-1", "/v1/undrain?endpoint=status-1"]);
+    assert_eq!(f.posts().first().unwrap(), "/v1/drain?endpoint=status-1");
+    assert_eq!(f.posts().last().unwrap(), "/v1/undrain?endpoint=status-1");
+    assert_eq!(f.posts().len(), 4);
 }
 
 #[actix_rt::test]
