Order engines from the running side

Orderers as tasks with locks in the key-value service; sides of one stage report to each other, so that an orderer knows whether another replica stands.

--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -33,9 +33,12 @@
 /// Interval of reading an engine that is being changed.
 const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time before locks are asked for again.
+/// Shortest time before locks are asked for again.
 const LOCK_RETRY: Duration = Duration::from_secs(5);
 
+/// Longest part of [`Orderer::new`]'s `spread` that is used.
+const MAX_SPREAD: Duration = Duration::from_secs(5);
+
 /// What an engine is to hold.
 #[data]
 pub struct Target {
@@ -145,11 +148,13 @@
     /// When an order was sent that was not answered yet.
     issued: Option<Instant>,
     wait: Option<Wait>,
+    retry: Duration,
 }
 
 impl Orderer {
-    /// An orderer that knows nothing.
-    pub fn new(now: Instant) -> Self {
+    /// An orderer that knows nothing. `spread`, a random time, keeps many of them from asking for
+    /// the same locks at once.
+    pub fn new(now: Instant, spread: Duration) -> Self {
         Self {
             wanted: None,
             engine: None,
@@ -159,6 +164,7 @@
             drained: false,
             issued: None,
             wait: None,
+            retry: LOCK_RETRY + spread.min(MAX_SPREAD),
         }
     }
 
@@ -178,13 +184,13 @@
             Event::Unreachable => self.engine = None,
             Event::Fenced => {
                 self.issued = None;
-                self.lock = Lock::None { retry: now + LOCK_RETRY };
+                self.lock = Lock::None { retry: now + self.retry };
             }
             Event::Locked { asked, ttl, fence } => {
                 let until = asked + ttl.saturating_sub(DRIFT_MARGIN);
                 self.lock = Lock::Held { until, renew: asked + ttl / 3, fence };
             }
-            Event::Unlocked => self.lock = Lock::None { retry: now + LOCK_RETRY },
+            Event::Unlocked => self.lock = Lock::None { retry: now + self.retry },
             Event::Around(around) => self.around = around,
             Event::Tick => {}
         }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -8,6 +8,7 @@
 //! - `generation`, `work`: stages of chains at model engines.
 //! - `service`: calls of plain services.
 //! - `resolve`: cancelling, and refuse-or-report.
+//! - `peer`: the other replicas of the stages served here.
 //! - `report`: load reports to entries.
 //! - `end`: the ways in which work ends.
 //! - [`count`], [`journal`]: what operators can ask.
@@ -18,18 +19,21 @@
 mod gate;
 mod generation;
 pub mod journal;
+mod peer;
 mod report;
 mod resolve;
 mod service;
 mod work;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::config::Config;
 use crate::drain::Cause;
 use crate::home::{self, Home};
 use crate::message::{Claimed, Load, Message};
+use crate::order::Around;
 use crate::request::{Id, host_hash};
 use crate::time::{Instant, as_us};
 use crate::{ledger, name};
@@ -39,6 +43,7 @@
 use count::{Count, Counters};
 use gate::Gate;
 use journal::Journal;
+use peer::Peers;
 use report::Reports;
 
 /// Time for which work admitted under the roster before the present one is still taken.
@@ -74,6 +79,7 @@
     home: Home,
     reports: Reports,
     log: Log,
+    peers: Peers,
     roster: u64,
     roster_since: Instant,
     /// Wall-clock time at [`Machine::ticked`].
@@ -115,6 +121,7 @@
             gates: BTreeMap::new(),
             reports: Reports::default(),
             log: Log::default(),
+            peers: Peers::default(),
             roster: 0,
             roster_since: now,
             wall_ms,
@@ -178,6 +185,17 @@
             .collect()
     }
 
+    /// What goes on around an engine that is to be given an order.
+    pub fn around(&self, now: Instant, endpoint: &name::Endpoint) -> Around {
+        let idle = self.gates.get(endpoint).is_some_and(Gate::is_idle);
+        Around { idle, others: self.peers.serving(now, endpoint) }
+    }
+
+    /// The sides of the other replicas of the stage that an engine of this host serves.
+    pub fn replicas(&self, endpoint: &name::Endpoint) -> Vec<(name::Host, SocketAddr)> {
+        self.peers.replicas(endpoint)
+    }
+
     /// Counters of what was refused, repeated and dropped.
     pub fn counters(&self) -> &Counters {
         &self.log.counters
@@ -245,6 +263,7 @@
                     cx.count(Count::Stale);
                 }
             }
+            Message::Load(load) => self.peers.heard(now, from, load),
             _ => cx.count(Count::Foreign),
         }
     }
@@ -301,7 +320,9 @@
                 .or_insert_with(|| Gate::new(now, name.clone(), endpoint, &self.settings));
             gate.kind = endpoint.kind.clone();
         }
-        self.reports.expect(config.entries.keys());
+        self.peers.configure(host, config);
+        let entries: Vec<&name::Host> = config.entries.keys().collect();
+        self.reports.expect(entries.into_iter().chain(self.peers.hosts()));
     }
 }
 
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -71,7 +71,7 @@
             checks,
             lock: None,
             revision: 10,
-            orderers: [0, 1].map(|_| Orderer::new(Instant::from_us(0))),
+            orderers: [0, 1].map(|_| Orderer::new(Instant::from_us(0), Duration::ZERO)),
             flying: Vec::new(),
             held: Default::default(),
             budget: [None; 2],
@@ -265,7 +265,7 @@
 
 /// An orderer that has drained the engine's endpoint and waits for the locks.
 fn ready(now: Instant) -> Orderer {
-    let mut orderer = Orderer::new(now);
+    let mut orderer = Orderer::new(now, Duration::ZERO);
     orderer.handle(now, Event::Wanted(target("1")));
     orderer.handle(now, Event::State(World::new(false).engine));
     orderer.handle(now, Event::Around(Around { idle: true, others: 1 }));
--- a/crates/side/src/cmd.rs
+++ b/crates/side/src/cmd.rs
@@ -77,6 +77,9 @@
         if let Some(kv) = source.kv {
             builder = builder.kv(kv);
         }
+        if settings.orders {
+            builder = builder.orders();
+        }
         let handle = builder.start();
         log::info!(host:% = settings.host, listen:% = settings.listen; "the side runs");
         signal::stop().await?;
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod cmd;
 mod endpoint;
 mod http;
+mod lock;
+mod orders;
 pub mod process;
 pub mod settings;
 pub mod status;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -15,7 +15,7 @@
 use oriole_core::time::as_us;
 use oriole_follow::Follow;
 use oriole_platform::clock::Clock;
-use oriole_platform::kv;
+use oriole_platform::{engine, kv};
 use oriole_wire::hub::{self, Kind as Wire};
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
@@ -24,11 +24,15 @@
 
 use crate::endpoint::{Adapter, Job};
 use crate::http;
+use crate::orders::{self, Input};
 use crate::status::{Counter, Explanation, Status};
 
 /// Interval at which time passes for the decisions.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Interval of telling the orderers what goes on around their engines.
+const AROUND_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Time for which a side that has nothing in progress any more still answers before it stops.
 const LINGER: Duration = Duration::from_millis(300);
 
@@ -54,6 +58,7 @@
     home: home::Bounds,
     seeds: BTreeMap<name::Host, SocketAddr>,
     kv: Option<kv::Settings>,
+    orders: bool,
 }
 
 impl Builder {
@@ -62,7 +67,7 @@
         let entries = setup.config.entries.iter();
         let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
         let home = home::Bounds::default();
-        Self { setup, http: None, queue_tokens: None, home, seeds, kv: None }
+        Self { setup, http: None, queue_tokens: None, home, seeds, kv: None, orders: false }
     }
 
     /// Serves operators over HTTP.
@@ -95,6 +100,12 @@
         self
     }
 
+    /// Orders engines to hold what the configuration says, with locks in the key-value service.
+    pub fn orders(mut self) -> Self {
+        self.orders = true;
+        self
+    }
+
     /// Starts the side in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, liveness } = self.setup;
@@ -112,11 +123,13 @@
         let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
         let (results, finished) = mpsc::unbounded_channel();
         let role = follower::Role::Side;
+        let service = self.kv.clone().filter(|_| self.orders).map(kv::Client::new);
         let following =
             oriole_follow::Setup { host: host.clone(), role, seeds: self.seeds, kv: self.kv };
         let (follow, revisions) = Follow::new(following, hub.clone(), clock.now());
-        let adapters = BTreeMap::new();
-        let mut process = Process { host, machine, adapters, follow, clock, hub, results };
+        let (adapters, orderers) = (BTreeMap::new(), BTreeMap::new());
+        let mut process =
+            Process { host, machine, adapters, orderers, service, follow, clock, hub, results };
         process.adapt(&config);
         let hub = process.hub.clone();
         tasks.push(actix_rt::spawn(process.run(events, finished, revisions, asked)));
@@ -183,6 +196,9 @@
     host: name::Host,
     machine: Machine,
     adapters: BTreeMap<name::Endpoint, Adapter>,
+    /// Those who order engines about; none without the key-value service.
+    orderers: BTreeMap<name::Endpoint, mpsc::UnboundedSender<Input>>,
+    service: Option<kv::Client>,
     follow: Follow,
     clock: Clock,
     hub: Hub,
@@ -197,6 +213,7 @@
         mut revisions: mpsc::UnboundedReceiver<follower::Event>,
         mut commands: mpsc::Receiver<Command>,
     ) {
+        let mut around = tokio::time::interval(AROUND_INTERVAL);
         let mut tick = tokio::time::interval(TICK);
         let mut stopping = Vec::new();
         let mut busy_at = Instant::now();
@@ -213,6 +230,7 @@
                     other => self.on_command(other),
                 },
                 _ = tick.tick() => self.tick(),
+                _ = around.tick() => self.tell_orderers(),
                 else => return,
             }
             if !self.machine.is_idle() {
@@ -283,6 +301,33 @@
             if self.adapters.get(name).is_none_or(|adapter| adapter.address() != address) {
                 let adapter = Adapter::start(name, kind, address, self.results.clone());
                 self.adapters.insert(name.clone(), adapter);
+                self.orderers.remove(name);
+            }
+            let Some(wanted) = orders::wanted(config, name) else { continue };
+            let Some(service) = self.service.clone() else { continue };
+            let orderer = self.orderers.entry(name.clone()).or_insert_with(|| {
+                let (inputs, receiver) = mpsc::unbounded_channel();
+                let (clock, results) = (self.clock, self.results.clone());
+                let (endpoint, engine) = (name.clone(), engine::Client::new(address));
+                let setup = orders::Setup { endpoint, engine, service, clock, results };
+                actix_rt::spawn(orders::run(setup, receiver));
+                inputs
+            });
+            // The task ends only when this sender is dropped.
+            let _ = orderer.send(wanted);
+        }
+    }
+
+    /// Tells the orderers what goes on, and keeps connections to the replicas that they ask about.
+    fn tell_orderers(&self) {
+        let now = self.clock.now();
+        for (endpoint, orderer) in &self.orderers {
+            let _ = orderer.send(Input::Around(self.machine.around(now, endpoint)));
+            for (host, address) in self.machine.replicas(endpoint) {
+                if !self.hub.is_linked(&host) {
+                    let number = revision::Message::Number(self.follow.number());
+                    self.hub.send(&host, Some(address), Message::Revision(number));
+                }
             }
         }
     }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -30,6 +30,14 @@
     /// The home of idempotency keys.
     #[serde(default)]
     pub home: Home,
+    /// Whether the side orders its engines to hold what the configuration says; needs the
+    /// key-value service.
+    #[serde(default = "default_orders")]
+    pub orders: bool,
+}
+
+fn default_orders() -> bool {
+    true
 }
 
 fn default_queue_tokens() -> u64 {
