Close an endpoint at once when its engine is given another stage

A configuration that changed an engine's layers left the gate open until the orderer's next reading, so that a chain by the new configuration could have run on the old layers. Found in review, not by a test. Tests added on both sides of it.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -38,6 +38,11 @@
         before != self.is_open()
     }
 
+    /// Whether a cause is set.
+    pub fn has(&self, cause: Cause) -> bool {
+        self.causes.contains(&cause)
+    }
+
     /// Whether new work is taken.
     pub fn is_open(&self) -> bool {
         self.causes.is_empty()
--- a/crates/core/src/order.rs
+++ b/crates/core/src/order.rs
@@ -175,8 +175,9 @@
 
     /// Takes an event in.
     pub fn handle(&mut self, now: Instant, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
         match event {
-            Event::Wanted(target) => self.wanted = Some(target),
+            Event::Wanted(target) => self.want(target, &mut effects),
             Event::State(state) => {
                 self.engine = Some(state);
                 self.issued = None;
@@ -194,12 +195,24 @@
             Event::Around(around) => self.around = around,
             Event::Tick => {}
         }
-        let mut effects = Vec::new();
         self.expire(now);
         self.advance(now, &mut effects);
         effects
     }
 
+    /// A change of stage closes the endpoint at once, before the engine is known to differ.
+    fn want(&mut self, target: Target, effects: &mut Vec<Effect>) {
+        let same = |old: &Target| {
+            let layers = (old.first_layer, old.end_layer);
+            old.model == target.model && layers == (target.first_layer, target.end_layer)
+        };
+        if self.wanted.as_ref().is_some_and(|old| !same(old)) {
+            self.drained = true;
+            effects.push(Effect::Drain(true));
+        }
+        self.wanted = Some(target);
+    }
+
     /// Drops what time has made void: a lease that has lapsed, also during a pause.
     fn expire(&mut self, now: Instant) {
         match self.lock {
@@ -243,7 +256,12 @@
 
     /// Takes the next step towards what is wanted.
     fn change(&mut self, now: Instant, engine: &State, wanted: &Target, effects: &mut Vec<Effect>) {
-        let serves = engine.model.is_some();
+        // An engine with other layers serves nobody: the configuration gives it another stage.
+        let serves = serves(engine, wanted);
+        if !serves && !self.drained {
+            self.drained = true;
+            effects.push(Effect::Drain(true));
+        }
         if serves && self.around.others == 0 {
             self.wait = Some(Wait::LastChain);
             return self.settle(effects);
@@ -308,8 +326,12 @@
 }
 
 fn holds(engine: &State, wanted: &Target) -> bool {
+    serves(engine, wanted) && engine.version == wanted.version
+}
+
+/// Whether the engine serves the stage, whatever the version.
+fn serves(engine: &State, wanted: &Target) -> bool {
     engine.model.as_ref() == Some(&wanted.model)
-        && engine.version == wanted.version
         && engine.first_layer == wanted.first_layer
         && engine.end_layer == wanted.end_layer
 }
--- a/crates/core/src/side.rs
+++ b/crates/core/src/side.rs
@@ -318,7 +318,7 @@
                 .gates
                 .entry(name.clone())
                 .or_insert_with(|| Gate::new(now, name.clone(), endpoint, &self.settings));
-            gate.kind = endpoint.kind.clone();
+            gate.configure(&endpoint.kind);
         }
         self.peers.configure(host, config);
         let entries: Vec<&name::Host> = config.entries.keys().collect();
--- a/crates/core/src/side/gate.rs
+++ b/crates/core/src/side/gate.rs
@@ -76,6 +76,20 @@
         }
     }
 
+    /// Takes in what the configuration says. With another stage the endpoint is closed until its
+    /// orderer finds that the engine holds it ([`Cause::Order`]).
+    pub(super) fn configure(&mut self, kind: &Kind) {
+        if let (
+            Kind::Engine { model, first_layer, end_layer, .. },
+            Kind::Engine { model: old, first_layer: first, end_layer: end, .. },
+        ) = (kind, &self.kind)
+        {
+            let same = model == old && first_layer == first && end_layer == end;
+            self.drain.set(Cause::Order, !same || self.drain.has(Cause::Order));
+        }
+        self.kind = kind.clone();
+    }
+
     /// Whether nothing is in progress.
     pub(super) fn is_idle(&self) -> bool {
         self.works.is_empty() && self.waiting.is_empty() && self.running.is_empty()
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -310,3 +310,18 @@
     assert!(issued(&effects).is_none());
     assert!(effects.contains(&Effect::Lock));
 }
+
+#[test]
+fn an_engine_of_another_stage_is_closed_at_once_and_needs_no_replica() {
+    let now = Instant::from_us(1_000_000);
+    let mut orderer = ready(now);
+    orderer.handle(now, Event::Around(Around { idle: true, others: 0 }));
+    let mut other = target("1");
+    other.end_layer = 2;
+    let effects = orderer.handle(now, Event::Wanted(other));
+    assert!(effects.contains(&Effect::Drain(true)));
+    let locked = Event::Locked { asked: now, ttl: LOCK_TTL, fence: 7 };
+    assert!(issued(&orderer.handle(now, locked)).is_some());
+    let held = State { end_layer: 2, version: "1".to_owned(), ..World::new(false).engine };
+    assert!(orderer.handle(now, Event::State(held)).contains(&Effect::Drain(false)));
+}
--- a/crates/core/tests/side.rs
+++ b/crates/core/tests/side.rs
@@ -403,3 +403,21 @@
     assert_eq!(refused(&bench.tell(Message::Open(huge))).unwrap().reason, Refusal::QueueFull);
     assert_eq!(bench.machine.counters().get(Count::Foreign), 2);
 }
+
+#[test]
+fn an_endpoint_that_is_given_another_stage_is_closed_until_its_engine_has_it() {
+    let mut bench = Bench::new(8);
+    let mut config = config(8);
+    let endpoint = config.endpoints.get_mut(&name::Endpoint::from("e0")).unwrap();
+    let Kind::Engine { end_layer, .. } = &mut endpoint.kind else { panic!() };
+    *end_layer = 9;
+    for revision in [1, 2] {
+        let config = Box::new(config.clone());
+        bench.event(Event::Configured { config, revision, roster: 0 });
+        let causes = bench.machine.causes();
+        assert_eq!(causes[&name::Endpoint::from("e0")], [Cause::Order]);
+    }
+    let (endpoint, cause) = ("e0".into(), Cause::Order);
+    bench.event(Event::Leaving { endpoint, cause, leaving: false });
+    assert!(bench.machine.loads()[0].open);
+}
