--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -111,7 +111,7 @@
 pub(super) fn side(setup: SideSetup) -> Node {
     run(move |mut commands| async move {
         let Ok(wire) = net::TcpListener::from_std(setup.wire) else { return };
-        let handle = oriole_side::process::Builder::new(oriole_side::Setup {
+        let handle = oriole_side::Builder::new(oriole_side::Setup {
             host: setup.host,
             secret: setup.secret,
             config: setup.config,
--- a/crates/side/src/cmd.rs
+++ b/crates/side/src/cmd.rs
@@ -7,6 +7,7 @@
 use bpaf::Bpaf;
 use derive_more::{Display, Error, From};
 use oriole_core::name;
+use oriole_platform::metrics::{self, Exporter};
 use oriole_platform::{settings as files, signal};
 use oriole_wire::conn::Liveness;
 use tokio::net::TcpListener;
@@ -49,6 +50,8 @@
         /// The cause.
         source: io::Error,
     },
+    /// Counters cannot be exported.
+    Metrics(metrics::Error),
     /// Signals cannot be received.
     #[display("waiting for a signal: {_0}")]
     Signal(io::Error),
@@ -80,6 +83,9 @@
         if settings.orders {
             builder = builder.orders();
         }
+        if let Some(collector) = settings.metrics {
+            builder = builder.exporter(Exporter::new("oriole.side", collector)?);
+        }
         let handle = builder.start();
         log::info!(host:% = settings.host, listen:% = settings.listen; "the side runs");
         signal::stop().await?;
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`settings`]: what the process reads at its start.
 //! - [`status`]: what operators are told; served over HTTP.
 
+mod builder;
 pub mod cmd;
 mod endpoint;
 mod http;
@@ -14,4 +15,5 @@
 pub mod settings;
 pub mod status;
 
-pub use process::{Builder, Handle, Setup, start};
+pub use builder::{Builder, Setup, start};
+pub use process::Handle;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -1,29 +1,26 @@
 //! The running side: one task owns the decisions, others do the waiting.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oriole_core::config::Config;
 use oriole_core::drain::Cause;
-use oriole_core::home;
 use oriole_core::message::Message;
 use oriole_core::name;
 use oriole_core::request::Id;
 use oriole_core::revision::{self, Adopted, follower};
-use oriole_core::side::{self, Effect, Event, Machine};
+use oriole_core::side::{Effect, Event, Machine};
 use oriole_core::time::as_us;
 use oriole_follow::Follow;
 use oriole_platform::clock::Clock;
+use oriole_platform::metrics::{Count, Exporter};
 use oriole_platform::{engine, kv};
+use oriole_wire::Hub;
 use oriole_wire::hub::{self, Kind as Wire};
-use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
-use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 use crate::endpoint::{Adapter, Job};
-use crate::http;
 use crate::orders::{self, Input};
 use crate::status::{Counter, Explanation, Status};
 
@@ -33,115 +30,12 @@
 /// Interval of telling the orderers what goes on around their engines.
 const AROUND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of exporting the counters.
+const EXPORT_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Time for which a side that has nothing in progress any more still answers before it stops.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// What a side is started with.
-pub struct Setup {
-    /// The host.
-    pub host: name::Host,
-    /// The secret of the deployment.
-    pub secret: Vec<u8>,
-    /// The configuration.
-    pub config: Config,
-    /// Listener for the system's own connections.
-    pub wire: TcpListener,
-    /// Heartbeats and deadlines of connections.
-    pub liveness: Liveness,
-}
-
-/// Starts a side with other than the default settings.
-pub struct Builder {
-    setup: Setup,
-    http: Option<TcpListener>,
-    queue_tokens: Option<u64>,
-    home: home::Bounds,
-    seeds: BTreeMap<name::Host, SocketAddr>,
-    kv: Option<kv::Settings>,
-    orders: bool,
-}
-
-impl Builder {
-    /// A builder with the default settings.
-    pub fn new(setup: Setup) -> Self {
-        let entries = setup.config.entries.iter();
-        let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
-        let home = home::Bounds::default();
-        Self { setup, http: None, queue_tokens: None, home, seeds, kv: None, orders: false }
-    }
-
-    /// Serves operators over HTTP.
-    pub fn http(mut self, listener: TcpListener) -> Self {
-        self.http = Some(listener);
-        self
-    }
-
-    /// Tokens of requests that wait at one endpoint.
-    pub fn queue_tokens(mut self, tokens: u64) -> Self {
-        self.queue_tokens = Some(tokens);
-        self
-    }
-
-    /// Bounds and tolerances of the home of idempotency keys.
-    pub fn home(mut self, bounds: home::Bounds) -> Self {
-        self.home = bounds;
-        self
-    }
-
-    /// Where entries listen, besides those of the configuration.
-    pub fn seeds(mut self, seeds: BTreeMap<name::Host, SocketAddr>) -> Self {
-        self.seeds.extend(seeds);
-        self
-    }
-
-    /// The key-value service, which the side calls only if it hears of no entry.
-    pub fn kv(mut self, settings: kv::Settings) -> Self {
-        self.kv = Some(settings);
-        self
-    }
-
-    /// Orders engines to hold what the configuration says, with locks in the key-value service.
-    pub fn orders(mut self) -> Self {
-        self.orders = true;
-        self
-    }
-
-    /// Starts the side in the current actix system.
-    pub fn start(self) -> Handle {
-        let Setup { host, secret, config, wire, liveness } = self.setup;
-        let identity = Identity { host: host.clone(), secret };
-        let (hub, events) = Hub::new(hub::Settings { identity, liveness });
-        let mut tasks = vec![hub.listen(wire)];
-        let (commands, asked) = mpsc::channel(64);
-        if let Some(listener) = self.http {
-            tasks.push(actix_rt::spawn(http::serve(listener, commands.clone())));
-        }
-        let mut settings = side::Settings::new(host.clone(), rand::random());
-        settings.home = self.home;
-        settings.queue_tokens = self.queue_tokens.unwrap_or(settings.queue_tokens);
-        let clock = Clock::start();
-        let machine = Machine::new(clock.now(), wall_ms(), settings, &config);
-        let (results, finished) = mpsc::unbounded_channel();
-        let role = follower::Role::Side;
-        let service = self.kv.clone().filter(|_| self.orders).map(kv::Client::new);
-        let following =
-            oriole_follow::Setup { host: host.clone(), role, seeds: self.seeds, kv: self.kv };
-        let (follow, revisions) = Follow::new(following, hub.clone(), clock.now());
-        let (adapters, orderers) = (BTreeMap::new(), BTreeMap::new());
-        let mut process =
-            Process { host, machine, adapters, orderers, service, follow, clock, hub, results };
-        process.adapt(&config);
-        let hub = process.hub.clone();
-        tasks.push(actix_rt::spawn(process.run(events, finished, revisions, asked)));
-        Handle { commands, hub, tasks }
-    }
-}
-
-/// Starts a side with the default settings in the current actix system.
-pub fn start(setup: Setup) -> Handle {
-    Builder::new(setup).start()
-}
-
 /// A running side. Dropping it kills the side at once.
 pub struct Handle {
     commands: mpsc::Sender<Command>,
@@ -164,6 +58,14 @@
 }
 
 impl Handle {
+    pub(crate) fn new(
+        commands: mpsc::Sender<Command>,
+        hub: Hub,
+        tasks: Vec<actix_rt::task::JoinHandle<()>>,
+    ) -> Self {
+        Self { commands, hub, tasks }
+    }
+
     /// Tells the side that an endpoint is leaving, or is back.
     pub async fn leave(&self, endpoint: name::Endpoint, leaving: bool) {
         let (done, wait) = oneshot::channel();
@@ -192,21 +94,22 @@
     }
 }
 
-struct Process {
-    host: name::Host,
-    machine: Machine,
-    adapters: BTreeMap<name::Endpoint, Adapter>,
+pub(crate) struct Process {
+    pub(crate) host: name::Host,
+    pub(crate) machine: Machine,
+    pub(crate) adapters: BTreeMap<name::Endpoint, Adapter>,
     /// Those who order engines about; none without the key-value service.
-    orderers: BTreeMap<name::Endpoint, mpsc::UnboundedSender<Input>>,
-    service: Option<kv::Client>,
-    follow: Follow,
-    clock: Clock,
-    hub: Hub,
-    results: mpsc::UnboundedSender<Event>,
+    pub(crate) orderers: BTreeMap<name::Endpoint, mpsc::UnboundedSender<Input>>,
+    pub(crate) service: Option<kv::Client>,
+    pub(crate) follow: Follow,
+    pub(crate) clock: Clock,
+    pub(crate) hub: Hub,
+    pub(crate) results: mpsc::UnboundedSender<Event>,
+    pub(crate) exporter: Option<Exporter>,
 }
 
 impl Process {
-    async fn run(
+    pub(crate) async fn run(
         mut self,
         mut events: mpsc::Receiver<hub::Event>,
         mut finished: mpsc::UnboundedReceiver<Event>,
@@ -214,6 +117,7 @@
         mut commands: mpsc::Receiver<Command>,
     ) {
         let mut around = tokio::time::interval(AROUND_INTERVAL);
+        let mut export = tokio::time::interval(EXPORT_INTERVAL);
         let mut tick = tokio::time::interval(TICK);
         let mut stopping = Vec::new();
         let mut busy_at = Instant::now();
@@ -231,6 +135,7 @@
                 },
                 _ = tick.tick() => self.tick(),
                 _ = around.tick() => self.tell_orderers(),
+                _ = export.tick() => self.export(),
                 else => return,
             }
             if !self.machine.is_idle() {
@@ -294,7 +199,7 @@
     }
 
     /// Starts adapters of endpoints that are new; those that are gone end with their work.
-    fn adapt(&mut self, config: &Config) {
+    pub(crate) fn adapt(&mut self, config: &Config) {
         let own = config.endpoints.iter().filter(|(_, endpoint)| endpoint.host == self.host);
         for (name, endpoint) in own {
             let (kind, address) = (&endpoint.kind, endpoint.address);
@@ -365,6 +270,15 @@
         log::info!(leaving, cause:? = cause; "endpoints leave or come back");
     }
 
+    fn export(&mut self) {
+        let Some(exporter) = self.exporter.as_mut() else { return };
+        exporter.export(Counter::all(&self.machine).into_iter().map(|counter| Count {
+            name: counter.name,
+            workspace: counter.workspace.map(|name| name.to_string()),
+            value: counter.count,
+        }));
+    }
+
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
         for effect in self.machine.handle(now, event) {
@@ -400,7 +314,7 @@
 }
 
 /// Milliseconds since the Unix epoch by the wall clock.
-fn wall_ms() -> u64 {
+pub(crate) fn wall_ms() -> u64 {
     // A clock before 1970 makes every key look as if it came from the future, which is refused.
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| as_us(since) / 1000)
 }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -30,6 +30,9 @@
     /// The home of idempotency keys.
     #[serde(default)]
     pub home: Home,
+    /// StatsD collector to which counters are exported.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
     /// Whether the side orders its engines to hold what the configuration says; needs the
     /// key-value service.
     #[serde(default = "default_orders")]
