--- a/crates/core/tests/side.rs
+++ b/crates/core/tests/side.rs
@@ -421,3 +421,18 @@
     bench.event(Event::Leaving { endpoint, cause, leaving: false });
     assert!(bench.machine.loads()[0].open);
 }
+
+#[test]
+fn an_entry_that_came_before_the_configuration_gets_reports_with_it() {
+    let mut bench = Bench::new(4);
+    let second = name::Host::from("entry-2");
+    assert!(bench.event(Event::Up(second.clone())).is_empty());
+    let mut named = config(4);
+    let address = "127.0.0.1:1".parse().unwrap();
+    named.entries.insert(second.clone(), Entry { address, zone: "hall-a".into(), weight: 1 });
+    let out = bench.event(Event::Configured { config: Box::new(named), revision: 1, roster: 1 });
+    let reported = out.iter().filter(|effect| {
+        matches!(effect, Effect::Send { host, message: Message::Load(_), .. } if *host == second)
+    });
+    assert_eq!(reported.count(), 2);
+}
