--- a/crates/core/src/entry/migrate.rs
+++ b/crates/core/src/entry/migrate.rs
@@ -20,14 +20,18 @@
 /// A token is not slow below this.
 const SLOW_FLOOR: Duration = Duration::from_millis(100);
 
-/// Slow tokens in a row after which a move is weighed.
+/// Slow tokens in a row after which a move is weighed. One may have been lost and sent again.
 const SLOW_TOKENS: u32 = 2;
 
+/// From this time on one token is enough: a loss is repaired sooner.
+const SEVERE: Duration = Duration::from_millis(600);
+
 impl Work {
     /// Notes the time that a token took; returns whether it was slow.
     pub(super) fn note(&mut self, took: Duration) -> bool {
         let slow = took >= SLOW_FLOOR.max(self.token.saturating_mul(SLOW_FACTOR));
-        self.slow = if slow { self.slow + 1 } else { 0 };
+        let counts = if took >= SEVERE { SLOW_TOKENS } else { 1 };
+        self.slow = if slow { self.slow.saturating_add(counts) } else { 0 };
         slow
     }
 }
