Judge hosts in the entry, and bring joining ones in gradually

The entry's machine owns the directory: the host list, reports and dead connections go in, and the planner asks it what an endpoint may be given. A joining host competes in proportion to its weight: of 600 choices among ten equal endpoints one at a tenth of its weight got at most 16 (bound: four deviations over its part of 6). With the weight ignored the test fails.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -16,6 +16,7 @@
 pub mod count;
 mod event;
 mod generation;
+mod hosts;
 mod migrate;
 mod pending;
 mod recovery;
@@ -28,6 +29,7 @@
 use crate::estimate::Draw;
 use crate::explain::{self, Fact};
 use crate::limit::{self, Book};
+use crate::membership::{self, Directory};
 use crate::message::{Message, Stage, Term};
 use crate::plan::Planner;
 use crate::request::{Id, Refusal, Refused};
@@ -73,6 +75,9 @@
     homes: Vec<name::Host>,
     records: explain::Store,
     counters: Counters,
+    directory: Directory,
+    /// When hosts were last judged.
+    judged: Instant,
     draw: Draw,
     forgotten: Instant,
     stopping: bool,
@@ -119,6 +124,8 @@
             homes: Vec::new(),
             records: explain::Store::default(),
             counters: Counters::default(),
+            directory: Directory::new(now, membership::Settings::default(), Vec::new()),
+            judged: now,
             draw: Draw::new(seed),
             forgotten: now,
             stopping: false,
@@ -166,6 +173,13 @@
         effects: &mut Vec<Effect>,
     ) {
         self.planner.configure(&config);
+        let named = hosts::named(&config);
+        if self.config.endpoints.is_empty() {
+            // Nothing is known of the age of the hosts that a first configuration names.
+            self.directory = Directory::new(now, membership::Settings::default(), named);
+        } else {
+            self.directory.on_hosts(now, named);
+        }
         let endpoints = &config.endpoints;
         self.heard.retain(|endpoint, _| endpoints.contains_key(endpoint));
         self.terms.retain(|endpoint, _| endpoints.contains_key(endpoint));
@@ -179,6 +193,7 @@
             self.book.on_roster(now, roster, &mut out);
         }
         self.share(out, effects);
+        self.judge(now);
     }
 
     /// Reacts to one event.
@@ -196,7 +211,7 @@
             }
             Event::Up(host) => self.on_heard(&host),
             Event::Lost(host) => self.on_lost(now, &host, &mut effects),
-            Event::Leaving { endpoint, leaving } => self.planner.leave(&endpoint, leaving),
+            Event::Hosts(list) => self.on_list(now, &list),
             Event::Configured { revision, config, roster } => {
                 self.configure(now, revision, *config, Some(roster), &mut effects);
             }
@@ -269,6 +284,7 @@
             Message::Claimed(claimed) => self.on_claimed(now, claimed, effects),
             Message::Share(message) => self.on_share(now, from, message, effects),
             Message::Load(load) => {
+                self.directory.on_heard(now, from);
                 self.terms.insert(load.endpoint.clone(), load.term);
                 self.planner.report(now, &load);
             }
@@ -279,6 +295,7 @@
 
     fn on_tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         self.tick_hosts(now, effects);
+        self.tick_directory(now);
         self.tick_generations(now, effects);
         self.tick_calls(now, effects);
         self.tick_admission(now, effects);
--- a/crates/core/src/entry/event.rs
+++ b/crates/core/src/entry/event.rs
@@ -1,9 +1,11 @@
 //! What an entry's decisions react to, and what they ask for.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::config::Config;
+use crate::membership::Listing;
 use crate::message::{Answer, Message};
 use crate::name;
 use crate::request::{Id, Refused};
@@ -69,13 +71,8 @@
     Up(name::Host),
     /// A connection to a host ended, or could not be opened; messages sent to it may be lost.
     Lost(name::Host),
-    /// The host list says that an endpoint is leaving, or is back.
-    Leaving {
-        /// The endpoint.
-        endpoint: name::Endpoint,
-        /// Whether it leaves.
-        leaving: bool,
-    },
+    /// The host list, which lags.
+    Hosts(BTreeMap<name::Host, Listing>),
     /// A configuration is in force.
     Configured {
         /// Number of its revision.
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -147,6 +147,7 @@
     fn on_dead(&mut self, now: Instant, host: &name::Host, effects: &mut Vec<Effect>) {
         self.doubts.remove(host);
         self.lost.insert(host.clone(), now + DEAD);
+        self.directory.on_lost(now, host);
         self.planner.lose(host, now + DEAD);
         let failed: Vec<(Id, Option<name::Endpoint>)> = self
             .works
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -23,6 +23,7 @@
 
 use crate::config::{Config, Kind};
 use crate::estimate::Draw;
+use crate::membership::Standing;
 use crate::message::{Hop, Load, Stage};
 use crate::name;
 use crate::request::{Refusal, Refused};
@@ -298,10 +299,10 @@
         self.lose(host, Instant::default());
     }
 
-    /// Sets whether an endpoint is leaving, by the host list or its side.
-    pub fn leave(&mut self, endpoint: &name::Endpoint, leaving: bool) {
+    /// Sets what an endpoint may be given, by the host list and by what is seen of its host.
+    pub fn judge(&mut self, endpoint: &name::Endpoint, standing: Standing) {
         if let Some(node) = self.node_mut(endpoint) {
-            node.leaving = leaving;
+            node.standing = standing;
         }
     }
 
--- a/crates/core/src/plan/node.rs
+++ b/crates/core/src/plan/node.rs
@@ -5,6 +5,7 @@
 
 use crate::config::Kind;
 use crate::estimate::Excess;
+use crate::membership::{FULL_WEIGHT, Standing};
 use crate::message::{Hop, Load, Stage};
 use crate::name;
 use crate::plan::link;
@@ -70,8 +71,10 @@
     pub place: link::Node,
     /// How fast it is.
     pub speed: Speed,
-    /// Ordered to be drained by the configuration or the host list.
+    /// Ordered to be drained by the configuration.
     pub leaving: bool,
+    /// What its host may be given.
+    pub standing: Standing,
     /// Not to be used until then unless nothing else can be, because it is suspected.
     pub suspect_until: Instant,
     /// Not to be used until then, because its host cannot be reached.
@@ -99,6 +102,7 @@
             place,
             speed,
             leaving: false,
+            standing: Standing::Open(FULL_WEIGHT),
             suspect_until: Instant::default(),
             lost_until: Instant::default(),
             in_flight: 0,
@@ -112,7 +116,16 @@
     /// Whether new work may be sent there.
     pub fn usable(&self, now: Instant) -> bool {
         let open = self.fresh(now).is_none_or(|report| report.open);
-        open && !self.leaving && now >= self.lost_until
+        let stays = !matches!(self.standing, Standing::Leaving | Standing::Gone);
+        open && stays && !self.leaving && now >= self.lost_until
+    }
+
+    /// Its weight among competitors, at most [`FULL_WEIGHT`]; less while its host is brought in.
+    pub fn weight(&self) -> u32 {
+        match self.standing {
+            Standing::Open(weight) => weight,
+            _ => FULL_WEIGHT,
+        }
     }
 
     /// Whether it failed lately.
--- a/crates/core/src/plan/search.rs
+++ b/crates/core/src/plan/search.rs
@@ -4,6 +4,7 @@
 
 use crate::config;
 use crate::estimate::Draw;
+use crate::membership::FULL_WEIGHT;
 use crate::plan::node::Node;
 use crate::plan::{ACTIVATION_BYTES, Key, Planner, Query};
 use crate::time::{Instant, as_us};
@@ -186,6 +187,14 @@
         usable = all;
     }
     let Some(draw) = draw else { return usable };
+    let mut drawn = |key: &Key| {
+        let weight = node(key).map_or(FULL_WEIGHT, Node::weight);
+        weight >= FULL_WEIGHT || draw.below(FULL_WEIGHT as usize) < weight as usize
+    };
+    let settled: Vec<Key> = usable.iter().filter(|key| drawn(key)).copied().collect();
+    if !settled.is_empty() {
+        usable = settled;
+    }
     if usable.len() <= SAMPLES {
         return usable;
     }
--- a/crates/core/tests/plan.rs
+++ b/crates/core/tests/plan.rs
@@ -1,9 +1,12 @@
 //! Choice of chains.
 
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use oriole_core::config::{Config, Endpoint, Kind, Model};
+use oriole_core::membership::{FULL_WEIGHT, Standing};
 use oriole_core::message::{Hop, Load, Term};
 use oriole_core::name;
 use oriole_core::plan::{Choice, Planner, Query, Unplanned};
@@ -95,7 +98,7 @@
     ) {
         let mut planner = planner(layers, &ranges);
         for index in &closed {
-            planner.leave(&name(*index), true);
+            planner.judge(&name(*index), Standing::Leaving);
         }
         let open: Vec<(u16, u16)> = ranges
             .iter()
@@ -242,3 +245,22 @@
     }
     assert_eq!(choose(&planner, 9).unwrap_err().refused.reason, Refusal::NoChain);
 }
+
+/// Times of 600 that each of ten equal endpoints is chosen, when the first has this standing.
+fn chosen_of_ten(standing: Standing) -> u32 {
+    let mut planner = planner(4, &[(0, 4); 10]);
+    planner.judge(&name(0), standing);
+    let chosen = |random| choose(&planner, random).unwrap().chain[0].endpoint == name(0);
+    u32::try_from((0..600_u64).filter(|random| chosen(*random)).count()).unwrap()
+}
+
+/// A tenth of an equal part is 6 of 600; the bound leaves four deviations.
+#[test]
+fn a_host_that_joins_is_brought_in_gradually() {
+    let full = chosen_of_ten(Standing::Open(FULL_WEIGHT));
+    let first = chosen_of_ten(Standing::Open(FULL_WEIGHT / 10));
+    assert!(full > 20, "{full}");
+    assert!(first <= 16, "{first}");
+    assert!(first > 0);
+    assert_eq!(chosen_of_ten(Standing::Gone), 0);
+}
