Split starting and stopping of an entry from its process

Setup, Builder and Handle stand in setup.rs now; oriole-load uses the crate's own re-export of the builder. No behaviour changes; tests of oriole-entry pass.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,6 +1,7 @@
 //! The process on the entry hosts: adapters around `oriole_core::entry`.
 //!
 //! - [`cmd`]: the command line.
+//! - [`setup`]: starts and stops it.
 //! - [`process`]: owns the decisions of one entry and carries out their effects.
 //! - [`settings`]: what the process reads at its start.
 //! - [`http`]: what callers and operators see; `complete`, `service` and `operate` answer.
@@ -20,5 +21,6 @@
 pub mod process;
 mod service;
 pub mod settings;
+pub mod setup;
 
-pub use process::{Builder, Handle, Setup, start};
+pub use setup::{Builder, Handle, Setup, start};
--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -89,7 +89,7 @@
         let wire = net::TcpListener::from_std(setup.wire);
         let http = net::TcpListener::from_std(setup.http);
         let (Ok(wire), Ok(http)) = (wire, http) else { return };
-        let mut builder = oriole_entry::process::Builder::new(oriole_entry::Setup {
+        let mut builder = oriole_entry::Builder::new(oriole_entry::Setup {
             host: setup.host,
             secret: setup.secret,
             config: setup.config,
