--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -89,6 +89,9 @@
         if let Some(kv) = source.kv {
             builder = builder.kv(kv);
         }
+        if let Some(address) = settings.hosts {
+            builder = builder.hosts(address);
+        }
         if let Some(collector) = settings.metrics {
             builder = builder.exporter(Exporter::new(METRICS_PREFIX, collector)?);
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`http`]: what callers and operators see; `complete`, `service` and `operate` answer.
 //! - `caller`: the channel to one caller, with backpressure.
 //! - [`chat`]: the JSON of chat completions.
+//! - `hosts`: reads the platform's host list.
 //! - [`problem`]: refusals as problem details.
 //! - [`auth`]: callers' keys.
 
@@ -15,6 +16,7 @@
 pub mod chat;
 pub mod cmd;
 mod complete;
+mod hosts;
 pub mod http;
 pub mod operate;
 pub mod problem;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -7,6 +7,7 @@
 
 use oriole_core::config::Config;
 use oriole_core::entry::{Effect, Event, Generate, Machine, Request};
+use oriole_core::membership::Listing;
 use oriole_core::message::Message;
 use oriole_core::request::{Id, Refusal};
 use oriole_core::revision::{self, Adopted, follower};
@@ -49,6 +50,8 @@
     Gone(Id),
     /// The caller has caught up.
     Resume(Id),
+    /// The host list was read.
+    Hosts(BTreeMap<name::Host, Listing>),
     /// A request was refused before the decisions saw it.
     Rejected(Refusal, Option<name::Workspace>),
     /// Whether new requests are taken.
@@ -221,6 +224,7 @@
                 }
             }
             Command::Resume(id) => self.handle(Event::Resume(id)),
+            Command::Hosts(list) => self.handle(Event::Hosts(list)),
             Command::Rejected(reason, workspace) => self.machine.reject(reason, workspace),
             Command::Unready => self.ready = false,
             // Whoever asked for what follows may have gone.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -24,6 +24,9 @@
     pub secret_file: PathBuf,
     /// Where the configuration comes from.
     pub configuration: Source,
+    /// The platform's list of live and leaving hosts.
+    #[serde(default)]
+    pub hosts: Option<SocketAddr>,
     /// StatsD collector to which counters are exported.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/entry/src/setup.rs
+++ b/crates/entry/src/setup.rs
@@ -21,8 +21,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep;
 
-use crate::http;
 use crate::process::{Command, Process};
+use crate::{hosts, http};
 
 /// What an entry is started with.
 pub struct Setup {
@@ -50,6 +50,7 @@
     stop_wait: Duration,
     seeds: BTreeMap<name::Host, SocketAddr>,
     kv: Option<kv::Settings>,
+    hosts: Option<SocketAddr>,
 }
 
 impl Builder {
@@ -58,7 +59,7 @@
         let entries = setup.config.entries.iter();
         let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
         let stop_wait = Duration::ZERO;
-        Self { setup, operators: None, exporter: None, stop_wait, seeds, kv: None }
+        Self { setup, operators: None, exporter: None, stop_wait, seeds, kv: None, hosts: None }
     }
 
     /// Serves operators over a listener of their own; callers then see nothing of theirs.
@@ -92,6 +93,12 @@
         self
     }
 
+    /// Where the platform's host list is.
+    pub fn hosts(mut self, address: SocketAddr) -> Self {
+        self.hosts = Some(address);
+        self
+    }
+
     /// Starts the entry in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, http, liveness, seed } = self.setup;
@@ -134,6 +141,9 @@
             cursor: 0,
             ready: true,
         };
+        if let Some(address) = self.hosts {
+            tasks.push(actix_rt::spawn(hosts::poll(address, commands.clone())));
+        }
         tasks.push(actix_rt::spawn(process.run(events, revisions, asked, commands.clone())));
         Handle { commands, hub, tasks, stop_wait: self.stop_wait }
     }
