core::units: say what is allowed where a unit is missing

A rate or time without quotes was refused as 'invalid type, allowed: a string', which does not tell an operator what to write. Both now read their text through one visitor that names the form with its unit; the fault shows just the value.

--- a/crates/core/src/config/document.rs
+++ b/crates/core/src/config/document.rs
@@ -160,7 +160,11 @@
 fn form(name: &str, text: &str, e: &toml::de::Error) -> Fault {
     let message = e.message().replace('\n', " ");
     let (found, allowed) = match message.split_once(", expected ") {
-        Some((found, expected)) => (found.to_owned(), expected.to_owned()),
+        Some((found, expected)) => {
+            let value = ["invalid type: ", "invalid value: "];
+            let found = value.iter().find_map(|p| found.strip_prefix(p)).unwrap_or(found);
+            (found.to_owned(), expected.to_owned())
+        }
         None => (message, "see the reference of the configuration".to_owned()),
     };
     let place = e.span().map(|span| locate(text, span));
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -4,11 +4,12 @@
 use std::str::FromStr;
 
 use oriole_macros::failure;
-use serde::{Deserialize, Serialize};
+use serde::de::{Unexpected, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// A rate, written with its unit, such as `"20/s"`, `"90/min"` or `"0.5/s"`.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(try_from = "String", into = "String")]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String")]
 pub struct Rate {
     per_second: f64,
 }
@@ -67,11 +68,28 @@
     }
 }
 
-impl TryFrom<String> for Rate {
-    type Error = RateError;
+impl<'de> Deserialize<'de> for Rate {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let expected = "a number and a unit such as \"20/s\" or \"90/min\"";
+        deserializer.deserialize_str(Text { expected, parse: |text| text.parse().ok() })
+    }
+}
+
+/// Reads a value from its text, and says what is allowed of anything else.
+struct Text<T> {
+    expected: &'static str,
+    parse: fn(&str) -> Option<T>,
+}
 
-    fn try_from(text: String) -> Result<Self, RateError> {
-        text.parse()
+impl<T> Visitor<'_> for Text<T> {
+    type Value = T;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.expected)
+    }
+
+    fn visit_str<E: serde::de::Error>(self, text: &str) -> Result<T, E> {
+        (self.parse)(text).ok_or_else(|| E::invalid_value(Unexpected::Str(text), &self))
     }
 }
 
@@ -79,8 +97,9 @@
 pub mod duration {
     use std::time::Duration;
 
-    use serde::de::Error;
-    use serde::{Deserialize, Deserializer, Serializer};
+    use serde::{Deserializer, Serializer};
+
+    use super::Text;
 
     /// Writes the duration with its unit.
     pub fn serialize<S: Serializer>(value: &Duration, serializer: S) -> Result<S::Ok, S::Error> {
@@ -89,10 +108,8 @@
 
     /// Reads a duration that must carry a unit.
     pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        humantime::parse_duration(&text).map_err(|e| {
-            let expected = "expected a number and a unit such as \"20s\" or \"250ms\"";
-            D::Error::custom(format!("found {text:?}, {expected}: {e}"))
-        })
+        let expected = "a number and a unit such as \"20s\" or \"250ms\"";
+        let parse = |text: &str| humantime::parse_duration(text).ok();
+        deserializer.deserialize_str(Text { expected, parse })
     }
 }
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -122,6 +122,16 @@
     }
 }
 
+#[test]
+fn a_missing_unit_is_told_with_what_is_allowed() {
+    for (from, to) in [("\"20/s\"", "20"), ("\"20/s\"", "\"20\""), ("\"20s\"", "20")] {
+        let fault = faults("contract/gate-desk", from, to).remove(0);
+        assert!(fault.found.contains("20"), "{fault}");
+        assert!(fault.allowed.contains("a number and a unit such as"), "{fault}");
+        assert!(fault.line.is_some());
+    }
+}
+
 #[test]
 fn a_key_belongs_to_one_workspace() {
     let mut documents = documents();
