--- a/crates/side/tests/orders.rs
+++ b/crates/side/tests/orders.rs
@@ -98,14 +98,18 @@
     fleet.service.lose_replies(2);
     fleet.switches[0].lose_replies(2);
     let wanted = Some("2".to_owned());
-    loop {
+    let mut rolled_out = false;
+    // More readings than any rollout of two replicas can take, so that a stuck one ends.
+    for _ in 0..5_000 {
         let versions = fleet.versions().await;
         assert!(versions.iter().any(Option::is_some), "no replica stands");
-        if versions.iter().all(|version| *version == wanted) {
+        rolled_out = versions.iter().all(|version| *version == wanted);
+        if rolled_out {
             break;
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
+    assert!(rolled_out);
     for side in fleet.sides {
         side.stop().await;
     }
