--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -194,6 +194,11 @@
         if work.deadline <= now {
             return Some(Due::Deadline);
         }
+        let (silent, unsent) = (now.since(work.since), now.since(work.sent));
+        let patient = unsent < work.patience.retransmit && silent < work.patience.suspect;
+        if patient && !matches!(work.phase, Phase::Waiting(_)) {
+            return None;
+        }
         let stages: Vec<u16> = match &work.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
             Phase::Opening(waiting, _) => waiting.iter().copied().collect(),
