Let reports of load slow down as endpoints are added

Cause: one report a second of each of 750 busy endpoints is about 110 KB/s at an entry (arithmetic, 150 bytes a report), against 12 KB/s allowed for all control. The interval now follows the number of endpoints: 1.1 s at 43, 20 s at 750, so that reports take at most 6 KB/s, and 12 KB/s while loads change fast. Own dispatches count for 2 s at most, as reports no longer clear them in time. Tests hold the budget at several sizes and the assumed size of a report; what slower reports do to the choice at 750 endpoints is not measured.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
 //!   [`explain`].
 //! - [`entry`]: the decisions of an entry.
+//! - [`pace`]: how often sides report load.
 //! - [`membership`]: which hosts may be given work.
 //! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
 //!   [`home`].
@@ -32,6 +33,7 @@
 pub mod message;
 pub mod name;
 pub mod order;
+pub mod pace;
 pub mod plan;
 pub mod queue;
 pub mod recover;
--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -26,6 +26,7 @@
 use crate::membership::Standing;
 use crate::message::{Hop, Load, Stage};
 use crate::name;
+use crate::pace::Pace;
 use crate::request::{Refusal, Refused};
 use crate::time::{Instant, as_us};
 use node::{Node, Speed};
@@ -139,6 +140,7 @@
             self.zone = entry.zone.clone();
         }
         self.origin = self.links.node(&self.host, &self.zone);
+        let life = Pace::new(config.endpoints.len()).life;
         let mut old = std::mem::take(&mut self.nodes);
         let old_names = std::mem::take(&mut self.names);
         self.graphs.clear();
@@ -157,6 +159,7 @@
                 end,
             };
             let mut node = Node::new(stage, place, Speed::new(&endpoint.kind));
+            node.report_life = life;
             if let Some(old) = old_names.get(name).and_then(|key| old.remove(*key)) {
                 node.inherit(&old);
             }
--- a/crates/core/src/plan/node.rs
+++ b/crates/core/src/plan/node.rs
@@ -8,14 +8,15 @@
 use crate::membership::{FULL_WEIGHT, Standing};
 use crate::message::{Hop, Load, Stage};
 use crate::name;
+use crate::pace::Pace;
 use crate::plan::link;
 use crate::time::Instant;
 
 /// Bound on the age of what a load report says when it arrives.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 
-/// A report older than this no longer counts.
-const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Time after which an own dispatch counts as run even if no report has said so.
+const DISPATCH_LIFE: Duration = Duration::from_secs(2);
 
 /// Time without observations after which an endpoint's excess step time is halved.
 const HALF_LIFE: Duration = Duration::from_secs(5);
@@ -82,6 +83,8 @@
     /// Sequences that this entry has there now.
     pub in_flight: u32,
     report: Option<(Instant, Report)>,
+    /// Time for which a report counts.
+    pub report_life: Duration,
     dispatched: VecDeque<(Instant, u32)>,
     excess: Excess,
     prefixes: BTreeMap<u64, Instant>,
@@ -107,6 +110,7 @@
             lost_until: Instant::default(),
             in_flight: 0,
             report: None,
+            report_life: Pace::default().life,
             dispatched: VecDeque::new(),
             excess: Excess::default(),
             prefixes: BTreeMap::new(),
@@ -160,7 +164,7 @@
     pub fn dispatch(&mut self, now: Instant, tokens: u32) {
         self.in_flight += 1;
         self.dispatched.push_back((now, tokens));
-        while self.dispatched.front().is_some_and(|(at, _)| now.since(*at) > REPORT_LIFE) {
+        while self.dispatched.front().is_some_and(|(at, _)| now.since(*at) > DISPATCH_LIFE) {
             self.dispatched.pop_front();
         }
     }
@@ -188,7 +192,8 @@
     /// Tokens that wait there, corrected by own dispatches since the report.
     pub fn queued(&self, now: Instant) -> u32 {
         let Some(report) = self.fresh(now) else { return 0 };
-        self.dispatched.iter().fold(report.queued, |sum, (_, tokens)| sum.saturating_add(*tokens))
+        let young = self.dispatched.iter().filter(|(at, _)| now.since(*at) <= DISPATCH_LIFE);
+        young.fold(report.queued, |sum, (_, tokens)| sum.saturating_add(*tokens))
     }
 
     /// Estimated microseconds between tokens, with one more sequence.
@@ -229,6 +234,6 @@
 
     fn fresh(&self, now: Instant) -> Option<Report> {
         let (at, report) = self.report?;
-        (now.since(at) < REPORT_LIFE).then_some(report)
+        (now.since(at) < self.report_life).then_some(report)
     }
 }
--- a/crates/core/src/side/report.rs
+++ b/crates/core/src/side/report.rs
@@ -1,24 +1,15 @@
 //! Load reports to the entries that are connected.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
 use crate::message::{Load, Message};
 use crate::name;
+use crate::pace::Pace;
 use crate::time::Instant;
 
 use super::Effect;
 use super::gate::Gate;
 
-/// Interval of reports of an endpoint that is in use.
-const BUSY_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Interval of reports of an endpoint that is not.
-const IDLE_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Least interval of reports, but for an endpoint that opens or closes.
-const MIN_INTERVAL: Duration = Duration::from_millis(250);
-
 /// Sequences or tokens below which a change of load is not worth a report.
 const SMALL_LOAD: u32 = 8;
 
@@ -30,9 +21,15 @@
     /// Hosts that are connected, entries or not: one may become an entry later.
     connected: BTreeSet<name::Host>,
     last: BTreeMap<name::Endpoint, (Instant, Load)>,
+    pace: Pace,
 }
 
 impl Reports {
+    /// Sets how often loads are reported.
+    pub(super) fn pace(&mut self, pace: Pace) {
+        self.pace = pace;
+    }
+
     pub(super) fn expect<'a>(&mut self, entries: impl Iterator<Item = &'a name::Host>) {
         let expected: BTreeSet<name::Host> = entries.cloned().collect();
         let joined = expected.difference(&self.expected);
@@ -72,7 +69,7 @@
         self.last.retain(|name, _| gates.contains_key(name));
         for (name, gate) in gates {
             let load = gate.load();
-            if self.last.get(name).is_some_and(|(at, last)| !is_due(now, *at, last, &load)) {
+            if self.last.get(name).is_some_and(|last| !is_due(&self.pace, now, last, &load)) {
                 continue;
             }
             for host in self.connected.intersection(&self.expected) {
@@ -84,15 +81,17 @@
     }
 }
 
-fn is_due(now: Instant, at: Instant, last: &Load, load: &Load) -> bool {
+/// Whether a load is worth a report now.
+fn is_due(pace: &Pace, now: Instant, last: &(Instant, Load), load: &Load) -> bool {
+    let (at, last) = last;
     if load.open != last.open || load.term != last.term {
         return true;
     }
     let busy = load.running > 0 || last.running > 0;
-    let interval = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+    let interval = if busy { pace.busy } else { pace.idle };
     let changed = differs(last.queued, load.queued) || differs(last.running, load.running);
-    let since = now.since(at);
-    since >= interval || (since >= MIN_INTERVAL && changed)
+    let since = now.since(*at);
+    since >= interval || (since >= pace.least && changed)
 }
 
 /// Whether a load has doubled or halved.
--- /dev/null
+++ b/crates/core/tests/pace.rs
@@ -0,0 +1,33 @@
+//! Reports of load stay within an entry's budget at any size.
+
+#![allow(clippy::unwrap_used)]
+
+use oriole_core::message::{Load, Message, Term};
+use oriole_core::pace::{BUDGET_BYTES_PER_S, Pace, REPORT_BYTES};
+
+#[test]
+fn reports_fit_the_budget_at_any_size() {
+    for endpoints in [1, 43, 750, 5000] {
+        let pace = Pace::new(endpoints);
+        let bytes = (endpoints * REPORT_BYTES) as f64 / pace.busy.as_secs_f64();
+        assert!(bytes <= BUDGET_BYTES_PER_S as f64 + 1.0, "{endpoints}: {bytes}");
+        assert!(pace.least <= pace.busy && pace.busy <= pace.idle && pace.idle < pace.life);
+    }
+}
+
+#[test]
+fn a_report_is_no_larger_than_assumed() {
+    let load = Load {
+        endpoint: "assist-model-hall-a-01".into(),
+        open: true,
+        queued: 100_000,
+        running: 96,
+        batch_us: 20_000,
+        free: 200_000,
+        prefixes: Vec::new(),
+        term: Term { boot: u32::MAX, epoch: 100_000 },
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&Message::Load(load), &mut bytes).unwrap();
+    assert!(bytes.len() <= REPORT_BYTES, "{}", bytes.len());
+}
