--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -147,6 +147,7 @@
     fn on_dead(&mut self, now: Instant, host: &name::Host, effects: &mut Vec<Effect>) {
         self.doubts.remove(host);
         self.lost.insert(host.clone(), now + DEAD);
+        self.directory.on_lost(now, host);
         self.planner.lose(host, now + DEAD);
         let failed: Vec<(Id, Option<name::Endpoint>)> = self
             .works
@@ -194,6 +195,11 @@
         if work.deadline <= now {
             return Some(Due::Deadline);
         }
+        let (silent, unsent) = (now.since(work.since), now.since(work.sent));
+        let patient = unsent < work.patience.retransmit && silent < work.patience.suspect;
+        if patient && !matches!(work.phase, Phase::Waiting(_)) {
+            return None;
+        }
         let stages: Vec<u16> = match &work.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
             Phase::Opening(waiting, _) => waiting.iter().copied().collect(),
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -5,11 +5,15 @@
 //! - [`settings`]: what the process reads at its start.
 //! - [`status`]: what operators are told; served over HTTP.
 
+mod builder;
 pub mod cmd;
 mod endpoint;
 mod http;
+mod lock;
+mod orders;
 pub mod process;
 pub mod settings;
 pub mod status;
 
-pub use process::{Builder, Handle, Setup, start};
+pub use builder::{Builder, Setup, start};
+pub use process::Handle;
