Take the first division of bounds for no change

Cause: a process learns contracts and roster one after the other, and the fingerprint between the two looked like a change, so that the others waited a loan's life and a further greeting: up to 7.5 s without own share at a start. Found by an_entry_borrows_what_the_other_does_not_need (tests/admission.rs).

Change: there is no fingerprint before both are known.

--- a/crates/core/src/limit.rs
+++ b/crates/core/src/limit.rs
@@ -128,8 +128,8 @@
         for account in self.accounts.values_mut().filter(|a| !names.contains(&a.workspace)) {
             account.gone = account.gone.or(Some(now));
         }
-        self.fingerprint(now);
         self.start.contracts = true;
+        self.fingerprint(now);
         self.greet(now, out);
     }
 
@@ -334,6 +334,9 @@
 
     /// Notes how the bounds are divided now.
     fn fingerprint(&mut self, now: Instant) {
+        if self.roster.is_none() || !self.start.contracts {
+            return;
+        }
         let mut hash = Sha256::new();
         for (workspace, key) in &self.names {
             if let Some(account) = self.accounts.get(*key).filter(|a| a.gone.is_none()) {
