--- a/crates/load/benches/decisions.rs
+++ b/crates/load/benches/decisions.rs
@@ -26,9 +26,18 @@
     "entry-00".into()
 }
 
-/// An entry that has heard of the load of each endpoint.
-fn machine(config: &Config) -> Machine {
-    let mut machine = Machine::new(config.clone(), 1).on_host(START, &host(), 1);
+/// The only entry of its deployment, so that nothing waits for loans.
+fn alone(config: &Config) -> Machine {
+    hear(Machine::new(config.clone(), 1), config)
+}
+
+/// One entry among others.
+fn among_others(config: &Config) -> Machine {
+    hear(Machine::new(config.clone(), 1).on_host(START, &host(), 1), config)
+}
+
+/// Tells an entry the load of each endpoint.
+fn hear(mut machine: Machine, config: &Config) -> Machine {
     for (endpoint, settings) in &config.endpoints {
         let load = Load {
             endpoint: endpoint.clone(),
@@ -58,7 +67,7 @@
 
 fn admit_and_plan(c: &mut Criterion) {
     for endpoints in [40, 200, 750] {
-        let mut machine = machine(&config(endpoints));
+        let mut machine = alone(&config(endpoints));
         let host = host_hash(&host());
         let (mut seq, mut now) = (0, START);
         c.bench_function(&format!("admit and plan a generation, {endpoints} endpoints"), |b| {
@@ -66,7 +75,9 @@
                 seq += 1;
                 now = now + Duration::from_millis(20);
                 let id = Id { host, boot: 1, seq };
-                black_box(machine.handle(now, Event::Generate(id, generate())));
+                let effects = machine.handle(now, Event::Generate(id, generate()));
+                // One message for each of the two stages: it was admitted and planned.
+                assert_eq!(effects.len(), 2);
                 black_box(machine.handle(now, Event::Gone(id)));
             });
         });
@@ -75,7 +86,7 @@
 
 fn tick(c: &mut Criterion) {
     for endpoints in [40, 200, 750] {
-        let mut machine = machine(&config(endpoints));
+        let mut machine = among_others(&config(endpoints));
         let mut now = START;
         c.bench_function(&format!("tick of an idle entry, {endpoints} endpoints"), |b| {
             b.iter(|| {
--- a/crates/load/src/cluster/kv.rs
+++ b/crates/load/src/cluster/kv.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oriole_core::config::Config;
+use oriole_ctl::base::{Base, hashes};
 use oriole_ctl::settings::Settings;
 use oriole_ctl::store::{Plan, Store};
 use oriole_platform::kv;
@@ -49,8 +50,14 @@
         kv::Settings { addresses: vec![self.address], timeout: TIMEOUT }
     }
 
-    /// Has a configuration accepted, as an operator does; returns the revision's number.
-    pub async fn apply(&self, config: &Config, id: &str) -> Result<u64, Error> {
+    /// Has a configuration accepted, as an operator does that starts from `base`; returns what
+    /// the next change is to start from.
+    pub async fn apply(
+        &self,
+        config: &Config,
+        id: &str,
+        base: Option<Base>,
+    ) -> Result<Option<Base>, Error> {
         let settings = Settings {
             kv: self.settings(),
             entry_http_port: 0,
@@ -59,17 +66,19 @@
         };
         let wanted = config.documents().map_err(Error::Config)?;
         let (id, note) = (id.to_owned(), "oriole-load".to_owned());
-        let plan = Plan { id, note, base: None, wanted };
-        Ok(Store::new(&settings).apply(&plan).await.map_err(Error::Apply)?.number)
+        let plan = Plan { id, note, base, wanted };
+        let accepted = Store::new(&settings).apply(&plan).await.map_err(Error::Apply)?;
+        let documents = hashes(&plan.wanted);
+        Ok(accepted.head.map(|head| Base { head, documents }))
     }
 }
 
 impl Cluster {
     /// Has the configuration in use accepted by the key-value service, if there is one.
-    pub async fn publish(&self) -> Result<(), Error> {
-        if let Some(kv) = &self.kv {
-            kv.apply(&self.config, "oriole-load-1").await?;
+    pub async fn publish(&self) -> Result<Option<Base>, Error> {
+        match &self.kv {
+            Some(kv) => kv.apply(&self.config, "oriole-load-1", None).await,
+            None => Ok(None),
         }
-        Ok(())
     }
 }
--- a/crates/load/src/cmd/slopes.rs
+++ b/crates/load/src/cmd/slopes.rs
@@ -15,6 +15,9 @@
 pub struct Command {
     #[bpaf(external(super::seed))]
     seed: u64,
+    /// The only axis to measure: endpoints, entries, workspaces, requests or changes
+    #[bpaf(argument("NAME"), optional)]
+    axis: Option<Axis>,
     /// Seconds for which each point is measured (default: 6)
     #[bpaf(argument("S"), fallback(6))]
     seconds: u64,
@@ -28,7 +31,8 @@
 impl Command {
     pub(super) async fn execute(self) -> ExitCode {
         let mut all = Vec::new();
-        for axis in Axis::ALL {
+        let is_wanted = |axis: &Axis| self.axis.is_none_or(|wanted| wanted == *axis);
+        for axis in Axis::ALL.into_iter().filter(is_wanted) {
             let json = self.json;
             let progress = |point: &Point| {
                 if !json {
--- a/crates/load/src/slopes.rs
+++ b/crates/load/src/slopes.rs
@@ -1,7 +1,10 @@
 //! How the costs of each role grow with the size of a deployment.
 
+use std::str::FromStr;
 use std::time::{Duration, Instant};
 
+use derive_more::{Display, Error as StdError};
+use oriole_ctl::base::Base;
 use serde::Serialize;
 
 use crate::caller::Ask;
@@ -35,6 +38,20 @@
     Changes,
 }
 
+/// A text that names no axis.
+#[derive(Clone, Copy, Debug, Display, StdError)]
+#[display("expected endpoints, entries, workspaces, requests or changes")]
+pub struct UnknownAxis;
+
+impl FromStr for Axis {
+    type Err = UnknownAxis;
+
+    fn from_str(text: &str) -> Result<Self, UnknownAxis> {
+        let named = |axis: &Self| format!("{axis:?}").eq_ignore_ascii_case(text);
+        Self::ALL.into_iter().find(named).ok_or(UnknownAxis)
+    }
+}
+
 impl Axis {
     /// All axes.
     pub const ALL: [Self; 5] =
@@ -172,14 +189,14 @@
     let memory_before = memory_kilobytes();
     let options = Options { relays: true, kv: true, seed, ..Options::default() };
     let cluster = Cluster::start(synthetic::config(size), options)?;
-    cluster.publish().await?;
+    let base = cluster.publish().await?;
     cluster.wait_until_ready().await;
     let balancer = Balancer::new(cluster.callers());
     let streams = streams(&cluster, requests, SETTLING + period, seed);
     let load = Run::start(streams, &balancer, 4);
     tokio::time::sleep(SETTLING).await;
     let before = read(&cluster);
-    change(&cluster, changes, period).await?;
+    change(&cluster, base, changes, period).await?;
     tokio::time::sleep_until((before.at + period).into()).await;
     let after = read(&cluster);
     let memory = memory_kilobytes() - memory_before;
@@ -207,7 +224,12 @@
 }
 
 /// Has `per_minute` changes a minute accepted for a while, evenly spaced.
-async fn change(cluster: &Cluster, per_minute: usize, period: Duration) -> Result<(), Error> {
+async fn change(
+    cluster: &Cluster,
+    mut base: Option<Base>,
+    per_minute: usize,
+    period: Duration,
+) -> Result<(), Error> {
     let Some(kv) = cluster.kv.as_ref().filter(|_| per_minute > 0) else { return Ok(()) };
     let interval = Duration::from_secs(60) / u32::try_from(per_minute).unwrap_or(u32::MAX);
     let start = Instant::now();
@@ -216,7 +238,7 @@
     while start.elapsed() + interval < period {
         number += 1;
         config.weights.megabytes_per_second += 1;
-        kv.apply(&config, &format!("oriole-load-change-{number}")).await?;
+        base = kv.apply(&config, &format!("oriole-load-change-{number}"), base).await?;
         tokio::time::sleep_until((start + interval * number).into()).await;
     }
     Ok(())
