--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -23,8 +23,10 @@
 
 use crate::config::{Config, Kind};
 use crate::estimate::Draw;
+use crate::membership::Standing;
 use crate::message::{Hop, Load, Stage};
 use crate::name;
+use crate::pace::Pace;
 use crate::request::{Refusal, Refused};
 use crate::time::{Instant, as_us};
 use node::{Node, Speed};
@@ -138,6 +140,7 @@
             self.zone = entry.zone.clone();
         }
         self.origin = self.links.node(&self.host, &self.zone);
+        let life = Pace::new(config.endpoints.len()).life;
         let mut old = std::mem::take(&mut self.nodes);
         let old_names = std::mem::take(&mut self.names);
         self.graphs.clear();
@@ -156,6 +159,7 @@
                 end,
             };
             let mut node = Node::new(stage, place, Speed::new(&endpoint.kind));
+            node.report_life = life;
             if let Some(old) = old_names.get(name).and_then(|key| old.remove(*key)) {
                 node.inherit(&old);
             }
@@ -298,10 +302,10 @@
         self.lose(host, Instant::default());
     }
 
-    /// Sets whether an endpoint is leaving, by the host list or its side.
-    pub fn leave(&mut self, endpoint: &name::Endpoint, leaving: bool) {
+    /// Sets what an endpoint may be given, by the host list and by what is seen of its host.
+    pub fn judge(&mut self, endpoint: &name::Endpoint, standing: Standing) {
         if let Some(node) = self.node_mut(endpoint) {
-            node.leaving = leaving;
+            node.standing = standing;
         }
     }
 
--- a/crates/core/src/plan/node.rs
+++ b/crates/core/src/plan/node.rs
@@ -5,16 +5,18 @@
 
 use crate::config::Kind;
 use crate::estimate::Excess;
+use crate::membership::{FULL_WEIGHT, Standing};
 use crate::message::{Hop, Load, Stage};
 use crate::name;
+use crate::pace::Pace;
 use crate::plan::link;
 use crate::time::Instant;
 
 /// Bound on the age of what a load report says when it arrives.
 const REPORT_LAG: Duration = Duration::from_millis(500);
 
-/// A report older than this no longer counts.
-const REPORT_LIFE: Duration = Duration::from_secs(10);
+/// Time after which an own dispatch counts as run even if no report has said so.
+const DISPATCH_LIFE: Duration = Duration::from_secs(2);
 
 /// Time without observations after which an endpoint's excess step time is halved.
 const HALF_LIFE: Duration = Duration::from_secs(5);
@@ -70,8 +72,10 @@
     pub place: link::Node,
     /// How fast it is.
     pub speed: Speed,
-    /// Ordered to be drained by the configuration or the host list.
+    /// Ordered to be drained by the configuration.
     pub leaving: bool,
+    /// What its host may be given.
+    pub standing: Standing,
     /// Not to be used until then unless nothing else can be, because it is suspected.
     pub suspect_until: Instant,
     /// Not to be used until then, because its host cannot be reached.
@@ -79,6 +83,8 @@
     /// Sequences that this entry has there now.
     pub in_flight: u32,
     report: Option<(Instant, Report)>,
+    /// Time for which a report counts.
+    pub report_life: Duration,
     dispatched: VecDeque<(Instant, u32)>,
     excess: Excess,
     prefixes: BTreeMap<u64, Instant>,
@@ -99,10 +105,12 @@
             place,
             speed,
             leaving: false,
+            standing: Standing::Open(FULL_WEIGHT),
             suspect_until: Instant::default(),
             lost_until: Instant::default(),
             in_flight: 0,
             report: None,
+            report_life: Pace::default().life,
             dispatched: VecDeque::new(),
             excess: Excess::default(),
             prefixes: BTreeMap::new(),
@@ -112,7 +120,16 @@
     /// Whether new work may be sent there.
     pub fn usable(&self, now: Instant) -> bool {
         let open = self.fresh(now).is_none_or(|report| report.open);
-        open && !self.leaving && now >= self.lost_until
+        let stays = !matches!(self.standing, Standing::Leaving | Standing::Gone);
+        open && stays && !self.leaving && now >= self.lost_until
+    }
+
+    /// Its weight among competitors, at most [`FULL_WEIGHT`]; less while its host is brought in.
+    pub fn weight(&self) -> u32 {
+        match self.standing {
+            Standing::Open(weight) => weight,
+            _ => FULL_WEIGHT,
+        }
     }
 
     /// Whether it failed lately.
@@ -147,7 +164,7 @@
     pub fn dispatch(&mut self, now: Instant, tokens: u32) {
         self.in_flight += 1;
         self.dispatched.push_back((now, tokens));
-        while self.dispatched.front().is_some_and(|(at, _)| now.since(*at) > REPORT_LIFE) {
+        while self.dispatched.front().is_some_and(|(at, _)| now.since(*at) > DISPATCH_LIFE) {
             self.dispatched.pop_front();
         }
     }
@@ -175,7 +192,8 @@
     /// Tokens that wait there, corrected by own dispatches since the report.
     pub fn queued(&self, now: Instant) -> u32 {
         let Some(report) = self.fresh(now) else { return 0 };
-        self.dispatched.iter().fold(report.queued, |sum, (_, tokens)| sum.saturating_add(*tokens))
+        let young = self.dispatched.iter().filter(|(at, _)| now.since(*at) <= DISPATCH_LIFE);
+        young.fold(report.queued, |sum, (_, tokens)| sum.saturating_add(*tokens))
     }
 
     /// Estimated microseconds between tokens, with one more sequence.
@@ -216,6 +234,6 @@
 
     fn fresh(&self, now: Instant) -> Option<Report> {
         let (at, report) = self.report?;
-        (now.since(at) < REPORT_LIFE).then_some(report)
+        (now.since(at) < self.report_life).then_some(report)
     }
 }
