--- a/crates/core/tests/limit/message.rs
+++ b/crates/core/tests/limit/message.rs
@@ -163,3 +163,12 @@
     }
     assert!(shortage(&mut book, NOW + Duration::from_secs(18)).is_some());
 }
+
+#[test]
+fn an_entry_that_was_paused_asks_before_it_uses_its_share() {
+    let mut book = book();
+    let resumed = NOW + Duration::from_millis(2100);
+    let mut out = Vec::new();
+    assert!(book.admit(resumed, &desk(), 0, &mut out).is_err());
+    assert!(out.iter().any(|e| matches!(e, Effect::Send(_, Message::Hello(_)))), "{out:?}");
+}
