--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -2,6 +2,8 @@
 //!
 //! The `wire` crate frames and carries them; the decision modules produce and consume them.
 
+mod service;
+
 use std::net::SocketAddr;
 
 use oriole_macros::{data, key};
@@ -9,6 +11,8 @@
 use crate::request::{Attempt, Id, Position, Refusal, Refused};
 use crate::{name, revision, share};
 
+pub use service::{Answer, Call, Claim, Claimed, Reply, Settle, Verdict};
+
 /// Any message between two of the system's processes.
 #[data]
 #[serde(rename_all = "kebab-case")]
@@ -288,63 +292,6 @@
     Unknown,
 }
 
-/// Calls a plain service.
-#[data]
-pub struct Call {
-    /// The request.
-    pub request: Id,
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The endpoint.
-    pub endpoint: name::Endpoint,
-    /// The workspace that pays.
-    pub workspace: name::Workspace,
-    /// Priority of the contract, 0 (lowest) to 7.
-    pub priority: u8,
-    /// Weight of the contract among equal priorities.
-    pub weight: u32,
-    /// Milliseconds left until the deadline when this was sent.
-    pub deadline_ms: u64,
-    /// Whether the call may be repeated.
-    pub idempotent: bool,
-    /// HTTP method.
-    pub method: String,
-    /// Path and query.
-    pub path: String,
-    /// Content type of the body.
-    pub content_type: String,
-    /// The body.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-    /// Number of the roster under which the request was admitted.
-    pub roster: u64,
-    /// The side's term when this was first sent.
-    pub term: Term,
-}
-
-/// A plain service's answer.
-#[data]
-pub struct Reply {
-    /// The request.
-    pub request: Id,
-    /// The attempt.
-    pub attempt: Attempt,
-    /// The answer.
-    pub answer: Answer,
-}
-
-/// An HTTP answer.
-#[data]
-pub struct Answer {
-    /// HTTP status.
-    pub status: u16,
-    /// Content type of the body.
-    pub content_type: String,
-    /// The body.
-    #[serde(with = "serde_bytes")]
-    pub body: Vec<u8>,
-}
-
 /// Load and state of one endpoint.
 #[data]
 pub struct Load {
@@ -366,55 +313,6 @@
     pub term: Term,
 }
 
-/// Asks a key's home whether a request may run.
-#[data]
-pub struct Claim {
-    /// The request.
-    pub request: Id,
-    /// The workspace; keys of different workspaces are different keys.
-    pub workspace: name::Workspace,
-    /// The idempotency key, a UUIDv7 that carries its time of issue.
-    pub key: u128,
-    /// SHA-256 of method, path and body, first 16 bytes; a key may not be reused for others.
-    pub digest: u128,
-    /// Number of the roster by which the home was chosen.
-    pub roster: u64,
-}
-
-/// Answers a claim.
-#[data]
-pub struct Claimed {
-    /// The request.
-    pub request: Id,
-    /// The verdict.
-    pub verdict: Verdict,
-}
-
-/// A home's verdict on a claim.
-#[data]
-#[serde(rename_all = "kebab-case")]
-pub enum Verdict {
-    /// It may run, now and only under this request id.
-    Run,
-    /// It ran under this request id with this answer.
-    Ran(Id, Answer),
-    /// It may not run.
-    Refused(Refused),
-}
-
-/// The outcome of a claimed request.
-#[data]
-pub struct Settle {
-    /// The request that held the claim.
-    pub request: Id,
-    /// The workspace.
-    pub workspace: name::Workspace,
-    /// The key.
-    pub key: u128,
-    /// The answer, or why there is none. A refusal that proves it did not run frees the key.
-    pub outcome: Result<Answer, Refused>,
-}
-
 impl Message {
     /// The request that the message is about, if it is about one.
     pub fn request(&self) -> Option<Id> {
--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -1,16 +1,12 @@
 //! The command line.
 
-use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use derive_more::{Display, Error, From};
-use oriole_core::name;
-use oriole_platform::metrics::{self, Exporter};
+use oriole_follow::daemon::{Error, listen};
+use oriole_platform::metrics::Exporter;
 use oriole_platform::{settings as files, signal};
 use oriole_wire::conn::Liveness;
-use tokio::net::TcpListener;
 
 use crate::settings::Settings;
 use crate::{Builder, Setup};
@@ -30,36 +26,6 @@
     settings: PathBuf,
 }
 
-/// Why an entry cannot run.
-#[derive(Debug, Display, Error, From)]
-pub enum Error {
-    /// The settings or the secret cannot be used.
-    Settings(files::Error),
-    /// The configuration cannot be used.
-    Config(oriole_follow::Error),
-    /// The configuration does not name the host.
-    #[display("host {host} of the settings is not among the entries of the configuration")]
-    #[from(skip)]
-    NoEntry {
-        /// The host.
-        host: name::Host,
-    },
-    /// An address cannot be listened on.
-    #[display("listening on {address}: {source}")]
-    #[from(skip)]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The cause.
-        source: io::Error,
-    },
-    /// Counters cannot be exported.
-    Metrics(metrics::Error),
-    /// Signals cannot be received.
-    #[display("waiting for a signal: {_0}")]
-    Signal(io::Error),
-}
-
 impl Command {
     /// Runs the entry until it is told to stop.
     pub async fn execute(self) -> Result<(), Error> {
@@ -69,7 +35,7 @@
         let config = source.load()?;
         let host = settings.host;
         if source.folder.is_some() && !config.entries.contains_key(&host) {
-            return Err(Error::NoEntry { host });
+            return Err(Error::Unnamed { host, among: "entries" });
         }
         if self.check {
             return Ok(());
@@ -103,7 +69,3 @@
         Ok(())
     }
 }
-
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
-}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,15 +3,10 @@
 use std::process::ExitCode;
 
 use oriole_entry::cmd;
+use oriole_follow::daemon;
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
     env_logger::init();
-    match cmd::command().run().execute().await {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            log::error!(error:% = e; "the entry cannot run");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::conclude(cmd::command().run().execute().await)
 }
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -4,6 +4,7 @@
 //! calls the key-value service in tasks of their own and sends messages over the process's
 //! connections. Entries and sides use the same one.
 
+pub mod daemon;
 mod source;
 
 use std::collections::BTreeMap;
