Test that the host list keeps new work off leaving hosts

The list reached the entry's decisions without a test of its own. With the list dropped, the second request runs and the test fails; the first one finishes either way.

--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry.rs
@@ -7,6 +7,7 @@
 
 use oriole_core::entry::count::Counter;
 use oriole_core::entry::{Event, Outcome, Request};
+use oriole_core::membership::Listing;
 use oriole_core::message::{
     Answer, Claimed, Load, Message, Refuse, Reply, Report, Settle, State, Term, Verdict, not_run,
 };
@@ -421,3 +422,24 @@
     let record = serde_json::to_string(world.machine.record(id(1)).unwrap()).unwrap();
     assert!(record.contains("\"unplanned\"") && record.contains("cost_us"));
 }
+
+/// The host list alone keeps new work off leaving hosts; what is in progress there finishes.
+#[test]
+fn a_leaving_host_finishes_its_work_and_gets_no_more() {
+    let mut world = World::new(1);
+    world.handle(Event::Generate(id(1), generate(PROMPT.to_vec(), 20)));
+    for _ in 0..10 {
+        world.step();
+    }
+    let hosts = world.machine.config().endpoints.values().map(|endpoint| endpoint.host.clone());
+    let list = hosts.map(|host| (host, Listing::Leaving)).collect();
+    world.handle(Event::Hosts(list));
+    world.handle(Event::Generate(id(2), generate(PROMPT.to_vec(), 20)));
+    for _ in 0..400 {
+        world.step();
+    }
+    assert_eq!(world.texts[&id(1)], reference(&PROMPT, 20));
+    assert!(matches!(world.outcomes[&id(1)][..], [Outcome::Complete { .. }]));
+    let [Outcome::Refused(refused)] = &world.outcomes[&id(2)][..] else { panic!() };
+    assert_eq!((refused.reason, refused.ran), (Refusal::NoChain, Ran::No));
+}
