--- a/crates/load/src/cmd/bound.rs
+++ b/crates/load/src/cmd/bound.rs
@@ -48,17 +48,9 @@
         for (arrival, fault) in CASES {
             let duration = Duration::from_secs(self.seconds);
             let case = Case { arrival, fault, duration, seed: self.seed };
-            match bound::run(&config, &case).await {
-                Ok(figures) => {
-                    if !self.json {
-                        print(&figures);
-                    }
-                    all.push(figures);
-                }
-                Err(e) => {
-                    eprintln!("{e}");
-                    return ExitCode::FAILURE;
-                }
+            let figures = bound::run(&config, &case).await;
+            if let Err(code) = super::keep(figures, self.json, print, &mut all) {
+                return code;
             }
         }
         if let Some(path) = &self.plot {
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands of `oriole-load`.
 
+use std::fmt::Display;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -74,6 +75,28 @@
         .fallback(DEFAULT_SEED)
 }
 
+/// Keeps the figures of one case, printed for people unless JSON was asked for.
+fn keep<T, E: Display>(
+    figures: Result<T, E>,
+    json: bool,
+    print: impl Fn(&T),
+    all: &mut Vec<T>,
+) -> Result<(), ExitCode> {
+    match figures {
+        Ok(figures) => {
+            if !json {
+                print(&figures);
+            }
+            all.push(figures);
+            Ok(())
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            Err(ExitCode::FAILURE)
+        }
+    }
+}
+
 /// Draws bars into a file, or says why that failed.
 fn write_plot(path: &Path, bars: &plot::Bars) {
     if let Err(e) = plot::bars(path, bars) {
--- a/crates/load/src/cmd/recover.rs
+++ b/crates/load/src/cmd/recover.rs
@@ -33,17 +33,9 @@
         };
         let mut all = Vec::new();
         for fault in Fault::ALL {
-            match recover::run(&config, fault, self.rounds, self.seed).await {
-                Ok(figures) => {
-                    if !self.json {
-                        print(&figures);
-                    }
-                    all.push(figures);
-                }
-                Err(e) => {
-                    eprintln!("{e}");
-                    return ExitCode::FAILURE;
-                }
+            let figures = recover::run(&config, fault, self.rounds, self.seed).await;
+            if let Err(code) = super::keep(figures, self.json, print, &mut all) {
+                return code;
             }
         }
         if let Some(path) = &self.plot {
