--- a/crates/platform/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`metrics`]: export of counters to a StatsD collector.
 //! - [`settings`], [`signal`]: settings files, and signals that ask a process to stop.
 //! - [`server`]: an HTTP server on a given listener.
+//! - [`exchange`]: one HTTP exchange on a connection of its own.
 //! - [`documents`]: the configuration as files.
 //! - [`kv`], [`hosts`]: adapters for the key-value service and the host list.
 //! - [`engine`], [`service`]: adapters for model engines and plain services over [`http`].
@@ -11,6 +12,7 @@
 pub mod clock;
 pub mod documents;
 pub mod engine;
+pub mod exchange;
 pub mod hosts;
 pub mod http;
 pub mod kv;
--- a/crates/platform/tests/metrics.rs
+++ b/crates/adapter/tests/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::net::UdpSocket;
 
-use oriole_platform::metrics::{Count, Exporter};
+use oriole_adapter::metrics::{Count, Exporter};
 
 fn count(value: u64) -> Count {
     Count { name: "refused.deadline".to_owned(), workspace: Some("gate-desk".to_owned()), value }
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,242 @@
+//! What is known of the endpoints, and what entries tell each other about it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriole_macros::{data, key};
+
+use crate::time::Instant;
+use crate::{name, placement, route};
+
+/// Whether an endpoint takes new work.
+#[key]
+#[serde(rename_all = "kebab-case")]
+pub enum State {
+    /// It does.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// One endpoint as it registered itself.
+#[data]
+pub struct Endpoint {
+    /// Its identity.
+    pub id: name::Endpoint,
+    /// The service that it belongs to.
+    pub service: name::Service,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: name::Zone,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Unix time of its start in milliseconds; another start is another value.
+    pub born: u64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Heartbeats that it has registered since its start.
+    pub heartbeat: u64,
+    /// Orders that it has accepted since its start, as far as is known.
+    pub orders: u64,
+    /// Kind of accelerator, as the operator's configuration names it.
+    pub accelerator: Option<String>,
+    /// The layers that it holds.
+    pub layers: placement::Range,
+}
+
+/// All endpoints at one revision of the platform's store.
+#[data]
+#[derive(Default)]
+pub struct Listing {
+    /// Revision of the store.
+    pub revision: u64,
+    /// The endpoints by identity.
+    pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
+}
+
+/// Work in progress on one chain, by the first endpoint of the chain.
+#[data]
+pub struct Load {
+    /// First endpoint of the chain.
+    pub head: name::Endpoint,
+    /// Requests in progress.
+    pub requests: u32,
+    /// Tokens that they hold or are expected to hold.
+    pub tokens: u64,
+}
+
+/// An endpoint that does not do its work although it is registered.
+#[data]
+pub struct Doubt {
+    /// The endpoint.
+    pub endpoint: name::Endpoint,
+    /// Its start; a later one is not doubted.
+    pub born: u64,
+}
+
+/// What an entry tells the others several times a second.
+#[data]
+pub struct News {
+    /// Version of the routing table, 0 if there is none.
+    pub table: u64,
+    /// Revision of the plan, 0 if there is none.
+    pub plan: u64,
+    /// Age of the listing in milliseconds.
+    pub listing_age_ms: u64,
+    /// The sender's work in progress.
+    pub loads: Vec<Load>,
+}
+
+/// Any message between entries about endpoints and configuration.
+#[data]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// Several times a second.
+    News(News),
+    /// A routing table that the receiver lacks.
+    Table(Box<route::Table>),
+    /// A plan that the receiver lacks.
+    Plan(placement::Plan),
+    /// A listing that is fresher than the receiver's, and its age in milliseconds.
+    Listing(Listing, u64),
+    /// Layers that an endpoint was seen to hold.
+    Held(Doubt, placement::Range, u64),
+    /// An endpoint that was seen not to work.
+    Doubt(Doubt),
+}
+
+/// How long a doubt about an endpoint lasts without being renewed.
+pub const DOUBT_PERIOD: Duration = Duration::from_secs(6);
+
+/// What an endpoint itself said.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    born: u64,
+    layers: placement::Range,
+    orders: u64,
+    /// The heartbeat that was listed by then.
+    heartbeat: u64,
+}
+
+/// Heartbeats after a report from which on a registration is newer than it for certain.
+const NEWER_HEARTBEATS: u64 = 2;
+
+/// What one process knows of the endpoints, from all sources.
+#[derive(Debug, Default)]
+pub struct View {
+    listing: Listing,
+    listed_at: Option<Instant>,
+    reports: BTreeMap<name::Endpoint, Report>,
+    doubts: BTreeMap<name::Endpoint, (u64, Instant)>,
+    draining: BTreeMap<name::Endpoint, Instant>,
+}
+
+impl View {
+    /// Takes over a listing that was true at `read`; returns whether anything changed.
+    pub fn list(&mut self, mut listing: Listing, read: Instant) -> bool {
+        if listing.revision < self.listing.revision {
+            return false;
+        }
+        if self.listed_at.is_none_or(|at| at < read) {
+            self.listed_at = Some(read);
+        }
+        for endpoint in listing.endpoints.values_mut() {
+            self.overlay(endpoint);
+        }
+        let endpoints = &listing.endpoints;
+        self.reports.retain(|id, _| endpoints.contains_key(id));
+        self.draining.retain(|id, _| endpoints.contains_key(id));
+        for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
+            self.draining.entry(endpoint.id.clone()).or_insert(read);
+        }
+        let changed = self.listing.endpoints != listing.endpoints;
+        self.listing = listing;
+        changed
+    }
+
+    /// Notes layers that an endpoint itself reported, with the orders it had accepted by then.
+    pub fn hold(&mut self, seen: &Doubt, layers: placement::Range, orders: u64) -> bool {
+        let Some(endpoint) = self.listing.endpoints.get_mut(&seen.endpoint) else {
+            return false;
+        };
+        if endpoint.born != seen.born || orders < endpoint.orders {
+            return false;
+        }
+        let changed = endpoint.layers != layers || endpoint.orders != orders;
+        endpoint.layers = layers;
+        endpoint.orders = orders;
+        let heartbeat = endpoint.heartbeat;
+        let report = Report { born: seen.born, layers, orders, heartbeat };
+        self.reports.insert(seen.endpoint.clone(), report);
+        changed
+    }
+
+    /// Notes that an endpoint does not work; returns whether that is new.
+    pub fn doubt(&mut self, seen: &Doubt, now: Instant) -> bool {
+        let is_new = !self.is_doubted(&seen.endpoint, now);
+        self.doubts.insert(seen.endpoint.clone(), (seen.born, now));
+        is_new
+    }
+
+    /// Forgets a doubt, since the endpoint was seen to work.
+    pub fn trust(&mut self, endpoint: &name::Endpoint) {
+        self.doubts.remove(endpoint);
+    }
+
+    /// Whether an endpoint is held not to work.
+    pub fn is_doubted(&self, id: &name::Endpoint, now: Instant) -> bool {
+        let Some((born, at)) = self.doubts.get(id) else {
+            return false;
+        };
+        let same = self.listing.endpoints.get(id).is_some_and(|e| e.born == *born);
+        same && now.since(*at) < DOUBT_PERIOD
+    }
+
+    /// The endpoint, if it is listed.
+    pub fn get(&self, id: &name::Endpoint) -> Option<&Endpoint> {
+        self.listing.endpoints.get(id)
+    }
+
+    /// All listed endpoints of a service.
+    pub fn of<'a>(&'a self, service: &'a name::Service) -> impl Iterator<Item = &'a Endpoint> {
+        self.listing.endpoints.values().filter(move |e| e.service == *service)
+    }
+
+    /// Whether new work may go to an endpoint: listed, not doubted, and not leaving for longer
+    /// than `grace`.
+    pub fn is_usable(&self, id: &name::Endpoint, grace: Duration, now: Instant) -> bool {
+        let leaving = self.draining.get(id).is_some_and(|since| now.since(*since) >= grace);
+        self.get(id).is_some() && !leaving && !self.is_doubted(id, now)
+    }
+
+    /// Whether an endpoint is expected to stay.
+    pub fn is_staying(&self, id: &name::Endpoint, now: Instant) -> bool {
+        self.is_usable(id, Duration::ZERO, now)
+    }
+
+    /// The listing as it is, to be passed on.
+    pub fn listing(&self) -> &Listing {
+        &self.listing
+    }
+
+    /// How old the listing is.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.listed_at.map(|at| now.since(at))
+    }
+
+    /// Prefers what an endpoint itself reported over a registration written before that.
+    fn overlay(&self, endpoint: &mut Endpoint) {
+        let Some(report) = self.reports.get(&endpoint.id) else {
+            return;
+        };
+        if report.born != endpoint.born {
+            return;
+        }
+        endpoint.orders = report.orders;
+        if endpoint.heartbeat < report.heartbeat + NEWER_HEARTBEATS {
+            endpoint.layers = report.layers;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/forward/wait.rs
@@ -0,0 +1,104 @@
+//! The order in which requests wait for room.
+//!
+//! Load pattern: a burst beyond what the chains can hold. Ranks go first; within a rank,
+//! workspaces take turns, so that one that sends much does not keep the others out; within a
+//! workspace, the order of arrival. A request waits only as long as its answer can still begin
+//! in time, and is refused at once where too many wait already.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::name;
+use crate::time::Instant;
+
+/// Part of a route's objective that a request may wait for room.
+const WAIT_PART: f64 = 0.5;
+
+/// Requests that wait at one entry.
+const MAX_WAITING: usize = 256;
+
+/// Identity of a waiting request.
+pub type Ticket = u64;
+
+/// A place in the order: rank, turns that the workspace has had, arrival.
+type Place = (u8, u64, Ticket);
+
+/// Requests that wait for room.
+#[derive(Debug, Default)]
+pub struct Queue {
+    places: BTreeMap<Place, Option<name::Workspace>>,
+    of: BTreeMap<Ticket, Place>,
+    turns: BTreeMap<Option<name::Workspace>, u64>,
+    next: Ticket,
+}
+
+impl Queue {
+    /// Adds a request; none if too many wait.
+    pub fn push(&mut self, rank: u8, workspace: Option<name::Workspace>) -> Option<Ticket> {
+        if self.places.len() >= MAX_WAITING {
+            return None;
+        }
+        let ticket = self.next;
+        self.next += 1;
+        let ahead = self.places.values().filter(|w| **w == workspace).count() as u64;
+        let floor = self.turns.values().min().copied().unwrap_or_default();
+        let turn = self.turns.get(&workspace).copied().unwrap_or(floor) + ahead;
+        let place = (rank, turn, ticket);
+        self.places.insert(place, workspace);
+        self.of.insert(ticket, place);
+        Some(ticket)
+    }
+
+    /// Whether no request waits before `ticket`.
+    pub fn is_first(&self, ticket: Ticket) -> bool {
+        self.places.first_key_value().is_some_and(|(place, _)| place.2 == ticket)
+    }
+
+    /// The first ticket.
+    pub fn first(&self) -> Option<Ticket> {
+        self.places.first_key_value().map(|(place, _)| place.2)
+    }
+
+    /// Whether a new request of `rank` would be first.
+    pub fn would_pass(&self, rank: u8) -> bool {
+        self.places.first_key_value().is_none_or(|(place, _)| place.0 > rank)
+    }
+
+    /// Removes a request; `served` if it got room.
+    pub fn remove(&mut self, ticket: Ticket, served: bool) {
+        let Some(place) = self.of.remove(&ticket) else {
+            return;
+        };
+        let Some(workspace) = self.places.remove(&place) else {
+            return;
+        };
+        if served {
+            *self.turns.entry(workspace).or_default() += 1;
+        }
+        if self.places.is_empty() {
+            self.turns.clear();
+        }
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+}
+
+/// Until when a request that arrived at `arrived` may wait for room.
+pub fn until(arrived: Instant, objective: Duration, deadline: Instant) -> Instant {
+    (arrived + objective.mul_f64(WAIT_PART)).min(deadline)
+}
+
+/// When a refused request is to come back: later the more requests wait, spread by `random`.
+pub fn retry_after(waiting: usize, random: u64) -> Duration {
+    let spread = (random >> 11) as f64 / (1_u64 << 53) as f64;
+    let base = 0.8 + waiting as f64 / 100.0;
+    Duration::from_secs_f64(base * (1.0 + spread))
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`engine`]: what sides and engines say to each other.
 //! - [`share`]: messages by which entries share a contract's limits.
 //! - [`status`]: what every process tells operators about itself.
-//! - [`limit`], [`roster`], [`share`]: admission by contract, shared among the entries.
+//! - [`limit`], [`roster`]: admission by contract, shared among the entries.
 //! - [`entry`]: the decisions of an entry, out of [`plan`], [`answer`], [`retry`], [`recover`] and
 //!   [`explain`].
-//! - [`entry`]: the decisions of an entry.
+//! - [`route`], [`fleet`]: routing tables and endpoints of a platform that keeps both in its store.
+//! - [`placement`]: which endpoint holds which layers there.
+//! - [`forward`]: the decisions about one request there.
 //! - [`pace`]: how often sides report load.
 //! - [`membership`]: which hosts may be given work.
 //! - [`side`]: the decisions of a side, out of [`queue`], [`backlog`], [`ledger`], [`drain`] and
@@ -26,6 +28,8 @@
 pub mod entry;
 pub mod estimate;
 pub mod explain;
+pub mod fleet;
+pub mod forward;
 pub mod home;
 pub mod ledger;
 pub mod limit;
@@ -34,6 +38,7 @@
 pub mod name;
 pub mod order;
 pub mod pace;
+pub mod placement;
 pub mod plan;
 pub mod queue;
 pub mod recover;
@@ -41,6 +46,7 @@
 pub mod retry;
 pub mod revision;
 pub mod roster;
+pub mod route;
 pub mod share;
 pub mod side;
 pub mod status;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -9,7 +9,7 @@
 use oriole_macros::{data, key};
 
 use crate::request::{Attempt, Id, Position, Refusal, Refused};
-use crate::{name, revision, share};
+use crate::{fleet, name, revision, share};
 
 pub use service::{Answer, Call, Claim, Claimed, Reply, Settle, Verdict};
 
@@ -53,6 +53,8 @@
     Share(share::Message),
     /// Between any two: revisions of the configuration.
     Revision(revision::Message),
+    /// Between entries: endpoints, plans and work in progress.
+    Fleet(fleet::Message),
 }
 
 /// One stage of a chain.
@@ -332,7 +334,7 @@
             Self::Claim(m) => Some(m.request),
             Self::Claimed(m) => Some(m.request),
             Self::Settle(m) => Some(m.request),
-            Self::Load(_) | Self::Share(_) | Self::Revision(_) => None,
+            Self::Load(_) | Self::Share(_) | Self::Revision(_) | Self::Fleet(_) => None,
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/placement/revise.rs
@@ -0,0 +1,173 @@
+//! The next plan when endpoints come, leave or fail.
+//!
+//! A chain with a lost stage is mended with endpoints that are in no chain, then with those of the
+//! chain that serves least. What is left over forms further chains. Stages that can stay do.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::estimate::{self, Stage as Part};
+use super::{Candidate, Chain, Model, Range, Stage, build};
+use crate::name;
+
+/// Parts of a chain's room that a replacement may have, in the order in which they are tried.
+const ROOM_PARTS: [f64; 5] = [1.0, 0.8, 0.6, 0.4, 0.2];
+
+/// Least room of a replacement, in tokens.
+const MIN_ROOM: f64 = 8_000.0;
+
+/// Chains after `current` for the endpoints that are expected to stay.
+pub fn revise(model: &Model, current: &[Chain], endpoints: &[Candidate]) -> Vec<Chain> {
+    let known: BTreeMap<&name::Endpoint, &Candidate> =
+        endpoints.iter().map(|e| (&e.endpoint, e)).collect();
+    let mut work = Work { model, known, chains: current.to_vec() };
+    work.chains.retain(|c| c.is_complete(model.layers));
+    while let Some(broken) = work.broken() {
+        work.mend(broken);
+    }
+    let free: Vec<Candidate> = work.free().into_iter().cloned().collect();
+    work.chains.extend(build::chains(model, &free));
+    work.chains
+}
+
+struct Work<'a> {
+    model: &'a Model,
+    known: BTreeMap<&'a name::Endpoint, &'a Candidate>,
+    chains: Vec<Chain>,
+}
+
+impl<'a> Work<'a> {
+    /// The broken chain that is worth most.
+    fn broken(&self) -> Option<usize> {
+        let broken = (0..self.chains.len()).filter(|&i| !self.missing(i).is_empty());
+        broken.max_by(|&a, &b| self.value(a).total_cmp(&self.value(b)).then(b.cmp(&a)))
+    }
+
+    /// Fills the gaps of a chain, taking apart chains that serve less, or the chain itself.
+    fn mend(&mut self, index: usize) {
+        let mut index = index;
+        while !self.fill(index) {
+            let Some(least) = self.least_below(index) else {
+                self.chains.remove(index);
+                return;
+            };
+            self.chains.remove(least);
+            if least < index {
+                index -= 1;
+            }
+        }
+    }
+
+    /// The chain that serves least, if it serves less than the one at `index`.
+    fn least_below(&self, index: usize) -> Option<usize> {
+        let others = (0..self.chains.len()).filter(|&i| i != index);
+        let least = others.min_by(|&a, &b| self.value(a).total_cmp(&self.value(b)))?;
+        (self.value(least) < self.value(index)).then_some(least)
+    }
+
+    /// Replaces the missing stages by free endpoints; changes nothing if there are too few.
+    fn fill(&mut self, index: usize) -> bool {
+        let room = self.room(index);
+        let zone = self.zone(index);
+        let gaps = self.missing(index);
+        for part in ROOM_PARTS {
+            let tokens = (room * part).max(MIN_ROOM);
+            let mut free = self.free();
+            let mut stages = vec![];
+            let filled = gaps.iter().all(|gap| {
+                let filled = self.cover(*gap, tokens, zone.as_ref(), &mut free);
+                filled.map(|new| stages.extend(new)).is_some()
+            });
+            if filled {
+                self.replace(index, stages);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Stages for `gap` out of `free`, each with room for `tokens` tokens.
+    fn cover(
+        &self,
+        gap: Range,
+        tokens: f64,
+        zone: Option<&name::Zone>,
+        free: &mut Vec<&'a Candidate>,
+    ) -> Option<Vec<Stage>> {
+        free.sort_by(|a, b| {
+            let holds = |c: &Candidate| !c.held.covers(gap);
+            let far = |c: &Candidate| zone != Some(&c.zone);
+            let speed = a.accelerator.step_factor.total_cmp(&b.accelerator.step_factor);
+            (holds(a).cmp(&holds(b)))
+                .then(far(a).cmp(&far(b)))
+                .then(speed)
+                .then_with(|| a.endpoint.cmp(&b.endpoint))
+        });
+        let mut stages = vec![];
+        let mut first = gap.first;
+        let mut used = BTreeSet::new();
+        for candidate in free.iter() {
+            let most = self.model.capacity(candidate.accelerator.memory, tokens);
+            let layers = Range { first, end: (first + most).min(gap.end) };
+            if layers.is_empty() {
+                continue;
+            }
+            first = layers.end;
+            used.insert(&candidate.endpoint);
+            stages.push(Stage { endpoint: candidate.endpoint.clone(), layers });
+            if first == gap.end {
+                break;
+            }
+        }
+        if first < gap.end {
+            return None;
+        }
+        free.retain(|c| !used.contains(&c.endpoint));
+        Some(stages)
+    }
+
+    fn replace(&mut self, index: usize, stages: Vec<Stage>) {
+        let known = &self.known;
+        let chain = &mut self.chains[index];
+        chain.stages.retain(|s| known.contains_key(&s.endpoint));
+        chain.stages.extend(stages);
+        chain.stages.sort_by_key(|s| s.layers);
+    }
+
+    fn missing(&self, index: usize) -> Vec<Range> {
+        let stages = self.chains[index].stages.iter();
+        stages.filter(|s| !self.known.contains_key(&s.endpoint)).map(|s| s.layers).collect()
+    }
+
+    /// Endpoints that are in no chain.
+    fn free(&self) -> Vec<&'a Candidate> {
+        let stages = self.chains.iter().flat_map(|c| &c.stages);
+        let used: BTreeSet<&name::Endpoint> = stages.map(|s| &s.endpoint).collect();
+        self.known.values().filter(|c| !used.contains(&c.endpoint)).copied().collect()
+    }
+
+    fn parts(&self, index: usize) -> Vec<Part<'a>> {
+        let stages = self.chains[index].stages.iter();
+        let known = stages.filter_map(|s| Some((self.known.get(&s.endpoint)?, s.layers.len())));
+        known.map(|(c, layers)| Part { accelerator: &c.accelerator, layers }).collect()
+    }
+
+    fn value(&self, index: usize) -> f64 {
+        estimate::throughput(self.model, &self.parts(index))
+    }
+
+    fn room(&self, index: usize) -> f64 {
+        let room = estimate::room(self.model, &self.parts(index));
+        if room.is_finite() { room } else { MIN_ROOM }
+    }
+
+    /// The availability zone in which most of the chain's stages are.
+    fn zone(&self, index: usize) -> Option<name::Zone> {
+        let mut counts: BTreeMap<&name::Zone, usize> = BTreeMap::new();
+        for stage in &self.chains[index].stages {
+            if let Some(candidate) = self.known.get(&stage.endpoint) {
+                *counts.entry(&candidate.zone).or_default() += 1;
+            }
+        }
+        counts.into_iter().max_by_key(|(_, n)| *n).map(|(zone, _)| zone.clone())
+    }
+}
--- a/crates/core/src/revision/follower.rs
+++ b/crates/core/src/revision/follower.rs
@@ -16,7 +16,7 @@
 //! number, and carries out the effects:
 //!
 //! - [`Effect::Poll`] and [`Effect::Read`]: call the adapter in a task of its own
-//!   (`oriole_platform::kv::Documents`) and pass its answer in as [`Event::Service`]. There is
+//!   (`oriole_adapter::kv::Documents`) and pass its answer in as [`Event::Service`]. There is
 //!   never more than one such call, and it ends within [`CALL_TIMEOUT`].
 //! - [`Effect::Send`]: send over the hub. The address of a seed stands in the settings, that of
 //!   another entry in the configuration in force; a message that cannot be sent may be dropped.
--- a/crates/ctl/src/base.rs
+++ b/crates/ctl/src/base.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
+use oriole_adapter::documents::{self, Action};
 use oriole_core::revision::{Hash, Head};
 use oriole_macros::data;
-use oriole_platform::documents::{self, Action};
 
 use crate::Error;
 
--- a/crates/ctl/src/cmd/apply.rs
+++ b/crates/ctl/src/cmd/apply.rs
@@ -6,11 +6,11 @@
 
 use bpaf::Bpaf;
 use derive_more::Display;
+use oriole_adapter::documents;
+use oriole_adapter::kv::Record;
 use oriole_core::config::Config;
 use oriole_core::revision::{Change, Hash};
 use oriole_macros::data;
-use oriole_platform::documents;
-use oriole_platform::kv::Record;
 use uuid::Uuid;
 
 use super::Context;
--- a/crates/ctl/src/cmd/check.rs
+++ b/crates/ctl/src/cmd/check.rs
@@ -4,9 +4,9 @@
 
 use bpaf::Bpaf;
 use derive_more::Display;
+use oriole_adapter::documents;
 use oriole_core::config::Config;
 use oriole_macros::data;
-use oriole_platform::documents;
 
 use crate::Error;
 use crate::output::Form;
--- a/crates/ctl/src/cmd/get.rs
+++ b/crates/ctl/src/cmd/get.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 
 use bpaf::Bpaf;
+use oriole_adapter::documents;
 use oriole_macros::data;
-use oriole_platform::documents;
 
 use super::Context;
 use crate::base::{self, Base};
--- a/crates/ctl/src/cmd/history.rs
+++ b/crates/ctl/src/cmd/history.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, SystemTime};
 
 use bpaf::Bpaf;
+use oriole_adapter::kv::Record;
 use oriole_macros::data;
-use oriole_platform::kv::Record;
 use uuid::Uuid;
 
 use super::Context;
--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use oriole_adapter::documents;
 use oriole_core::config::Config;
 use oriole_core::name;
 use oriole_macros::data;
-use oriole_platform::documents;
 
 use super::Context;
 use crate::Error;
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -4,9 +4,9 @@
 use std::process::ExitCode;
 
 use derive_more::{Display, Error as StdError, From};
+use oriole_adapter::{documents, kv, settings};
 use oriole_core::{config, name};
 use oriole_macros::data;
-use oriole_platform::{documents, kv, settings};
 
 use crate::fleet::Missing;
 use crate::store::Clashes;
--- a/crates/ctl/src/settings.rs
+++ b/crates/ctl/src/settings.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+use oriole_adapter::{kv, settings};
 use oriole_core::name;
-use oriole_platform::{kv, settings};
 use serde::{Deserialize, Serialize};
 
 use crate::Error;
--- a/crates/ctl/src/store.rs
+++ b/crates/ctl/src/store.rs
@@ -6,11 +6,11 @@
 use std::fmt;
 use std::time::Duration;
 
+use oriole_adapter::kv::{self, Client, Documents};
 use oriole_core::config::Config;
 use oriole_core::revision::follower::{Reply, Version};
 use oriole_core::revision::{Clash, Conflict, Field, Hash, Head};
 use oriole_macros::data;
-use oriole_platform::kv::{self, Client, Documents};
 
 use crate::Error;
 use crate::settings::Settings;
--- a/crates/ctl/src/store/apply.rs
+++ b/crates/ctl/src/store/apply.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use oriole_adapter::kv::{self, Record};
 use oriole_core::config::Config;
 use oriole_core::revision::{Change, Edit, Hash, Head, Operation, Relation, Step};
-use oriole_platform::kv::{self, Record};
 
 use super::{Store, retry};
 use crate::Error;
--- a/crates/ctl/tests/ctl/fixture.rs
+++ b/crates/ctl/tests/ctl/fixture.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use actix_http::{Method, Request, Response, StatusCode};
+use oriole_adapter::clock::Clock;
+use oriole_adapter::kv::{self, Client, Documents};
+use oriole_adapter::{documents, server};
 use oriole_core::revision::Head;
 use oriole_core::revision::follower::{Event, Follower, Role, Settings};
 use oriole_core::status::{Readiness, Status};
 use oriole_ctl::{Error, cmd};
-use oriole_platform::clock::Clock;
-use oriole_platform::kv::{self, Client, Documents};
-use oriole_platform::{documents, server};
 use oriole_standin::fault::Switch;
 use oriole_standin::kv::{Service, serve};
 use tokio::net::TcpListener;
--- a/crates/ctl/tests/processes.rs
+++ b/crates/ctl/tests/processes.rs
@@ -7,10 +7,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use oriole_adapter::{documents, kv};
 use oriole_core::config::Config;
 use oriole_core::name::Host;
 use oriole_ctl::{cmd, fleet::Fleet, settings};
-use oriole_platform::{documents, kv};
 use oriole_standin::fault::Switch;
 use oriole_standin::kv::{Service, serve};
 use oriole_wire::conn::Liveness;
--- a/crates/entry/src/complete.rs
+++ b/crates/entry/src/complete.rs
@@ -7,10 +7,10 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
+use oriole_adapter::server;
 use oriole_core::entry::{Generate, Outcome};
 use oriole_core::request::Refusal;
 use oriole_core::{name, token};
-use oriole_platform::server;
 use serde_json::Value;
 
 use crate::caller::{self, Piece, Receiver};
--- a/crates/entry/src/hosts.rs
+++ b/crates/entry/src/hosts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriole_platform::hosts::Client;
+use oriole_adapter::hosts::Client;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -15,11 +15,11 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
+use oriole_adapter::server::{self, BodyError};
 use oriole_core::config::Config;
 use oriole_core::message::not_run;
 use oriole_core::name;
 use oriole_core::request::{Refusal, Refused};
-use oriole_platform::server::{self, BodyError};
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriole_adapter::clock::Clock;
+use oriole_adapter::metrics::{Count, Exporter};
 use oriole_core::config::Config;
 use oriole_core::entry::{Effect, Event, Generate, Machine, Request};
 use oriole_core::membership::Listing;
@@ -14,8 +16,6 @@
 use oriole_core::status::Readiness;
 use oriole_core::{explain, name};
 use oriole_follow::Follow;
-use oriole_platform::clock::Clock;
-use oriole_platform::metrics::{Count, Exporter};
 use oriole_wire::Hub;
 use oriole_wire::hub::{self, Kind as Wire};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -4,10 +4,10 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
+use oriole_adapter::server;
 use oriole_core::entry::{Outcome, Request as Ask};
 use oriole_core::request::Refusal;
 use oriole_core::{home, name};
-use oriole_platform::server;
 use uuid::Uuid;
 
 use crate::caller::{self, Piece};
--- a/crates/entry/src/setup.rs
+++ b/crates/entry/src/setup.rs
@@ -6,15 +6,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriole_adapter::clock::Clock;
+use oriole_adapter::kv;
+use oriole_adapter::metrics::Exporter;
 use oriole_core::config::Config;
 use oriole_core::entry::Machine;
 use oriole_core::name;
 use oriole_core::request::host_hash;
 use oriole_core::revision::follower;
 use oriole_follow::Follow;
-use oriole_platform::clock::Clock;
-use oriole_platform::kv;
-use oriole_platform::metrics::Exporter;
 use oriole_wire::hub;
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
--- a/crates/follow/src/daemon.rs
+++ b/crates/follow/src/daemon.rs
@@ -5,8 +5,8 @@
 use std::process::ExitCode;
 
 use derive_more::{Display, Error, From};
+use oriole_adapter::{metrics, settings};
 use oriole_core::name;
-use oriole_platform::{metrics, settings};
 use tokio::net::TcpListener;
 
 use crate::source;
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -11,12 +11,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use oriole_adapter::kv;
 use oriole_core::message::Message;
 use oriole_core::name;
 use oriole_core::revision::follower::{Availability, Effect, Event, Follower, Reply, Role};
 use oriole_core::revision::{Adopted, follower};
 use oriole_core::time::Instant;
-use oriole_platform::kv;
 use oriole_wire::Hub;
 use tokio::sync::mpsc;
 
--- a/crates/follow/src/source.rs
+++ b/crates/follow/src/source.rs
@@ -5,9 +5,9 @@
 use std::path::PathBuf;
 
 use derive_more::{Display, Error, From};
+use oriole_adapter::{documents, kv};
 use oriole_core::config::{self, Config};
 use oriole_core::name;
-use oriole_platform::{documents, kv};
 use serde::{Deserialize, Serialize};
 
 /// Where a process has its configuration from: a folder that never changes, or the revisions that
--- a/crates/load/src/cluster/kv.rs
+++ b/crates/load/src/cluster/kv.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::kv;
 use oriole_core::config::Config;
 use oriole_ctl::base::{Base, hashes};
 use oriole_ctl::settings::Settings;
 use oriole_ctl::store::{Plan, Store};
-use oriole_platform::kv;
 use oriole_standin::fault;
 use oriole_standin::kv::{Service, serve};
 use tokio::net;
--- a/crates/load/src/cluster/node.rs
+++ b/crates/load/src/cluster/node.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use actix_rt::Arbiter;
+use oriole_adapter::kv;
 use oriole_core::config::Config;
 use oriole_core::{home, name};
-use oriole_platform::kv;
 use oriole_wire::conn::Liveness;
 use tokio::net;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 
 use derive_more::{Display, Error, From};
+use oriole_adapter::documents;
 use oriole_core::config::{self, Config};
-use oriole_platform::documents;
 
 /// Why a deployment could not be read.
 #[derive(Debug, Display, Error, From)]
--- /dev/null
+++ b/crates/router/src/cmd/check.rs
@@ -0,0 +1,22 @@
+//! `oriole-router check`: checks a settings file.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use oriole_adapter::settings;
+
+use crate::settings::Settings;
+
+/// Reads the settings and says what is wrong with them.
+pub fn execute(path: &Path) -> ExitCode {
+    match settings::load::<Settings>(path) {
+        Ok(settings) => {
+            println!("{}: settings of {} are valid", path.display(), settings.name);
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/cmd/run.rs
@@ -0,0 +1,32 @@
+//! `oriole-router run`: runs the entry.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use oriole_adapter::settings;
+
+use crate::settings::Settings;
+use crate::{log_output, process};
+
+/// Runs until the process is told to stop.
+pub fn execute() -> ExitCode {
+    log_output::start();
+    let Some(path) = std::env::var_os(oriole_platform::SETTINGS_VARIABLE) else {
+        log::error!("{} does not name a settings file", oriole_platform::SETTINGS_VARIABLE);
+        return ExitCode::FAILURE;
+    };
+    let settings = match settings::load::<Settings>(&PathBuf::from(path)) {
+        Ok(settings) => settings,
+        Err(e) => {
+            log::error!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match actix_rt::System::new().block_on(process::run(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/generation.rs
@@ -0,0 +1,65 @@
+//! A request that runs over a chain, and goes on over another one when the chain breaks.
+
+mod admission;
+mod attempt;
+
+use std::io;
+
+use oriole_core::forward::event::Splitter;
+use oriole_core::forward::outcome::Tries;
+use oriole_core::forward::wait;
+use std::time::Duration;
+
+use crate::reply::Writer;
+use crate::serve::{Reason, Request, give_up};
+use crate::state::Shared;
+
+pub use admission::{Refusal, Slot};
+use attempt::End;
+
+/// How long a stream in progress may wait for another chain; callers leave soon after.
+const RESUME_WAIT: Duration = Duration::from_millis(1200);
+
+/// Serves the request.
+pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
+    let mut splitter = Splitter::after(request.terms.last_event.clone());
+    let mut tries = Tries::default();
+    let mut until = wait::until(request.arrived, request.route.objective, request.deadline);
+    loop {
+        let (lane, slot) = match admission::acquire(state, request, until).await {
+            Ok(admitted) => admitted,
+            Err(Refusal::NoRoom) => {
+                let not_run = tries.is_not_run();
+                return give_up(state, request, writer, Reason::NoRoom, not_run).await;
+            }
+        };
+        let sent = state.now();
+        let end = attempt::run(state, request, &lane, &mut splitter, writer).await;
+        drop(slot);
+        let now = state.now();
+        let head = lane.head().as_str();
+        let took_ms = now.since(sent).as_millis() as u64;
+        let waited_ms = sent.since(request.arrived).as_millis() as u64;
+        let failure = match end {
+            End::Complete => {
+                log::info!(id = request.id(), head, waited_ms, took_ms; "served");
+                return Ok(());
+            }
+            End::Caller(error) => return Err(error),
+            End::Deadline => {
+                return give_up(state, request, writer, Reason::Timeout, false).await;
+            }
+            End::Failed(failure) => failure,
+        };
+        log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
+        tries.count(failure);
+        let not_run = tries.is_not_run();
+        if !tries.may_retry(&request.route, failure) {
+            return give_up(state, request, writer, Reason::Failed, not_run).await;
+        }
+        if !state.take_retry(&request.service) {
+            return give_up(state, request, writer, Reason::NoBudget, not_run).await;
+        }
+        until = (now + RESUME_WAIT).min(request.deadline);
+    }
+}
--- /dev/null
+++ b/crates/router/src/generation/admission.rs
@@ -0,0 +1,120 @@
+//! Room on a chain for one request.
+
+use oriole_core::forward::lane::{self, Ask, Lane};
+use oriole_core::forward::wait::Ticket;
+use oriole_core::name;
+use oriole_core::time::Instant;
+use std::pin::pin;
+use tokio::time::sleep;
+
+use crate::serve::Request;
+use crate::state::Shared;
+
+/// Why there is no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No chain had room in time.
+    NoRoom,
+}
+
+/// Room that is taken until this is dropped.
+pub struct Slot {
+    state: Shared,
+    head: name::Endpoint,
+    tokens: u64,
+}
+
+impl Slot {
+    /// Takes room for `tokens` tokens.
+    pub fn take(state: &Shared, head: &name::Endpoint, tokens: u64) -> Self {
+        state.inner.borrow_mut().book.add(head, tokens);
+        Self { state: state.clone(), head: head.clone(), tokens }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.state.inner.borrow_mut().book.remove(&self.head, self.tokens);
+        self.state.room.notify_waiters();
+    }
+}
+
+/// A place in the queue, given back when this is dropped.
+struct Place {
+    state: Shared,
+    service: name::Service,
+    ticket: Ticket,
+    served: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(queue) = self.state.inner.borrow_mut().queues.get_mut(&self.service) {
+            queue.remove(self.ticket, self.served);
+        }
+        self.state.room.notify_waiters();
+    }
+}
+
+/// Waits for room until `until`.
+pub async fn acquire(
+    state: &Shared,
+    request: &Request,
+    until: Instant,
+) -> Result<(Lane, Slot), Refusal> {
+    let mut place: Option<Place> = None;
+    loop {
+        let mut room = pin!(state.room.notified());
+        room.as_mut().enable();
+        if is_next(state, request, place.as_ref()) {
+            if let Some(lane) = choose(state, request) {
+                if let Some(place) = &mut place {
+                    place.served = true;
+                }
+                let slot = Slot::take(state, lane.head(), request.terms.need.tokens());
+                return Ok((lane, slot));
+            }
+        }
+        if place.is_none() {
+            place = Some(enqueue(state, request).ok_or(Refusal::NoRoom)?);
+        }
+        let left = until.since(state.now());
+        if left.is_zero() {
+            return Err(Refusal::NoRoom);
+        }
+        tokio::select! {
+            () = room => {}
+            () = sleep(left) => {}
+        }
+    }
+}
+
+fn is_next(state: &Shared, request: &Request, place: Option<&Place>) -> bool {
+    let inner = state.inner.borrow();
+    let Some(queue) = inner.queues.get(&request.service) else {
+        return true;
+    };
+    match place {
+        Some(place) => queue.is_first(place.ticket),
+        None => queue.would_pass(request.rank),
+    }
+}
+
+fn choose(state: &Shared, request: &Request) -> Option<Lane> {
+    let now = state.now();
+    let model = state.model(&request.service)?;
+    let inner = state.inner.borrow();
+    let lanes = inner.lanes.get(&request.service)?;
+    let tokens = request.terms.need.tokens();
+    let ask = Ask { route: &request.route, tokens, zone: &state.zone };
+    lane::choose(&model, lanes, &inner.book, &ask, now).cloned()
+}
+
+fn enqueue(state: &Shared, request: &Request) -> Option<Place> {
+    let mut inner = state.inner.borrow_mut();
+    let queue = inner.queues.entry(request.service.clone()).or_default();
+    let workspace = request.workspace.as_ref().map(|w| w.name.clone());
+    let ticket = queue.push(request.rank, workspace)?;
+    let service = request.service.clone();
+    Some(Place { state: state.clone(), service, ticket, served: false })
+}
--- /dev/null
+++ b/crates/router/src/generation/attempt.rs
@@ -0,0 +1,245 @@
+//! One attempt of a request over one chain.
+
+use std::io;
+use std::pin::pin;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use oriole_adapter::exchange::{self, Answer, Body};
+use oriole_core::forward::event::Splitter;
+use oriole_core::forward::lane::Lane;
+use oriole_core::forward::outcome::Failure;
+use oriole_platform::endpoint::{self, Additions, Verdict};
+use tokio::time::sleep;
+
+use crate::reply::{Progress, Writer};
+use crate::serve::Request;
+use crate::state::Shared;
+use crate::suspect;
+
+/// Longest time to open a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Silence before the first event after which the chain is asked about.
+const FIRST_SILENCE: Duration = Duration::from_millis(700);
+
+/// Silence between events after which the chain is asked about.
+const SILENCE: Duration = Duration::from_millis(500);
+
+/// Silence after which a stream is moved whatever the chain says of itself.
+const LONGEST_SILENCE: Duration = Duration::from_millis(1500);
+
+/// Longest answer that is not a stream, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// How an attempt ended.
+pub enum End {
+    /// The whole answer has been passed on.
+    Complete,
+    /// It failed.
+    Failed(Failure),
+    /// The request's time is over.
+    Deadline,
+    /// The caller cannot be reached any more.
+    Caller(io::Error),
+}
+
+/// Sends the request to the chain and passes its events on.
+pub async fn run(
+    state: &Shared,
+    request: &Request,
+    lane: &Lane,
+    splitter: &mut Splitter,
+    writer: &mut Writer,
+) -> End {
+    let work = async {
+        match open(state, request, lane, splitter).await {
+            Ok(answer) => pass_on(state, request, lane, answer, splitter, writer).await,
+            Err(failure) => End::Failed(failure),
+        }
+    };
+    let left = request.deadline.since(state.now());
+    tokio::select! {
+        end = work => end,
+        () = sleep(left) => End::Deadline,
+    }
+}
+
+/// Sends the request and waits for the head of the answer.
+async fn open(
+    state: &Shared,
+    request: &Request,
+    lane: &Lane,
+    splitter: &Splitter,
+) -> Result<Answer, Failure> {
+    let hop = &lane.hops[0];
+    let stream = match exchange::connect(hop.address, CONNECT_LIMIT).await {
+        Ok(stream) => stream,
+        Err(e) => {
+            log::info!(id = request.id(), endpoint = hop.endpoint.as_str(), error:% = e; "not sent");
+            suspect::unreachable(state, &hop.endpoint);
+            return Err(Failure::NotSent);
+        }
+    };
+    let additions = Additions {
+        target: &hop.endpoint,
+        workspace: request.workspace.as_ref().map(|w| &w.name),
+        left: request.deadline.since(state.now()),
+        last_event: splitter.last(),
+        hops: &lane.hops,
+    };
+    let head = endpoint::request(&request.head, &additions);
+    let sending = exchange::send(stream, head, request.body.clone());
+    let answer = match watch(state, lane, FIRST_SILENCE, sending).await {
+        Some(Ok(answer)) => answer,
+        Some(Err(e)) => {
+            log::info!(id = request.id(), error:% = e; "no answer");
+            suspect::ask(state, lane);
+            return Err(Failure::Unknown);
+        }
+        None => return Err(Failure::Doubted),
+    };
+    match endpoint::judge(&answer.head, request.terms.id.as_deref()) {
+        Verdict::Answer => Ok(answer),
+        Verdict::NotExecuted(at_fault) => {
+            let status = answer.head.status.as_u16();
+            log::info!(id = request.id(), status, at_fault:?; "not executed");
+            suspect::refused(state, lane, at_fault);
+            Err(Failure::NotExecuted)
+        }
+        Verdict::Foreign => {
+            log::warn!(id = request.id(), endpoint = hop.endpoint.as_str(); "foreign answer");
+            Err(Failure::Unknown)
+        }
+    }
+}
+
+async fn pass_on(
+    state: &Shared,
+    request: &Request,
+    lane: &Lane,
+    answer: Answer,
+    splitter: &mut Splitter,
+    writer: &mut Writer,
+) -> End {
+    let Answer { head, mut body } = answer;
+    if head.status != StatusCode::OK {
+        if head.status.is_server_error() && request.route.may_repeat() {
+            return End::Failed(Failure::Unknown);
+        }
+        return pass_whole(&head, body, writer).await;
+    }
+    // Bytes of an event that an earlier attempt left incomplete come again.
+    *splitter = Splitter::after(splitter.last().map(str::to_owned));
+    let mut first = writer.progress() == Progress::Nothing;
+    let mut silence = FIRST_SILENCE;
+    loop {
+        let bytes = match watch(state, lane, silence, body.next()).await {
+            None => return End::Failed(Failure::Doubted),
+            Some(Err(e)) => {
+                log::info!(id = request.id(), error:% = e; "stream broke");
+                suspect::ask(state, lane);
+                return End::Failed(Failure::Unknown);
+            }
+            Some(Ok(None)) if splitter.is_partial() => return End::Failed(Failure::Unknown),
+            Some(Ok(None)) => break,
+            Some(Ok(Some(bytes))) => bytes,
+        };
+        let Some(whole) = splitter.push(&bytes) else {
+            return End::Failed(Failure::Unknown);
+        };
+        if whole.bytes.is_empty() {
+            continue;
+        }
+        silence = SILENCE;
+        if first {
+            first = false;
+            let headers = endpoint::answer_headers(head.headers());
+            if let Err(e) = writer.begin(head.status, headers).await {
+                return End::Caller(e);
+            }
+            note_first(state, request, lane);
+        }
+        if let Err(e) = writer.piece(whole.bytes).await {
+            return End::Caller(e);
+        }
+    }
+    if first {
+        // A stream without any event.
+        let headers = endpoint::answer_headers(head.headers());
+        if let Err(e) = writer.begin(head.status, headers).await {
+            return End::Caller(e);
+        }
+    }
+    match writer.end().await {
+        Ok(()) => End::Complete,
+        Err(e) => End::Caller(e),
+    }
+}
+
+fn note_first(state: &Shared, request: &Request, lane: &Lane) {
+    let first_ms = state.now().since(request.arrived).as_millis() as u64;
+    log::debug!(id = request.id(), head = lane.head().as_str(), first_ms; "first event");
+}
+
+/// Passes on an answer that is not a stream.
+async fn pass_whole(head: &actix_http::ResponseHead, mut body: Body, writer: &mut Writer) -> End {
+    if writer.progress() != Progress::Nothing {
+        return End::Failed(Failure::Unknown);
+    }
+    let mut whole = bytes::BytesMut::new();
+    loop {
+        match body.next().await {
+            Ok(Some(bytes)) if whole.len() + bytes.len() <= MAX_ANSWER_BYTES => {
+                whole.extend_from_slice(&bytes);
+            }
+            Ok(None) => break,
+            Ok(Some(_)) | Err(_) => return End::Failed(Failure::Unknown),
+        }
+    }
+    let headers = endpoint::answer_headers(head.headers());
+    match writer.whole(head.status, headers, whole.freeze()).await {
+        Ok(()) => End::Complete,
+        Err(e) => End::Caller(e),
+    }
+}
+
+/// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
+///
+/// None if the chain does not work, or says nothing for much longer.
+async fn watch<T>(
+    state: &Shared,
+    lane: &Lane,
+    silence: Duration,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let began = state.now();
+    let mut work = pin!(work);
+    let mut limit = silence;
+    loop {
+        let mut doubted = pin!(state.doubted.notified());
+        doubted.as_mut().enable();
+        if is_doubted(state, lane) {
+            return None;
+        }
+        let left = (began + limit).since(state.now());
+        tokio::select! {
+            biased;
+            result = &mut work => return Some(result),
+            () = doubted => {}
+            () = sleep(left) => {
+                if limit > silence {
+                    return None;
+                }
+                limit = silence + LONGEST_SILENCE;
+                suspect::ask(state, lane);
+            }
+        }
+    }
+}
+
+fn is_doubted(state: &Shared, lane: &Lane) -> bool {
+    let now = state.now();
+    let inner = state.inner.borrow();
+    lane.hops.iter().any(|h| inner.view.is_doubted(&h.endpoint, now))
+}
--- /dev/null
+++ b/crates/router/src/listen.rs
@@ -0,0 +1,255 @@
+//! Callers' connections and the readiness route.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_codec::Decoder;
+use actix_http::h1::{Codec, Message, MessageType};
+use actix_http::{RequestHead, ServiceConfig, StatusCode};
+use bytes::{Bytes, BytesMut};
+use oriole_platform::ingress;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::reply::{Progress, Writer};
+use crate::serve;
+use crate::state::Shared;
+
+/// Bytes read at once.
+const READ_BYTES: usize = 4 * 1024;
+
+/// Most bytes that are read ahead of the present request.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// Time after which a caller that acknowledges nothing is taken for gone.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(5);
+
+/// Time for a body, and idle time before the routing table is known.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the task is aborted.
+pub async fn callers(state: Shared, listener: TcpListener) {
+    let config = ServiceConfig::default();
+    accept(listener, |stream| {
+        let codec = Codec::new(config.clone());
+        actix_rt::spawn(connection(state.clone(), stream, codec));
+    })
+    .await;
+}
+
+/// Answers whether the entry is ready, until the task is aborted.
+pub async fn readiness(state: Shared, listener: TcpListener) {
+    let config = ServiceConfig::default();
+    accept(listener, |stream| {
+        let codec = Codec::new(config.clone());
+        actix_rt::spawn(readiness_connection(state.clone(), stream, codec));
+    })
+    .await;
+}
+
+async fn accept(listener: TcpListener, mut handle: impl FnMut(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                // Without these options a connection works, only less well.
+                let _ = stream.set_nodelay(true);
+                let socket = socket2::SockRef::from(&stream);
+                let _ = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+                handle(stream);
+            }
+            Err(error) => {
+                log::warn!(error:%; "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Why no request could be read.
+enum Stop {
+    /// The connection is over, or idle for too long.
+    Over,
+    /// What was sent is not acceptable.
+    Reject(StatusCode),
+}
+
+struct Reader {
+    read: OwnedReadHalf,
+    buffer: BytesMut,
+}
+
+async fn connection(state: Shared, stream: TcpStream, codec: Codec) {
+    let (read, write) = stream.into_split();
+    let mut reader = Reader { read, buffer: BytesMut::with_capacity(READ_BYTES) };
+    let mut writer = Writer::new(write, codec);
+    loop {
+        let request = tokio::select! {
+            request = reader.request(&state, &mut writer) => request,
+            () = idle_end(&state), if reader.buffer.is_empty() => Err(Stop::Over),
+        };
+        let (head, body) = match request {
+            Ok(request) => request,
+            Err(Stop::Over) => break,
+            Err(Stop::Reject(status)) => {
+                log::info!(status = status.as_u16(); "request not readable");
+                writer.close = true;
+                // The caller may have gone already.
+                let _ = writer.own(status, None).await;
+                break;
+            }
+        };
+        writer.close = state.stopping.get();
+        let _active = Active::new(&state);
+        tokio::select! {
+            result = serve::request(&state, Rc::new(head), body, &mut writer) => {
+                if result.is_err() {
+                    return;
+                }
+            }
+            () = reader.gone() => return,
+        }
+        if writer.progress() == Progress::Part {
+            // Ends the connection without the mark of a complete body.
+            return;
+        }
+        if !writer.may_continue() {
+            break;
+        }
+    }
+    writer.shut_down().await;
+}
+
+/// Returns when idle connections are to be closed.
+async fn idle_end(state: &Shared) {
+    while !state.closing.get() {
+        state.closed.notified().await;
+    }
+}
+
+async fn readiness_connection(state: Shared, stream: TcpStream, codec: Codec) {
+    let (read, write) = stream.into_split();
+    let mut reader = Reader { read, buffer: BytesMut::with_capacity(READ_BYTES) };
+    let mut writer = Writer::new(write, codec);
+    while let Ok((head, _)) = reader.request(&state, &mut writer).await {
+        let status = if head.uri.path() != ingress::READY_PATH {
+            StatusCode::NOT_FOUND
+        } else if state.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        if writer.own(status, None).await.is_err() || !writer.may_continue() {
+            break;
+        }
+    }
+}
+
+impl Reader {
+    /// Reads one request with its whole body.
+    async fn request(
+        &mut self,
+        state: &Shared,
+        writer: &mut Writer,
+    ) -> Result<(RequestHead, Bytes), Stop> {
+        let limits = state.inner.borrow().table.as_ref().map(|t| t.limits.clone());
+        let idle = limits.as_ref().map_or(DEFAULT_TIMEOUT, |l| l.idle_timeout);
+        let head_timeout = limits.as_ref().map_or(DEFAULT_TIMEOUT, |l| l.head_timeout);
+        let head_bytes = limits.as_ref().map_or(READ_AHEAD_BYTES, |l| l.head_bytes);
+        let body_bytes = limits.as_ref().map_or(READ_AHEAD_BYTES, |l| l.body_bytes);
+        if self.buffer.is_empty() {
+            let filled = timeout(idle, self.fill()).await;
+            filled.map_err(|_| Stop::Over)?.map_err(|_| Stop::Over)?;
+        }
+        let head = timeout(head_timeout, self.head(writer, head_bytes)).await;
+        let head = head.map_err(|_| Stop::Reject(StatusCode::REQUEST_TIMEOUT))??;
+        writer.start();
+        if writer.codec.message_type() == MessageType::None {
+            return Ok((head, Bytes::new()));
+        }
+        if head.expect() {
+            writer.proceed().await.map_err(|_| Stop::Over)?;
+        }
+        let body = timeout(DEFAULT_TIMEOUT, self.body(writer, body_bytes)).await;
+        Ok((head, body.map_err(|_| Stop::Reject(StatusCode::REQUEST_TIMEOUT))??))
+    }
+
+    async fn head(&mut self, writer: &mut Writer, most: usize) -> Result<RequestHead, Stop> {
+        loop {
+            let before = self.buffer.len();
+            match writer.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Item(request))) => {
+                    if before - self.buffer.len() > most {
+                        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+                        return Err(Stop::Reject(status));
+                    }
+                    return Ok(request.head().clone());
+                }
+                Ok(Some(Message::Chunk(_))) => {}
+                Ok(None) if self.buffer.len() > most => {
+                    return Err(Stop::Reject(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+                }
+                Ok(None) => self.fill().await.map_err(|_| Stop::Over)?,
+                Err(_) => return Err(Stop::Reject(StatusCode::BAD_REQUEST)),
+            }
+        }
+    }
+
+    async fn body(&mut self, writer: &mut Writer, most: usize) -> Result<Bytes, Stop> {
+        let mut body = BytesMut::new();
+        loop {
+            match writer.codec.decode(&mut self.buffer) {
+                Ok(Some(Message::Chunk(Some(bytes)))) => {
+                    if body.len() + bytes.len() > most {
+                        return Err(Stop::Reject(StatusCode::PAYLOAD_TOO_LARGE));
+                    }
+                    body.extend_from_slice(&bytes);
+                }
+                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Item(_))) | Err(_) => {
+                    return Err(Stop::Reject(StatusCode::BAD_REQUEST));
+                }
+                Ok(None) => self.fill().await.map_err(|_| Stop::Over)?,
+            }
+        }
+    }
+
+    /// Reads bytes; an error if there are none left.
+    async fn fill(&mut self) -> std::io::Result<()> {
+        self.buffer.reserve(READ_BYTES);
+        match self.read.read_buf(&mut self.buffer).await? {
+            0 => Err(std::io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
+        }
+    }
+
+    /// Returns when the caller has closed the connection.
+    async fn gone(&mut self) {
+        while self.buffer.len() < READ_AHEAD_BYTES {
+            if self.fill().await.is_err() {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+}
+
+/// Counts a request as in progress while it lives.
+struct Active(Shared);
+
+impl Active {
+    fn new(state: &Shared) -> Self {
+        state.active.set(state.active.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers.rs
@@ -0,0 +1,173 @@
+//! How entries tell each other what they know and what they have in progress.
+
+use std::time::Duration;
+
+use oriole_core::fleet::{Message, News};
+use oriole_core::message;
+use oriole_core::name;
+use oriole_platform::store::{Client, Commit, Error, Write};
+use oriole_wire::conn::Liveness;
+use oriole_wire::handshake::Identity;
+use oriole_wire::hub::{self, Event, Hub, Kind};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::follow;
+use crate::state::Shared;
+
+/// Interval of news.
+const NEWS_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Age from which another entry's listing is refreshed by a younger one.
+const OLD_LISTING: Duration = Duration::from_millis(1300);
+
+/// Age up to which a listing is passed on.
+const YOUNG_LISTING: Duration = Duration::from_millis(900);
+
+/// The key of the secret that entries prove to each other.
+const SECRET: &str = "oriole/secret";
+
+const SECRET_BYTES: usize = 32;
+
+/// Pause after a failed call.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Heartbeats of connections: news come more often than they.
+fn liveness() -> Liveness {
+    Liveness {
+        idle_heartbeat: Duration::from_secs(1),
+        idle_silence: Duration::from_millis(1500),
+        ..Liveness::default()
+    }
+}
+
+/// Finds the secret, or writes a new one if there is none yet.
+pub async fn secret(store: &Client) -> Vec<u8> {
+    loop {
+        match find_secret(store).await {
+            Ok(secret) => return secret,
+            Err(e) => log::warn!(error:% = e; "secret of the entries not known yet"),
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn find_secret(store: &Client) -> Result<Vec<u8>, Error> {
+    let mut bytes = [0; SECRET_BYTES];
+    if getrandom::fill(&mut bytes).is_err() {
+        return Err(Error::Missing);
+    }
+    let value = hex::encode(bytes).into_bytes();
+    let write = Write { key: SECRET, value: &value, lease: 0, expected: Some(0) };
+    match store.write(&write).await? {
+        Commit::Written(_) => Ok(value),
+        Commit::Conflict(Some(item)) => Ok(item.value),
+        Commit::Conflict(None) => Err(Error::Missing),
+    }
+}
+
+/// Connects to the other entries and exchanges news with them until the process ends.
+pub async fn run(state: Shared, store: Client, listener: TcpListener) {
+    let secret = secret(&store).await;
+    let identity = Identity { host: state.host.clone(), secret };
+    let (hub, events) = Hub::new(hub::Settings { identity, liveness: liveness() });
+    hub.listen(listener);
+    actix_rt::spawn(hear(state.clone(), hub.clone(), events));
+    *state.hub.borrow_mut() = Some(hub.clone());
+    loop {
+        tell(&state, &hub);
+        sleep(NEWS_INTERVAL).await;
+    }
+}
+
+fn tell(state: &Shared, hub: &Hub) {
+    let news = message::Message::Fleet(Message::News(news(state)));
+    let peers = state.inner.borrow().peers.clone();
+    for (host, peer) in peers {
+        hub.send(&host, Some(peer.address), news.clone());
+    }
+}
+
+/// Sends a message to all entries that are connected.
+pub fn broadcast(state: &Shared, message: &Message) {
+    let Some(hub) = state.hub.borrow().clone() else {
+        return;
+    };
+    for host in hub.hosts() {
+        hub.send(&host, None, message::Message::Fleet(message.clone()));
+    }
+}
+
+fn news(state: &Shared) -> News {
+    let inner = state.inner.borrow();
+    let age = inner.view.age(state.now());
+    News {
+        table: inner.table.as_ref().map_or(0, |t| t.version),
+        plan: inner.plans.first().map_or(0, |p| p.revision),
+        listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+        loads: inner.book.loads(),
+    }
+}
+
+async fn hear(state: Shared, hub: Hub, mut events: mpsc::Receiver<Event>) {
+    while let Some(Event { host, kind }) = events.recv().await {
+        match kind {
+            Kind::Up => log::info!(host = host.as_str(); "connected to entry"),
+            Kind::Lost(e) => log::info!(host = host.as_str(), reason:% = e; "lost entry"),
+            Kind::Message(message::Message::Fleet(message)) => take(&state, &hub, host, message),
+            Kind::Message(_) => log::debug!(host = host.as_str(); "message out of place"),
+        }
+    }
+}
+
+fn take(state: &Shared, hub: &Hub, host: name::Host, message: Message) {
+    match message {
+        Message::News(news) => {
+            answer(state, hub, &host, &news);
+            let now = state.now();
+            state.inner.borrow_mut().book.hear(host, news.loads, now);
+            state.room.notify_waiters();
+        }
+        Message::Table(table) => {
+            state.adopt_table(*table);
+        }
+        Message::Plan(plan) => {
+            state.adopt_plan(plan);
+        }
+        Message::Listing(listing, age_ms) => {
+            let read = state.now() - Duration::from_millis(age_ms);
+            follow::take_listing(state, listing, read);
+        }
+        Message::Held(seen, layers, sequence) => {
+            if state.inner.borrow_mut().view.hold(&seen, layers, sequence) {
+                state.refresh();
+            }
+        }
+        Message::Doubt(seen) => {
+            state.doubt(&seen, host.as_str());
+        }
+    }
+}
+
+/// Sends what the other entry lacks.
+fn answer(state: &Shared, hub: &Hub, host: &name::Host, news: &News) {
+    let send = |message| {
+        hub.send(host, None, message::Message::Fleet(message));
+    };
+    let inner = state.inner.borrow();
+    if let Some(table) = inner.table.as_ref().filter(|t| t.version > news.table) {
+        send(Message::Table(Box::new((**table).clone())));
+    }
+    if let Some(plan) = inner.plans.first().filter(|p| p.revision > news.plan) {
+        send(Message::Plan(plan.clone()));
+    }
+    let Some(age) = inner.view.age(state.now()) else {
+        return;
+    };
+    let is_old = Duration::from_millis(news.listing_age_ms) > OLD_LISTING;
+    if is_old && age < YOUNG_LISTING {
+        let age_ms = age.as_millis() as u64;
+        send(Message::Listing(inner.view.listing().clone(), age_ms));
+    }
+}
--- /dev/null
+++ b/crates/router/src/process.rs
@@ -0,0 +1,107 @@
+//! The life of the process: start, work, graceful stop.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use oriole_adapter::signal;
+use oriole_platform::store::Client;
+use std::io;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::time::sleep;
+
+use crate::settings::Settings;
+use crate::state::{Shared, State};
+use crate::{follow, listen, orders, peers, planner};
+
+/// Longest time of a call to the store, but for watches.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Time in which the balancer notices that the entry is not ready, after the signal to stop.
+const NOTICE: Duration = Duration::from_millis(2500);
+
+/// Part of the grace period that is left for the last bytes when the process gives up.
+const LAST_PART: f64 = 0.06;
+
+/// Interval at which the end of the last request is looked for.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Interval at which usable chains are worked out anew, for what changes with time alone.
+const REFRESH: Duration = Duration::from_millis(200);
+
+/// Why the process cannot run.
+#[derive(Debug, Display, Error)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[display("listening on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Signals cannot be waited for.
+    #[display("waiting for signals: {_0}")]
+    Signal(io::Error),
+}
+
+/// Runs until the process is told to stop and has finished its requests.
+pub async fn run(settings: Settings) -> Result<(), Error> {
+    let state = State::new(settings);
+    let listen = state.settings.listen.clone();
+    let callers = bind(listen.callers)?;
+    let ready = bind(listen.ready)?;
+    let peers_listener = bind(listen.peers)?;
+    let store = Client::new(state.settings.store.address, STORE_TIMEOUT);
+    log::info!(host = state.host.as_str(), zone = state.zone.as_str(); "started");
+    follow::start(&state, store);
+    actix_rt::spawn(listen::callers(state.clone(), callers));
+    actix_rt::spawn(listen::readiness(state.clone(), ready));
+    actix_rt::spawn(peers::run(state.clone(), store, peers_listener));
+    actix_rt::spawn(planner::run(state.clone(), store));
+    actix_rt::spawn(orders::run(state.clone()));
+    actix_rt::spawn(refresh(state.clone()));
+    signal::stop().await.map_err(Error::Signal)?;
+    stop(&state).await;
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|source| Error::Listen { address, source })
+}
+
+async fn refresh(state: Shared) {
+    loop {
+        sleep(REFRESH).await;
+        state.refresh();
+    }
+}
+
+/// Stops: first the readiness, then idle connections, then the process once it has no requests.
+async fn stop(state: &Shared) {
+    let began = state.now();
+    state.stopping.set(true);
+    log::info!(active = state.active.get(); "stopping");
+    sleep(NOTICE).await;
+    state.closing.set(true);
+    state.closed.notify_waiters();
+    let grace = Duration::from_millis(state.settings.times.grace_ms).mul_f64(1.0 - LAST_PART);
+    loop {
+        sleep(POLL).await;
+        if state.active.get() == 0 || state.now().since(began) >= grace {
+            break;
+        }
+    }
+    log::info!(active = state.active.get(); "stopped");
+    // Lines are written by another thread.
+    sleep(POLL).await;
+}
--- /dev/null
+++ b/crates/router/src/reply.rs
@@ -0,0 +1,139 @@
+//! The answer to a caller, written as it comes.
+
+use std::io;
+use std::time::Duration;
+
+use actix_codec::Encoder;
+use actix_http::body::BodySize;
+use actix_http::h1::{Codec, Message};
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{Response, ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+/// Bytes of room in the buffer for output.
+const BUFFER_BYTES: usize = 4 * 1024;
+
+/// How far the answer to the present request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Nothing has been written.
+    Nothing,
+    /// The head, and perhaps a part of the body.
+    Part,
+    /// All of it.
+    Whole,
+}
+
+/// Writes answers to one caller's connection.
+pub struct Writer {
+    write: OwnedWriteHalf,
+    /// Also decodes requests, since the framing of an answer depends on its request.
+    pub codec: Codec,
+    out: BytesMut,
+    progress: Progress,
+    /// Whether the connection is to end with the present answer.
+    pub close: bool,
+}
+
+impl Writer {
+    /// A writer on a connection without requests.
+    pub fn new(write: OwnedWriteHalf, codec: Codec) -> Self {
+        let out = BytesMut::with_capacity(BUFFER_BYTES);
+        Self { write, codec, out, progress: Progress::Whole, close: false }
+    }
+
+    /// Starts the answer to another request.
+    pub fn start(&mut self) {
+        self.progress = Progress::Nothing;
+    }
+
+    /// How far the present answer is.
+    pub fn progress(&self) -> Progress {
+        self.progress
+    }
+
+    /// Whether another request may follow on the connection.
+    pub fn may_continue(&self) -> bool {
+        self.progress == Progress::Whole && self.codec.keep_alive() && !self.close
+    }
+
+    /// Asks the caller for the body that it holds back.
+    pub async fn proceed(&mut self) -> io::Result<()> {
+        self.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+        self.flush().await
+    }
+
+    /// Writes the head of an answer whose body comes in pieces.
+    pub async fn begin(&mut self, status: StatusCode, headers: HeaderMap) -> io::Result<()> {
+        self.head(status, headers, BodySize::Stream)?;
+        self.progress = Progress::Part;
+        self.flush().await
+    }
+
+    /// Writes a piece of the body.
+    pub async fn piece(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+        self.codec.encode(Message::Chunk(Some(Bytes::from(bytes))), &mut self.out)?;
+        self.flush().await
+    }
+
+    /// Ends the body.
+    pub async fn end(&mut self) -> io::Result<()> {
+        self.codec.encode(Message::Chunk(None), &mut self.out)?;
+        self.progress = Progress::Whole;
+        self.flush().await
+    }
+
+    /// Writes a whole answer.
+    pub async fn whole(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        body: Bytes,
+    ) -> io::Result<()> {
+        self.head(status, headers, BodySize::Sized(body.len() as u64))?;
+        self.progress = Progress::Part;
+        if !body.is_empty() {
+            self.codec.encode(Message::Chunk(Some(body)), &mut self.out)?;
+        }
+        self.codec.encode(Message::Chunk(None), &mut self.out)?;
+        self.progress = Progress::Whole;
+        self.flush().await
+    }
+
+    /// Writes an answer of the entry's own, without a body.
+    pub async fn own(&mut self, status: StatusCode, wait: Option<Duration>) -> io::Result<()> {
+        let mut headers = HeaderMap::new();
+        if let Some(wait) = wait {
+            let text = format!("{:.2}", wait.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        self.whole(status, headers, Bytes::new()).await
+    }
+
+    /// Ends the connection in order, after what has been written.
+    pub async fn shut_down(&mut self) {
+        // The caller may have gone already.
+        let _ = self.write.shutdown().await;
+    }
+
+    fn head(&mut self, status: StatusCode, headers: HeaderMap, size: BodySize) -> io::Result<()> {
+        let mut response: Response<()> = Response::new(status).drop_body();
+        let head: &mut ResponseHead = response.head_mut();
+        head.headers = headers;
+        if self.close {
+            head.set_connection_type(actix_http::ConnectionType::Close);
+        }
+        self.codec.encode(Message::Item((response, size)), &mut self.out)
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        while !self.out.is_empty() {
+            self.write.write_buf(&mut self.out).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/serve.rs
@@ -0,0 +1,163 @@
+//! One caller's request.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, StatusCode, header as http};
+use bytes::Bytes;
+use oriole_core::route::{Denial, Kind, Route, Workspace};
+use oriole_core::time::Instant;
+use oriole_core::{forward, name};
+use oriole_platform::{header, ingress};
+
+use crate::reply::Writer;
+use crate::state::Shared;
+use crate::{call, generation};
+
+/// When to come back to an entry that does not know the routing table yet.
+const NO_TABLE_WAIT: Duration = Duration::from_millis(500);
+
+/// A request that the routing table allows.
+pub struct Request {
+    /// The head, as the caller sent it.
+    pub head: Rc<RequestHead>,
+    /// The body.
+    pub body: Bytes,
+    /// What the caller says of it.
+    pub terms: ingress::Terms,
+    /// The route.
+    pub route: Route,
+    /// The service that it goes to.
+    pub service: name::Service,
+    /// The workspace that it counts for.
+    pub workspace: Option<Workspace>,
+    /// Its rank.
+    pub rank: u8,
+    /// When it had been read.
+    pub arrived: Instant,
+    /// When its final answer is due.
+    pub deadline: Instant,
+}
+
+impl Request {
+    /// The caller's identity of the attempt, for logs.
+    pub fn id(&self) -> &str {
+        self.terms.id.as_deref().unwrap_or_default()
+    }
+}
+
+/// Why a request is answered by the entry itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The routing table is not known yet.
+    NoTable,
+    /// No route matches.
+    NoRoute,
+    /// The key is missing or unknown.
+    Unauthorized,
+    /// Nothing that could run it has room.
+    NoRoom,
+    /// Its deadline or the route's timeout has passed.
+    Timeout,
+    /// Attempts failed and no other is allowed.
+    Failed,
+    /// Another attempt would be allowed by the route, but not by the retry budget.
+    NoBudget,
+}
+
+/// Answers one request. An error means that the connection cannot be used any more.
+pub async fn request(
+    state: &Shared,
+    head: Rc<RequestHead>,
+    body: Bytes,
+    writer: &mut Writer,
+) -> io::Result<()> {
+    let arrived = state.now();
+    let terms = ingress::terms(&head.headers);
+    let request = match admit(state, head, body, terms, arrived) {
+        Ok(request) => request,
+        Err((reason, id)) => {
+            log::info!(id = id.as_str(), reason:?; "rejected");
+            return reject(writer, reason).await;
+        }
+    };
+    state.count_request(&request.service);
+    let modelled = state.model(&request.service).is_some();
+    if modelled && request.route.kind == Kind::Streaming {
+        generation::run(state, &request, writer).await
+    } else {
+        call::run(state, &request, writer).await
+    }
+}
+
+fn admit(
+    state: &Shared,
+    head: Rc<RequestHead>,
+    body: Bytes,
+    terms: ingress::Terms,
+    arrived: Instant,
+) -> Result<Request, (Reason, String)> {
+    let id = || terms.id.clone().unwrap_or_default();
+    let Some(table) = state.inner.borrow().table.clone() else {
+        return Err((Reason::NoTable, id()));
+    };
+    let host = header::text(&head.headers, &http::HOST).unwrap_or_default();
+    let admitted = table.admit(host, head.uri.path(), terms.key.as_deref());
+    let (route, workspace) = admitted.map_err(|denial| match denial {
+        Denial::NoRoute => (Reason::NoRoute, id()),
+        Denial::Unauthorized => (Reason::Unauthorized, id()),
+    })?;
+    let Some(service) = route.service(rand::random()) else {
+        return Err((Reason::NoRoute, id()));
+    };
+    let patience = terms.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Request {
+        rank: forward::rank(route, workspace),
+        service: service.clone(),
+        workspace: workspace.cloned(),
+        route: route.clone(),
+        arrived,
+        deadline: arrived + patience,
+        head,
+        body,
+        terms,
+    })
+}
+
+async fn reject(writer: &mut Writer, reason: Reason) -> io::Result<()> {
+    let (status, wait) = match reason {
+        Reason::NoRoute => (StatusCode::NOT_FOUND, None),
+        Reason::Unauthorized => (StatusCode::UNAUTHORIZED, None),
+        _ => (StatusCode::SERVICE_UNAVAILABLE, Some(NO_TABLE_WAIT)),
+    };
+    writer.own(status, wait).await
+}
+
+/// Ends a request that will not be served.
+///
+/// Only if it has certainly not run may the caller be told so; a started answer is broken off.
+pub async fn give_up(
+    state: &Shared,
+    request: &Request,
+    writer: &mut Writer,
+    reason: Reason,
+    not_run: bool,
+) -> io::Result<()> {
+    let waited_ms = state.now().since(request.arrived).as_millis() as u64;
+    let route = request.route.name.as_str();
+    log::info!(id = request.id(), route, reason:?, not_run, waited_ms; "given up");
+    if writer.progress() != crate::reply::Progress::Nothing {
+        return Ok(());
+    }
+    let waiting = state.inner.borrow().queues.get(&request.service).map_or(0, |q| q.len());
+    if not_run {
+        let wait = forward::wait::retry_after(waiting, rand::random());
+        return writer.own(StatusCode::SERVICE_UNAVAILABLE, Some(wait)).await;
+    }
+    let status = match reason {
+        Reason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    writer.own(status, None).await
+}
--- /dev/null
+++ b/crates/router/src/state.rs
@@ -0,0 +1,238 @@
+//! What the process knows, shared by its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriole_adapter::clock::Clock;
+use oriole_core::fleet::{Doubt, View};
+use oriole_core::forward::book::Book;
+use oriole_core::forward::budget::Budget;
+use oriole_core::forward::choice::Record;
+use oriole_core::forward::lane::{self, Lane};
+use oriole_core::forward::wait::Queue;
+use oriole_core::name;
+use oriole_core::placement::{Model, Plan};
+use oriole_core::route::Table;
+use oriole_core::time::Instant;
+use tokio::sync::Notify;
+
+use crate::settings::Settings;
+
+/// Earlier plans whose chains may still be used.
+const KEPT_PLANS: usize = 3;
+
+/// Part of the drain bound during which a leaving endpoint still gets work.
+const DRAIN_PART: f64 = 0.4;
+
+/// Another entry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// Where it listens for other entries.
+    pub address: SocketAddr,
+}
+
+/// What the decisions need.
+pub struct Inner {
+    /// The newest routing table.
+    pub table: Option<Rc<Table>>,
+    /// The endpoints.
+    pub view: View,
+    /// The newest plan first.
+    pub plans: Vec<Plan>,
+    /// Usable chains by service.
+    pub lanes: BTreeMap<name::Service, Rc<Vec<Lane>>>,
+    /// Work in progress.
+    pub book: Book,
+    /// Requests that wait for room, by service.
+    pub queues: BTreeMap<name::Service, Queue>,
+    /// Retries by service.
+    pub budgets: BTreeMap<name::Service, Budget>,
+    /// Failures of plain services' endpoints.
+    pub record: Record,
+    /// Other entries by name, from the store.
+    pub peers: BTreeMap<name::Host, Peer>,
+}
+
+/// State that tasks share.
+pub struct State {
+    /// Settings.
+    pub settings: Settings,
+    /// The entry's name.
+    pub host: name::Host,
+    /// The entry's availability zone.
+    pub zone: name::Zone,
+    /// The clock.
+    pub clock: Clock,
+    /// What the decisions need.
+    pub inner: RefCell<Inner>,
+    /// Wakes requests that wait for room.
+    pub room: Notify,
+    /// Wakes requests whose chain may have been found not to work.
+    pub doubted: Notify,
+    /// Wakes tasks that act on a new plan or new endpoints.
+    pub changed: Notify,
+    /// Connections to other entries, once the secret is known.
+    pub hub: RefCell<Option<oriole_wire::Hub>>,
+    /// Endpoints that are being asked for a report.
+    pub asking: RefCell<BTreeSet<name::Endpoint>>,
+    /// Whether idle connections are to be closed.
+    pub closing: Cell<bool>,
+    /// Wakes idle connections that are to be closed.
+    pub closed: Notify,
+    /// Whether the process has been told to stop.
+    pub stopping: Cell<bool>,
+    /// Requests in progress.
+    pub active: Cell<usize>,
+}
+
+/// The state, shared.
+pub type Shared = Rc<State>;
+
+impl State {
+    /// State of a process that knows nothing yet.
+    pub fn new(settings: Settings) -> Shared {
+        let inner = Inner {
+            table: None,
+            view: View::default(),
+            plans: vec![],
+            lanes: BTreeMap::new(),
+            book: Book::default(),
+            queues: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            record: Record::default(),
+            peers: BTreeMap::new(),
+        };
+        Rc::new(Self {
+            host: settings.name.as_str().into(),
+            zone: settings.zone.as_str().into(),
+            settings,
+            clock: Clock::start(),
+            inner: RefCell::new(inner),
+            room: Notify::new(),
+            doubted: Notify::new(),
+            changed: Notify::new(),
+            hub: RefCell::new(None),
+            asking: RefCell::default(),
+            closing: Cell::new(false),
+            closed: Notify::new(),
+            stopping: Cell::new(false),
+            active: Cell::new(0),
+        })
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        let inner = self.inner.borrow();
+        inner.table.is_some() && inner.view.age(self.now()).is_some() && !self.stopping.get()
+    }
+
+    /// The model of a service that is served by chains.
+    pub fn model(&self, service: &name::Service) -> Option<Model> {
+        let inner = self.inner.borrow();
+        inner.table.as_ref()?.services.get(service)?.model.clone()
+    }
+
+    /// How long a leaving endpoint still gets work.
+    pub fn drain_grace(&self) -> Duration {
+        Duration::from_millis(self.settings.times.drain_ms).mul_f64(DRAIN_PART)
+    }
+
+    /// Takes over a newer routing table.
+    pub fn adopt_table(&self, table: Table) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        if inner.table.as_ref().is_some_and(|t| t.version >= table.version) {
+            return false;
+        }
+        log::info!(version = table.version, services = table.services.len(); "routing table in force");
+        inner.table = Some(Rc::new(table));
+        drop(inner);
+        self.refresh();
+        true
+    }
+
+    /// Takes over a newer plan.
+    pub fn adopt_plan(&self, plan: Plan) -> bool {
+        let mut inner = self.inner.borrow_mut();
+        if inner.plans.first().is_some_and(|p| p.revision >= plan.revision) {
+            return false;
+        }
+        let chains = plan.services.values().map(Vec::len).sum::<usize>();
+        log::info!(number = plan.number, revision = plan.revision, chains; "plan in force");
+        inner.plans.insert(0, plan);
+        inner.plans.truncate(KEPT_PLANS);
+        drop(inner);
+        self.refresh();
+        true
+    }
+
+    /// Notes that an endpoint does not work, on whose `word`.
+    pub fn doubt(&self, seen: &Doubt, word: &str) -> bool {
+        let now = self.now();
+        let is_new = self.inner.borrow_mut().view.doubt(seen, now);
+        if is_new {
+            log::warn!(endpoint = seen.endpoint.as_str(), word; "endpoint does not work");
+            self.refresh();
+            self.doubted.notify_waiters();
+        }
+        is_new
+    }
+
+    /// Works out anew which chains can be used.
+    pub fn refresh(&self) {
+        let now = self.now();
+        let grace = self.drain_grace();
+        let mut inner = self.inner.borrow_mut();
+        let Some(table) = inner.table.clone() else {
+            return;
+        };
+        let mut all = BTreeMap::new();
+        for (service, s) in &table.services {
+            if let Some(model) = &s.model {
+                let lanes = lane::all(model, service, &inner.plans, &inner.view, grace, now);
+                all.insert(service.clone(), Rc::new(lanes));
+            }
+        }
+        if all != inner.lanes {
+            let counts: Vec<usize> = all.values().map(|l| l.len()).collect();
+            log::info!(lanes:? = counts; "usable chains changed");
+        }
+        inner.lanes = all;
+        drop(inner);
+        self.room.notify_waiters();
+        self.changed.notify_waiters();
+    }
+
+    /// Entries that are known, this one included.
+    pub fn entries(&self) -> usize {
+        let inner = self.inner.borrow();
+        inner.peers.len().max(inner.book.others(self.now())) + 1
+    }
+
+    /// Takes one retry out of this entry's share.
+    pub fn take_retry(&self, service: &name::Service) -> bool {
+        // One more than is known: another entry may just be starting.
+        let entries = self.entries() + 1;
+        let now = self.now();
+        let bound = self.settings.retries.bound();
+        let mut inner = self.inner.borrow_mut();
+        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
+        budget.take(entries, now)
+    }
+
+    /// Counts a caller's request for a service.
+    pub fn count_request(&self, service: &name::Service) {
+        let now = self.now();
+        let bound = self.settings.retries.bound();
+        let mut inner = self.inner.borrow_mut();
+        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
+        budget.request(now);
+    }
+}
--- /dev/null
+++ b/crates/router/src/suspect.rs
@@ -0,0 +1,95 @@
+//! What is done about endpoints that fall silent, refuse, or cannot be reached.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriole_core::fleet::{Doubt, Message};
+use oriole_core::forward::lane::Lane;
+use oriole_core::name;
+use oriole_platform::endpoint;
+
+use crate::peers;
+use crate::state::Shared;
+
+/// Longest wait for an endpoint's report.
+const REPORT_LIMIT: Duration = Duration::from_millis(350);
+
+/// Asks the first endpoint of a chain for which stages its requests wait.
+pub fn ask(state: &Shared, lane: &Lane) {
+    let Some(seen) = begin(state, lane.head()) else {
+        return;
+    };
+    let (state, lane) = (state.clone(), lane.clone());
+    actix_rt::spawn(async move {
+        let report = endpoint::report(lane.hops[0].address, REPORT_LIMIT).await;
+        state.asking.borrow_mut().remove(lane.head());
+        match report {
+            Err(error) => {
+                log::info!(endpoint = lane.head().as_str(), error:%; "first stage is silent");
+                doubt(&state, &seen);
+            }
+            Ok(report) => {
+                let (pace, stalled) = (report.pace, report.stalled.len());
+                log::info!(endpoint = lane.head().as_str(), pace, stalled; "asked a silent chain");
+                for hop in lane.hops.iter().filter(|h| report.stalled.contains(&h.address)) {
+                    if let Some(seen) = seen_as(&state, &hop.endpoint) {
+                        doubt(&state, &seen);
+                    }
+                }
+            }
+        }
+    });
+}
+
+/// Looks closer at an endpoint that a refusal names, or at the first one.
+pub fn refused(state: &Shared, lane: &Lane, at_fault: Option<SocketAddr>) {
+    let named = lane.hops.iter().find(|h| Some(h.address) == at_fault);
+    let hop = named.unwrap_or(&lane.hops[0]);
+    let Some(seen) = begin(state, &hop.endpoint) else {
+        return;
+    };
+    let (state, address) = (state.clone(), hop.address);
+    actix_rt::spawn(async move {
+        let report = endpoint::report(address, REPORT_LIMIT).await;
+        state.asking.borrow_mut().remove(&seen.endpoint);
+        match report {
+            Ok(report) if report.born == seen.born => {
+                let layers = report.layers;
+                let held = state.inner.borrow_mut().view.hold(&seen, layers, report.orders);
+                if held {
+                    let orders = report.orders;
+                    peers::broadcast(&state, &Message::Held(seen.clone(), layers, orders));
+                    state.refresh();
+                }
+            }
+            Ok(_) | Err(_) => doubt(&state, &seen),
+        }
+    });
+}
+
+/// Notes that no connection to an endpoint could be opened.
+pub fn unreachable(state: &Shared, endpoint: &name::Endpoint) {
+    if let Some(seen) = seen_as(state, endpoint) {
+        doubt(state, &seen);
+    }
+}
+
+/// Notes a doubt and tells the other entries.
+fn doubt(state: &Shared, seen: &Doubt) {
+    if state.doubt(seen, state.host.as_str()) {
+        peers::broadcast(state, &Message::Doubt(seen.clone()));
+    }
+}
+
+/// Marks an endpoint as being asked; none if it is already, or is not known.
+fn begin(state: &Shared, endpoint: &name::Endpoint) -> Option<Doubt> {
+    let seen = seen_as(state, endpoint)?;
+    state.asking.borrow_mut().insert(endpoint.clone()).then_some(seen)
+}
+
+/// The endpoint as it is known now.
+fn seen_as(state: &Shared, endpoint: &name::Endpoint) -> Option<Doubt> {
+    let inner = state.inner.borrow();
+    let known = inner.view.get(endpoint)?;
+    Some(Doubt { endpoint: known.id.clone(), born: known.born })
+}
--- a/crates/side/src/builder.rs
+++ b/crates/side/src/builder.rs
@@ -3,15 +3,15 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use oriole_adapter::clock::Clock;
+use oriole_adapter::kv;
+use oriole_adapter::metrics::Exporter;
 use oriole_core::config::Config;
 use oriole_core::home;
 use oriole_core::name;
 use oriole_core::revision::follower;
 use oriole_core::side::{self, Machine};
 use oriole_follow::Follow;
-use oriole_platform::clock::Clock;
-use oriole_platform::kv;
-use oriole_platform::metrics::Exporter;
 use oriole_wire::hub;
 use oriole_wire::{Hub, conn::Liveness, handshake::Identity};
 use tokio::net::TcpListener;
--- a/crates/side/src/cmd.rs
+++ b/crates/side/src/cmd.rs
@@ -3,9 +3,9 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
+use oriole_adapter::metrics::Exporter;
+use oriole_adapter::{settings as files, signal};
 use oriole_follow::daemon::{Error, listen};
-use oriole_platform::metrics::Exporter;
-use oriole_platform::{settings as files, signal};
 use oriole_wire::conn::Liveness;
 
 use crate::settings::Settings;
--- a/crates/side/src/endpoint.rs
+++ b/crates/side/src/endpoint.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use oriole_adapter::{engine, service};
 use oriole_core::config::Kind;
 use oriole_core::engine::Batch;
 use oriole_core::message::Call;
 use oriole_core::name;
 use oriole_core::request::Ran;
 use oriole_core::side::Event;
-use oriole_platform::{engine, service};
 use tokio::sync::mpsc;
 
 /// Longest time that an engine may take for one batch.
--- a/crates/side/src/http.rs
+++ b/crates/side/src/http.rs
@@ -12,9 +12,9 @@
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use derive_more::{Display, Error};
+use oriole_adapter::server;
 use oriole_core::name;
 use oriole_core::request::{Id, ParseError};
-use oriole_platform::server;
 use serde::Serialize;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
--- a/crates/side/src/lock.rs
+++ b/crates/side/src/lock.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use oriole_platform::kv::Client;
-use oriole_platform::kv::message::{Compare, Put, Request, Txn};
+use oriole_adapter::kv::Client;
+use oriole_adapter::kv::message::{Compare, Put, Request, Txn};
 
 /// Start of the keys of locks.
 const PREFIX: &str = "oriole/lock/";
--- a/crates/side/src/orders.rs
+++ b/crates/side/src/orders.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
+use oriole_adapter::clock::Clock;
+use oriole_adapter::engine;
+use oriole_adapter::http::Error;
+use oriole_adapter::kv;
 use oriole_core::config::{Config, Kind};
 use oriole_core::drain::Cause;
 use oriole_core::name;
 use oriole_core::order::{Around, Effect, Event, LOCK_TTL, ORDER_TIMEOUT, Orderer, Target};
 use oriole_core::side;
-use oriole_platform::clock::Clock;
-use oriole_platform::engine;
-use oriole_platform::http::Error;
-use oriole_platform::kv;
 use tokio::sync::mpsc;
 
 use crate::endpoint::Results;
--- a/crates/side/src/process.rs
+++ b/crates/side/src/process.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use oriole_adapter::clock::Clock;
+use oriole_adapter::metrics::{Count, Exporter};
+use oriole_adapter::{engine, kv};
 use oriole_core::config::Config;
 use oriole_core::drain::Cause;
 use oriole_core::message::Message;
@@ -12,9 +15,6 @@
 use oriole_core::side::{Effect, Event, Machine};
 use oriole_core::time::as_us;
 use oriole_follow::Follow;
-use oriole_platform::clock::Clock;
-use oriole_platform::metrics::{Count, Exporter};
-use oriole_platform::{engine, kv};
 use oriole_wire::Hub;
 use oriole_wire::hub::{self, Kind as Wire};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/side/tests/orders.rs
+++ b/crates/side/tests/orders.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::engine::Client;
+use oriole_adapter::kv;
 use oriole_core::config::{Config, Endpoint, Kind, Model};
-use oriole_platform::engine::Client;
-use oriole_platform::kv;
 use oriole_side::{Builder, Handle, Setup};
 use oriole_standin::engine::{self, Settings};
 use oriole_standin::fault::Switch;
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
+use oriole_adapter::hosts::{List, PATH};
 use oriole_core::membership::Listing;
 use oriole_core::name;
-use oriole_platform::hosts::{List, PATH};
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
--- a/crates/standin/src/kv.rs
+++ b/crates/standin/src/kv.rs
@@ -12,7 +12,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
-use oriole_platform::kv::message::{
+use oriole_adapter::kv::message::{
     Lease, LeaseId, Put, Range, Streamed, Txn, WatchRange, Watched, Watching,
 };
 use serde::Serialize;
--- a/crates/standin/src/kv/store.rs
+++ b/crates/standin/src/kv/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriole_platform::kv::message::{
+use oriole_adapter::kv::message::{
     Change, Compare, Done, Header, KeyValue, Lease, Put, Range, RangeReply, Request, Response, Txn,
     TxnReply,
 };
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
+use oriole_adapter::engine::{Client, Error};
 use oriole_core::engine::{Action, Batch, Input, Order, Output, Step, StepError};
 use oriole_core::message::Sample;
-use oriole_platform::engine::{Client, Error};
 use oriole_standin::engine::{Settings, prefix, server};
 use oriole_standin::fault::Switch;
 use oriole_standin::model;
--- a/crates/standin/tests/kv.rs
+++ b/crates/standin/tests/kv.rs
@@ -6,12 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::hosts as list;
+use oriole_adapter::kv::message::{Compare, Put, Range, Request, Txn, WatchRange};
+use oriole_adapter::kv::{self, Cause, Client, Documents, Record, Settings};
 use oriole_core::membership::Listing;
 use oriole_core::revision::follower::{Reply, Version};
 use oriole_core::revision::{Change, Edit, Hash, Head, Operation, Step};
-use oriole_platform::hosts as list;
-use oriole_platform::kv::message::{Compare, Put, Range, Request, Txn, WatchRange};
-use oriole_platform::kv::{self, Cause, Client, Documents, Record, Settings};
 use oriole_standin::fault::Switch;
 use oriole_standin::hosts::{self, Hosts};
 use oriole_standin::kv::{Service, serve};
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::service::{Client, Error};
 use oriole_core::message::{Call, Term};
 use oriole_core::request::Id;
-use oriole_platform::service::{Client, Error};
 use oriole_standin::fault::Switch;
 use oriole_standin::service::{Answer, Record, serve};
 use oriole_standin::{relay, weights};
