Take answers without a length as ending with their connection

The exchange now frames such answers by their connection; a reset is an error. Ruled out: resets that read as an orderly end (the tests show that they do not).

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -12,6 +12,7 @@
 use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header;
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
@@ -85,9 +86,17 @@
     // Kept open: a peer may take a closed direction for a caller that left.
     _write: OwnedWriteHalf,
     buffer: BytesMut,
-    codec: Option<ClientPayloadCodec>,
-    /// Whether the body ends with the connection.
-    is_unframed: bool,
+    framing: Framing,
+}
+
+/// How the end of a body is told.
+enum Framing {
+    /// By a length or by chunks.
+    Codec(ClientPayloadCodec),
+    /// By the end of the connection.
+    Connection,
+    /// There is nothing more.
+    Over,
 }
 
 /// Opens a connection.
@@ -154,32 +163,34 @@
 
 impl Body {
     /// The next bytes; none when the body is complete.
+    ///
+    /// A connection that is reset is an error, also where only its end marks that of the body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
-            let Some(codec) = &mut self.codec else {
-                return Ok(None);
-            };
-            match codec.decode(&mut self.buffer)? {
-                Some(Some(bytes)) => return Ok(Some(bytes)),
-                Some(None) => {
-                    self.codec = None;
-                    return Ok(None);
+            match &mut self.framing {
+                Framing::Over => return Ok(None),
+                Framing::Connection if !self.buffer.is_empty() => {
+                    return Ok(Some(self.buffer.split().freeze()));
                 }
-                None => {}
+                Framing::Connection => {}
+                Framing::Codec(codec) => match codec.decode(&mut self.buffer)? {
+                    Some(Some(bytes)) => return Ok(Some(bytes)),
+                    Some(None) => {
+                        self.framing = Framing::Over;
+                        return Ok(None);
+                    }
+                    None => {}
+                },
             }
+            self.buffer.reserve(READ_BYTES);
             if self.read.read_buf(&mut self.buffer).await? == 0 {
-                if !self.is_unframed {
+                if matches!(self.framing, Framing::Codec(_)) {
                     return Err(Error::Closed);
                 }
-                self.codec = None;
+                self.framing = Framing::Over;
             }
         }
     }
-
-    /// Whether only the end of the connection marks the end of the body.
-    pub fn is_unframed(&self) -> bool {
-        self.is_unframed
-    }
 }
 
 fn new_codec() -> ClientCodec {
@@ -225,9 +236,20 @@
     write: OwnedWriteHalf,
     buffer: BytesMut,
 ) -> Answer {
-    let kind = codec.message_type();
-    let codec = (kind != MessageType::None).then(|| codec.into_payload_codec());
-    let is_unframed = kind == MessageType::Stream;
-    let body = Body { read, _write: write, buffer, codec, is_unframed };
-    Answer { head, body }
+    let framing = framing(&head, codec);
+    Answer { head, body: Body { read, _write: write, buffer, framing } }
+}
+
+/// The codec takes an answer without a length for one without a body, which it need not be.
+fn framing(head: &ResponseHead, codec: ClientCodec) -> Framing {
+    let headers = head.headers();
+    let has_length = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let is_bare = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if !is_bare && !has_length.iter().any(|name| headers.contains_key(name)) {
+        return Framing::Connection;
+    }
+    match codec.message_type() {
+        MessageType::None => Framing::Over,
+        _ => Framing::Codec(codec.into_payload_codec()),
+    }
 }
