Move streams around lost stages, and admit by the pauses that are measured

Streams now keep their first stage (repath over any endpoints that hold the missing layers), an endpoint that refused is left alone for 400 ms, and each chain is admitted to by the estimated time of an event times the factor by which measured pauses exceed it, shared among entries.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -65,6 +65,8 @@
     pub requests: u32,
     /// Tokens that they hold or are expected to hold.
     pub tokens: u64,
+    /// How much more slowly than estimated its events come to the sender.
+    pub factor: f64,
 }
 
 /// An endpoint that does not do its work although it is registered.
@@ -131,8 +133,12 @@
     reports: BTreeMap<name::Endpoint, Report>,
     doubts: BTreeMap<name::Endpoint, (u64, Instant)>,
     draining: BTreeMap<name::Endpoint, Instant>,
+    paused: BTreeMap<name::Endpoint, Instant>,
 }
 
+/// How long an endpoint that refused gets no new work.
+const PAUSE: Duration = Duration::from_millis(400);
+
 impl View {
     /// Takes over a listing that was true at `read`; returns whether anything changed.
     pub fn list(&mut self, mut listing: Listing, read: Instant) -> bool {
@@ -148,6 +154,7 @@
         let endpoints = &listing.endpoints;
         self.reports.retain(|id, _| endpoints.contains_key(id));
         self.draining.retain(|id, _| endpoints.contains_key(id));
+        self.paused.retain(|id, _| endpoints.contains_key(id));
         for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
             self.draining.entry(endpoint.id.clone()).or_insert(read);
         }
@@ -180,9 +187,15 @@
         is_new
     }
 
-    /// Forgets a doubt, since the endpoint was seen to work.
-    pub fn trust(&mut self, endpoint: &name::Endpoint) {
-        self.doubts.remove(endpoint);
+    /// Gives an endpoint that refused no new work for a while; returns whether that is new.
+    pub fn pause(&mut self, endpoint: &name::Endpoint, now: Instant) -> bool {
+        let is_new = !self.is_paused(endpoint, now);
+        self.paused.insert(endpoint.clone(), now);
+        is_new
+    }
+
+    fn is_paused(&self, endpoint: &name::Endpoint, now: Instant) -> bool {
+        self.paused.get(endpoint).is_some_and(|at| now.since(*at) < PAUSE)
     }
 
     /// Whether an endpoint is held not to work.
@@ -208,12 +221,14 @@
     /// than `grace`.
     pub fn is_usable(&self, id: &name::Endpoint, grace: Duration, now: Instant) -> bool {
         let leaving = self.draining.get(id).is_some_and(|since| now.since(*since) >= grace);
-        self.get(id).is_some() && !leaving && !self.is_doubted(id, now)
+        let held_off = self.is_doubted(id, now) || self.is_paused(id, now);
+        self.get(id).is_some() && !leaving && !held_off
     }
 
     /// Whether an endpoint is expected to stay.
     pub fn is_staying(&self, id: &name::Endpoint, now: Instant) -> bool {
-        self.is_usable(id, Duration::ZERO, now)
+        let is_ready = self.get(id).is_some_and(|e| e.state == State::Ready);
+        is_ready && !self.is_doubted(id, now)
     }
 
     /// The listing as it is, to be passed on.
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -1,6 +1,7 @@
 //! Decisions about one caller's request on its way to chains and endpoints.
 //!
 //! - [`book`]: work in progress of this entry and of the others, by first endpoint.
+//! - [`gauge`]: how much more slowly than estimated events come.
 //! - [`lane`]: chains that can be used now, and the choice among them.
 //! - [`choice`]: the choice among the endpoints of a plain service.
 //! - [`wait`]: the order in which requests wait for room.
@@ -12,6 +13,7 @@
 pub mod budget;
 pub mod choice;
 pub mod event;
+pub mod gauge;
 pub mod lane;
 pub mod outcome;
 pub mod wait;
--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::gauge::Gauge;
 use crate::fleet::Load;
 use crate::name;
 use crate::time::Instant;
@@ -24,6 +25,7 @@
 pub struct Book {
     own: BTreeMap<name::Endpoint, Sum>,
     others: BTreeMap<name::Host, (Instant, Vec<Load>)>,
+    gauges: BTreeMap<name::Endpoint, (Gauge, u32)>,
 }
 
 impl Book {
@@ -66,12 +68,70 @@
         sum
     }
 
+    /// Counts a stream of this entry that had its first event.
+    pub fn begin(&mut self, head: &name::Endpoint, now: Instant) {
+        let gauge = self.gauges.entry(head.clone());
+        gauge.or_insert_with(|| (Gauge::new(now), 0)).1 += 1;
+    }
+
+    /// Ends a stream that [`Book::begin`] counted.
+    pub fn finish(&mut self, head: &name::Endpoint) {
+        if let Some((_, streams)) = self.gauges.get_mut(head) {
+            *streams = streams.saturating_sub(1);
+        }
+    }
+
+    /// Counts an event that came `pause` after the one before it in its stream.
+    pub fn event(&mut self, head: &name::Endpoint, pause: Duration, now: Instant) {
+        if let Some((gauge, _)) = self.gauges.get_mut(head) {
+            gauge.event(pause, now);
+        }
+    }
+
+    /// Ends a period for all chains; `estimate` gives the time of an event on a chain for its work
+    /// in progress.
+    pub fn close(
+        &mut self,
+        estimate: impl Fn(&name::Endpoint, Sum) -> Option<Duration>,
+        now: Instant,
+    ) {
+        let heads: Vec<_> = self.gauges.keys().cloned().collect();
+        for head in heads {
+            let Some(estimate) = estimate(&head, self.sum(&head, now)) else {
+                self.gauges.remove(&head);
+                continue;
+            };
+            if let Some((gauge, streams)) = self.gauges.get_mut(&head) {
+                gauge.close(estimate, *streams, now);
+            }
+        }
+    }
+
+    /// How much more slowly than estimated a chain's events come, as all entries see it.
+    pub fn factor(&self, head: &name::Endpoint, now: Instant) -> f64 {
+        let own = self.gauges.get(head).map_or(1.0, |(gauge, _)| gauge.factor());
+        let requests = self.own.get(head).map_or(0, |sum| sum.requests);
+        let mut weight = f64::from(requests) + 1.0;
+        let mut total = own * weight;
+        for (at, loads) in self.others.values() {
+            if now.since(*at) >= KEEP {
+                continue;
+            }
+            for load in loads.iter().filter(|l| l.head == *head) {
+                weight += f64::from(load.requests);
+                total += f64::from(load.requests) * load.factor;
+            }
+        }
+        total / weight
+    }
+
     /// What the others are to be told.
     pub fn loads(&self) -> Vec<Load> {
         let load = |(head, sum): (&name::Endpoint, &Sum)| Load {
             head: head.clone(),
             requests: sum.requests,
             tokens: sum.tokens,
+            factor: self.gauges.get(head).map_or(1.0, |(gauge, _)| gauge.factor()),
         };
         self.own.iter().map(load).collect()
     }
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -5,11 +5,12 @@
 //! only where the stage with the least room still has room for it; a sequence that is pushed out
 //! of an engine's memory costs more than one that waits.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::book::Book;
-use crate::fleet::View;
+use crate::fleet::{Endpoint, View};
 use crate::placement::estimate::{self, Stage as Part};
 use crate::placement::{Accelerator, Chain, Model, Plan, Range};
 use crate::time::Instant;
@@ -31,8 +32,10 @@
     pub endpoint: name::Endpoint,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Its layers.
+    /// The layers that it runs, which may be a part of those that it holds.
     pub layers: Range,
+    /// Memory beside the layers that it holds, in bytes.
+    pub free: f64,
 }
 
 /// A chain all of whose stages hold their layers and take work.
@@ -42,8 +45,6 @@
     pub hops: Vec<Hop>,
     /// The availability zone of the first stage.
     pub zone: name::Zone,
-    /// Tokens for which the stage with the least room has room.
-    pub room: f64,
     accelerators: Vec<Accelerator>,
 }
 
@@ -53,9 +54,10 @@
         &self.hops[0].endpoint
     }
 
-    /// Whether the chain runs through an endpoint.
-    pub fn uses(&self, endpoint: &name::Endpoint) -> bool {
-        self.hops.iter().any(|h| h.endpoint == *endpoint)
+    /// The endpoints with their layers, for logs.
+    pub fn path(&self) -> String {
+        let hop = |h: &Hop| format!("{}={}-{}", h.endpoint, h.layers.first, h.layers.end);
+        self.hops.iter().map(hop).collect::<Vec<_>>().join(",")
     }
 
     /// Estimated time of one event with `requests` requests of `tokens` tokens in progress.
@@ -70,56 +72,95 @@
     }
 }
 
-/// The chains of a plan that can be used now.
-///
-/// A chain may be used while a leaving stage has not been leaving for longer than `grace`.
-pub fn open(
-    model: &Model,
-    chains: &[Chain],
-    view: &View,
-    grace: Duration,
-    now: Instant,
-) -> Vec<Lane> {
-    chains.iter().filter_map(|chain| lane(model, chain, view, grace, now)).collect()
+/// What lanes are made from.
+#[derive(Clone, Copy)]
+pub struct Source<'a> {
+    /// The model.
+    pub model: &'a Model,
+    /// The service.
+    pub service: &'a name::Service,
+    /// The endpoints.
+    pub view: &'a View,
+    /// How long a leaving endpoint may be used.
+    pub grace: Duration,
+    /// The present time.
+    pub now: Instant,
 }
 
-fn lane(model: &Model, chain: &Chain, view: &View, grace: Duration, now: Instant) -> Option<Lane> {
-    let mut hops = vec![];
-    let mut accelerators = vec![];
-    for stage in &chain.stages {
-        let endpoint = view.get(&stage.endpoint)?;
-        let usable = view.is_usable(&stage.endpoint, grace, now);
-        if !usable || !endpoint.layers.covers(stage.layers) {
+impl Source<'_> {
+    /// A hop over an endpoint that can be used now and holds `layers`.
+    fn hop(&self, id: &name::Endpoint, layers: Range) -> Option<(Hop, Accelerator)> {
+        let endpoint = self.view.get(id)?;
+        let usable = self.view.is_usable(id, self.grace, self.now);
+        if !usable || !endpoint.layers.covers(layers) {
             return None;
         }
-        let accelerator = model.accelerators.get(endpoint.accelerator.as_ref()?)?;
-        accelerators.push(accelerator.clone());
-        let endpoint_id = endpoint.id.clone();
-        hops.push(Hop { endpoint: endpoint_id, address: endpoint.address, layers: stage.layers });
+        let accelerator = self.model.accelerators.get(endpoint.accelerator.as_ref()?)?.clone();
+        let held = f64::from(endpoint.layers.len()) * self.model.layer_bytes;
+        let free = (accelerator.memory - held).max(0.0);
+        let hop = Hop { endpoint: id.clone(), address: endpoint.address, layers, free };
+        Some((hop, accelerator))
+    }
+
+    /// Hops over any endpoints that hold `gap`, those of other chains included.
+    fn bridge(&self, gap: Range, zone: Option<&name::Zone>) -> Option<Vec<(Hop, Accelerator)>> {
+        let mut hops = vec![];
+        let mut first = gap.first;
+        while first < gap.end {
+            let step = Range { first, end: first + 1 };
+            let end = |e: &Endpoint| e.layers.end.min(gap.end);
+            let holders = self.view.of(self.service).filter(|e| e.layers.covers(step));
+            let mut found: Vec<_> = holders
+                .filter_map(|e| self.hop(&e.id, Range { first, end: end(e) }).map(|h| (e, h)))
+                .collect();
+            found.sort_by(|(a, (_, x)), (b, (_, y))| {
+                let speed = x.step_factor.total_cmp(&y.step_factor);
+                (end(b).cmp(&end(a)))
+                    .then((Some(&b.zone) == zone).cmp(&(Some(&a.zone) == zone)))
+                    .then(speed)
+                    .then_with(|| a.id.cmp(&b.id))
+            });
+            let (_, hop) = found.into_iter().next()?;
+            first = hop.0.layers.end;
+            hops.push(hop);
+        }
+        Some(hops)
+    }
+
+    /// The chain as it can be used now, around stages that cannot.
+    fn lane(&self, chain: &Chain) -> Option<Lane> {
+        let head = &chain.stages.first()?.endpoint;
+        let zone = self.view.get(head)?.zone.clone();
+        let mut all = vec![];
+        for stage in &chain.stages {
+            match self.hop(&stage.endpoint, stage.layers) {
+                Some(hop) => all.push(hop),
+                // Work in progress is counted by the first endpoint, which stays.
+                None if all.is_empty() => return None,
+                None => all.extend(self.bridge(stage.layers, Some(&zone))?),
+            }
+        }
+        let mut endpoints = BTreeSet::new();
+        // A chain must not run through one endpoint twice.
+        if !all.iter().all(|(hop, _)| endpoints.insert(hop.endpoint.clone())) {
+            return None;
+        }
+        let (hops, accelerators) = all.into_iter().unzip();
+        Some(Lane { hops, zone, accelerators })
     }
-    let zone = view.get(&hops.first()?.endpoint)?.zone.clone();
-    let mut lane = Lane { hops, zone, room: 0.0, accelerators };
-    lane.room = estimate::room(model, &lane.parts());
-    Some(lane)
 }
 
 /// Chains of the present plan, then those of earlier plans that can still be used.
-pub fn all(
-    model: &Model,
-    service: &name::Service,
-    plans: &[Plan],
-    view: &View,
-    grace: Duration,
-    now: Instant,
-) -> Vec<Lane> {
+pub fn all(source: &Source<'_>, plans: &[Plan]) -> Vec<Lane> {
     let mut lanes: Vec<Lane> = vec![];
     for plan in plans {
-        let chains = plan.services.get(service).map_or(&[][..], Vec::as_slice);
-        for lane in open(model, chains, view, grace, now) {
-            let overlaps = lanes.iter().any(|l| lane.hops.iter().any(|h| l.uses(&h.endpoint)));
-            if !overlaps {
-                lanes.push(lane);
+        let chains = plan.services.get(source.service).map_or(&[][..], Vec::as_slice);
+        for chain in chains {
+            let first = chain.stages.first().map(|s| &s.endpoint);
+            if lanes.iter().any(|l| Some(l.head()) == first) {
+                continue;
             }
+            lanes.extend(source.lane(chain));
         }
     }
     lanes
@@ -134,6 +175,33 @@
     pub tokens: u64,
     /// The entry's availability zone.
     pub zone: &'a name::Zone,
+    /// First endpoints at which the request has run already.
+    pub ran_at: &'a [name::Endpoint],
+}
+
+impl Ask<'_> {
+    /// Whether the route allows the request to run at `head`, too.
+    fn allows(&self, head: &name::Endpoint) -> bool {
+        self.ran_at.len() < self.route.max_attempts as usize || self.ran_at.contains(head)
+    }
+}
+
+/// Bytes that work in progress takes of each endpoint, by the lanes that run through it.
+fn used<'a>(
+    model: &Model,
+    lanes: &'a [Lane],
+    book: &Book,
+    now: Instant,
+) -> BTreeMap<&'a name::Endpoint, f64> {
+    let mut used = BTreeMap::new();
+    for lane in lanes {
+        let tokens = book.sum(lane.head(), now).tokens as f64;
+        for hop in &lane.hops {
+            let bytes = tokens * f64::from(hop.layers.len()) * model.token_layer_bytes;
+            *used.entry(&hop.endpoint).or_default() += bytes;
+        }
+    }
+    used
 }
 
 /// The chain on which the request is estimated to be complete first, among those with room.
@@ -144,14 +212,21 @@
     ask: &Ask<'_>,
     now: Instant,
 ) -> Option<&'a Lane> {
+    let used = used(model, lanes, book, now);
+    let has_room = |hop: &Hop| {
+        let bytes = ask.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
+        let taken = used.get(&hop.endpoint).copied().unwrap_or_default();
+        taken + bytes <= hop.free * ROOM_PART
+    };
     let mut best: Option<(f64, &Lane)> = None;
-    for lane in lanes {
+    for lane in lanes.iter().filter(|l| ask.allows(l.head())) {
         let sum = book.sum(lane.head(), now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.tokens);
-        if tokens as f64 > lane.room * ROOM_PART || requests > model.slots {
+        if requests > model.slots || !lane.hops.iter().all(has_room) {
             continue;
         }
-        let event = lane.event(model, requests, tokens);
+        let factor = book.factor(lane.head(), now);
+        let event = lane.event(model, requests, tokens).mul_f64(factor);
         let late = ask.route.pause.is_some_and(|pause| event > pause.mul_f64(PAUSE_PART));
         if late && sum.requests > 0 {
             continue;
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -2,6 +2,7 @@
 
 use oriole_macros::key;
 
+use crate::name;
 use crate::route::Route;
 
 /// How an attempt ended without a complete answer.
@@ -25,38 +26,44 @@
 }
 
 /// Attempts so far of one request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Tries {
-    /// Attempts that were sent to an endpoint that works and may have run.
-    pub ran: u32,
+    /// Endpoints that may have run it, each once; those that ended since do not count.
+    pub ran_at: Vec<name::Endpoint>,
+    /// Whether it may have run at all.
+    pub may_have_run: bool,
     /// Attempts that certainly did not run.
     pub not_run: u32,
-    /// Attempts that were given up since a stage of their chain did not work.
-    pub doubted: u32,
 }
 
 /// Attempts of one request that may be refused as not run before it is given up.
 const MAX_NOT_RUN: u32 = 3;
 
 impl Tries {
-    /// Counts the end of an attempt.
-    pub fn count(&mut self, failure: Failure) {
-        match failure {
-            Failure::NotSent | Failure::NotExecuted => self.not_run += 1,
-            Failure::Unknown => self.ran += 1,
-            // An endpoint that ended does not count against the route's attempts.
-            Failure::Doubted => self.doubted += 1,
+    /// Counts the end of an attempt at `endpoint`, which `is_gone` if it does not work any more.
+    pub fn count(&mut self, endpoint: &name::Endpoint, failure: Failure, is_gone: bool) {
+        if failure.is_not_run() {
+            self.not_run += 1;
+            return;
+        }
+        self.may_have_run = true;
+        if is_gone {
+            self.ran_at.retain(|e| e != endpoint);
+        } else if !self.ran_at.contains(endpoint) {
+            self.ran_at.push(endpoint.clone());
         }
     }
 
     /// Whether another attempt is allowed by the route after `failure`.
+    ///
+    /// Where all of the route's endpoints have been used, one of them may still run it again.
     pub fn may_retry(&self, route: &Route, failure: Failure) -> bool {
         let repeatable = failure.is_not_run() || route.may_repeat();
-        repeatable && self.ran < route.max_attempts && self.not_run < MAX_NOT_RUN
+        repeatable && self.not_run < MAX_NOT_RUN
     }
 
-    /// Whether the request has certainly not run, so that the caller may be told so.
-    pub fn is_not_run(&self) -> bool {
-        self.ran == 0 && self.doubted == 0
+    /// Whether another endpoint may run it.
+    pub fn may_run_elsewhere(&self, route: &Route) -> bool {
+        self.ran_at.len() < route.max_attempts as usize
     }
 }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -57,7 +57,7 @@
             pass_on(whole, writer).await
         }
         (Ok(Err(reason)), None) => {
-            give_up(state, request, writer, reason, tries.is_not_run()).await
+            give_up(state, request, writer, reason, !tries.may_have_run).await
         }
         (Err(_), None) => give_up(state, request, writer, Reason::Timeout, false).await,
     }
@@ -93,9 +93,10 @@
         };
         log::info!(id = request.id(), endpoint = target.id.as_str(), failure:?; "attempt failed");
         state.inner.borrow_mut().record.fail(&target.id, state.clock.now());
-        tries.count(failure);
+        tries.count(&target.id, failure, state.is_doubted(&target.id));
         tried.push(target.id);
-        if !tries.may_retry(&request.route, failure) {
+        let again = tries.may_retry(&request.route, failure);
+        if !again || !tries.may_run_elsewhere(&request.route) {
             return Err(Reason::Failed);
         }
         if !state.take_retry(&request.service) {
@@ -153,7 +154,7 @@
         let answer = exchange::send(stream, head, request.body.clone()).await;
         finish(request, target, answer).await
     };
-    let again = request.route.may_repeat() && tries.ran + 1 < request.route.max_attempts;
+    let again = request.route.may_repeat() && tries.ran_at.len() + 1 < request.route.max_attempts as usize;
     if !again {
         return exchange.await;
     }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod repath;
 
 use std::io;
 
@@ -26,15 +27,15 @@
     let mut tries = Tries::default();
     let mut until = wait::until(request.arrived, request.route.objective, request.deadline);
     loop {
-        let (lane, slot) = match admission::acquire(state, request, until).await {
+        let (mut lane, slot) = match admission::acquire(state, request, &tries.ran_at, until).await {
             Ok(admitted) => admitted,
             Err(Refusal::NoRoom) => {
-                let not_run = tries.is_not_run();
+                let not_run = !tries.may_have_run;
                 return give_up(state, request, writer, Reason::NoRoom, not_run).await;
             }
         };
         let sent = state.now();
-        let end = attempt::run(state, request, &lane, &mut splitter, writer).await;
+        let end = attempt::run(state, request, &mut lane, &mut splitter, writer).await;
         drop(slot);
         let now = state.now();
         let head = lane.head().as_str();
@@ -52,8 +53,8 @@
             End::Failed(failure) => failure,
         };
         log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
-        tries.count(failure);
-        let not_run = tries.is_not_run();
+        tries.count(lane.head(), failure, state.is_doubted(lane.head()));
+        let not_run = !tries.may_have_run;
         if !tries.may_retry(&request.route, failure) {
             return give_up(state, request, writer, Reason::Failed, not_run).await;
         }
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -60,6 +60,7 @@
 pub async fn acquire(
     state: &Shared,
     request: &Request,
+    ran_at: &[name::Endpoint],
     until: Instant,
 ) -> Result<(Lane, Slot), Refusal> {
     let mut place: Option<Place> = None;
@@ -67,7 +68,7 @@
         let mut room = pin!(state.room.notified());
         room.as_mut().enable();
         if is_next(state, request, place.as_ref()) {
-            if let Some(lane) = choose(state, request) {
+            if let Some(lane) = choose(state, request, ran_at) {
                 if let Some(place) = &mut place {
                     place.served = true;
                 }
@@ -100,13 +101,13 @@
     }
 }
 
-fn choose(state: &Shared, request: &Request) -> Option<Lane> {
+fn choose(state: &Shared, request: &Request, ran_at: &[name::Endpoint]) -> Option<Lane> {
     let now = state.now();
     let model = state.model(&request.service)?;
     let inner = state.inner.borrow();
     let lanes = inner.lanes.get(&request.service)?;
     let tokens = request.terms.need.tokens();
-    let ask = Ask { route: &request.route, tokens, zone: &state.zone };
+    let ask = Ask { route: &request.route, tokens, zone: &state.zone, ran_at };
     lane::choose(&model, lanes, &inner.book, &ask, now).cloned()
 }
 
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -9,12 +9,15 @@
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::lane::Lane;
 use oriole_core::forward::outcome::Failure;
+use oriole_core::name;
+use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Additions, Verdict};
 use tokio::time::sleep;
 
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
 use crate::state::Shared;
+use crate::generation::repath;
 use crate::suspect;
 
 /// Longest time to open a connection.
@@ -26,8 +29,8 @@
 /// Silence between events after which the chain is asked about.
 const SILENCE: Duration = Duration::from_millis(500);
 
-/// Silence after which a stream is moved whatever the chain says of itself.
-const LONGEST_SILENCE: Duration = Duration::from_millis(1500);
+/// Further silence after which a stream is moved if others go on at the chain.
+const LONGEST_SILENCE: Duration = Duration::from_millis(1000);
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -48,7 +51,7 @@
 pub async fn run(
     state: &Shared,
     request: &Request,
-    lane: &Lane,
+    lane: &mut Lane,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> End {
@@ -69,10 +72,10 @@
 async fn open(
     state: &Shared,
     request: &Request,
-    lane: &Lane,
+    lane: &mut Lane,
     splitter: &Splitter,
 ) -> Result<Answer, Failure> {
-    let hop = &lane.hops[0];
+    let hop = lane.hops[0].clone();
     let stream = match exchange::connect(hop.address, CONNECT_LIMIT).await {
         Ok(stream) => stream,
         Err(e) => {
@@ -90,7 +93,7 @@
     };
     let head = endpoint::request(&request.head, &additions);
     let sending = exchange::send(stream, head, request.body.clone());
-    let answer = match watch(state, lane, FIRST_SILENCE, sending).await {
+    let answer = match watch(state, request, lane, FIRST_SILENCE, sending).await {
         Some(Ok(answer)) => answer,
         Some(Err(e)) => {
             log::info!(id = request.id(), error:% = e; "no answer");
@@ -117,7 +120,7 @@
 async fn pass_on(
     state: &Shared,
     request: &Request,
-    lane: &Lane,
+    lane: &mut Lane,
     answer: Answer,
     splitter: &mut Splitter,
     writer: &mut Writer,
@@ -133,8 +136,9 @@
     *splitter = Splitter::after(splitter.last().map(str::to_owned));
     let mut first = writer.progress() == Progress::Nothing;
     let mut silence = FIRST_SILENCE;
+    let mut stream = Stream::new(state, lane);
     loop {
-        let bytes = match watch(state, lane, silence, body.next()).await {
+        let bytes = match watch(state, request, lane, silence, body.next()).await {
             None => return End::Failed(Failure::Doubted),
             Some(Err(e)) => {
                 log::info!(id = request.id(), error:% = e; "stream broke");
@@ -152,6 +156,7 @@
             continue;
         }
         silence = SILENCE;
+        stream.event(state, lane);
         if first {
             first = false;
             let headers = endpoint::answer_headers(head.headers());
@@ -177,6 +182,38 @@
     }
 }
 
+/// Tells the book of a stream's events while it lives.
+struct Stream {
+    state: Shared,
+    head: name::Endpoint,
+    last: Option<Instant>,
+}
+
+impl Stream {
+    fn new(state: &Shared, lane: &Lane) -> Self {
+        Self { state: state.clone(), head: lane.head().clone(), last: None }
+    }
+
+    fn event(&mut self, state: &Shared, lane: &Lane) {
+        let now = state.now();
+        let mut inner = state.inner.borrow_mut();
+        inner.progress.insert(lane.head().clone(), now);
+        match self.last {
+            Some(last) => inner.book.event(&self.head, now.since(last), now),
+            None => inner.book.begin(&self.head, now),
+        }
+        self.last = Some(now);
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if self.last.is_some() {
+            self.state.inner.borrow_mut().book.finish(&self.head);
+        }
+    }
+}
+
 fn note_first(state: &Shared, request: &Request, lane: &Lane) {
     let first_ms = state.now().since(request.arrived).as_millis() as u64;
     log::debug!(id = request.id(), head = lane.head().as_str(), first_ms; "first event");
@@ -206,10 +243,12 @@
 
 /// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
 ///
-/// None if the chain does not work, or says nothing for much longer.
+/// A chain that does not work is left for another one with the same first stage, if there is one
+/// in time. None if there is none, or if other requests go on at the chain and this one does not.
 async fn watch<T>(
     state: &Shared,
-    lane: &Lane,
+    request: &Request,
+    lane: &mut Lane,
     silence: Duration,
     work: impl Future<Output = T>,
 ) -> Option<T> {
@@ -220,7 +259,16 @@
         let mut doubted = pin!(state.doubted.notified());
         doubted.as_mut().enable();
         if is_doubted(state, lane) {
-            return None;
+            // The answer may still end whole if all its tokens have been made.
+            tokio::select! {
+                biased;
+                result = &mut work => return Some(result),
+                moved = repath::run(state, request, lane) => match moved {
+                    Some(other) => *lane = other,
+                    None => return None,
+                },
+            }
+            continue;
         }
         let left = (began + limit).since(state.now());
         tokio::select! {
@@ -228,10 +276,10 @@
             result = &mut work => return Some(result),
             () = doubted => {}
             () = sleep(left) => {
-                if limit > silence {
+                if limit > silence && is_alone(state, lane) {
                     return None;
                 }
-                limit = silence + LONGEST_SILENCE;
+                limit += LONGEST_SILENCE;
                 suspect::ask(state, lane);
             }
         }
@@ -239,7 +287,12 @@
 }
 
 fn is_doubted(state: &Shared, lane: &Lane) -> bool {
-    let now = state.now();
+    lane.hops.iter().any(|h| state.is_doubted(&h.endpoint))
+}
+
+/// Whether other requests get events from the chain.
+fn is_alone(state: &Shared, lane: &Lane) -> bool {
     let inner = state.inner.borrow();
-    lane.hops.iter().any(|h| inner.view.is_doubted(&h.endpoint, now))
+    let last = inner.progress.get(lane.head());
+    last.is_some_and(|at| state.now().since(*at) < SILENCE)
 }
--- /dev/null
+++ b/crates/router/src/generation/repath.rs
@@ -0,0 +1,69 @@
+//! Moves a request in progress around a stage that does not work.
+//!
+//! The first stage stays, and with it the caller's stream; only the new stages read the tokens so
+//! far. Running the request again elsewhere would read all of them through all layers.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use oriole_core::forward::lane::Lane;
+use oriole_platform::endpoint;
+use tokio::time::sleep;
+
+use crate::serve::Request;
+use crate::state::Shared;
+
+/// Longest wait for a chain with the same first stage; callers leave soon after.
+const CHAIN_WAIT: Duration = Duration::from_millis(1400);
+
+/// Longest wait for the first stage's answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+
+/// Pause after an order was not obeyed.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// Moves the request; the chain that it runs over now, or none if it cannot go on.
+pub async fn run(state: &Shared, request: &Request, lane: &Lane) -> Option<Lane> {
+    let id = request.terms.id.as_deref()?;
+    let began = state.now();
+    loop {
+        let mut changed = pin!(state.changed.notified());
+        changed.as_mut().enable();
+        if state.is_doubted(lane.head()) {
+            return None;
+        }
+        let waited = state.now().since(began);
+        if let Some(other) = find(state, request, lane) {
+            match endpoint::repath(id, &other.hops, ANSWER_LIMIT).await {
+                Ok(true) => {
+                    let waited_ms = waited.as_millis() as u64;
+                    log::info!(id, head = lane.head().as_str(), waited_ms; "moved to another chain");
+                    return Some(other);
+                }
+                Ok(false) => log::info!(id; "move refused"),
+                Err(error) => log::info!(id, error:%; "move not answered"),
+            }
+            if waited >= CHAIN_WAIT {
+                return None;
+            }
+            sleep(AGAIN).await;
+            continue;
+        }
+        let left = CHAIN_WAIT.saturating_sub(waited);
+        if left.is_zero() {
+            return None;
+        }
+        tokio::select! {
+            () = changed => {}
+            () = sleep(left) => {}
+        }
+    }
+}
+
+/// A usable chain with the same first stage.
+fn find(state: &Shared, request: &Request, lane: &Lane) -> Option<Lane> {
+    let inner = state.inner.borrow();
+    let lanes = inner.lanes.get(&request.service)?;
+    let same = |l: &&Lane| l.head() == lane.head() && l.hops[0].layers == lane.hops[0].layers;
+    lanes.iter().find(same).cloned()
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -76,6 +76,7 @@
     actix_rt::spawn(hear(state.clone(), hub.clone(), events));
     *state.hub.borrow_mut() = Some(hub.clone());
     loop {
+        state.measure();
         tell(&state, &hub);
         sleep(NEWS_INTERVAL).await;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,17 +1,17 @@
 //! What the process knows, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use oriole_adapter::clock::Clock;
 use oriole_core::fleet::{Doubt, View};
-use oriole_core::forward::book::Book;
+use oriole_core::forward::book::{Book, Sum};
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::choice::Record;
-use oriole_core::forward::lane::{self, Lane};
+use oriole_core::forward::lane::{self, Lane, Source};
 use oriole_core::forward::wait::Queue;
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan};
@@ -52,6 +52,8 @@
     pub budgets: BTreeMap<name::Service, Budget>,
     /// Failures of plain services' endpoints.
     pub record: Record,
+    /// When a chain last brought an event, by its first endpoint.
+    pub progress: BTreeMap<name::Endpoint, Instant>,
     /// Other entries by name, from the store.
     pub peers: BTreeMap<name::Host, Peer>,
 }
@@ -76,8 +78,8 @@
     pub changed: Notify,
     /// Connections to other entries, once the secret is known.
     pub hub: RefCell<Option<oriole_wire::Hub>>,
-    /// Endpoints that are being asked for a report.
-    pub asking: RefCell<BTreeSet<name::Endpoint>>,
+    /// When endpoints were last asked for a report.
+    pub asked: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Whether idle connections are to be closed.
     pub closing: Cell<bool>,
     /// Wakes idle connections that are to be closed.
@@ -103,6 +105,7 @@
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
             record: Record::default(),
+            progress: BTreeMap::new(),
             peers: BTreeMap::new(),
         };
         Rc::new(Self {
@@ -115,7 +118,7 @@
             doubted: Notify::new(),
             changed: Notify::new(),
             hub: RefCell::new(None),
-            asking: RefCell::default(),
+            asked: RefCell::default(),
             closing: Cell::new(false),
             closed: Notify::new(),
             stopping: Cell::new(false),
@@ -185,6 +188,20 @@
         is_new
     }
 
+    /// Gives an endpoint that refused no new work for a while.
+    pub fn pause(&self, endpoint: &name::Endpoint) {
+        let now = self.now();
+        let is_new = self.inner.borrow_mut().view.pause(endpoint, now);
+        if is_new {
+            self.refresh();
+        }
+    }
+
+    /// Whether an endpoint is held not to work.
+    pub fn is_doubted(&self, endpoint: &name::Endpoint) -> bool {
+        self.inner.borrow().view.is_doubted(endpoint, self.now())
+    }
+
     /// Works out anew which chains can be used.
     pub fn refresh(&self) {
         let now = self.now();
@@ -196,13 +213,16 @@
         let mut all = BTreeMap::new();
         for (service, s) in &table.services {
             if let Some(model) = &s.model {
-                let lanes = lane::all(model, service, &inner.plans, &inner.view, grace, now);
+                let source = Source { model, service, view: &inner.view, grace, now };
+                let lanes = lane::all(&source, &inner.plans);
                 all.insert(service.clone(), Rc::new(lanes));
             }
         }
         if all != inner.lanes {
-            let counts: Vec<usize> = all.values().map(|l| l.len()).collect();
-            log::info!(lanes:? = counts; "usable chains changed");
+            for lane in all.values().flat_map(|l| l.iter()) {
+                let (head, path) = (lane.head().as_str(), lane.path());
+                log::info!(head, path = path.as_str(); "usable chain");
+            }
         }
         inner.lanes = all;
         drop(inner);
@@ -210,6 +230,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Compares the pauses between events with the estimates.
+    pub fn measure(&self) {
+        let now = self.now();
+        let mut inner = self.inner.borrow_mut();
+        let Inner { table, lanes, book, .. } = &mut *inner;
+        let Some(table) = table else {
+            return;
+        };
+        let estimate = |head: &name::Endpoint, sum: Sum| {
+            lanes.iter().find_map(|(service, lanes)| {
+                let lane = lanes.iter().find(|l| l.head() == head)?;
+                let model = table.services.get(service)?.model.as_ref()?;
+                Some(lane.event(model, sum.requests, sum.tokens))
+            })
+        };
+        book.close(estimate, now);
+    }
+
     /// Entries that are known, this one included.
     pub fn entries(&self) -> usize {
         let inner = self.inner.borrow();
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -6,13 +6,27 @@
 use oriole_core::fleet::{Doubt, Message};
 use oriole_core::forward::lane::Lane;
 use oriole_core::name;
-use oriole_platform::endpoint;
+use oriole_adapter::exchange::Error;
+use oriole_platform::endpoint::{self, Report};
 
 use crate::peers;
 use crate::state::Shared;
 
-/// Longest wait for an endpoint's report.
-const REPORT_LIMIT: Duration = Duration::from_millis(350);
+/// Longest waits for an endpoint's report; a lost packet alone must not make it fail.
+const REPORT_LIMITS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(200)];
+
+/// Least time between questions to one endpoint.
+const ASK_INTERVAL: Duration = Duration::from_millis(450);
+
+/// Asks for a report, once more if the first question gets no answer.
+async fn report(address: SocketAddr) -> Result<Report, Error> {
+    match endpoint::report(address, REPORT_LIMITS[0]).await {
+        Err(Error::Timeout | Error::ConnectTimeout) => {
+            endpoint::report(address, REPORT_LIMITS[1]).await
+        }
+        other => other,
+    }
+}
 
 /// Asks the first endpoint of a chain for which stages its requests wait.
 pub fn ask(state: &Shared, lane: &Lane) {
@@ -21,8 +35,7 @@
     };
     let (state, lane) = (state.clone(), lane.clone());
     actix_rt::spawn(async move {
-        let report = endpoint::report(lane.hops[0].address, REPORT_LIMIT).await;
-        state.asking.borrow_mut().remove(lane.head());
+        let report = report(lane.hops[0].address).await;
         match report {
             Err(error) => {
                 log::info!(endpoint = lane.head().as_str(), error:%; "first stage is silent");
@@ -45,13 +58,13 @@
 pub fn refused(state: &Shared, lane: &Lane, at_fault: Option<SocketAddr>) {
     let named = lane.hops.iter().find(|h| Some(h.address) == at_fault);
     let hop = named.unwrap_or(&lane.hops[0]);
+    state.pause(&hop.endpoint);
     let Some(seen) = begin(state, &hop.endpoint) else {
         return;
     };
     let (state, address) = (state.clone(), hop.address);
     actix_rt::spawn(async move {
-        let report = endpoint::report(address, REPORT_LIMIT).await;
-        state.asking.borrow_mut().remove(&seen.endpoint);
+        let report = report(address).await;
         match report {
             Ok(report) if report.born == seen.born => {
                 let layers = report.layers;
@@ -81,10 +94,16 @@
     }
 }
 
-/// Marks an endpoint as being asked; none if it is already, or is not known.
+/// The endpoint to be asked; none if it was asked just now, or is not known.
 fn begin(state: &Shared, endpoint: &name::Endpoint) -> Option<Doubt> {
     let seen = seen_as(state, endpoint)?;
-    state.asking.borrow_mut().insert(endpoint.clone()).then_some(seen)
+    let now = state.now();
+    let mut asked = state.asked.borrow_mut();
+    if asked.get(endpoint).is_some_and(|at| now.since(*at) < ASK_INTERVAL) {
+        return None;
+    }
+    asked.insert(endpoint.clone(), now);
+    Some(seen)
 }
 
 /// The endpoint as it is known now.
