Mend chains inside their availability zone

Cause, both sites after the first lost stage: replacements came from other zones, and each passage of a prompt between zones takes 12 ms of a pipe that all chains share; four passages of one chain slowed every chain that passes zones at all (28 requests on a chain that carries 100, factor 2 to 5, while every engine reported pace 1 and room). Chains are now mended with endpoints of their zone, taking the least chain apart for it, before others; bridges prefer the zone; the choice counts passages.

--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -75,10 +75,8 @@
 
 #[actix_rt::test]
 async fn interim_answers_are_passed_over() {
-    let address = say(
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfinal",
-    )
-    .await;
+    let address =
+        say("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfinal").await;
     assert_eq!(call(address).await.unwrap(), "final");
 }
 
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -20,11 +20,14 @@
 const ROOM_PART: f64 = 0.95;
 
 /// Part of the longest allowed pause that an event may take by the estimate.
-const PAUSE_PART: f64 = 0.7;
+const PAUSE_PART: f64 = 0.6;
 
 /// Estimated extra cost of a chain that starts in another availability zone, in milliseconds.
 const FAR_MS: f64 = 60.0;
 
+/// Weight of a passage between availability zones: what passes there delays all other chains.
+const CROSSING_WEIGHT: f64 = 8.0;
+
 /// One stage as a request names it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Hop {
@@ -32,6 +35,8 @@
     pub endpoint: name::Endpoint,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: name::Zone,
     /// The layers that it runs, which may be a part of those that it holds.
     pub layers: Range,
     /// Memory beside the layers that it holds, in bytes.
@@ -54,6 +59,11 @@
         &self.hops[0].endpoint
     }
 
+    /// Passages from one availability zone to another.
+    pub fn crossings(&self) -> usize {
+        self.hops.windows(2).filter(|pair| pair[0].zone != pair[1].zone).count()
+    }
+
     /// The endpoints with their layers, for logs.
     pub fn path(&self) -> String {
         let hop = |h: &Hop| format!("{}={}-{}", h.endpoint, h.layers.first, h.layers.end);
@@ -98,7 +108,8 @@
         let accelerator = self.model.accelerators.get(endpoint.accelerator.as_ref()?)?.clone();
         let held = f64::from(endpoint.layers.len()) * self.model.layer_bytes;
         let free = (accelerator.memory - held).max(0.0);
-        let hop = Hop { endpoint: id.clone(), address: endpoint.address, layers, free };
+        let (address, zone) = (endpoint.address, endpoint.zone.clone());
+        let hop = Hop { endpoint: id.clone(), address, zone, layers, free };
         Some((hop, accelerator))
     }
 
@@ -115,8 +126,8 @@
                 .collect();
             found.sort_by(|(a, (_, x)), (b, (_, y))| {
                 let speed = x.step_factor.total_cmp(&y.step_factor);
-                (end(b).cmp(&end(a)))
-                    .then((Some(&b.zone) == zone).cmp(&(Some(&a.zone) == zone)))
+                ((Some(&b.zone) == zone).cmp(&(Some(&a.zone) == zone)))
+                    .then(end(b).cmp(&end(a)))
                     .then(speed)
                     .then_with(|| a.id.cmp(&b.id))
             });
@@ -232,6 +243,8 @@
             continue;
         }
         let far = if lane.zone == *ask.zone { 0.0 } else { FAR_MS };
+        let crossing = estimate::crossing_ms(model, ask.tokens as f64) * CROSSING_WEIGHT;
+        let far = far + crossing * lane.crossings() as f64;
         let events = model.usual_answer / f64::from(model.stride.max(1));
         let cost = event.as_secs_f64() * 1000.0 * events + far;
         if best.is_none_or(|(least, _)| cost < least) {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -84,6 +84,10 @@
     pub read_per_ms: f64,
     /// Steps of a pass, which is also the tokens of one event.
     pub stride: u32,
+    /// Bytes that a stage passes on for each token.
+    pub activation_bytes: f64,
+    /// Bytes a second between two availability zones, for all chains together.
+    pub pipe_bytes: f64,
     /// Mean tokens of a prompt.
     pub usual_prompt: f64,
     /// Mean tokens of an answer.
--- a/crates/core/src/placement/build.rs
+++ b/crates/core/src/placement/build.rs
@@ -4,7 +4,7 @@
 //! the most room for requests, chains of fast accelerators finish requests soonest; the estimate
 //! weighs both, for each size of room.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::estimate::{self, Stage as Part};
 use super::{Candidate, Chain, Model, Range, Stage};
@@ -53,7 +53,7 @@
             .iter()
             .map(|&(i, layers)| Part { accelerator: &free[i].accelerator, layers })
             .collect();
-        let value = estimate::throughput(model, &stages);
+        let value = estimate::throughput(model, &stages, crossings(free, &parts));
         if best.as_ref().is_none_or(|(most, _)| value > *most) {
             best = Some((value, parts));
         }
@@ -94,6 +94,12 @@
     (left == 0).then_some(parts)
 }
 
+/// Passages between availability zones of a chain that [`lay`] makes.
+fn crossings(free: &[&Candidate], parts: &[(usize, u32)]) -> usize {
+    let zones: BTreeSet<_> = parts.iter().map(|&(i, _)| &free[i].zone).collect();
+    zones.len().saturating_sub(1)
+}
+
 /// Assigns layers in order, neighbours of one availability zone together.
 fn lay(free: &[&Candidate], parts: &[(usize, u32)]) -> Chain {
     let mut parts = parts.to_vec();
--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -1,7 +1,5 @@
 //! What a chain is expected to serve.
 
-use std::time::Duration;
-
 use super::{Accelerator, Model};
 
 /// Time that a token spends between two stages, in milliseconds.
@@ -36,26 +34,27 @@
     rooms.fold(f64::INFINITY, f64::min)
 }
 
-/// Most requests at once for which an event takes no longer than `pause`.
-pub fn requests_within(model: &Model, stages: &[Stage<'_>], pause: Duration) -> u32 {
-    let pause_ms = pause.as_secs_f64() * 1000.0;
-    let usual = model.usual_prompt + model.usual_answer / 2.0;
-    let event_ms = |n: f64| token_ms(model, stages, n, n * usual) * f64::from(model.stride);
-    let (base, next) = (event_ms(0.0), event_ms(1.0));
-    if base >= pause_ms {
-        return 1;
-    }
-    let most = (pause_ms - base) / (next - base).max(f64::EPSILON);
-    (most as u32).clamp(1, model.slots)
+/// Milliseconds that `tokens` tokens take between two availability zones on an idle pipe.
+pub fn crossing_ms(model: &Model, tokens: f64) -> f64 {
+    tokens * model.activation_bytes / model.pipe_bytes * 1000.0
 }
 
-/// Usual requests that the chain completes in a second when it is full.
-pub fn throughput(model: &Model, stages: &[Stage<'_>]) -> f64 {
+/// Part of a pipe between availability zones that one chain may fill.
+const PIPE_PART: f64 = 0.3;
+
+/// Usual requests that the chain completes in a second when it is full; `crossings` times their
+/// tokens pass from one availability zone to another.
+pub fn throughput(model: &Model, stages: &[Stage<'_>], crossings: usize) -> f64 {
     let usual = model.usual_prompt + model.usual_answer;
     let requests = (room(model, stages) / usual).min(f64::from(model.slots));
     let step = token_ms(model, stages, requests, requests * usual);
-    let duration_ms = step * model.usual_answer + read_ms(model, stages, model.usual_prompt);
-    requests / duration_ms * 1000.0
+    let crossing_ms = crossing_ms(model, usual) * crossings as f64;
+    let read_ms = read_ms(model, stages, model.usual_prompt) + crossing_ms;
+    let by_stages = requests / (step * model.usual_answer + read_ms) * 1000.0;
+    if crossings == 0 {
+        return by_stages;
+    }
+    by_stages.min(PIPE_PART * 1000.0 / crossing_ms)
 }
 
 fn share(model: &Model, stage: &Stage<'_>) -> f64 {
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -29,6 +29,15 @@
     work.chains
 }
 
+/// Where replacements may be.
+#[derive(Clone, Copy, PartialEq)]
+enum Reach {
+    /// In the chain's availability zone, so that no further tokens pass between zones.
+    Zone,
+    /// Anywhere.
+    Anywhere,
+}
+
 struct Work<'a> {
     model: &'a Model,
     known: BTreeMap<&'a name::Endpoint, &'a Candidate>,
@@ -45,9 +54,11 @@
     /// Fills the gaps of a chain, taking apart chains that serve less, or the chain itself.
     fn mend(&mut self, index: usize) {
         let mut index = index;
-        while !self.fill(index) {
+        while !self.fill(index, Reach::Zone) {
             let Some(least) = self.least_below(index) else {
-                self.chains.remove(index);
+                if !self.fill(index, Reach::Anywhere) {
+                    self.chains.remove(index);
+                }
                 return;
             };
             self.chains.remove(least);
@@ -65,13 +76,16 @@
     }
 
     /// Replaces the missing stages by free endpoints; changes nothing if there are too few.
-    fn fill(&mut self, index: usize) -> bool {
+    fn fill(&mut self, index: usize, reach: Reach) -> bool {
         let room = self.room(index);
         let zone = self.zone(index);
         let gaps = self.missing(index);
         for part in ROOM_PARTS {
             let tokens = (room * part).max(MIN_ROOM);
             let mut free = self.free();
+            if reach == Reach::Zone {
+                free.retain(|c| Some(&c.zone) == zone.as_ref());
+            }
             let mut stages = vec![];
             let filled = gaps.iter().all(|gap| {
                 let filled = self.cover(*gap, tokens, zone.as_ref(), &mut free);
@@ -152,7 +166,15 @@
     }
 
     fn value(&self, index: usize) -> f64 {
-        estimate::throughput(self.model, &self.parts(index))
+        estimate::throughput(self.model, &self.parts(index), self.crossings(index))
+    }
+
+    /// Passages between availability zones along the chain.
+    fn crossings(&self, index: usize) -> usize {
+        let stages = self.chains[index].stages.iter();
+        let zones: Vec<_> =
+            stages.filter_map(|s| Some(&self.known.get(&s.endpoint)?.zone)).collect();
+        zones.windows(2).filter(|pair| pair[0] != pair[1]).count()
     }
 
     fn room(&self, index: usize) -> f64 {
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -154,7 +154,8 @@
         let answer = exchange::send(stream, head, request.body.clone()).await;
         finish(request, target, answer).await
     };
-    let again = request.route.may_repeat() && tries.ran_at.len() + 1 < request.route.max_attempts as usize;
+    let again =
+        request.route.may_repeat() && tries.ran_at.len() + 1 < request.route.max_attempts as usize;
     if !again {
         return exchange.await;
     }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -27,7 +27,8 @@
     let mut tries = Tries::default();
     let mut until = wait::until(request.arrived, request.route.objective, request.deadline);
     loop {
-        let (mut lane, slot) = match admission::acquire(state, request, &tries.ran_at, until).await {
+        let (mut lane, slot) = match admission::acquire(state, request, &tries.ran_at, until).await
+        {
             Ok(admitted) => admitted,
             Err(Refusal::NoRoom) => {
                 let not_run = !tries.may_have_run;
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -14,10 +14,10 @@
 use oriole_platform::endpoint::{self, Additions, Verdict};
 use tokio::time::sleep;
 
+use crate::generation::repath;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
 use crate::state::Shared;
-use crate::generation::repath;
 use crate::suspect;
 
 /// Longest time to open a connection.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -19,6 +19,9 @@
 /// Interval of news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Rounds of news between two log lines about the load of each chain.
+const REPORT_ROUNDS: u64 = 10;
+
 /// Age from which another entry's listing is refreshed by a younger one.
 const OLD_LISTING: Duration = Duration::from_millis(1300);
 
@@ -75,8 +78,13 @@
     hub.listen(listener);
     actix_rt::spawn(hear(state.clone(), hub.clone(), events));
     *state.hub.borrow_mut() = Some(hub.clone());
+    let mut round = 0_u64;
     loop {
         state.measure();
+        if round.is_multiple_of(REPORT_ROUNDS) {
+            state.log_load();
+        }
+        round += 1;
         tell(&state, &hub);
         sleep(NEWS_INTERVAL).await;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -248,6 +248,30 @@
         book.close(estimate, now);
     }
 
+    /// Writes a line about the load of each chain.
+    pub fn log_load(&self) {
+        let now = self.now();
+        let inner = self.inner.borrow();
+        let Some(table) = &inner.table else {
+            return;
+        };
+        for (service, lanes) in &inner.lanes {
+            let waiting = inner.queues.get(service).map_or(0, |q| q.len());
+            let Some(model) = table.services.get(service).and_then(|s| s.model.as_ref()) else {
+                continue;
+            };
+            for lane in lanes.iter() {
+                let sum = inner.book.sum(lane.head(), now);
+                let event_ms = lane.event(model, sum.requests, sum.tokens).as_millis() as u64;
+                let factor = inner.book.factor(lane.head(), now);
+                log::info!(
+                    head = lane.head().as_str(), requests = sum.requests, tokens = sum.tokens,
+                    event_ms, factor, waiting; "load"
+                );
+            }
+        }
+    }
+
     /// Entries that are known, this one included.
     pub fn entries(&self) -> usize {
         let inner = self.inner.borrow();
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::exchange::Error;
 use oriole_core::fleet::{Doubt, Message};
 use oriole_core::forward::lane::Lane;
 use oriole_core::name;
-use oriole_adapter::exchange::Error;
 use oriole_platform::endpoint::{self, Report};
 
 use crate::peers;
