While stopping, take only what ends before the process does

After the notice period an entry takes a generation only if its longest answer, at the pauses that are measured, ends in time; others are told to come back when the entry runs again.

--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::book::Book;
+use super::Need;
+use super::book::{Book, Sum};
 use crate::fleet::{Endpoint, View};
 use crate::placement::estimate::{self, Stage as Part};
 use crate::placement::{Accelerator, Chain, Model, Plan, Range};
@@ -76,6 +77,15 @@
         Duration::from_secs_f64(ms * f64::from(model.stride) / 1000.0)
     }
 
+    /// Longest time that a generation of `need` takes if events come `factor` times as slowly as
+    /// estimated.
+    pub fn longest(&self, model: &Model, need: &Need, sum: Sum, factor: f64) -> Duration {
+        let event = self.event(model, sum.requests, sum.tokens).mul_f64(factor.max(1.0));
+        let events = f64::from(need.most) / f64::from(model.stride.max(1));
+        let read_ms = estimate::read_ms(model, &self.parts(), f64::from(need.prompt));
+        event.mul_f64(events.ceil() + 1.0) + Duration::from_secs_f64(read_ms / 1000.0)
+    }
+
     fn parts(&self) -> Vec<Part<'_>> {
         let stages = self.hops.iter().zip(&self.accelerators);
         stages.map(|(h, accelerator)| Part { accelerator, layers: h.layers.len() }).collect()
--- /dev/null
+++ b/crates/core/tests/fleet_world/mod.rs
@@ -0,0 +1,132 @@
+//! Endpoints, models and routing tables for tests of placement and forwarding.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::ops::Range as Span;
+use std::time::Duration;
+
+use oriole_core::fleet::{Endpoint, Listing, State};
+use oriole_core::name;
+use oriole_core::placement::{Accelerator, Candidate, Model, Plan, Range};
+use oriole_core::route::{Kind, Route, Share};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Property tests give the same verdict each time.
+pub fn seed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        cases,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Large and fast, small and fast, middling and slow.
+pub fn accelerators() -> [(&'static str, Accelerator); 3] {
+    let kind = |memory, step_factor, read_factor| Accelerator { memory, step_factor, read_factor };
+    [
+        ("large", kind(70e9, 2.5, 3.0)),
+        ("small", kind(14e9, 5.0, 8.0)),
+        ("slow", kind(22e9, 16.0, 8.0)),
+    ]
+}
+
+/// A model that no accelerator holds alone.
+pub fn model() -> Model {
+    let named = accelerators().map(|(name, accelerator)| (name.to_owned(), accelerator));
+    Model {
+        layers: 80,
+        layer_bytes: 1.75e9,
+        token_layer_bytes: 7_400.0,
+        load: Duration::from_secs(14),
+        slots: 192,
+        step_ms: 1.0,
+        step_request_ms: 0.0046,
+        step_context_ms: 0.006,
+        read_per_ms: 160.0,
+        stride: 4,
+        activation_bytes: 30_000.0,
+        pipe_bytes: 2e9,
+        usual_prompt: 800.0,
+        usual_answer: 220.0,
+        accelerators: BTreeMap::from(named),
+    }
+}
+
+/// An endpoint for placement.
+pub fn candidate(number: usize, zone: usize, kind: usize) -> Candidate {
+    Candidate {
+        endpoint: format!("e-{number:03}").as_str().into(),
+        zone: format!("zone-{zone}").as_str().into(),
+        accelerator: accelerators()[kind].1.clone(),
+        held: Range::default(),
+    }
+}
+
+/// Any endpoints in three zones.
+pub fn candidates(count: Span<usize>) -> impl Strategy<Value = Vec<Candidate>> {
+    prop::collection::vec((0_usize..3, 0_usize..3), count).prop_map(|kinds| {
+        let numbered = kinds.into_iter().enumerate();
+        numbered.map(|(number, (zone, kind))| candidate(number, zone, kind)).collect()
+    })
+}
+
+/// Three zones with four large, twenty small and fourteen slow accelerators.
+pub fn site() -> Vec<Candidate> {
+    let counts = [(0, [2, 4, 4]), (1, [1, 6, 6]), (2, [1, 10, 4])];
+    let mut all = vec![];
+    for (zone, kinds) in counts {
+        for (kind, count) in kinds.into_iter().enumerate() {
+            for _ in 0..count {
+                all.push(candidate(all.len(), zone, kind));
+            }
+        }
+    }
+    all
+}
+
+/// The service of [`listing`].
+pub fn service() -> name::Service {
+    "model".into()
+}
+
+/// Registrations of endpoints that hold what `plan` gives them.
+pub fn listing(endpoints: &[Candidate], plan: &Plan) -> Listing {
+    let names = accelerators();
+    let endpoint = |(number, candidate): (usize, &Candidate)| {
+        let kind = names.iter().find(|(_, a)| *a == candidate.accelerator);
+        let endpoint = Endpoint {
+            id: candidate.endpoint.clone(),
+            service: service(),
+            address: ([10, 0, 0, number as u8], 8080).into(),
+            zone: candidate.zone.clone(),
+            state: State::Ready,
+            born: 1,
+            slots: 192,
+            heartbeat: 1,
+            orders: 0,
+            accelerator: kind.map(|(name, _)| (*name).to_owned()),
+            layers: plan.layers_of(&candidate.endpoint).unwrap_or_default(),
+        };
+        (candidate.endpoint.clone(), endpoint)
+    };
+    Listing { revision: 1, endpoints: endpoints.iter().enumerate().map(endpoint).collect() }
+}
+
+/// A route of streams that may be resumed.
+pub fn route() -> Route {
+    Route {
+        name: "draft".to_owned(),
+        prefix: "/draft/".to_owned(),
+        kind: Kind::Streaming,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_millis(500),
+        priority: 1,
+        shares: vec![Share { service: service(), weight: 1 }],
+        max_attempts: 2,
+        public: false,
+        resumable: true,
+        pause: Some(Duration::from_millis(250)),
+    }
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,208 @@
+//! Placement of layers: what must hold for any endpoints, losses and orders.
+
+mod fleet_world;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fleet_world::{candidates, model, seed};
+use oriole_core::placement::estimate::{self, Stage as Part};
+use oriole_core::placement::{Candidate, Chain, Model, Range, build, order, revise};
+use proptest::prelude::*;
+
+/// Each chain is complete, and no endpoint is in two places or given more than it holds.
+fn check(model: &Model, chains: &[Chain], endpoints: &[Candidate]) {
+    let known: BTreeMap<_, _> = endpoints.iter().map(|e| (&e.endpoint, e)).collect();
+    let mut used = BTreeSet::new();
+    for chain in chains {
+        assert!(chain.is_complete(model.layers), "{chain:?}");
+        for stage in &chain.stages {
+            assert!(used.insert(&stage.endpoint), "{} is used twice", stage.endpoint);
+            let memory = known[&stage.endpoint].accelerator.memory;
+            let need = f64::from(stage.layers.len()) * model.layer_bytes;
+            assert!(need <= memory, "{stage:?} does not fit into {memory}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(seed(128))]
+
+    #[test]
+    fn chains_hold_every_layer_once(endpoints in candidates(0..60)) {
+        let model = model();
+        check(&model, &build::chains(&model, &endpoints), &endpoints);
+    }
+
+    #[test]
+    fn revised_plans_hold_every_layer_once(
+        endpoints in candidates(20..60),
+        lost in prop::collection::vec(prop::collection::vec(any::<prop::sample::Index>(), 0..4), 1..6),
+    ) {
+        let model = model();
+        let mut present = endpoints;
+        let mut chains = revise::revise(&model, &[], &present);
+        for round in lost {
+            for index in round {
+                if !present.is_empty() {
+                    let index = index.index(present.len());
+                    present.remove(index);
+                }
+            }
+            chains = revise::revise(&model, &chains, &present);
+            check(&model, &chains, &present);
+        }
+    }
+
+    #[test]
+    fn a_plan_without_losses_stays(endpoints in candidates(10..60)) {
+        let model = model();
+        let first = revise::revise(&model, &[], &endpoints);
+        prop_assert_eq!(&revise::revise(&model, &first, &endpoints), &first);
+    }
+
+    #[test]
+    fn proposals_do_not_depend_on_the_order_of_endpoints(endpoints in candidates(10..60)) {
+        let model = model();
+        let mut other = endpoints.clone();
+        other.reverse();
+        prop_assert_eq!(build::chains(&model, &endpoints), build::chains(&model, &other));
+    }
+
+    /// At no moment does an endpoint hold, or is it told to hold, more than fits, whatever it held
+    /// before; and the orders lead to what is wanted.
+    #[test]
+    fn orders_lead_to_the_plan_within_memory(
+        held in (0_u32..30, 0_u32..30),
+        wanted in (0_u32..60, 1_u32..30),
+        accelerator in 0_usize..3,
+    ) {
+        let model = model();
+        let memory = fleet_world::accelerators()[accelerator].1.memory;
+        let most = model.capacity(memory, 0.0);
+        let mut held = Range { first: held.0, end: held.0 + held.1.min(most) };
+        let wanted = Range { first: wanted.0, end: wanted.0 + wanted.1.min(most) };
+        for _ in 0..3 {
+            let Some(next) = order::next(&model, memory, held, wanted) else {
+                break;
+            };
+            let both = held.len() + next.len() - held.common(next).len();
+            prop_assert!(f64::from(both) * model.layer_bytes <= memory);
+            held = next;
+        }
+        prop_assert_eq!(held, wanted);
+    }
+
+    /// Orders are conditional on the count of those accepted before. Whatever is lost, late or
+    /// repeated, an endpoint ends with what is wanted last and never holds too much.
+    #[test]
+    fn late_and_lost_orders_do_no_harm(
+        plans in prop::collection::vec((0_u32..60, 1_u32..8), 1..6),
+        fates in prop::collection::vec(0_u8..3, 40),
+    ) {
+        let model = model();
+        let memory = fleet_world::accelerators()[1].1.memory;
+        let most = model.capacity(memory, 0.0);
+        let mut engine = (Range::default(), 0_u64);
+        let mut late: Vec<(Range, u64)> = vec![];
+        let mut fates = fates.into_iter();
+        let apply = |engine: &mut (Range, u64), order: Range, condition: u64| {
+            if engine.1 == condition {
+                *engine = (order, condition + 1);
+            }
+        };
+        for (first, count) in plans {
+            let wanted = Range { first, end: first + count.min(most) };
+            for _ in 0..12 {
+                let Some(next) = order::next(&model, memory, engine.0, wanted) else {
+                    break;
+                };
+                match fates.next().unwrap_or_default() {
+                    0 => {
+                        let count = engine.1;
+                        apply(&mut engine, next, count);
+                    }
+                    1 => late.push((next, engine.1)),
+                    _ => {
+                        for (order, condition) in late.drain(..) {
+                            apply(&mut engine, order, condition);
+                        }
+                    }
+                }
+                prop_assert!(f64::from(engine.0.len()) * model.layer_bytes <= memory);
+            }
+            while let Some(next) = order::next(&model, memory, engine.0, wanted) {
+                let count = engine.1;
+                apply(&mut engine, next, count);
+            }
+            prop_assert_eq!(engine.0, wanted);
+        }
+    }
+}
+
+#[test]
+fn a_lost_stage_is_replaced_in_its_zone_and_the_others_stay() {
+    let model = model();
+    let mut endpoints = fleet_world::site();
+    let before = revise::revise(&model, &[], &endpoints);
+    let lost = before[0].stages[2].endpoint.clone();
+    let zone = endpoints.iter().find(|e| e.endpoint == lost).unwrap().zone.clone();
+    endpoints.retain(|e| e.endpoint != lost);
+    let after = revise::revise(&model, &before, &endpoints);
+    check(&model, &after, &endpoints);
+    let zones: BTreeSet<_> = after[0]
+        .stages
+        .iter()
+        .map(|s| endpoints.iter().find(|e| e.endpoint == s.endpoint).unwrap().zone.clone())
+        .collect();
+    assert_eq!(zones, BTreeSet::from([zone]));
+    for stage in before[0].stages.iter().filter(|s| s.endpoint != lost) {
+        assert!(after[0].stages.contains(stage), "{stage:?} has moved");
+    }
+}
+
+#[test]
+fn chains_of_a_site_lie_within_zones_as_far_as_they_can() {
+    let model = model();
+    let endpoints = fleet_world::site();
+    let chains = build::chains(&model, &endpoints);
+    let within = |chain: &&Chain| {
+        let zone = |s: &oriole_core::placement::Stage| {
+            endpoints.iter().find(|e| e.endpoint == s.endpoint).map(|e| e.zone.clone())
+        };
+        chain.stages.iter().map(zone).collect::<BTreeSet<_>>().len() == 1
+    };
+    assert_eq!(chains.iter().filter(within).count(), 3);
+}
+
+#[test]
+fn planned_chains_serve_more_than_equal_shares_would() {
+    let model = model();
+    let endpoints = fleet_world::site();
+    let chains = build::chains(&model, &endpoints);
+    let by_name: BTreeMap<_, _> = endpoints.iter().map(|e| (&e.endpoint, e)).collect();
+    let planned = chains.iter().map(|chain| {
+        let parts: Vec<_> = chain
+            .stages
+            .iter()
+            .map(|s| Part {
+                accelerator: &by_name[&s.endpoint].accelerator,
+                layers: s.layers.len(),
+            })
+            .collect();
+        let zones: Vec<_> = chain.stages.iter().map(|s| &by_name[&s.endpoint].zone).collect();
+        let crossings = zones.windows(2).filter(|pair| pair[0] != pair[1]).count();
+        estimate::throughput(&model, &parts, crossings)
+    });
+    // The baseline: all endpoints of a zone hold equal shares of one chain.
+    let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for endpoint in &endpoints {
+        zones.entry(&endpoint.zone).or_default().push(endpoint);
+    }
+    let equal = zones.values().map(|zone| {
+        let layers = model.layers.div_ceil(zone.len() as u32);
+        let parts: Vec<_> =
+            zone.iter().map(|e| Part { accelerator: &e.accelerator, layers }).collect();
+        estimate::throughput(&model, &parts, 0)
+    });
+    assert!(planned.sum::<f64>() > equal.sum::<f64>());
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -41,6 +41,9 @@
 /// Serves the request.
 pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
     let left = request.deadline.since(state.now());
+    if !state.ends_after(left) {
+        return give_up(state, request, writer, Reason::Stopping, true).await;
+    }
     // The answer of an endpoint that failed, in case no other does better.
     let mut failed = None;
     let mut tries = Tries::default();
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -30,9 +30,12 @@
         let (mut lane, slot) = match admission::acquire(state, request, &tries.ran_at, until).await
         {
             Ok(admitted) => admitted,
-            Err(Refusal::NoRoom) => {
-                let not_run = !tries.may_have_run;
-                return give_up(state, request, writer, Reason::NoRoom, not_run).await;
+            Err(refusal) => {
+                let reason = match refusal {
+                    Refusal::NoRoom => Reason::NoRoom,
+                    Refusal::Stopping => Reason::Stopping,
+                };
+                return give_up(state, request, writer, reason, !tries.may_have_run).await;
             }
         };
         let sent = state.now();
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -15,6 +15,8 @@
 pub enum Refusal {
     /// No chain had room in time.
     NoRoom,
+    /// The answer might not be complete before the process ends.
+    Stopping,
 }
 
 /// Room that is taken until this is dropped.
@@ -72,6 +74,9 @@
                 if let Some(place) = &mut place {
                     place.served = true;
                 }
+                if !fits(state, request, &lane) {
+                    return Err(Refusal::Stopping);
+                }
                 let slot = Slot::take(state, lane.head(), request.terms.need.tokens());
                 return Ok((lane, slot));
             }
@@ -111,6 +116,21 @@
     lane::choose(&model, lanes, &inner.book, &ask, now).cloned()
 }
 
+/// Whether the answer is complete before the process ends.
+fn fits(state: &Shared, request: &Request, lane: &Lane) -> bool {
+    let Some(model) = state.model(&request.service) else {
+        return false;
+    };
+    let now = state.now();
+    let longest = {
+        let inner = state.inner.borrow();
+        let sum = inner.book.sum(lane.head(), now);
+        let factor = inner.book.factor(lane.head(), now);
+        lane.longest(&model, &request.terms.need, sum, factor)
+    };
+    state.ends_after(longest)
+}
+
 fn enqueue(state: &Shared, request: &Request) -> Option<Place> {
     let mut inner = state.inner.borrow_mut();
     let queue = inner.queues.entry(request.service.clone()).or_default();
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -87,11 +87,15 @@
     let (read, write) = stream.into_split();
     let mut reader = Reader { read, buffer: BytesMut::with_capacity(READ_BYTES) };
     let mut writer = Writer::new(write, codec);
+    // A connection that was opened lately is about to carry its first request.
+    let mut is_new = true;
     loop {
         let request = tokio::select! {
+            biased;
             request = reader.request(&state, &mut writer) => request,
-            () = idle_end(&state), if reader.buffer.is_empty() => Err(Stop::Over),
+            () = idle_end(&state), if !is_new => Err(Stop::Over),
         };
+        is_new = false;
         let (head, body) = match request {
             Ok(request) => request,
             Err(Stop::Over) => break,
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -89,12 +89,13 @@
 /// Stops: first the readiness, then idle connections, then the process once it has no requests.
 async fn stop(state: &Shared) {
     let began = state.now();
+    let grace = Duration::from_millis(state.settings.times.grace_ms).mul_f64(1.0 - LAST_PART);
+    state.ends.set(Some(began + grace));
     state.stopping.set(true);
     log::info!(active = state.active.get(); "stopping");
     sleep(NOTICE).await;
     state.closing.set(true);
     state.closed.notify_waiters();
-    let grace = Duration::from_millis(state.settings.times.grace_ms).mul_f64(1.0 - LAST_PART);
     loop {
         sleep(POLL).await;
         if state.active.get() == 0 || state.now().since(began) >= grace {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -50,6 +50,8 @@
 /// Why a request is answered by the entry itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reason {
+    /// The process is about to end.
+    Stopping,
     /// The routing table is not known yet.
     NoTable,
     /// No route matches.
@@ -152,7 +154,10 @@
     }
     let waiting = state.inner.borrow().queues.get(&request.service).map_or(0, |q| q.len());
     if not_run {
-        let wait = forward::wait::retry_after(waiting, rand::random());
+        let wait = match reason {
+            Reason::Stopping => state.restart_wait(),
+            _ => forward::wait::retry_after(waiting, rand::random()),
+        };
         return writer.own(StatusCode::SERVICE_UNAVAILABLE, Some(wait)).await;
     }
     let status = match reason {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -27,6 +27,12 @@
 /// Part of the drain bound during which a leaving endpoint still gets work.
 const DRAIN_PART: f64 = 0.4;
 
+/// Margin on the estimated time of work that must end before the process does.
+const STOP_MARGIN: f64 = 1.25;
+
+/// Time from the end of a process to the readiness of the next one.
+const RESTART: Duration = Duration::from_millis(900);
+
 /// Another entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -80,6 +86,8 @@
     pub hub: RefCell<Option<oriole_wire::Hub>>,
     /// When endpoints were last asked for a report.
     pub asked: RefCell<BTreeMap<name::Endpoint, Instant>>,
+    /// When the process ends at the latest, once it has been told to stop.
+    pub ends: Cell<Option<Instant>>,
     /// Whether idle connections are to be closed.
     pub closing: Cell<bool>,
     /// Wakes idle connections that are to be closed.
@@ -119,6 +127,7 @@
             changed: Notify::new(),
             hub: RefCell::new(None),
             asked: RefCell::default(),
+            ends: Cell::new(None),
             closing: Cell::new(false),
             closed: Notify::new(),
             stopping: Cell::new(false),
@@ -137,6 +146,22 @@
         inner.table.is_some() && inner.view.age(self.now()).is_some() && !self.stopping.get()
     }
 
+    /// Whether work that takes `longest` ends before the process does.
+    ///
+    /// Callers that came before the balancer can have noticed the stop are always served.
+    pub fn ends_after(&self, longest: Duration) -> bool {
+        let Some(ends) = self.ends.get().filter(|_| self.closing.get()) else {
+            return true;
+        };
+        self.now() + longest.mul_f64(STOP_MARGIN) <= ends
+    }
+
+    /// When to come back to an entry that is about to end: when it has been started again.
+    pub fn restart_wait(&self) -> Duration {
+        let left = self.ends.get().map_or(Duration::ZERO, |ends| ends.since(self.now()));
+        left + RESTART
+    }
+
     /// The model of a service that is served by chains.
     pub fn model(&self, service: &name::Service) -> Option<Model> {
         let inner = self.inner.borrow();
