--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -1,4 +1,5 @@
 //! Exchanges with ends that frame their answers badly, over loopback.
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -203,7 +203,8 @@
         let Some((born, at)) = self.doubts.get(id) else {
             return false;
         };
-        let same = self.listing.endpoints.get(id).is_some_and(|e| e.born == *born);
+        // One that is not listed any more may still be asked about by requests in progress.
+        let same = self.get(id).is_none_or(|e| e.born == *born);
         same && now.since(*at) < DOUBT_PERIOD
     }
 
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -11,7 +11,7 @@
 
 use super::Need;
 use super::book::{Book, Sum};
-use crate::fleet::{Endpoint, View};
+use crate::fleet::{Doubt, Endpoint, View};
 use crate::placement::estimate::{self, Stage as Part};
 use crate::placement::{Accelerator, Chain, Model, Plan, Range};
 use crate::time::Instant;
@@ -34,6 +34,8 @@
 pub struct Hop {
     /// The endpoint.
     pub endpoint: name::Endpoint,
+    /// Which start of it is meant.
+    pub born: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its availability zone.
@@ -44,6 +46,13 @@
     pub free: f64,
 }
 
+impl Hop {
+    /// The endpoint, and the start of it that is meant, to be doubted.
+    pub fn seen(&self) -> Doubt {
+        Doubt { endpoint: self.endpoint.clone(), born: self.born }
+    }
+}
+
 /// A chain all of whose stages hold their layers and take work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Lane {
@@ -119,7 +128,8 @@
         let held = f64::from(endpoint.layers.len()) * self.model.layer_bytes;
         let free = (accelerator.memory - held).max(0.0);
         let (address, zone) = (endpoint.address, endpoint.zone.clone());
-        let hop = Hop { endpoint: id.clone(), address, zone, layers, free };
+        let born = endpoint.born;
+        let hop = Hop { endpoint: id.clone(), born, address, zone, layers, free };
         Some((hop, accelerator))
     }
 
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -1,4 +1,5 @@
 //! Decisions about one request: chains that can be used, room, retries, events, waiting.
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
 mod fleet_world;
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -1,4 +1,5 @@
 //! Placement of layers: what must hold for any endpoints, losses and orders.
+#![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
 mod fleet_world;
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,7 +6,7 @@
 use actix_http::ResponseHead;
 use bytes::{Bytes, BytesMut};
 use oriole_adapter::exchange::{self, Answer};
-use oriole_core::fleet::Endpoint;
+use oriole_core::fleet::{Doubt, Endpoint};
 use oriole_core::forward::outcome::{Failure, Tries};
 use oriole_core::forward::{choice, wait};
 use oriole_core::name;
@@ -141,7 +141,7 @@
         Ok(stream) => stream,
         Err(error) => {
             log::info!(id = request.id(), endpoint = target.id.as_str(), error:%; "not sent");
-            suspect::unreachable(state, &target.id);
+            suspect::unreachable(state, &Doubt { endpoint: target.id.clone(), born: target.born });
             return Err(Failure::NotSent);
         }
     };
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -80,7 +80,7 @@
         Ok(stream) => stream,
         Err(e) => {
             log::info!(id = request.id(), endpoint = hop.endpoint.as_str(), error:% = e; "not sent");
-            suspect::unreachable(state, &hop.endpoint);
+            suspect::unreachable(state, &hop.seen());
             return Err(Failure::NotSent);
         }
     };
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::sleep;
 
-use crate::settings::Settings;
+use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State};
 use crate::{follow, listen, orders, peers, planner};
 
@@ -48,25 +48,49 @@
     Signal(io::Error),
 }
 
+/// Sockets that a process listens on.
+pub struct Sockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For the question whether the entry is ready.
+    pub ready: TcpListener,
+    /// For other entries.
+    pub peers: TcpListener,
+}
+
+impl Sockets {
+    /// Listens on the addresses of the settings.
+    pub fn bind(listen: &Listen) -> Result<Self, Error> {
+        Ok(Self {
+            callers: bind(listen.callers)?,
+            ready: bind(listen.ready)?,
+            peers: bind(listen.peers)?,
+        })
+    }
+}
+
 /// Runs until the process is told to stop and has finished its requests.
 pub async fn run(settings: Settings) -> Result<(), Error> {
+    let sockets = Sockets::bind(&settings.listen)?;
+    let state = start(settings, sockets);
+    signal::stop().await.map_err(Error::Signal)?;
+    stop(&state).await;
+    Ok(())
+}
+
+/// Starts all tasks of an entry.
+pub fn start(settings: Settings, sockets: Sockets) -> Shared {
     let state = State::new(settings);
-    let listen = state.settings.listen.clone();
-    let callers = bind(listen.callers)?;
-    let ready = bind(listen.ready)?;
-    let peers_listener = bind(listen.peers)?;
     let store = Client::new(state.settings.store.address, STORE_TIMEOUT);
     log::info!(host = state.host.as_str(), zone = state.zone.as_str(); "started");
     follow::start(&state, store);
-    actix_rt::spawn(listen::callers(state.clone(), callers));
-    actix_rt::spawn(listen::readiness(state.clone(), ready));
-    actix_rt::spawn(peers::run(state.clone(), store, peers_listener));
+    actix_rt::spawn(listen::callers(state.clone(), sockets.callers));
+    actix_rt::spawn(listen::readiness(state.clone(), sockets.ready));
+    actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
     actix_rt::spawn(refresh(state.clone()));
-    signal::stop().await.map_err(Error::Signal)?;
-    stop(&state).await;
-    Ok(())
+    state
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
@@ -87,7 +111,7 @@
 }
 
 /// Stops: first the readiness, then idle connections, then the process once it has no requests.
-async fn stop(state: &Shared) {
+pub async fn stop(state: &Shared) {
     let began = state.now();
     let grace = Duration::from_millis(state.settings.times.grace_ms).mul_f64(1.0 - LAST_PART);
     state.ends.set(Some(began + grace));
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -5,8 +5,7 @@
 
 use oriole_adapter::exchange::Error;
 use oriole_core::fleet::{Doubt, Message};
-use oriole_core::forward::lane::Lane;
-use oriole_core::name;
+use oriole_core::forward::lane::{Hop, Lane};
 use oriole_platform::endpoint::{self, Report};
 
 use crate::peers;
@@ -30,7 +29,7 @@
 
 /// Asks the first endpoint of a chain for which stages its requests wait.
 pub fn ask(state: &Shared, lane: &Lane) {
-    let Some(seen) = begin(state, lane.head()) else {
+    let Some(seen) = begin(state, &lane.hops[0]) else {
         return;
     };
     let (state, lane) = (state.clone(), lane.clone());
@@ -45,9 +44,7 @@
                 let (pace, stalled) = (report.pace, report.stalled.len());
                 log::info!(endpoint = lane.head().as_str(), pace, stalled; "asked a silent chain");
                 for hop in lane.hops.iter().filter(|h| report.stalled.contains(&h.address)) {
-                    if let Some(seen) = seen_as(&state, &hop.endpoint) {
-                        doubt(&state, &seen);
-                    }
+                    doubt(&state, &hop.seen());
                 }
             }
         }
@@ -59,7 +56,7 @@
     let named = lane.hops.iter().find(|h| Some(h.address) == at_fault);
     let hop = named.unwrap_or(&lane.hops[0]);
     state.pause(&hop.endpoint);
-    let Some(seen) = begin(state, &hop.endpoint) else {
+    let Some(seen) = begin(state, hop) else {
         return;
     };
     let (state, address) = (state.clone(), hop.address);
@@ -81,10 +78,8 @@
 }
 
 /// Notes that no connection to an endpoint could be opened.
-pub fn unreachable(state: &Shared, endpoint: &name::Endpoint) {
-    if let Some(seen) = seen_as(state, endpoint) {
-        doubt(state, &seen);
-    }
+pub fn unreachable(state: &Shared, seen: &Doubt) {
+    doubt(state, seen);
 }
 
 /// Notes a doubt and tells the other entries.
@@ -94,21 +89,13 @@
     }
 }
 
-/// The endpoint to be asked; none if it was asked just now, or is not known.
-fn begin(state: &Shared, endpoint: &name::Endpoint) -> Option<Doubt> {
-    let seen = seen_as(state, endpoint)?;
+/// The endpoint to be asked; none if it was asked just now.
+fn begin(state: &Shared, hop: &Hop) -> Option<Doubt> {
     let now = state.now();
     let mut asked = state.asked.borrow_mut();
-    if asked.get(endpoint).is_some_and(|at| now.since(*at) < ASK_INTERVAL) {
+    if asked.get(&hop.endpoint).is_some_and(|at| now.since(*at) < ASK_INTERVAL) {
         return None;
     }
-    asked.insert(endpoint.clone(), now);
-    Some(seen)
-}
-
-/// The endpoint as it is known now.
-fn seen_as(state: &Shared, endpoint: &name::Endpoint) -> Option<Doubt> {
-    let inner = state.inner.borrow();
-    let known = inner.view.get(endpoint)?;
-    Some(Doubt { endpoint: known.id.clone(), born: known.born })
+    asked.insert(hop.endpoint.clone(), now);
+    Some(hop.seen())
 }
--- /dev/null
+++ b/crates/router/tests/path/world.rs
@@ -0,0 +1,176 @@
+//! Entries before stand-ins of the platform, in one process over loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead};
+use bytes::Bytes;
+use oriole_adapter::exchange;
+use oriole_platform_standin::document::{HOST, KEY, config};
+use oriole_platform_standin::fleet::Fleet;
+use oriole_platform_standin::store::Store;
+use oriole_router::process::{self, Sockets};
+use oriole_router::settings::{self, Settings};
+use oriole_router::state::Shared;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+
+/// Longest time that a test waits for anything.
+pub const LIMIT: Duration = Duration::from_secs(30);
+
+/// An entry.
+pub struct Entry {
+    pub state: Shared,
+    pub callers: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+/// A store, endpoints and entries.
+pub struct World {
+    pub store: Store,
+    pub fleet: Fleet,
+    pub entries: Vec<Entry>,
+}
+
+/// An answer, whole or broken off.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub signature: Option<String>,
+    pub retry_after: Option<f64>,
+    pub body: String,
+    pub is_whole: bool,
+}
+
+impl World {
+    /// A store with a configuration, two zones of engines, two plain endpoints and `entries` entries.
+    pub async fn new(entries: usize) -> Self {
+        let store = Store::start().await.unwrap();
+        store.put("op/config", &config(1, &[KEY]));
+        let fleet = Fleet::new(&store);
+        for n in 0..8 {
+            fleet.add_engine(&format!("engine-{n}"), &format!("zone-{}", n % 2)).await.unwrap();
+        }
+        for n in 0..2 {
+            fleet.add_plain(&format!("plain-{n}"), &format!("zone-{n}")).await.unwrap();
+        }
+        let mut world = Self { store, fleet, entries: vec![] };
+        for n in 0..entries {
+            let entry = world.entry(n).await;
+            world.entries.push(entry);
+        }
+        world.wait(|w| w.entries.iter().all(|e| e.chains() >= 2)).await;
+        if entries > 1 {
+            world.wait(|w| w.entries.iter().all(|e| e.state.entries() == entries)).await;
+        }
+        world
+    }
+
+    /// Starts an entry that reaches the store as all others do.
+    pub async fn entry(&self, number: usize) -> Entry {
+        self.entry_at(number, &self.store).await
+    }
+
+    /// Starts an entry that reaches the store through `store`.
+    pub async fn entry_at(&self, number: usize, store: &Store) -> Entry {
+        let bind = || TcpListener::bind("127.0.0.1:0");
+        let (callers, ready) = (bind().await.unwrap(), bind().await.unwrap());
+        let peers = bind().await.unwrap();
+        let address = |l: &TcpListener| l.local_addr().unwrap();
+        let (at, ready_at) = (address(&callers), address(&ready));
+        let listen = settings::Listen { callers: at, ready: ready_at, peers: address(&peers) };
+        let settings = Settings {
+            name: format!("entry-{number}"),
+            zone: format!("zone-{}", number % 2),
+            listen,
+            store: settings::Store { address: store.address(), min_lease_ms: 1000 },
+            times: settings::Times {
+                drain_ms: 1000,
+                grace_ms: 8000,
+                heartbeat_ms: 100,
+                stall_ms: 2500,
+            },
+            retries: settings::Retries { ratio: 0.2, fixed: 200.0, window_ms: 10_000 },
+        };
+        let state = process::start(settings, Sockets { callers, ready, peers });
+        Entry { state, callers: at, ready: ready_at }
+    }
+
+    /// Waits until something holds.
+    pub async fn wait(&self, holds: impl Fn(&Self) -> bool) {
+        let wait = async {
+            while !holds(self) {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(LIMIT, wait).await.expect("what was waited for did not come true");
+    }
+}
+
+impl Entry {
+    /// Chains that the entry can use.
+    pub fn chains(&self) -> usize {
+        self.state.inner.borrow().lanes.values().map(|l| l.len()).sum()
+    }
+
+    /// Sends a request with a key and reads its answer.
+    pub async fn call(&self, path: &str, id: &str, key: &str) -> Answer {
+        self.call_while(path, id, key, |_| {}).await
+    }
+
+    /// Like [`Entry::call`]; `meanwhile` sees the body each time that more of it has come.
+    pub async fn call_while(
+        &self,
+        path: &str,
+        id: &str,
+        key: &str,
+        mut meanwhile: impl FnMut(&str),
+    ) -> Answer {
+        let mut head = RequestHead::default();
+        head.method = Method::POST;
+        head.uri = path.parse().unwrap();
+        for (name, value) in [
+            ("host", HOST),
+            ("oriolelanding-request-id", id),
+            ("oriolelanding-deadline-ms", "20000"),
+            ("oriolelanding-token-usage", "800,160"),
+            ("api-key", key),
+        ] {
+            let name = HeaderName::from_static(name);
+            head.headers.insert(name, HeaderValue::from_str(value).unwrap());
+        }
+        let stream = exchange::connect(self.callers, LIMIT).await.unwrap();
+        let body = Bytes::from_static(b"the caller's body");
+        let sent = timeout(LIMIT, exchange::send(stream, head, body)).await.unwrap();
+        let exchange::Answer { head, body: mut rest } = sent.unwrap();
+        let header = |name: &str| {
+            let value = head.headers().get(name).and_then(|v| v.to_str().ok());
+            value.map(str::to_owned)
+        };
+        let signature = header("oriolelanding-response-signature");
+        let retry_after = header("retry-after").and_then(|t| t.parse().ok());
+        let (mut body, mut is_whole) = (String::new(), true);
+        loop {
+            match timeout(LIMIT, rest.next()).await.unwrap() {
+                Ok(Some(bytes)) => body.push_str(std::str::from_utf8(&bytes).unwrap()),
+                Ok(None) => break,
+                Err(_) => {
+                    is_whole = false;
+                    break;
+                }
+            }
+            meanwhile(&body);
+        }
+        Answer { status: head.status.as_u16(), signature, retry_after, body, is_whole }
+    }
+
+    /// Whether the entry says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let mut head = RequestHead::default();
+        head.uri = "/v1/ready".parse().unwrap();
+        head.headers.insert(actix_http::header::HOST, HeaderValue::from_static("entry"));
+        let answer = exchange::call(self.ready, head, Bytes::new(), 1024, LIMIT).await;
+        answer.unwrap().0.status.is_success()
+    }
+}
