Serve counters and latency histograms as text

A counter for each refusal and each reason of a failed attempt, histograms of first events, pauses, answers, replans and store calls.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -19,6 +19,16 @@
 }
 
 impl Failure {
+    /// The failure as metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not-sent",
+            Self::NotExecuted => "not-executed",
+            Self::Unknown => "unknown",
+            Self::Doubted => "doubted",
+        }
+    }
+
     /// Whether the request has certainly not run.
     pub fn is_not_run(self) -> bool {
         matches!(self, Self::NotSent | Self::NotExecuted)
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::generation::Slot;
+use crate::metrics::Metrics;
 use crate::reply::Writer;
 use crate::serve::{Reason, Request, give_up};
 use crate::state::Shared;
@@ -52,6 +53,8 @@
     match (end, failed) {
         (Ok(Ok(whole)), _) => {
             log::info!(id = request.id(), waited_ms; "served");
+            state.metrics.served.inc();
+            Metrics::time(&state.metrics.answer, state.now().since(request.arrived));
             pass_on(whole, writer).await
         }
         (_, Some(whole)) => {
@@ -95,6 +98,7 @@
             Err(failure) => failure,
         };
         log::info!(id = request.id(), endpoint = target.id.as_str(), failure:?; "attempt failed");
+        Metrics::count(&state.metrics.failures, failure.as_str());
         state.inner.borrow_mut().record.fail(&target.id, state.clock.now());
         tries.count(&target.id, failure, state.is_doubted(&target.id));
         tried.push(target.id);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -15,6 +15,7 @@
 use oriole_platform::{config, registry};
 use tokio::time::sleep;
 
+use crate::metrics::Metrics;
 use crate::state::{Peer, Shared};
 
 /// Prefix of all keys that the system writes.
@@ -57,19 +58,23 @@
     actix_rt::spawn(register(state.clone(), store));
 }
 
-/// Logs when the store is lost or regained for one purpose.
+/// Logs when the store is lost or regained for one purpose, and counts failures.
 struct Dependency {
+    state: Shared,
     purpose: &'static str,
     is_lost: bool,
 }
 
 impl Dependency {
-    fn new(purpose: &'static str) -> Self {
-        Self { purpose, is_lost: false }
+    fn new(state: &Shared, purpose: &'static str) -> Self {
+        Self { state: state.clone(), purpose, is_lost: false }
     }
 
     fn note<T>(&mut self, result: &Result<T, Error>) {
         let purpose = self.purpose;
+        if result.is_err() {
+            Metrics::count(&self.state.metrics.store_failures, purpose);
+        }
         match result {
             Err(error) if !self.is_lost => {
                 self.is_lost = true;
@@ -86,13 +91,14 @@
 
 /// Reads a prefix once, then watches it; `take` gets each change.
 async fn watch(
+    state: &Shared,
     store: Client,
     prefix: &str,
     wait: Duration,
     purpose: &'static str,
     mut take: impl FnMut(Start, Vec<Change>),
 ) {
-    let mut dependency = Dependency::new(purpose);
+    let mut dependency = Dependency::new(state, purpose);
     loop {
         let read = store.range(prefix).await;
         dependency.note(&read);
@@ -135,7 +141,7 @@
             }
         }
     };
-    watch(store, config::PREFIX, CONFIG_WAIT, "configuration", take).await;
+    watch(&state, store, config::PREFIX, CONFIG_WAIT, "configuration", take).await;
 }
 
 fn take_configuration(state: &Shared, item: &Item) {
@@ -151,11 +157,12 @@
 }
 
 async fn endpoints(state: Shared, store: Client) {
-    let mut dependency = Dependency::new("endpoints");
+    let mut dependency = Dependency::new(&state, "endpoints");
     loop {
         let began = state.now();
         let read = store.range(registry::PREFIX).await;
         dependency.note(&read);
+        Metrics::time(&state.metrics.store_call, state.now().since(began));
         if let Ok(read) = read {
             let mut listing = Listing { revision: read.revision, endpoints: BTreeMap::new() };
             for item in &read.found {
@@ -163,7 +170,10 @@
                     Some(endpoint) => {
                         listing.endpoints.insert(endpoint.id.clone(), endpoint);
                     }
-                    None => log::debug!(key = item.key.as_str(); "registration not usable"),
+                    None => {
+                        state.metrics.skipped.inc();
+                        log::debug!(key = item.key.as_str(); "registration not usable");
+                    }
                 }
             }
             take_listing(&state, listing, began);
@@ -202,7 +212,7 @@
             }
         }
     };
-    watch(store, PREFIX, OWN_WAIT, "plan", take).await;
+    watch(&state, store, PREFIX, OWN_WAIT, "plan", take).await;
 }
 
 fn take_own(state: &Shared, item: &Item) {
@@ -231,7 +241,7 @@
     let key = format!("{HOSTS}{}", state.settings.name);
     let registration = Registration { address: state.settings.listen.peers };
     let value = serde_json::to_vec(&registration).unwrap_or_default();
-    let mut dependency = Dependency::new("registration");
+    let mut dependency = Dependency::new(&state, "registration");
     let mut lease = None;
     loop {
         let result = match lease {
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -11,6 +11,7 @@
 use oriole_core::forward::wait;
 use std::time::Duration;
 
+use crate::metrics::Metrics;
 use crate::reply::Writer;
 use crate::serve::{Reason, Request, give_up};
 use crate::state::Shared;
@@ -48,6 +49,8 @@
         let failure = match end {
             End::Complete => {
                 log::info!(id = request.id(), head, waited_ms, took_ms; "served");
+                state.metrics.served.inc();
+                Metrics::time(&state.metrics.answer, now.since(request.arrived));
                 return Ok(());
             }
             End::Caller(error) => return Err(error),
@@ -57,6 +60,7 @@
             End::Failed(failure) => failure,
         };
         log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
+        Metrics::count(&state.metrics.failures, failure.as_str());
         tries.count(lane.head(), failure, state.is_doubted(lane.head()));
         let not_run = !tries.may_have_run;
         if !tries.may_retry(&request.route, failure) {
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -15,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::generation::repath;
+use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
 use crate::state::Shared;
@@ -199,7 +200,10 @@
         let mut inner = state.inner.borrow_mut();
         inner.progress.insert(lane.head().clone(), now);
         match self.last {
-            Some(last) => inner.book.event(&self.head, now.since(last), now),
+            Some(last) => {
+                Metrics::time(&state.metrics.pause, now.since(last));
+                inner.book.event(&self.head, now.since(last), now);
+            }
             None => inner.book.begin(&self.head, now),
         }
         self.last = Some(now);
@@ -215,7 +219,9 @@
 }
 
 fn note_first(state: &Shared, request: &Request, lane: &Lane) {
-    let first_ms = state.now().since(request.arrived).as_millis() as u64;
+    let first = state.now().since(request.arrived);
+    Metrics::time(&state.metrics.first_event, first);
+    let first_ms = first.as_millis() as u64;
     log::debug!(id = request.id(), head = lane.head().as_str(), first_ms; "first event");
 }
 
--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -36,6 +36,7 @@
         if let Some(other) = find(state, request, lane) {
             match endpoint::repath(id, &other.hops, ANSWER_LIMIT).await {
                 Ok(true) => {
+                    state.metrics.moves.inc();
                     let waited_ms = waited.as_millis() as u64;
                     log::info!(id, head = lane.head().as_str(), waited_ms; "moved to another chain");
                     return Some(other);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`listen`]: callers' connections and the readiness route.
 //! - [`serve`]: one request, by [`generation`] (over a chain) or [`call`] (a plain service).
 //! - [`suspect`]: what is done about chains that fall silent.
+//! - [`metrics`]: counters and histograms.
 //! - [`log_output`]: log lines that never block the process.
 //!
 //! All tasks run on one thread. Decisions stand in `oriole_core`; what the platform calls things
@@ -19,6 +20,7 @@
 pub mod generation;
 pub mod listen;
 pub mod log_output;
+pub mod metrics;
 pub mod orders;
 pub mod peers;
 pub mod planner;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -13,6 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve;
 use crate::state::Shared;
@@ -44,10 +45,31 @@
 
 /// Answers whether the entry is ready, until the task is aborted.
 pub async fn readiness(state: Shared, listener: TcpListener) {
+    small(state, listener, |state, path| match path {
+        ingress::READY_PATH if state.is_ready() => (StatusCode::OK, None),
+        ingress::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, None),
+        _ => (StatusCode::NOT_FOUND, None),
+    })
+    .await;
+}
+
+/// Serves metrics until the task is aborted.
+pub async fn metrics(state: Shared, listener: TcpListener) {
+    small(state, listener, |state, path| match path {
+        metrics::PATH => (StatusCode::OK, Some(state.metrics.text())),
+        _ => (StatusCode::NOT_FOUND, None),
+    })
+    .await;
+}
+
+/// What is answered to a path: a status, and perhaps metrics.
+type Small = fn(&Shared, &str) -> (StatusCode, Option<String>);
+
+async fn small(state: Shared, listener: TcpListener, answer: Small) {
     let config = ServiceConfig::default();
     accept(listener, |stream| {
         let codec = Codec::new(config.clone());
-        actix_rt::spawn(readiness_connection(state.clone(), stream, codec));
+        actix_rt::spawn(small_connection(state.clone(), stream, codec, answer));
     })
     .await;
 }
@@ -135,19 +157,17 @@
     }
 }
 
-async fn readiness_connection(state: Shared, stream: TcpStream, codec: Codec) {
+async fn small_connection(state: Shared, stream: TcpStream, codec: Codec, answer: Small) {
     let (read, write) = stream.into_split();
     let mut reader = Reader { read, buffer: BytesMut::with_capacity(READ_BYTES) };
     let mut writer = Writer::new(write, codec);
     while let Ok((head, _)) = reader.request(&state, &mut writer).await {
-        let status = if head.uri.path() != ingress::READY_PATH {
-            StatusCode::NOT_FOUND
-        } else if state.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
+        let (status, text) = answer(&state, head.uri.path());
+        let written = match text {
+            Some(text) => writer.whole(status, metrics::headers(), text.into()).await,
+            None => writer.own(status, None).await,
         };
-        if writer.own(status, None).await.is_err() || !writer.may_continue() {
+        if written.is_err() || !writer.may_continue() {
             break;
         }
     }
--- /dev/null
+++ b/crates/router/src/metrics.rs
@@ -0,0 +1,152 @@
+//! Counters and latency histograms, served as text on the metrics address.
+//!
+//! Labels have few values: kinds of routes, reasons and outcomes, never ids or names from outside.
+
+use std::time::Duration;
+
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Upper bounds of the histograms' buckets, in seconds: from a local answer to the longest route.
+const BUCKETS_S: [f64; 14] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0];
+
+/// Path under which the metrics are served.
+pub const PATH: &str = "/metrics";
+
+/// One label, `reason`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Reason {
+    reason: String,
+}
+
+type Reasons = Family<Reason, Counter>;
+
+/// All metrics of the process.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that the routing table allows.
+    pub requests: Counter,
+    /// Answers that were passed on whole.
+    pub served: Counter,
+    /// Requests that the entry answered itself, by reason.
+    pub refused: Reasons,
+    /// Attempts that failed, by reason.
+    pub failures: Reasons,
+    /// Attempts after the first one of a request.
+    pub retries: Counter,
+    /// Streams that were moved around a stage that does not work.
+    pub moves: Counter,
+    /// Endpoints that were found not to work.
+    pub doubts: Counter,
+    /// Orders to endpoints, by answer.
+    pub orders: Reasons,
+    /// Plans that were taken over.
+    pub plans: Counter,
+    /// Calls to the store that failed, by purpose.
+    pub store_failures: Reasons,
+    /// Registrations that name no usable endpoint.
+    pub skipped: Counter,
+    /// Time from a request's arrival to the first event of its answer.
+    pub first_event: Histogram,
+    /// Time between two events of a stream.
+    pub pause: Histogram,
+    /// Time from a request's arrival to the end of its answer.
+    pub answer: Histogram,
+    /// Time from the first sight of a need for another plan to its being in force.
+    pub replan: Histogram,
+    /// Time of calls to the store.
+    pub store_call: Histogram,
+    /// Version of the routing table in force.
+    pub table_version: Gauge,
+    /// Chains that can be used.
+    pub chains: Gauge,
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("oriole"),
+            requests: Counter::default(),
+            served: Counter::default(),
+            refused: Reasons::default(),
+            failures: Reasons::default(),
+            retries: Counter::default(),
+            moves: Counter::default(),
+            doubts: Counter::default(),
+            orders: Reasons::default(),
+            plans: Counter::default(),
+            store_failures: Reasons::default(),
+            skipped: Counter::default(),
+            first_event: histogram(),
+            pause: histogram(),
+            answer: histogram(),
+            replan: histogram(),
+            store_call: histogram(),
+            table_version: Gauge::default(),
+            chains: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests that the routing table allows", self.requests.clone());
+        r.register("served", "Answers passed on whole", self.served.clone());
+        r.register("refused", "Requests answered by the entry itself", self.refused.clone());
+        r.register("attempt_failures", "Attempts that failed", self.failures.clone());
+        r.register("retries", "Attempts after a request's first one", self.retries.clone());
+        r.register("moves", "Streams moved around a lost stage", self.moves.clone());
+        r.register("doubts", "Endpoints found not to work", self.doubts.clone());
+        r.register("orders", "Orders to endpoints by answer", self.orders.clone());
+        r.register("plans", "Plans taken over", self.plans.clone());
+        r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
+        r.register("registrations_skipped", "Unusable registrations", self.skipped.clone());
+        r.register("first_event_seconds", "Arrival to first event", self.first_event.clone());
+        r.register("pause_seconds", "Between two events of a stream", self.pause.clone());
+        r.register("answer_seconds", "Arrival to end of the answer", self.answer.clone());
+        r.register("replan_seconds", "Need to plan in force", self.replan.clone());
+        r.register("store_call_seconds", "Calls to the store", self.store_call.clone());
+        r.register("table_version", "Routing table in force", self.table_version.clone());
+        r.register("usable_chains", "Chains that can be used", self.chains.clone());
+    }
+
+    /// Counts one for a reason.
+    pub fn count(family: &Reasons, reason: &str) {
+        family.get_or_create(&Reason { reason: reason.to_owned() }).inc();
+    }
+
+    /// Notes a duration.
+    pub fn time(histogram: &Histogram, duration: Duration) {
+        histogram.observe(duration.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if text::encode(&mut text, &self.registry).is_err() {
+            log::error!("metrics cannot be written as text");
+        }
+        text
+    }
+}
+
+/// Headers of an answer with metrics.
+pub fn headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    headers
+}
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use oriole_adapter::exchange::Error;
 use oriole_core::fleet::{Doubt, Message};
 use oriole_core::name;
 use oriole_core::placement::{Range, order};
@@ -17,6 +18,7 @@
 use oriole_platform::endpoint::{self, Acceptance, Report};
 use tokio::time::sleep;
 
+use crate::metrics::Metrics;
 use crate::peers;
 use crate::state::Shared;
 
@@ -125,6 +127,17 @@
     all
 }
 
+/// An answer as metrics name it.
+fn name(answer: &Result<Acceptance, Error>) -> &'static str {
+    match answer {
+        Ok(Acceptance::Begun) => "begun",
+        Ok(Acceptance::Done) => "done",
+        Ok(Acceptance::Conflict) => "conflict",
+        Ok(Acceptance::Refused(_)) => "refused",
+        Err(_) => "none",
+    }
+}
+
 async fn carry_out(state: Shared, busy: Busy, due: Due) {
     let began = state.now();
     let answer = endpoint::place(
@@ -139,6 +152,7 @@
     let endpoint = due.seen.endpoint.as_str();
     let (first, end, orders) = (due.layers.first, due.layers.end, due.orders);
     log::info!(endpoint, first, end, orders, answer:?; "ordered layers");
+    Metrics::count(&state.metrics.orders, name(&answer));
     if let Ok(Acceptance::Begun) = answer {
         // Loads may share the weight store's rate.
         sleep(due.load.mul_f64(0.3)).await;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -81,7 +81,7 @@
     let mut round = 0_u64;
     loop {
         state.measure();
-        if round.is_multiple_of(REPORT_ROUNDS) {
+        if round % REPORT_ROUNDS == 0 {
             state.log_load();
         }
         round += 1;
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -14,6 +14,7 @@
 use tokio::time::sleep;
 
 use crate::follow::PLAN;
+use crate::metrics::Metrics;
 use crate::peers;
 use crate::state::Shared;
 
@@ -53,8 +54,9 @@
         if now.since(since) < settle + RANK_WAIT * rank(&state) {
             continue;
         }
-        if let Some(Need { chains, .. }) = need.take() {
+        if let Some(Need { chains, since }) = need.take() {
             propose(&state, &store, chains).await;
+            Metrics::time(&state.metrics.replan, state.now().since(since));
         }
     }
 }
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -56,6 +56,8 @@
     pub ready: TcpListener,
     /// For other entries.
     pub peers: TcpListener,
+    /// For whoever collects metrics.
+    pub metrics: TcpListener,
 }
 
 impl Sockets {
@@ -65,6 +67,7 @@
             callers: bind(listen.callers)?,
             ready: bind(listen.ready)?,
             peers: bind(listen.peers)?,
+            metrics: bind(listen.metrics)?,
         })
     }
 }
@@ -86,6 +89,7 @@
     follow::start(&state, store);
     actix_rt::spawn(listen::callers(state.clone(), sockets.callers));
     actix_rt::spawn(listen::readiness(state.clone(), sockets.ready));
+    actix_rt::spawn(listen::metrics(state.clone(), sockets.metrics));
     actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -11,6 +11,7 @@
 use oriole_core::{forward, name};
 use oriole_platform::{header, ingress};
 
+use crate::metrics::Metrics;
 use crate::reply::Writer;
 use crate::state::Shared;
 use crate::{call, generation};
@@ -68,6 +69,22 @@
     NoBudget,
 }
 
+impl Reason {
+    /// The reason as metrics name it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::NoTable => "no-table",
+            Self::NoRoute => "no-route",
+            Self::Unauthorized => "unauthorized",
+            Self::NoRoom => "no-room",
+            Self::Timeout => "timeout",
+            Self::Failed => "failed",
+            Self::NoBudget => "no-budget",
+        }
+    }
+}
+
 /// Answers one request. An error means that the connection cannot be used any more.
 pub async fn request(
     state: &Shared,
@@ -81,6 +98,7 @@
         Ok(request) => request,
         Err((reason, id)) => {
             log::info!(id = id.as_str(), reason:?; "rejected");
+            Metrics::count(&state.metrics.refused, reason.as_str());
             return reject(writer, reason).await;
         }
     };
@@ -149,6 +167,7 @@
     let waited_ms = state.now().since(request.arrived).as_millis() as u64;
     let route = request.route.name.as_str();
     log::info!(id = request.id(), route, reason:?, not_run, waited_ms; "given up");
+    Metrics::count(&state.metrics.refused, reason.as_str());
     if writer.progress() != crate::reply::Progress::Nothing {
         return Ok(());
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -34,6 +34,8 @@
     pub ready: SocketAddr,
     /// For other entries.
     pub peers: SocketAddr,
+    /// For whoever collects metrics.
+    pub metrics: SocketAddr,
 }
 
 /// The platform's store.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -19,6 +19,7 @@
 use oriole_core::time::Instant;
 use tokio::sync::Notify;
 
+use crate::metrics::Metrics;
 use crate::settings::Settings;
 
 /// Earlier plans whose chains may still be used.
@@ -72,6 +73,8 @@
     pub host: name::Host,
     /// The entry's availability zone.
     pub zone: name::Zone,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// The clock.
     pub clock: Clock,
     /// What the decisions need.
@@ -120,6 +123,7 @@
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
             settings,
+            metrics: Metrics::default(),
             clock: Clock::start(),
             inner: RefCell::new(inner),
             room: Notify::new(),
@@ -180,6 +184,7 @@
             return false;
         }
         log::info!(version = table.version, services = table.services.len(); "routing table in force");
+        self.metrics.table_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
         inner.table = Some(Rc::new(table));
         drop(inner);
         self.refresh();
@@ -194,6 +199,7 @@
         }
         let chains = plan.services.values().map(Vec::len).sum::<usize>();
         log::info!(number = plan.number, revision = plan.revision, chains; "plan in force");
+        self.metrics.plans.inc();
         inner.plans.insert(0, plan);
         inner.plans.truncate(KEPT_PLANS);
         drop(inner);
@@ -207,6 +213,7 @@
         let is_new = self.inner.borrow_mut().view.doubt(seen, now);
         if is_new {
             log::warn!(endpoint = seen.endpoint.as_str(), word; "endpoint does not work");
+            self.metrics.doubts.inc();
             self.refresh();
             self.doubted.notify_waiters();
         }
@@ -249,6 +256,8 @@
                 log::info!(head, path = path.as_str(); "usable chain");
             }
         }
+        let chains = all.values().map(|l| l.len()).sum::<usize>();
+        self.metrics.chains.set(chains as i64);
         inner.lanes = all;
         drop(inner);
         self.room.notify_waiters();
@@ -311,12 +320,17 @@
         let bound = self.settings.retries.bound();
         let mut inner = self.inner.borrow_mut();
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        budget.take(entries, now)
+        let taken = budget.take(entries, now);
+        if taken {
+            self.metrics.retries.inc();
+        }
+        taken
     }
 
     /// Counts a caller's request for a service.
     pub fn count_request(&self, service: &name::Service) {
         let now = self.now();
+        self.metrics.requests.inc();
         let bound = self.settings.retries.bound();
         let mut inner = self.inner.borrow_mut();
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
--- a/crates/router/tests/path/world.rs
+++ b/crates/router/tests/path/world.rs
@@ -76,10 +76,15 @@
     pub async fn entry_at(&self, number: usize, store: &Store) -> Entry {
         let bind = || TcpListener::bind("127.0.0.1:0");
         let (callers, ready) = (bind().await.unwrap(), bind().await.unwrap());
-        let peers = bind().await.unwrap();
+        let (peers, metrics) = (bind().await.unwrap(), bind().await.unwrap());
         let address = |l: &TcpListener| l.local_addr().unwrap();
         let (at, ready_at) = (address(&callers), address(&ready));
-        let listen = settings::Listen { callers: at, ready: ready_at, peers: address(&peers) };
+        let listen = settings::Listen {
+            callers: at,
+            ready: ready_at,
+            peers: address(&peers),
+            metrics: address(&metrics),
+        };
         let settings = Settings {
             name: format!("entry-{number}"),
             zone: format!("zone-{}", number % 2),
@@ -93,7 +98,7 @@
             },
             retries: settings::Retries { ratio: 0.2, fixed: 200.0, window_ms: 10_000 },
         };
-        let state = process::start(settings, Sockets { callers, ready, peers });
+        let state = process::start(settings, Sockets { callers, ready, peers, metrics });
         Entry { state, callers: at, ready: ready_at }
     }
 
