Keep spares, leave chains that others bridge, and do not churn plans

Now: doubts are part of the news with their age; only broken chains are urgent; an order that conflicts waits until the endpoint is free; a chain whose lost stage others of its zone hold stays; one endpoint a zone is set aside as a spare; a lost first stage is bridged too, with work counted by the planned one.

What the releases lose is looked at next.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -89,6 +89,8 @@
     pub listing_age_ms: u64,
     /// The sender's work in progress.
     pub loads: Vec<Load>,
+    /// Endpoints that the sender holds not to work, with the age of that in milliseconds.
+    pub doubts: Vec<(Doubt, u64)>,
 }
 
 /// Any message between entries about endpoints and configuration.
@@ -181,10 +183,26 @@
     }
 
     /// Notes that an endpoint does not work; returns whether that is new.
-    pub fn doubt(&mut self, seen: &Doubt, now: Instant) -> bool {
-        let is_new = !self.is_doubted(&seen.endpoint, now);
-        self.doubts.insert(seen.endpoint.clone(), (seen.born, now));
-        is_new
+    ///
+    /// What was `seen_at` an earlier time counts from then on, so that entries that pass doubts on
+    /// to each other do not renew them.
+    pub fn doubt(&mut self, seen: &Doubt, seen_at: Instant, now: Instant) -> bool {
+        let was_doubted = self.is_doubted(&seen.endpoint, now);
+        let known = self.doubts.get(&seen.endpoint);
+        if known.is_none_or(|(born, at)| (*born, *at) < (seen.born, seen_at)) {
+            self.doubts.insert(seen.endpoint.clone(), (seen.born, seen_at));
+        }
+        !was_doubted && self.is_doubted(&seen.endpoint, now)
+    }
+
+    /// Doubts that hold, with their age in milliseconds.
+    pub fn doubts(&self, now: Instant) -> Vec<(Doubt, u64)> {
+        let fresh = self.doubts.iter().filter(|(_, (_, at))| now.since(*at) < DOUBT_PERIOD);
+        let told = fresh.map(|(id, (born, at))| {
+            let doubt = Doubt { endpoint: id.clone(), born: *born };
+            (doubt, now.since(*at).as_millis() as u64)
+        });
+        told.collect()
     }
 
     /// Gives an endpoint that refused no new work for a while; returns whether that is new.
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -56,6 +56,9 @@
 /// A chain all of whose stages hold their layers and take work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Lane {
+    /// The first endpoint in the plan, by which work in progress is counted, also while another
+    /// one takes its place.
+    pub key: name::Endpoint,
     /// The stages in order; never empty.
     pub hops: Vec<Hop>,
     /// The availability zone of the first stage.
@@ -64,7 +67,7 @@
 }
 
 impl Lane {
-    /// The first endpoint, by which work in progress is counted.
+    /// The first endpoint, which receives requests.
     pub fn head(&self) -> &name::Endpoint {
         &self.hops[0].endpoint
     }
@@ -160,14 +163,13 @@
 
     /// The chain as it can be used now, around stages that cannot.
     fn lane(&self, chain: &Chain) -> Option<Lane> {
-        let head = &chain.stages.first()?.endpoint;
-        let zone = self.view.get(head)?.zone.clone();
+        let key = chain.stages.first()?.endpoint.clone();
+        let known = chain.stages.iter().find_map(|s| self.view.get(&s.endpoint))?;
+        let zone = known.zone.clone();
         let mut all = vec![];
         for stage in &chain.stages {
             match self.hop(&stage.endpoint, stage.layers) {
                 Some(hop) => all.push(hop),
-                // Work in progress is counted by the first endpoint, which stays.
-                None if all.is_empty() => return None,
                 None => all.extend(self.bridge(stage.layers, Some(&zone))?),
             }
         }
@@ -177,7 +179,7 @@
             return None;
         }
         let (hops, accelerators) = all.into_iter().unzip();
-        Some(Lane { hops, zone, accelerators })
+        Some(Lane { key, hops, zone, accelerators })
     }
 }
 
@@ -188,7 +190,7 @@
         let chains = plan.services.get(source.service).map_or(&[][..], Vec::as_slice);
         for chain in chains {
             let first = chain.stages.first().map(|s| &s.endpoint);
-            if lanes.iter().any(|l| Some(l.head()) == first) {
+            if lanes.iter().any(|l| Some(&l.key) == first) {
                 continue;
             }
             lanes.extend(source.lane(chain));
@@ -226,7 +228,7 @@
 ) -> BTreeMap<&'a name::Endpoint, f64> {
     let mut used = BTreeMap::new();
     for lane in lanes {
-        let tokens = book.sum(lane.head(), now).tokens as f64;
+        let tokens = book.sum(&lane.key, now).tokens as f64;
         for hop in &lane.hops {
             let bytes = tokens * f64::from(hop.layers.len()) * model.token_layer_bytes;
             *used.entry(&hop.endpoint).or_default() += bytes;
@@ -251,12 +253,12 @@
     };
     let mut best: Option<(f64, &Lane)> = None;
     for lane in lanes.iter().filter(|l| ask.allows(l.head())) {
-        let sum = book.sum(lane.head(), now);
+        let sum = book.sum(&lane.key, now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.tokens);
         if requests > model.slots || !lane.hops.iter().all(has_room) {
             continue;
         }
-        let factor = book.factor(lane.head(), now);
+        let factor = book.factor(&lane.key, now);
         let event = lane.event(model, requests, tokens).mul_f64(factor);
         let late = ask.route.pause.is_some_and(|pause| event > pause.mul_f64(PAUSE_PART));
         if late && sum.requests > 0 {
--- a/crates/core/src/placement/build.rs
+++ b/crates/core/src/placement/build.rs
@@ -21,8 +21,9 @@
 
 /// Builds as many chains as the endpoints allow: first within availability zones, then across.
 ///
-/// Endpoints that are left over belong to no chain.
-pub fn chains(model: &Model, endpoints: &[Candidate]) -> Vec<Chain> {
+/// Endpoints that are left over belong to no chain. Where there are chains already, or `has_others`
+/// says so, some are set aside to replace stages that are lost.
+pub fn chains(model: &Model, endpoints: &[Candidate], has_others: bool) -> Vec<Chain> {
     let mut zones: BTreeMap<&name::Zone, Vec<&Candidate>> = BTreeMap::new();
     for endpoint in endpoints {
         zones.entry(&endpoint.zone).or_default().push(endpoint);
@@ -35,12 +36,34 @@
         }
         rest.extend(free);
     }
+    if !chains.is_empty() || has_others {
+        set_aside(&mut rest);
+    }
     while let Some(chain) = best(model, &mut rest) {
         chains.push(chain);
     }
     chains
 }
 
+/// Takes one endpoint of each availability zone out of `rest`, so that a stage that is lost can be
+/// replaced without moving others.
+///
+/// The slowest are taken, since they add least to a chain.
+fn set_aside(rest: &mut Vec<&Candidate>) {
+    sort(rest);
+    let mut spares: Vec<usize> = vec![];
+    for index in (0..rest.len()).rev() {
+        if !spares.iter().any(|&s| rest[s].zone == rest[index].zone) {
+            spares.push(index);
+        }
+    }
+    let mut index = 0;
+    rest.retain(|_| {
+        index += 1;
+        !spares.contains(&(index - 1))
+    });
+}
+
 /// Takes the chain with the highest throughput out of `free`.
 fn best(model: &Model, free: &mut Vec<&Candidate>) -> Option<Chain> {
     sort(free);
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -1,7 +1,9 @@
 //! The next plan when endpoints come, leave or fail.
 //!
-//! A chain with a lost stage is mended with endpoints that are in no chain, then with those of the
-//! chain that serves least. What is left over forms further chains. Stages that can stay do.
+//! A chain with a lost stage is mended with endpoints of its availability zone that are in no chain.
+//! If there are none, it stays as it is where other chains' endpoints hold the missing layers, so
+//! that requests go through those; else the chain that serves least is taken apart for it. What is
+//! left over forms further chains. Stages that can stay do.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,13 +21,14 @@
 pub fn revise(model: &Model, current: &[Chain], endpoints: &[Candidate]) -> Vec<Chain> {
     let known: BTreeMap<&name::Endpoint, &Candidate> =
         endpoints.iter().map(|e| (&e.endpoint, e)).collect();
-    let mut work = Work { model, known, chains: current.to_vec() };
+    let mut work = Work { model, known, chains: current.to_vec(), bridged: BTreeSet::new() };
     work.chains.retain(|c| c.is_complete(model.layers));
     while let Some(broken) = work.broken() {
         work.mend(broken);
     }
     let free: Vec<Candidate> = work.free().into_iter().cloned().collect();
-    work.chains.extend(build::chains(model, &free));
+    let has_others = !work.chains.is_empty();
+    work.chains.extend(build::chains(model, &free, has_others));
     work.chains
 }
 
@@ -42,12 +45,18 @@
     model: &'a Model,
     known: BTreeMap<&'a name::Endpoint, &'a Candidate>,
     chains: Vec<Chain>,
+    /// First endpoints of broken chains that stay as they are.
+    bridged: BTreeSet<name::Endpoint>,
 }
 
 impl<'a> Work<'a> {
     /// The broken chain that is worth most.
     fn broken(&self) -> Option<usize> {
-        let broken = (0..self.chains.len()).filter(|&i| !self.missing(i).is_empty());
+        let is_open = |i: &usize| {
+            let first = &self.chains[*i].stages[0].endpoint;
+            !self.missing(*i).is_empty() && !self.bridged.contains(first)
+        };
+        let broken = (0..self.chains.len()).filter(is_open);
         broken.max_by(|&a, &b| self.value(a).total_cmp(&self.value(b)).then(b.cmp(&a)))
     }
 
@@ -55,6 +64,10 @@
     fn mend(&mut self, index: usize) {
         let mut index = index;
         while !self.fill(index, Reach::Zone) {
+            if self.is_bridged(index) {
+                self.bridged.insert(self.chains[index].stages[0].endpoint.clone());
+                return;
+            }
             let Some(least) = self.least_below(index) else {
                 if !self.fill(index, Reach::Anywhere) {
                     self.chains.remove(index);
@@ -68,6 +81,22 @@
         }
     }
 
+    /// Whether endpoints of the same availability zone in other chains hold what is missing.
+    ///
+    /// Such a chain goes on through them at once; moving layers would first take those away.
+    fn is_bridged(&self, index: usize) -> bool {
+        let zone = self.zone(index);
+        let others = self.chains.iter().enumerate().filter(|(i, _)| *i != index);
+        let stages = others.flat_map(|(_, chain)| &chain.stages);
+        let near: Vec<Range> = stages
+            .filter(|s| self.known.get(&s.endpoint).is_some_and(|c| Some(&c.zone) == zone.as_ref()))
+            .map(|s| s.layers)
+            .collect();
+        let holds = |layer| near.iter().any(|r| r.first <= layer && layer < r.end);
+        let mut missing = self.missing(index).into_iter().flat_map(|gap| gap.first..gap.end);
+        missing.all(holds)
+    }
+
     /// The chain that serves least, if it serves less than the one at `index`.
     fn least_below(&self, index: usize) -> Option<usize> {
         let others = (0..self.chains.len()).filter(|&i| i != index);
@@ -100,6 +129,8 @@
     }
 
     /// Stages for `gap` out of `free`, each with room for `tokens` tokens.
+    ///
+    /// Endpoints that hold most of what they are to hold come first: they need not load it.
     fn cover(
         &self,
         gap: Range,
@@ -107,35 +138,30 @@
         zone: Option<&name::Zone>,
         free: &mut Vec<&'a Candidate>,
     ) -> Option<Vec<Stage>> {
-        free.sort_by(|a, b| {
-            let holds = |c: &Candidate| !c.held.covers(gap);
-            let far = |c: &Candidate| zone != Some(&c.zone);
-            let speed = a.accelerator.step_factor.total_cmp(&b.accelerator.step_factor);
-            (holds(a).cmp(&holds(b)))
-                .then(far(a).cmp(&far(b)))
-                .then(speed)
-                .then_with(|| a.endpoint.cmp(&b.endpoint))
-        });
+        let mut left = free.clone();
         let mut stages = vec![];
         let mut first = gap.first;
-        let mut used = BTreeSet::new();
-        for candidate in free.iter() {
-            let most = self.model.capacity(candidate.accelerator.memory, tokens);
-            let layers = Range { first, end: (first + most).min(gap.end) };
-            if layers.is_empty() {
-                continue;
-            }
+        while first < gap.end {
+            let part = |c: &Candidate| {
+                let most = self.model.capacity(c.accelerator.memory, tokens);
+                Range { first, end: (first + most).min(gap.end) }
+            };
+            let able = left.iter().enumerate().filter(|(_, c)| !part(c).is_empty());
+            let (index, _) = able.min_by(|(_, a), (_, b)| {
+                let held = |c: &Candidate| c.held.common(part(c)).len();
+                let far = |c: &Candidate| zone != Some(&c.zone);
+                let speed = a.accelerator.step_factor.total_cmp(&b.accelerator.step_factor);
+                (held(b).cmp(&held(a)))
+                    .then(far(a).cmp(&far(b)))
+                    .then(speed)
+                    .then_with(|| a.endpoint.cmp(&b.endpoint))
+            })?;
+            let candidate = left.remove(index);
+            let layers = part(candidate);
             first = layers.end;
-            used.insert(&candidate.endpoint);
             stages.push(Stage { endpoint: candidate.endpoint.clone(), layers });
-            if first == gap.end {
-                break;
-            }
-        }
-        if first < gap.end {
-            return None;
         }
-        free.retain(|c| !used.contains(&c.endpoint));
+        *free = left;
         Some(stages)
     }
 
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -77,7 +77,7 @@
                 if !fits(state, request, &lane) {
                     return Err(Refusal::Stopping);
                 }
-                let slot = Slot::take(state, lane.head(), request.terms.need.tokens());
+                let slot = Slot::take(state, &lane.key, request.terms.need.tokens());
                 return Ok((lane, slot));
             }
         }
@@ -124,8 +124,8 @@
     let now = state.now();
     let longest = {
         let inner = state.inner.borrow();
-        let sum = inner.book.sum(lane.head(), now);
-        let factor = inner.book.factor(lane.head(), now);
+        let sum = inner.book.sum(&lane.key, now);
+        let factor = inner.book.factor(&lane.key, now);
         lane.longest(&model, &request.terms.need, sum, factor)
     };
     state.ends_after(longest)
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -192,13 +192,13 @@
 
 impl Stream {
     fn new(state: &Shared, lane: &Lane) -> Self {
-        Self { state: state.clone(), head: lane.head().clone(), last: None }
+        Self { state: state.clone(), head: lane.key.clone(), last: None }
     }
 
     fn event(&mut self, state: &Shared, lane: &Lane) {
         let now = state.now();
         let mut inner = state.inner.borrow_mut();
-        inner.progress.insert(lane.head().clone(), now);
+        inner.progress.insert(lane.key.clone(), now);
         match self.last {
             Some(last) => {
                 Metrics::time(&state.metrics.pause, now.since(last));
@@ -299,6 +299,6 @@
 /// Whether other requests get events from the chain.
 fn is_alone(state: &Shared, lane: &Lane) -> bool {
     let inner = state.inner.borrow();
-    let last = inner.progress.get(lane.head());
+    let last = inner.progress.get(&lane.key);
     last.is_some_and(|at| state.now().since(*at) < SILENCE)
 }
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -32,7 +32,7 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(700);
 
 /// Interval at which a loading endpoint is asked.
-const POLL: Duration = Duration::from_millis(150);
+const POLL: Duration = Duration::from_millis(200);
 
 /// Longest time that an order is followed, beyond the estimated time to load.
 const FOLLOW_SLACK: Duration = Duration::from_secs(3);
@@ -127,6 +127,11 @@
     all
 }
 
+/// Whether the endpoint did not begin what it was told, so that its report says all there is.
+fn answer_is_other(answer: &Result<Acceptance, Error>) -> bool {
+    matches!(answer, Ok(Acceptance::Done | Acceptance::Conflict | Acceptance::Refused(_)))
+}
+
 /// An answer as metrics name it.
 fn name(answer: &Result<Acceptance, Error>) -> &'static str {
     match answer {
@@ -162,7 +167,8 @@
         match endpoint::report(due.address, ANSWER_LIMIT).await {
             Ok(report) => {
                 take_report(&state, &due.seen, &report);
-                if !report.busy || report.born != due.seen.born {
+                let has_begun = report.orders > due.orders || answer_is_other(&answer);
+                if (has_begun && !report.busy) || report.born != due.seen.born {
                     break;
                 }
             }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -116,6 +116,7 @@
         plan: inner.plans.first().map_or(0, |p| p.revision),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         loads: inner.book.loads(),
+        doubts: inner.view.doubts(state.now()),
     }
 }
 
@@ -135,6 +136,9 @@
         Message::News(news) => {
             answer(state, hub, &host, &news);
             let now = state.now();
+            for (seen, age_ms) in &news.doubts {
+                state.doubt(seen, Duration::from_millis(*age_ms), host.as_str());
+            }
             state.inner.borrow_mut().book.hear(host, news.loads, now);
             state.room.notify_waiters();
         }
@@ -154,7 +158,7 @@
             }
         }
         Message::Doubt(seen) => {
-            state.doubt(&seen, host.as_str());
+            state.doubt(&seen, Duration::ZERO, host.as_str());
         }
     }
 }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -24,6 +24,12 @@
 /// How long the set of endpoints must be unchanged before the first plan.
 const SETTLE: Duration = Duration::from_millis(700);
 
+/// How long further chains must be possible before they are planned; a broken one is urgent.
+const GROWTH_WAIT: Duration = Duration::from_millis(2500);
+
+/// Time since the start in which an entry does not know enough to change a plan.
+const LEARNING: Duration = Duration::from_millis(1500);
+
 /// Wait of each entry for those before it.
 const RANK_WAIT: Duration = Duration::from_millis(400);
 
@@ -50,7 +56,7 @@
             _ => now,
         };
         need = Some(Need { chains: wanted, since });
-        let settle = if has_plan(&state) { Duration::ZERO } else { SETTLE };
+        let settle = settle(&state, now);
         if now.since(since) < settle + RANK_WAIT * rank(&state) {
             continue;
         }
@@ -61,6 +67,25 @@
     }
 }
 
+/// How long the need for a plan must last.
+fn settle(state: &Shared, now: Instant) -> Duration {
+    if !has_plan(state) {
+        return SETTLE;
+    }
+    if now.since(state.started) < LEARNING || !is_urgent(state, now) {
+        return GROWTH_WAIT;
+    }
+    Duration::ZERO
+}
+
+/// Whether a chain of the plan runs through an endpoint that does not stay.
+fn is_urgent(state: &Shared, now: Instant) -> bool {
+    let inner = state.inner.borrow();
+    let chains = inner.plans.first().into_iter().flat_map(|p| p.services.values().flatten());
+    let mut stages = chains.flat_map(|c| &c.stages);
+    stages.any(|s| !inner.view.is_staying(&s.endpoint, now))
+}
+
 fn has_plan(state: &Shared) -> bool {
     !state.inner.borrow().plans.is_empty()
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -73,6 +73,8 @@
     pub host: name::Host,
     /// The entry's availability zone.
     pub zone: name::Zone,
+    /// When the process started.
+    pub started: Instant,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// The clock.
@@ -119,12 +121,14 @@
             progress: BTreeMap::new(),
             peers: BTreeMap::new(),
         };
+        let clock = Clock::start();
         Rc::new(Self {
+            started: clock.now(),
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
             settings,
             metrics: Metrics::default(),
-            clock: Clock::start(),
+            clock,
             inner: RefCell::new(inner),
             room: Notify::new(),
             doubted: Notify::new(),
@@ -208,9 +212,9 @@
     }
 
     /// Notes that an endpoint does not work, on whose `word`.
-    pub fn doubt(&self, seen: &Doubt, word: &str) -> bool {
+    pub fn doubt(&self, seen: &Doubt, age: Duration, word: &str) -> bool {
         let now = self.now();
-        let is_new = self.inner.borrow_mut().view.doubt(seen, now);
+        let is_new = self.inner.borrow_mut().view.doubt(seen, now - age, now);
         if is_new {
             log::warn!(endpoint = seen.endpoint.as_str(), word; "endpoint does not work");
             self.metrics.doubts.inc();
@@ -274,7 +278,7 @@
         };
         let estimate = |head: &name::Endpoint, sum: Sum| {
             lanes.iter().find_map(|(service, lanes)| {
-                let lane = lanes.iter().find(|l| l.head() == head)?;
+                let lane = lanes.iter().find(|l| l.key == *head)?;
                 let model = table.services.get(service)?.model.as_ref()?;
                 Some(lane.event(model, sum.requests, sum.tokens))
             })
@@ -295,11 +299,11 @@
                 continue;
             };
             for lane in lanes.iter() {
-                let sum = inner.book.sum(lane.head(), now);
+                let sum = inner.book.sum(&lane.key, now);
                 let event_ms = lane.event(model, sum.requests, sum.tokens).as_millis() as u64;
-                let factor = inner.book.factor(lane.head(), now);
+                let factor = inner.book.factor(&lane.key, now);
                 log::info!(
-                    head = lane.head().as_str(), requests = sum.requests, tokens = sum.tokens,
+                    chain = lane.key.as_str(), requests = sum.requests, tokens = sum.tokens,
                     event_ms, factor, waiting; "load"
                 );
             }
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -84,7 +84,7 @@
 
 /// Notes a doubt and tells the other entries.
 fn doubt(state: &Shared, seen: &Doubt) {
-    if state.doubt(seen, state.host.as_str()) {
+    if state.doubt(seen, Duration::ZERO, state.host.as_str()) {
         peers::broadcast(state, &Message::Doubt(seen.clone()));
     }
 }
