Set fewer spares aside where the chain across zones needs them

The spares of the last change left no chain across zones on kigali (7 slow endpoints hold 77 of 80 layers), 8 % of what it serves. Now spares are given up for the first such chain. The test that each zone keeps a spare was wrong where that costs a chain; it is replaced by one that counts chains and spares on two sites and still replaces a lost stage without moving others.

--- a/crates/core/src/placement/build.rs
+++ b/crates/core/src/placement/build.rs
@@ -16,14 +16,25 @@
     150_000.0, 180_000.0, 220_000.0,
 ];
 
+/// Chains that there are besides those to be built.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Besides {
+    /// None.
+    Nothing,
+    /// Some, each within an availability zone.
+    Within,
+    /// Some, of which one or more pass between availability zones.
+    Across,
+}
+
 /// Most stages of a chain.
 const MAX_STAGES: usize = 32;
 
 /// Builds as many chains as the endpoints allow: first within availability zones, then across.
 ///
-/// Endpoints that are left over belong to no chain. Where there are chains already, or `has_others`
-/// says so, some are set aside to replace stages that are lost.
-pub fn chains(model: &Model, endpoints: &[Candidate], has_others: bool) -> Vec<Chain> {
+/// Endpoints that are left over belong to no chain. Where there are chains besides, some are set
+/// aside to replace stages that are lost.
+pub fn chains(model: &Model, endpoints: &[Candidate], besides: Besides) -> Vec<Chain> {
     let mut zones: BTreeMap<&name::Zone, Vec<&Candidate>> = BTreeMap::new();
     for endpoint in endpoints {
         zones.entry(&endpoint.zone).or_default().push(endpoint);
@@ -36,8 +47,8 @@
         }
         rest.extend(free);
     }
-    if !chains.is_empty() || has_others {
-        set_aside(&mut rest);
+    if !chains.is_empty() || besides != Besides::Nothing {
+        set_aside(model, &mut rest, besides);
     }
     while let Some(chain) = best(model, &mut rest) {
         chains.push(chain);
@@ -46,10 +57,10 @@
 }
 
 /// Takes one endpoint of each availability zone out of `rest`, so that a stage that is lost can be
-/// replaced without moving others.
+/// replaced without moving others; fewer where the first chain across zones needs them.
 ///
 /// The slowest are taken, since they add least to a chain.
-fn set_aside(rest: &mut Vec<&Candidate>) {
+fn set_aside(model: &Model, rest: &mut Vec<&Candidate>, besides: Besides) {
     sort(rest);
     let mut spares: Vec<usize> = vec![];
     for index in (0..rest.len()).rev() {
@@ -57,11 +68,17 @@
             spares.push(index);
         }
     }
-    let mut index = 0;
-    rest.retain(|_| {
-        index += 1;
-        !spares.contains(&(index - 1))
-    });
+    if besides != Besides::Across {
+        while !spares.is_empty() && cover(model, &without(rest, &spares), ROOMS[0]).is_none() {
+            spares.pop();
+        }
+    }
+    *rest = without(rest, &spares);
+}
+
+fn without<'a>(all: &[&'a Candidate], indices: &[usize]) -> Vec<&'a Candidate> {
+    let kept = all.iter().enumerate().filter(|(i, _)| !indices.contains(i));
+    kept.map(|(_, candidate)| *candidate).collect()
 }
 
 /// Takes the chain with the highest throughput out of `free`.
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -8,7 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::estimate::{self, Stage as Part};
-use super::{Candidate, Chain, Model, Range, Stage, build};
+use super::build::{self, Besides};
+use super::{Candidate, Chain, Model, Range, Stage};
 use crate::name;
 
 /// Parts of a chain's room that a replacement may have, in the order in which they are tried.
@@ -27,8 +28,8 @@
         work.mend(broken);
     }
     let free: Vec<Candidate> = work.free().into_iter().cloned().collect();
-    let has_others = !work.chains.is_empty();
-    work.chains.extend(build::chains(model, &free, has_others));
+    let besides = work.besides();
+    work.chains.extend(build::chains(model, &free, besides));
     work.chains
 }
 
@@ -195,6 +196,14 @@
         estimate::throughput(self.model, &self.parts(index), self.crossings(index))
     }
 
+    fn besides(&self) -> Besides {
+        if self.chains.is_empty() {
+            return Besides::Nothing;
+        }
+        let is_across = (0..self.chains.len()).any(|i| self.crossings(i) > 0);
+        if is_across { Besides::Across } else { Besides::Within }
+    }
+
     /// Passages between availability zones along the chain.
     fn crossings(&self, index: usize) -> usize {
         let stages = self.chains[index].stages.iter();
