Read settings again on SIGHUP, and wait for endpoints after an outage of the store

Settings are read again on SIGHUP and when the file changes; times and retries change while the process runs. An endpoint that is missing from a listing within 2.3 s after an outage counts as there.

--- a/crates/adapter/src/signal.rs
+++ b/crates/adapter/src/signal.rs
@@ -1,8 +1,8 @@
-//! Signals that ask a process to stop.
+//! Signals that ask a process to stop, or to read its settings again.
 
 use std::io;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// Waits for SIGTERM or SIGINT.
 pub async fn stop() -> io::Result<()> {
@@ -14,3 +14,8 @@
     }
     Ok(())
 }
+
+/// SIGHUPs, each of which asks the process to read its settings again.
+pub fn hang_up() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -136,8 +136,16 @@
     doubts: BTreeMap<name::Endpoint, (u64, Instant)>,
     draining: BTreeMap<name::Endpoint, Instant>,
     paused: BTreeMap<name::Endpoint, Instant>,
+    /// Until when endpoints that are missing from a listing may still come back.
+    returning: Option<Instant>,
 }
 
+/// Time between two listings from which on leases may have run out in between.
+const OUTAGE: Duration = Duration::from_millis(1500);
+
+/// Time after an outage of the store in which endpoints register again.
+const RETURN_PERIOD: Duration = Duration::from_millis(2300);
+
 /// How long an endpoint that refused gets no new work.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -147,9 +155,17 @@
         if listing.revision < self.listing.revision {
             return false;
         }
+        if self.listed_at.is_some_and(|at| read.since(at) > OUTAGE) {
+            self.returning = Some(read + RETURN_PERIOD);
+        }
         if self.listed_at.is_none_or(|at| at < read) {
             self.listed_at = Some(read);
         }
+        if self.returning.is_some_and(|until| read < until) {
+            for (id, endpoint) in &self.listing.endpoints {
+                listing.endpoints.entry(id.clone()).or_insert_with(|| endpoint.clone());
+            }
+        }
         for endpoint in listing.endpoints.values_mut() {
             self.overlay(endpoint);
         }
--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// How long this entry's streams on a chain have all been without an event, if there are at
+    /// least `streams` of them.
+    pub fn silence(&self, head: &name::Endpoint, streams: u32, now: Instant) -> Option<Duration> {
+        let (gauge, count) = self.gauges.get(head)?;
+        (*count >= streams).then(|| gauge.silence(now))
+    }
+
     /// How much more slowly than estimated a chain's events come, as all entries see it.
     pub fn factor(&self, head: &name::Endpoint, now: Instant) -> f64 {
         let own = self.gauges.get(head).map_or(1.0, |(gauge, _)| gauge.factor());
--- a/crates/core/src/forward/budget.rs
+++ b/crates/core/src/forward/budget.rs
@@ -36,6 +36,11 @@
         Self { bound, requests: VecDeque::new(), retries: VecDeque::new() }
     }
 
+    /// Changes the bound from now on.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+    }
+
     /// Counts a caller's request.
     pub fn request(&mut self, now: Instant) {
         self.forget(now);
--- a/crates/core/src/forward/gauge.rs
+++ b/crates/core/src/forward/gauge.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Time since the last event.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.since(self.last)
+    }
+
     /// The factor on estimated pauses.
     pub fn factor(&self) -> f64 {
         self.factor
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -7,13 +7,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::estimate::{self, Stage as Part};
 use super::build::{self, Besides};
+use super::estimate::{self, Stage as Part};
 use super::{Candidate, Chain, Model, Range, Stage};
 use crate::name;
 
 /// Parts of a chain's room that a replacement may have, in the order in which they are tried.
-const ROOM_PARTS: [f64; 5] = [1.0, 0.8, 0.6, 0.4, 0.2];
+const ROOM_PARTS: [f64; 3] = [1.0, 0.8, 0.6];
+
+/// Further parts, for when all else has been tried: such a chain serves little.
+const SMALL_ROOM_PARTS: [f64; 2] = [0.4, 0.2];
 
 /// Least room of a replacement, in tokens.
 const MIN_ROOM: f64 = 8_000.0;
@@ -64,13 +67,16 @@
     /// Fills the gaps of a chain, taking apart chains that serve less, or the chain itself.
     fn mend(&mut self, index: usize) {
         let mut index = index;
-        while !self.fill(index, Reach::Zone) {
+        while !self.fill(index, Reach::Zone, &ROOM_PARTS) {
             if self.is_bridged(index) {
                 self.bridged.insert(self.chains[index].stages[0].endpoint.clone());
                 return;
             }
             let Some(least) = self.least_below(index) else {
-                if !self.fill(index, Reach::Anywhere) {
+                let filled = self.fill(index, Reach::Anywhere, &ROOM_PARTS)
+                    || self.fill(index, Reach::Zone, &SMALL_ROOM_PARTS)
+                    || self.fill(index, Reach::Anywhere, &SMALL_ROOM_PARTS);
+                if !filled {
                     self.chains.remove(index);
                 }
                 return;
@@ -106,11 +112,11 @@
     }
 
     /// Replaces the missing stages by free endpoints; changes nothing if there are too few.
-    fn fill(&mut self, index: usize, reach: Reach) -> bool {
+    fn fill(&mut self, index: usize, reach: Reach, parts: &[f64]) -> bool {
         let room = self.room(index);
         let zone = self.zone(index);
         let gaps = self.missing(index);
-        for part in ROOM_PARTS {
+        for part in parts {
             let tokens = (room * part).max(MIN_ROOM);
             let mut free = self.free();
             if reach == Reach::Zone {
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -154,6 +154,31 @@
     assert!(!world.view.listing().endpoints.is_empty());
 }
 
+/// The store was away and leases ran out: endpoints come back within two seconds of its return.
+#[test]
+fn endpoints_that_lapsed_in_an_outage_are_given_time_to_come_back() {
+    let mut world = World::new();
+    let all = world.view.listing().endpoints.len();
+    let listed = |revision, count| {
+        let mut listing = listing(&site(), &Plan::default());
+        listing.revision = revision;
+        listing.endpoints = listing.endpoints.into_iter().take(count).collect();
+        listing
+    };
+    // Without an outage a missing endpoint is gone.
+    world.view.list(listed(2, all - 1), at_ms(600));
+    assert_eq!(world.view.listing().endpoints.len(), all - 1);
+    world.view.list(listed(3, 3), at_ms(6_600));
+    assert_eq!(world.view.listing().endpoints.len(), all - 1);
+    world.view.list(listed(4, 20), at_ms(7_200));
+    assert_eq!(world.view.listing().endpoints.len(), all - 1);
+    // What is still missing after two seconds is gone.
+    world.view.list(listed(5, 30), at_ms(7_800));
+    world.view.list(listed(6, 30), at_ms(8_400));
+    world.view.list(listed(7, 30), at_ms(9_000));
+    assert_eq!(world.view.listing().endpoints.len(), 30);
+}
+
 #[test]
 fn what_an_endpoint_reported_outlasts_registrations_written_before() {
     let mut world = World::new();
--- a/crates/router/src/cmd/run.rs
+++ b/crates/router/src/cmd/run.rs
@@ -15,14 +15,15 @@
         log::error!("{} does not name a settings file", oriole_platform::SETTINGS_VARIABLE);
         return ExitCode::FAILURE;
     };
-    let settings = match settings::load::<Settings>(&PathBuf::from(path)) {
+    let path = PathBuf::from(path);
+    let settings = match settings::load::<Settings>(&path) {
         Ok(settings) => settings,
         Err(e) => {
             log::error!("{e}");
             return ExitCode::FAILURE;
         }
     };
-    match actix_rt::System::new().block_on(process::run(settings)) {
+    match actix_rt::System::new().block_on(process::run(settings, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             log::error!("{e}");
--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_core::forward::lane::Lane;
-use oriole_platform::endpoint;
+use oriole_platform::endpoint::{self, Acceptance};
 use tokio::time::sleep;
 
 use crate::serve::Request;
@@ -35,13 +35,13 @@
         let waited = state.now().since(began);
         if let Some(other) = find(state, request, lane) {
             match endpoint::repath(id, &other.hops, ANSWER_LIMIT).await {
-                Ok(true) => {
+                Ok(Acceptance::Begun | Acceptance::Done) => {
                     state.metrics.moves.inc();
                     let waited_ms = waited.as_millis() as u64;
                     log::info!(id, head = lane.head().as_str(), waited_ms; "moved to another chain");
                     return Some(other);
                 }
-                Ok(false) => log::info!(id; "move refused"),
+                Ok(answer) => log::info!(id, answer:?; "move refused"),
                 Err(error) => log::info!(id, error:%; "move not answered"),
             }
             if waited >= CHAIN_WAIT {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::follow;
 use crate::state::Shared;
+use crate::suspect;
 
 /// Interval of news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(150);
@@ -81,6 +82,9 @@
     let mut round = 0_u64;
     loop {
         state.measure();
+        for lane in state.silent_lanes() {
+            suspect::ask_all(&state, &lane);
+        }
         if round % REPORT_ROUNDS == 0 {
             state.log_load();
         }
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use oriole_adapter::signal;
+use oriole_adapter::{settings, signal};
 use oriole_platform::store::Client;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::Signal;
 use tokio::time::sleep;
 
 use crate::settings::{Listen, Settings};
@@ -32,6 +34,9 @@
 /// Interval at which usable chains are worked out anew, for what changes with time alone.
 const REFRESH: Duration = Duration::from_millis(200);
 
+/// Interval at which the settings file is compared.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Why the process cannot run.
 #[derive(Debug, Display, Error)]
 pub enum Error {
@@ -73,9 +78,13 @@
 }
 
 /// Runs until the process is told to stop and has finished its requests.
-pub async fn run(settings: Settings) -> Result<(), Error> {
+///
+/// `path` is the settings file, which is read again on SIGHUP and when it changes.
+pub async fn run(settings: Settings, path: PathBuf) -> Result<(), Error> {
     let sockets = Sockets::bind(&settings.listen)?;
+    let hang_up = signal::hang_up().map_err(Error::Signal)?;
     let state = start(settings, sockets);
+    actix_rt::spawn(reload(state.clone(), path, hang_up));
     signal::stop().await.map_err(Error::Signal)?;
     stop(&state).await;
     Ok(())
@@ -107,6 +116,26 @@
     listen().map_err(|source| Error::Listen { address, source })
 }
 
+/// Reads the settings again on SIGHUP, and when the file has changed without one.
+async fn reload(state: Shared, path: PathBuf, mut hang_up: Signal) {
+    let mut known = std::fs::read(&path).ok();
+    loop {
+        let is_told = tokio::select! {
+            told = hang_up.recv() => told.is_some(),
+            () = sleep(SETTINGS_INTERVAL) => false,
+        };
+        let found = std::fs::read(&path).ok();
+        if !is_told && found == known {
+            continue;
+        }
+        known = found;
+        match settings::load::<Settings>(&path) {
+            Ok(settings) => state.reload(&settings),
+            Err(error) => log::error!(error:%; "settings not taken over"),
+        }
+    }
+}
+
 async fn refresh(state: Shared) {
     loop {
         sleep(REFRESH).await;
@@ -117,7 +146,7 @@
 /// Stops: first the readiness, then idle connections, then the process once it has no requests.
 pub async fn stop(state: &Shared) {
     let began = state.now();
-    let grace = Duration::from_millis(state.settings.times.grace_ms).mul_f64(1.0 - LAST_PART);
+    let grace = Duration::from_millis(state.tunables().times.grace_ms).mul_f64(1.0 - LAST_PART);
     state.ends.set(Some(began + grace));
     state.stopping.set(true);
     log::info!(active = state.active.get(); "stopping");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -7,7 +7,7 @@
 use serde::Deserialize;
 
 /// All settings.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Settings {
     /// Name of the host.
@@ -24,8 +24,24 @@
     pub retries: Retries,
 }
 
+/// The settings that a running process takes over when they change.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tunables {
+    /// Times that the operators set.
+    pub times: Times,
+    /// Retries that a service may get.
+    pub retries: Retries,
+}
+
+impl Tunables {
+    /// Those of `settings`.
+    pub fn of(settings: &Settings) -> Self {
+        Self { times: settings.times.clone(), retries: settings.retries.clone() }
+    }
+}
+
 /// Addresses of this process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Listen {
     /// For callers.
@@ -39,7 +55,7 @@
 }
 
 /// The platform's store.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Store {
     /// Its address.
@@ -49,7 +65,7 @@
 }
 
 /// Times that the operators set, in milliseconds.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Times {
     /// In which a leaving endpoint must get no more requests.
@@ -63,7 +79,7 @@
 }
 
 /// Retries that a service may get from all entries, in a window.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Retries {
     /// For each request.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -20,7 +20,7 @@
 use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
-use crate::settings::Settings;
+use crate::settings::{Settings, Tunables};
 
 /// Earlier plans whose chains may still be used.
 const KEPT_PLANS: usize = 3;
@@ -31,6 +31,15 @@
 /// Margin on the estimated time of work that must end before the process does.
 const STOP_MARGIN: f64 = 1.25;
 
+/// Usual events that all streams of a chain must miss before its stages are asked.
+const SILENT_EVENTS: f64 = 3.0;
+
+/// Streams below which the silence of all of them says little about their chain.
+const SILENT_STREAMS: u32 = 3;
+
+/// Least silence after which a chain's stages are asked.
+const LEAST_SILENCE: Duration = Duration::from_millis(250);
+
 /// Time from the end of a process to the readiness of the next one.
 const RESTART: Duration = Duration::from_millis(900);
 
@@ -67,8 +76,9 @@
 
 /// State that tasks share.
 pub struct State {
-    /// Settings.
+    /// Settings as they were at the start; [`State::tunables`] has those that may change.
     pub settings: Settings,
+    tunables: RefCell<Tunables>,
     /// The entry's name.
     pub host: name::Host,
     /// The entry's availability zone.
@@ -93,6 +103,8 @@
     pub asked: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// When the process ends at the latest, once it has been told to stop.
     pub ends: Cell<Option<Instant>>,
+    /// When all stages of chains were last asked.
+    pub probed: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Whether idle connections are to be closed.
     pub closing: Cell<bool>,
     /// Wakes idle connections that are to be closed.
@@ -126,6 +138,7 @@
             started: clock.now(),
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
+            tunables: RefCell::new(Tunables::of(&settings)),
             settings,
             metrics: Metrics::default(),
             clock,
@@ -135,6 +148,7 @@
             changed: Notify::new(),
             hub: RefCell::new(None),
             asked: RefCell::default(),
+            probed: RefCell::default(),
             ends: Cell::new(None),
             closing: Cell::new(false),
             closed: Notify::new(),
@@ -148,6 +162,27 @@
         self.clock.now()
     }
 
+    /// Settings that may change while the process runs.
+    pub fn tunables(&self) -> Tunables {
+        self.tunables.borrow().clone()
+    }
+
+    /// Takes over settings that have been read again.
+    pub fn reload(&self, settings: &Settings) {
+        let tunables = Tunables::of(settings);
+        let needs_restart = settings.listen != self.settings.listen
+            || settings.store != self.settings.store
+            || settings.name != self.settings.name
+            || settings.zone != self.settings.zone;
+        let changed = *self.tunables.borrow() != tunables;
+        log::info!(changed, needs_restart; "settings read again");
+        let bound = tunables.retries.bound();
+        *self.tunables.borrow_mut() = tunables;
+        for budget in self.inner.borrow_mut().budgets.values_mut() {
+            budget.set_bound(bound);
+        }
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let inner = self.inner.borrow();
@@ -178,7 +213,7 @@
 
     /// How long a leaving endpoint still gets work.
     pub fn drain_grace(&self) -> Duration {
-        Duration::from_millis(self.settings.times.drain_ms).mul_f64(DRAIN_PART)
+        Duration::from_millis(self.tunables.borrow().times.drain_ms).mul_f64(DRAIN_PART)
     }
 
     /// Takes over a newer routing table.
@@ -286,6 +321,26 @@
         book.close(estimate, now);
     }
 
+    /// Chains on which all streams of this entry have fallen silent.
+    pub fn silent_lanes(&self) -> Vec<Lane> {
+        let now = self.now();
+        let inner = self.inner.borrow();
+        let Some(table) = &inner.table else {
+            return vec![];
+        };
+        let is_silent = |service: &name::Service, lane: &Lane| {
+            let Some(model) = table.services.get(service).and_then(|s| s.model.as_ref()) else {
+                return false;
+            };
+            let sum = inner.book.sum(&lane.key, now);
+            let usual = lane.event(model, sum.requests, sum.tokens).mul_f64(SILENT_EVENTS);
+            let silence = inner.book.silence(&lane.key, SILENT_STREAMS, now);
+            silence.is_some_and(|silence| silence > usual.max(LEAST_SILENCE))
+        };
+        let lanes = inner.lanes.iter().flat_map(|(s, lanes)| lanes.iter().map(move |l| (s, l)));
+        lanes.filter(|(s, lane)| is_silent(s, lane)).map(|(_, lane)| lane.clone()).collect()
+    }
+
     /// Writes a line about the load of each chain.
     pub fn log_load(&self) {
         let now = self.now();
@@ -321,7 +376,7 @@
         // One more than is known: another entry may just be starting.
         let entries = self.entries() + 1;
         let now = self.now();
-        let bound = self.settings.retries.bound();
+        let bound = self.tunables.borrow().retries.bound();
         let mut inner = self.inner.borrow_mut();
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
         let taken = budget.take(entries, now);
@@ -335,7 +390,7 @@
     pub fn count_request(&self, service: &name::Service) {
         let now = self.now();
         self.metrics.requests.inc();
-        let bound = self.settings.retries.bound();
+        let bound = self.tunables.borrow().retries.bound();
         let mut inner = self.inner.borrow_mut();
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
         budget.request(now);
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -17,6 +17,9 @@
 /// Least time between questions to one endpoint.
 const ASK_INTERVAL: Duration = Duration::from_millis(450);
 
+/// Least time between questions to all stages of one chain.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1500);
+
 /// Asks for a report, once more if the first question gets no answer.
 async fn report(address: SocketAddr) -> Result<Report, Error> {
     match endpoint::report(address, REPORT_LIMITS[0]).await {
@@ -51,6 +54,28 @@
     });
 }
 
+/// Asks every stage of a chain that has fallen silent; one that does not answer is lost.
+pub fn ask_all(state: &Shared, lane: &Lane) {
+    let now = state.now();
+    {
+        let mut probed = state.probed.borrow_mut();
+        if probed.get(&lane.key).is_some_and(|at| now.since(*at) < PROBE_INTERVAL) {
+            return;
+        }
+        probed.insert(lane.key.clone(), now);
+    }
+    log::info!(chain = lane.key.as_str(); "all streams of a chain are silent");
+    for hop in &lane.hops {
+        let (state, hop) = (state.clone(), hop.clone());
+        actix_rt::spawn(async move {
+            match report(hop.address).await {
+                Ok(report) if report.born == hop.born => {}
+                Ok(_) | Err(_) => doubt(&state, &hop.seen()),
+            }
+        });
+    }
+}
+
 /// Looks closer at an endpoint that a refusal names, or at the first one.
 pub fn refused(state: &Shared, lane: &Lane, at_fault: Option<SocketAddr>) {
     let named = lane.hops.iter().find(|h| Some(h.address) == at_fault);
