--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -97,7 +97,8 @@
     let request = match admit(state, head, body, terms, arrived) {
         Ok(request) => request,
         Err((reason, id)) => {
-            log::info!(id = id.as_str(), reason:?; "rejected");
+            let (table, _) = state.versions();
+            log::info!(id = id.as_str(), reason:?, table; "rejected");
             Metrics::count(&state.metrics.refused, reason.as_str());
             return reject(writer, reason).await;
         }
@@ -166,7 +167,8 @@
 ) -> io::Result<()> {
     let waited_ms = state.now().since(request.arrived).as_millis() as u64;
     let route = request.route.name.as_str();
-    log::info!(id = request.id(), route, reason:?, not_run, waited_ms; "given up");
+    let (table, plan) = state.versions();
+    log::info!(id = request.id(), route, reason:?, not_run, waited_ms, table, plan; "given up");
     Metrics::count(&state.metrics.refused, reason.as_str());
     if writer.progress() != crate::reply::Progress::Nothing {
         return Ok(());
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -205,6 +205,13 @@
         left + RESTART
     }
 
+    /// Version of the routing table and revision of the plan, for logs; 0 for none.
+    pub fn versions(&self) -> (u64, u64) {
+        let inner = self.inner.borrow();
+        let table = inner.table.as_ref().map_or(0, |t| t.version);
+        (table, inner.plans.first().map_or(0, |p| p.revision))
+    }
+
     /// The model of a service that is served by chains.
     pub fn model(&self, service: &name::Service) -> Option<Model> {
         let inner = self.inner.borrow();
