--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -24,7 +24,7 @@
 const PAUSE_PART: f64 = 0.6;
 
 /// Estimated extra cost of a chain that starts in another availability zone, in milliseconds.
-const FAR_MS: f64 = 60.0;
+const FAR_MS: f64 = 800.0;
 
 /// Weight of a passage between availability zones: what passes there delays all other chains.
 const CROSSING_WEIGHT: f64 = 8.0;
