Run broken streams elsewhere where moving them would read across zones

A stream whose lost stage only another zone could replace now runs again on another chain if one has room (reading through all layers there costs 5 ms of the slowest stage a stream); else it moves as before. A failed attempt goes to another chain first.

--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -27,7 +27,7 @@
 const FAR_MS: f64 = 800.0;
 
 /// Weight of a passage between availability zones: what passes there delays all other chains.
-const CROSSING_WEIGHT: f64 = 8.0;
+const CROSSING_WEIGHT: f64 = 50.0;
 
 /// One stage as a request names it.
 #[derive(Clone, Debug, PartialEq)]
@@ -210,12 +210,16 @@
     pub zone: &'a name::Zone,
     /// First endpoints at which the request has run already.
     pub ran_at: &'a [name::Endpoint],
+    /// The key of a chain that is not to be chosen.
+    pub avoid: Option<&'a name::Endpoint>,
 }
 
 impl Ask<'_> {
-    /// Whether the route allows the request to run at `head`, too.
-    fn allows(&self, head: &name::Endpoint) -> bool {
-        self.ran_at.len() < self.route.max_attempts as usize || self.ran_at.contains(head)
+    /// Whether the request may run on a chain, too.
+    fn allows(&self, lane: &Lane) -> bool {
+        let attempts = self.route.max_attempts as usize;
+        let is_allowed = self.ran_at.len() < attempts || self.ran_at.contains(lane.head());
+        is_allowed && self.avoid != Some(&lane.key)
     }
 }
 
@@ -252,7 +256,7 @@
         taken + bytes <= hop.free * ROOM_PART
     };
     let mut best: Option<(f64, &Lane)> = None;
-    for lane in lanes.iter().filter(|l| ask.allows(l.head())) {
+    for lane in lanes.iter().filter(|l| ask.allows(l)) {
         let sum = book.sum(&lane.key, now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.tokens);
         if requests > model.slots || !lane.hops.iter().all(has_room) {
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -7,7 +7,7 @@
 use std::io;
 
 use oriole_core::forward::event::Splitter;
-use oriole_core::forward::outcome::Tries;
+use oriole_core::forward::outcome::{Failure, Tries};
 use oriole_core::forward::wait;
 use std::time::Duration;
 
@@ -27,9 +27,17 @@
     let mut splitter = Splitter::after(request.terms.last_event.clone());
     let mut tries = Tries::default();
     let mut until = wait::until(request.arrived, request.route.objective, request.deadline);
+    let mut next = None;
+    let mut failed = None;
     loop {
-        let (mut lane, slot) = match admission::acquire(state, request, &tries.ran_at, until).await
-        {
+        let admitted = match next.take() {
+            Some(admitted) => Ok(admitted),
+            None => {
+                let ran_at = &tries.ran_at;
+                admission::acquire(state, request, ran_at, failed.as_ref(), until).await
+            }
+        };
+        let (mut lane, slot) = match admitted {
             Ok(admitted) => admitted,
             Err(refusal) => {
                 let reason = match refusal {
@@ -40,7 +48,7 @@
             }
         };
         let sent = state.now();
-        let end = attempt::run(state, request, &mut lane, &mut splitter, writer).await;
+        let end = attempt::run(state, request, &tries, &mut lane, &mut splitter, writer).await;
         drop(slot);
         let now = state.now();
         let head = lane.head().as_str();
@@ -57,11 +65,18 @@
             End::Deadline => {
                 return give_up(state, request, writer, Reason::Timeout, false).await;
             }
+            End::Elsewhere(lane, slot) => {
+                next = Some((lane, slot));
+                Failure::Doubted
+            }
             End::Failed(failure) => failure,
         };
         log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
         Metrics::count(&state.metrics.failures, failure.as_str());
         tries.count(lane.head(), failure, state.is_doubted(lane.head()));
+        if next.is_some() {
+            continue;
+        }
         let not_run = !tries.may_have_run;
         if !tries.may_retry(&request.route, failure) {
             return give_up(state, request, writer, Reason::Failed, not_run).await;
@@ -69,6 +84,7 @@
         if !state.take_retry(&request.service) {
             return give_up(state, request, writer, Reason::NoBudget, not_run).await;
         }
+        failed = Some(lane.key);
         until = (now + RESUME_WAIT).min(request.deadline);
     }
 }
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -58,11 +58,12 @@
     }
 }
 
-/// Waits for room until `until`.
+/// Waits for room until `until`, on another chain than `failed` if one has room.
 pub async fn acquire(
     state: &Shared,
     request: &Request,
     ran_at: &[name::Endpoint],
+    failed: Option<&name::Endpoint>,
     until: Instant,
 ) -> Result<(Lane, Slot), Refusal> {
     let mut place: Option<Place> = None;
@@ -70,7 +71,8 @@
         let mut room = pin!(state.room.notified());
         room.as_mut().enable();
         if is_next(state, request, place.as_ref()) {
-            if let Some(lane) = choose(state, request, ran_at) {
+            let other = choose(state, request, ran_at, failed);
+            if let Some(lane) = other.or_else(|| choose(state, request, ran_at, None)) {
                 if let Some(place) = &mut place {
                     place.served = true;
                 }
@@ -106,13 +108,35 @@
     }
 }
 
-fn choose(state: &Shared, request: &Request, ran_at: &[name::Endpoint]) -> Option<Lane> {
+/// Takes room on another chain than `avoid` at once, for a stream whose chain is broken.
+///
+/// Takes a retry out of the budget only if there is room.
+pub fn elsewhere(
+    state: &Shared,
+    request: &Request,
+    ran_at: &[name::Endpoint],
+    avoid: &name::Endpoint,
+) -> Option<(Lane, Slot)> {
+    let lane = choose(state, request, ran_at, Some(avoid))?;
+    if !state.take_retry(&request.service) {
+        return None;
+    }
+    let slot = Slot::take(state, &lane.key, request.terms.need.tokens());
+    Some((lane, slot))
+}
+
+fn choose(
+    state: &Shared,
+    request: &Request,
+    ran_at: &[name::Endpoint],
+    avoid: Option<&name::Endpoint>,
+) -> Option<Lane> {
     let now = state.now();
     let model = state.model(&request.service)?;
     let inner = state.inner.borrow();
     let lanes = inner.lanes.get(&request.service)?;
     let tokens = request.terms.need.tokens();
-    let ask = Ask { route: &request.route, tokens, zone: &state.zone, ran_at };
+    let ask = Ask { route: &request.route, tokens, zone: &state.zone, ran_at, avoid };
     lane::choose(&model, lanes, &inner.book, &ask, now).cloned()
 }
 
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -8,13 +8,13 @@
 use oriole_adapter::exchange::{self, Answer, Body};
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::lane::Lane;
-use oriole_core::forward::outcome::Failure;
+use oriole_core::forward::outcome::{Failure, Tries};
 use oriole_core::name;
 use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Additions, Verdict};
 use tokio::time::sleep;
 
-use crate::generation::repath;
+use crate::generation::{Slot, admission, repath};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
@@ -42,6 +42,8 @@
     Complete,
     /// It failed.
     Failed(Failure),
+    /// Its chain is broken, and there is room on this one.
+    Elsewhere(Lane, Slot),
     /// The request's time is over.
     Deadline,
     /// The caller cannot be reached any more.
@@ -52,14 +54,15 @@
 pub async fn run(
     state: &Shared,
     request: &Request,
+    tries: &Tries,
     lane: &mut Lane,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> End {
     let work = async {
-        match open(state, request, lane, splitter).await {
-            Ok(answer) => pass_on(state, request, lane, answer, splitter, writer).await,
-            Err(failure) => End::Failed(failure),
+        match open(state, request, tries, lane, splitter).await {
+            Ok(answer) => pass_on(state, request, tries, lane, answer, splitter, writer).await,
+            Err(end) => end,
         }
     };
     let left = request.deadline.since(state.now());
@@ -73,16 +76,17 @@
 async fn open(
     state: &Shared,
     request: &Request,
+    tries: &Tries,
     lane: &mut Lane,
     splitter: &Splitter,
-) -> Result<Answer, Failure> {
+) -> Result<Answer, End> {
     let hop = lane.hops[0].clone();
     let stream = match exchange::connect(hop.address, CONNECT_LIMIT).await {
         Ok(stream) => stream,
         Err(e) => {
             log::info!(id = request.id(), endpoint = hop.endpoint.as_str(), error:% = e; "not sent");
             suspect::unreachable(state, &hop.seen());
-            return Err(Failure::NotSent);
+            return Err(End::Failed(Failure::NotSent));
         }
     };
     let additions = Additions {
@@ -94,14 +98,14 @@
     };
     let head = endpoint::request(&request.head, &additions);
     let sending = exchange::send(stream, head, request.body.clone());
-    let answer = match watch(state, request, lane, FIRST_SILENCE, sending).await {
-        Some(Ok(answer)) => answer,
-        Some(Err(e)) => {
+    let watched = Watched { state, request, tries };
+    let answer = match watched.watch(lane, FIRST_SILENCE, sending).await? {
+        Ok(answer) => answer,
+        Err(e) => {
             log::info!(id = request.id(), error:% = e; "no answer");
             suspect::ask(state, lane);
-            return Err(Failure::Unknown);
+            return Err(End::Failed(Failure::Unknown));
         }
-        None => return Err(Failure::Doubted),
     };
     match endpoint::judge(&answer.head, request.terms.id.as_deref()) {
         Verdict::Answer => Ok(answer),
@@ -109,11 +113,11 @@
             let status = answer.head.status.as_u16();
             log::info!(id = request.id(), status, at_fault:?; "not executed");
             suspect::refused(state, lane, at_fault);
-            Err(Failure::NotExecuted)
+            Err(End::Failed(Failure::NotExecuted))
         }
         Verdict::Foreign => {
             log::warn!(id = request.id(), endpoint = hop.endpoint.as_str(); "foreign answer");
-            Err(Failure::Unknown)
+            Err(End::Failed(Failure::Unknown))
         }
     }
 }
@@ -121,6 +125,7 @@
 async fn pass_on(
     state: &Shared,
     request: &Request,
+    tries: &Tries,
     lane: &mut Lane,
     answer: Answer,
     splitter: &mut Splitter,
@@ -139,16 +144,17 @@
     let mut silence = FIRST_SILENCE;
     let mut stream = Stream::new(state, lane);
     loop {
-        let bytes = match watch(state, request, lane, silence, body.next()).await {
-            None => return End::Failed(Failure::Doubted),
-            Some(Err(e)) => {
+        let watched = Watched { state, request, tries };
+        let bytes = match watched.watch(lane, silence, body.next()).await {
+            Err(end) => return end,
+            Ok(Err(e)) => {
                 log::info!(id = request.id(), error:% = e; "stream broke");
                 suspect::ask(state, lane);
                 return End::Failed(Failure::Unknown);
             }
-            Some(Ok(None)) if splitter.is_partial() => return End::Failed(Failure::Unknown),
-            Some(Ok(None)) => break,
-            Some(Ok(Some(bytes))) => bytes,
+            Ok(Ok(None)) if splitter.is_partial() => return End::Failed(Failure::Unknown),
+            Ok(Ok(None)) => break,
+            Ok(Ok(Some(bytes))) => bytes,
         };
         let Some(whole) = splitter.push(&bytes) else {
             return End::Failed(Failure::Unknown);
@@ -247,49 +253,79 @@
     }
 }
 
-/// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
-///
-/// A chain that does not work is left for another one with the same first stage, if there is one
-/// in time. None if there is none, or if other requests go on at the chain and this one does not.
-async fn watch<T>(
-    state: &Shared,
-    request: &Request,
-    lane: &mut Lane,
-    silence: Duration,
-    work: impl Future<Output = T>,
-) -> Option<T> {
-    let began = state.now();
-    let mut work = pin!(work);
-    let mut limit = silence;
-    loop {
-        let mut doubted = pin!(state.doubted.notified());
-        doubted.as_mut().enable();
-        if is_doubted(state, lane) {
-            // The answer may still end whole if all its tokens have been made.
+/// What waiting for a chain depends on.
+struct Watched<'a> {
+    state: &'a Shared,
+    request: &'a Request,
+    tries: &'a Tries,
+}
+
+impl Watched<'_> {
+    /// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
+    ///
+    /// A chain that does not work is left for another one with the same first stage, if there is
+    /// one in time. The attempt ends if there is none, if the new stages would read all tokens
+    /// across availability zones and another chain has room, or if other requests go on at the
+    /// chain and this one does not.
+    async fn watch<T>(
+        &self,
+        lane: &mut Lane,
+        silence: Duration,
+        work: impl Future<Output = T>,
+    ) -> Result<T, End> {
+        let state = self.state;
+        let began = state.now();
+        let mut work = pin!(work);
+        let mut limit = silence;
+        loop {
+            let mut doubted = pin!(state.doubted.notified());
+            doubted.as_mut().enable();
+            if is_doubted(state, lane) {
+                if let Some((other, slot)) = self.elsewhere(lane) {
+                    return Err(End::Elsewhere(other, slot));
+                }
+                // The answer may still end whole if all its tokens have been made.
+                tokio::select! {
+                    biased;
+                    result = &mut work => return Ok(result),
+                    moved = repath::run(state, self.request, lane) => match moved {
+                        Some(other) => *lane = other,
+                        None => return Err(End::Failed(Failure::Doubted)),
+                    },
+                }
+                continue;
+            }
+            let left = (began + limit).since(state.now());
             tokio::select! {
                 biased;
-                result = &mut work => return Some(result),
-                moved = repath::run(state, request, lane) => match moved {
-                    Some(other) => *lane = other,
-                    None => return None,
-                },
-            }
-            continue;
-        }
-        let left = (began + limit).since(state.now());
-        tokio::select! {
-            biased;
-            result = &mut work => return Some(result),
-            () = doubted => {}
-            () = sleep(left) => {
-                if limit > silence && is_alone(state, lane) {
-                    return None;
+                result = &mut work => return Ok(result),
+                () = doubted => {}
+                () = sleep(left) => {
+                    if limit > silence && is_alone(state, lane) {
+                        return Err(End::Failed(Failure::Doubted));
+                    }
+                    limit += LONGEST_SILENCE;
+                    suspect::ask(state, lane);
                 }
-                limit += LONGEST_SILENCE;
-                suspect::ask(state, lane);
             }
         }
     }
+
+    /// Room on another chain, if moving around the lost stage would read across zones.
+    fn elsewhere(&self, lane: &Lane) -> Option<(Lane, Slot)> {
+        if !self.request.route.may_repeat() {
+            return None;
+        }
+        let near = repath::find(self.state, self.request, lane);
+        if near.is_some_and(|other| other.crossings() <= lane.crossings()) {
+            return None;
+        }
+        let mut ran_at = self.tries.ran_at.clone();
+        if !self.state.is_doubted(lane.head()) && !ran_at.contains(lane.head()) {
+            ran_at.push(lane.head().clone());
+        }
+        admission::elsewhere(self.state, self.request, &ran_at, &lane.key)
+    }
 }
 
 fn is_doubted(state: &Shared, lane: &Lane) -> bool {
--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -62,7 +62,7 @@
 }
 
 /// A usable chain with the same first stage.
-fn find(state: &Shared, request: &Request, lane: &Lane) -> Option<Lane> {
+pub fn find(state: &Shared, request: &Request, lane: &Lane) -> Option<Lane> {
     let inner = state.inner.borrow();
     let lanes = inner.lanes.get(&request.service)?;
     let same = |l: &&Lane| l.head() == lane.head() && l.hops[0].layers == lane.hops[0].layers;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -104,11 +104,34 @@
         }
     };
     state.count_request(&request.service);
+    let mut open = Open { state, request: &request, is_answered: false };
     let modelled = state.model(&request.service).is_some();
-    if modelled && request.route.kind == Kind::Streaming {
+    let result = if modelled && request.route.kind == Kind::Streaming {
         generation::run(state, &request, writer).await
     } else {
         call::run(state, &request, writer).await
+    };
+    open.is_answered = result.is_ok();
+    result
+}
+
+/// A request in progress; one that is dropped without an answer was left by its caller.
+struct Open<'a> {
+    state: &'a Shared,
+    request: &'a Request,
+    is_answered: bool,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let waited_ms = self.state.now().since(self.request.arrived).as_millis() as u64;
+        let (table, plan) = self.state.versions();
+        let id = self.request.id();
+        log::info!(id, waited_ms, table, plan; "caller left");
+        Metrics::count(&self.state.metrics.refused, "caller-left");
     }
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,5 +1,7 @@
 //! What the process knows, shared by its tasks.
 
+mod load;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,7 +10,7 @@
 
 use oriole_adapter::clock::Clock;
 use oriole_core::fleet::{Doubt, View};
-use oriole_core::forward::book::{Book, Sum};
+use oriole_core::forward::book::Book;
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::choice::Record;
 use oriole_core::forward::lane::{self, Lane, Source};
@@ -31,15 +33,6 @@
 /// Margin on the estimated time of work that must end before the process does.
 const STOP_MARGIN: f64 = 1.25;
 
-/// Usual events that all streams of a chain must miss before its stages are asked.
-const SILENT_EVENTS: f64 = 3.0;
-
-/// Streams below which the silence of all of them says little about their chain.
-const SILENT_STREAMS: u32 = 3;
-
-/// Least silence after which a chain's stages are asked.
-const LEAST_SILENCE: Duration = Duration::from_millis(250);
-
 /// Time from the end of a process to the readiness of the next one.
 const RESTART: Duration = Duration::from_millis(900);
 
@@ -310,68 +303,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Compares the pauses between events with the estimates.
-    pub fn measure(&self) {
-        let now = self.now();
-        let mut inner = self.inner.borrow_mut();
-        let Inner { table, lanes, book, .. } = &mut *inner;
-        let Some(table) = table else {
-            return;
-        };
-        let estimate = |head: &name::Endpoint, sum: Sum| {
-            lanes.iter().find_map(|(service, lanes)| {
-                let lane = lanes.iter().find(|l| l.key == *head)?;
-                let model = table.services.get(service)?.model.as_ref()?;
-                Some(lane.event(model, sum.requests, sum.tokens))
-            })
-        };
-        book.close(estimate, now);
-    }
-
-    /// Chains on which all streams of this entry have fallen silent.
-    pub fn silent_lanes(&self) -> Vec<Lane> {
-        let now = self.now();
-        let inner = self.inner.borrow();
-        let Some(table) = &inner.table else {
-            return vec![];
-        };
-        let is_silent = |service: &name::Service, lane: &Lane| {
-            let Some(model) = table.services.get(service).and_then(|s| s.model.as_ref()) else {
-                return false;
-            };
-            let sum = inner.book.sum(&lane.key, now);
-            let usual = lane.event(model, sum.requests, sum.tokens).mul_f64(SILENT_EVENTS);
-            let silence = inner.book.silence(&lane.key, SILENT_STREAMS, now);
-            silence.is_some_and(|silence| silence > usual.max(LEAST_SILENCE))
-        };
-        let lanes = inner.lanes.iter().flat_map(|(s, lanes)| lanes.iter().map(move |l| (s, l)));
-        lanes.filter(|(s, lane)| is_silent(s, lane)).map(|(_, lane)| lane.clone()).collect()
-    }
-
-    /// Writes a line about the load of each chain.
-    pub fn log_load(&self) {
-        let now = self.now();
-        let inner = self.inner.borrow();
-        let Some(table) = &inner.table else {
-            return;
-        };
-        for (service, lanes) in &inner.lanes {
-            let waiting = inner.queues.get(service).map_or(0, |q| q.len());
-            let Some(model) = table.services.get(service).and_then(|s| s.model.as_ref()) else {
-                continue;
-            };
-            for lane in lanes.iter() {
-                let sum = inner.book.sum(&lane.key, now);
-                let event_ms = lane.event(model, sum.requests, sum.tokens).as_millis() as u64;
-                let factor = inner.book.factor(&lane.key, now);
-                log::info!(
-                    chain = lane.key.as_str(), requests = sum.requests, tokens = sum.tokens,
-                    event_ms, factor, waiting; "load"
-                );
-            }
-        }
-    }
-
     /// Entries that are known, this one included.
     pub fn entries(&self) -> usize {
         let inner = self.inner.borrow();
