--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempt;
 mod repath;
+mod watch;
 
 use std::io;
 
@@ -17,7 +18,7 @@
 use crate::state::Shared;
 
 pub use admission::{Refusal, Slot};
-use attempt::End;
+use attempt::{Attempt, End};
 
 /// How long a stream in progress may wait for another chain; callers leave soon after.
 const RESUME_WAIT: Duration = Duration::from_millis(1200);
@@ -48,7 +49,13 @@
             }
         };
         let sent = state.now();
-        let end = attempt::run(state, request, &tries, &mut lane, &mut splitter, writer).await;
+        let end = attempt::run(
+            Attempt { state, request, tries: &tries },
+            &mut lane,
+            &mut splitter,
+            writer,
+        )
+        .await;
         drop(slot);
         let now = state.now();
         let head = lane.head().as_str();
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a request over one chain.
 
 use std::io;
-use std::pin::pin;
 use std::time::Duration;
 
 use actix_http::StatusCode;
@@ -14,7 +13,7 @@
 use oriole_platform::endpoint::{self, Additions, Verdict};
 use tokio::time::sleep;
 
-use crate::generation::{Slot, admission, repath};
+use crate::generation::Slot;
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
@@ -28,10 +27,7 @@
 const FIRST_SILENCE: Duration = Duration::from_millis(700);
 
 /// Silence between events after which the chain is asked about.
-const SILENCE: Duration = Duration::from_millis(500);
-
-/// Further silence after which a stream is moved if others go on at the chain.
-const LONGEST_SILENCE: Duration = Duration::from_millis(1000);
+pub(super) const SILENCE: Duration = Duration::from_millis(500);
 
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
@@ -50,22 +46,31 @@
     Caller(io::Error),
 }
 
+/// What an attempt depends on.
+#[derive(Clone, Copy)]
+pub struct Attempt<'a> {
+    /// The process.
+    pub state: &'a Shared,
+    /// The request.
+    pub request: &'a Request,
+    /// The attempts before this one.
+    pub tries: &'a Tries,
+}
+
 /// Sends the request to the chain and passes its events on.
 pub async fn run(
-    state: &Shared,
-    request: &Request,
-    tries: &Tries,
+    attempt: Attempt<'_>,
     lane: &mut Lane,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> End {
     let work = async {
-        match open(state, request, tries, lane, splitter).await {
-            Ok(answer) => pass_on(state, request, tries, lane, answer, splitter, writer).await,
+        match open(attempt, lane, splitter).await {
+            Ok(answer) => pass_on(attempt, lane, answer, splitter, writer).await,
             Err(end) => end,
         }
     };
-    let left = request.deadline.since(state.now());
+    let left = attempt.request.deadline.since(attempt.state.now());
     tokio::select! {
         end = work => end,
         () = sleep(left) => End::Deadline,
@@ -73,13 +78,8 @@
 }
 
 /// Sends the request and waits for the head of the answer.
-async fn open(
-    state: &Shared,
-    request: &Request,
-    tries: &Tries,
-    lane: &mut Lane,
-    splitter: &Splitter,
-) -> Result<Answer, End> {
+async fn open(attempt: Attempt<'_>, lane: &mut Lane, splitter: &Splitter) -> Result<Answer, End> {
+    let Attempt { state, request, .. } = attempt;
     let hop = lane.hops[0].clone();
     let stream = match exchange::connect(hop.address, CONNECT_LIMIT).await {
         Ok(stream) => stream,
@@ -98,8 +98,7 @@
     };
     let head = endpoint::request(&request.head, &additions);
     let sending = exchange::send(stream, head, request.body.clone());
-    let watched = Watched { state, request, tries };
-    let answer = match watched.watch(lane, FIRST_SILENCE, sending).await? {
+    let answer = match attempt.watch(lane, FIRST_SILENCE, sending).await? {
         Ok(answer) => answer,
         Err(e) => {
             log::info!(id = request.id(), error:% = e; "no answer");
@@ -123,14 +122,13 @@
 }
 
 async fn pass_on(
-    state: &Shared,
-    request: &Request,
-    tries: &Tries,
+    attempt: Attempt<'_>,
     lane: &mut Lane,
     answer: Answer,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> End {
+    let Attempt { state, request, .. } = attempt;
     let Answer { head, mut body } = answer;
     if head.status != StatusCode::OK {
         if head.status.is_server_error() && request.route.may_repeat() {
@@ -144,8 +142,7 @@
     let mut silence = FIRST_SILENCE;
     let mut stream = Stream::new(state, lane);
     loop {
-        let watched = Watched { state, request, tries };
-        let bytes = match watched.watch(lane, silence, body.next()).await {
+        let bytes = match attempt.watch(lane, silence, body.next()).await {
             Err(end) => return end,
             Ok(Err(e)) => {
                 log::info!(id = request.id(), error:% = e; "stream broke");
@@ -252,89 +249,3 @@
         Err(e) => End::Caller(e),
     }
 }
-
-/// What waiting for a chain depends on.
-struct Watched<'a> {
-    state: &'a Shared,
-    request: &'a Request,
-    tries: &'a Tries,
-}
-
-impl Watched<'_> {
-    /// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
-    ///
-    /// A chain that does not work is left for another one with the same first stage, if there is
-    /// one in time. The attempt ends if there is none, if the new stages would read all tokens
-    /// across availability zones and another chain has room, or if other requests go on at the
-    /// chain and this one does not.
-    async fn watch<T>(
-        &self,
-        lane: &mut Lane,
-        silence: Duration,
-        work: impl Future<Output = T>,
-    ) -> Result<T, End> {
-        let state = self.state;
-        let began = state.now();
-        let mut work = pin!(work);
-        let mut limit = silence;
-        loop {
-            let mut doubted = pin!(state.doubted.notified());
-            doubted.as_mut().enable();
-            if is_doubted(state, lane) {
-                if let Some((other, slot)) = self.elsewhere(lane) {
-                    return Err(End::Elsewhere(other, slot));
-                }
-                // The answer may still end whole if all its tokens have been made.
-                tokio::select! {
-                    biased;
-                    result = &mut work => return Ok(result),
-                    moved = repath::run(state, self.request, lane) => match moved {
-                        Some(other) => *lane = other,
-                        None => return Err(End::Failed(Failure::Doubted)),
-                    },
-                }
-                continue;
-            }
-            let left = (began + limit).since(state.now());
-            tokio::select! {
-                biased;
-                result = &mut work => return Ok(result),
-                () = doubted => {}
-                () = sleep(left) => {
-                    if limit > silence && is_alone(state, lane) {
-                        return Err(End::Failed(Failure::Doubted));
-                    }
-                    limit += LONGEST_SILENCE;
-                    suspect::ask(state, lane);
-                }
-            }
-        }
-    }
-
-    /// Room on another chain, if moving around the lost stage would read across zones.
-    fn elsewhere(&self, lane: &Lane) -> Option<(Lane, Slot)> {
-        if !self.request.route.may_repeat() {
-            return None;
-        }
-        let near = repath::find(self.state, self.request, lane);
-        if near.is_some_and(|other| other.crossings() <= lane.crossings()) {
-            return None;
-        }
-        let mut ran_at = self.tries.ran_at.clone();
-        if !self.state.is_doubted(lane.head()) && !ran_at.contains(lane.head()) {
-            ran_at.push(lane.head().clone());
-        }
-        admission::elsewhere(self.state, self.request, &ran_at, &lane.key)
-    }
-}
-
-fn is_doubted(state: &Shared, lane: &Lane) -> bool {
-    lane.hops.iter().any(|h| state.is_doubted(&h.endpoint))
-}
-
-/// Whether other requests get events from the chain.
-fn is_alone(state: &Shared, lane: &Lane) -> bool {
-    let inner = state.inner.borrow();
-    let last = inner.progress.get(&lane.key);
-    last.is_some_and(|at| state.now().since(*at) < SILENCE)
-}
--- /dev/null
+++ b/crates/router/src/generation/watch.rs
@@ -0,0 +1,95 @@
+//! Waits for a chain while it is held to work, and leaves it when it is not.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use oriole_core::forward::lane::Lane;
+use oriole_core::forward::outcome::Failure;
+use tokio::time::sleep;
+
+use super::attempt::{Attempt, End, SILENCE};
+use super::{Slot, admission, repath};
+use crate::state::Shared;
+use crate::suspect;
+
+/// Further silence after which a stream is moved if others go on at the chain.
+const LONGEST_SILENCE: Duration = Duration::from_millis(1000);
+
+impl Attempt<'_> {
+    /// Waits for `work` while the chain is held to work; asks about the chain after `silence`.
+    ///
+    /// A chain that does not work is left for another one with the same first stage, if there is
+    /// one in time. The attempt ends if there is none, if the new stages would read all tokens
+    /// across availability zones and another chain has room, or if other requests go on at the
+    /// chain and this one does not.
+    pub(super) async fn watch<T>(
+        &self,
+        lane: &mut Lane,
+        silence: Duration,
+        work: impl Future<Output = T>,
+    ) -> Result<T, End> {
+        let state = self.state;
+        let began = state.now();
+        let mut work = pin!(work);
+        let mut limit = silence;
+        loop {
+            let mut doubted = pin!(state.doubted.notified());
+            doubted.as_mut().enable();
+            if is_doubted(state, lane) {
+                if let Some((other, slot)) = self.elsewhere(lane) {
+                    return Err(End::Elsewhere(other, slot));
+                }
+                // The answer may still end whole if all its tokens have been made.
+                tokio::select! {
+                    biased;
+                    result = &mut work => return Ok(result),
+                    moved = repath::run(state, self.request, lane) => match moved {
+                        Some(other) => *lane = other,
+                        None => return Err(End::Failed(Failure::Doubted)),
+                    },
+                }
+                continue;
+            }
+            let left = (began + limit).since(state.now());
+            tokio::select! {
+                biased;
+                result = &mut work => return Ok(result),
+                () = doubted => {}
+                () = sleep(left) => {
+                    if limit > silence && is_alone(state, lane) {
+                        return Err(End::Failed(Failure::Doubted));
+                    }
+                    limit += LONGEST_SILENCE;
+                    suspect::ask(state, lane);
+                }
+            }
+        }
+    }
+
+    /// Room on another chain, if moving around the lost stage would read across zones.
+    fn elsewhere(&self, lane: &Lane) -> Option<(Lane, Slot)> {
+        if !self.request.route.may_repeat() {
+            return None;
+        }
+        let near = repath::find(self.state, self.request, lane);
+        if near.is_some_and(|other| other.crossings() <= lane.crossings()) {
+            return None;
+        }
+        let mut ran_at = self.tries.ran_at.clone();
+        if !self.state.is_doubted(lane.head()) && !ran_at.contains(lane.head()) {
+            ran_at.push(lane.head().clone());
+        }
+        admission::elsewhere(self.state, self.request, &ran_at, &lane.key)
+    }
+}
+
+fn is_doubted(state: &Shared, lane: &Lane) -> bool {
+    lane.hops.iter().any(|h| state.is_doubted(&h.endpoint))
+}
+
+/// Whether other requests get events from the chain.
+fn is_alone(state: &Shared, lane: &Lane) -> bool {
+    let inner = state.inner.borrow();
+    let last = inner.progress.get(&lane.key);
+    last.is_some_and(|at| state.now().since(*at) < SILENCE)
+}
