--- a/crates/core/src/forward/wait.rs
+++ b/crates/core/src/forward/wait.rs
@@ -5,7 +5,7 @@
 //! workspace, the order of arrival. A request waits only as long as its answer can still begin
 //! in time, and is refused at once where too many wait already.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use crate::name;
@@ -96,9 +96,37 @@
     (arrived + objective.mul_f64(WAIT_PART)).min(deadline)
 }
 
-/// When a refused request is to come back: later the more requests wait, spread by `random`.
-pub fn retry_after(waiting: usize, random: u64) -> Duration {
-    let spread = (random >> 11) as f64 / (1_u64 << 53) as f64;
-    let base = 0.8 + waiting as f64 / 100.0;
-    Duration::from_secs_f64(base * (1.0 + spread))
+/// Period in which refusals show how much more is asked for than can be served.
+const REFUSAL_PERIOD: Duration = Duration::from_secs(3);
+
+/// Shortest wait before a refused request comes back.
+const SHORTEST_RETURN: Duration = Duration::from_millis(800);
+
+/// Longest wait; callers heed no more than a third of the time that they have.
+const LONGEST_RETURN: Duration = Duration::from_millis(4500);
+
+/// Refusals in the period for each [`SHORTEST_RETURN`] by which requests come back later.
+const REFUSALS_PER_STEP: f64 = 15.0;
+
+/// Refusals of late, by which requests are told when to come back.
+///
+/// Load pattern: more is asked for than can be served for some seconds, such as while a lost chain
+/// is replaced. A caller that comes back while that lasts is refused again and has no further try.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    times: VecDeque<Instant>,
+}
+
+impl Refusals {
+    /// Counts a refusal; returns when its request is to come back, spread by `random`.
+    pub fn refuse(&mut self, now: Instant, random: u64) -> Duration {
+        while self.times.front().is_some_and(|at| now.since(*at) > REFUSAL_PERIOD) {
+            self.times.pop_front();
+        }
+        self.times.push_back(now);
+        let steps = self.times.len() as f64 / REFUSALS_PER_STEP;
+        let spread = (random >> 11) as f64 / (1_u64 << 53) as f64;
+        let wait = SHORTEST_RETURN.mul_f64((1.0 + steps) * (1.0 + spread / 2.0));
+        wait.min(LONGEST_RETURN.mul_f64(1.0 + spread / 4.0))
+    }
 }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -14,7 +14,7 @@
 use oriole_core::forward::gauge::Gauge;
 use oriole_core::forward::lane::{self, Ask, Lane, Source};
 use oriole_core::forward::outcome::{Failure, Tries};
-use oriole_core::forward::wait::{self, Queue};
+use oriole_core::forward::wait::{Queue, Refusals};
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, revise};
 use oriole_core::route::Kind;
@@ -447,8 +447,54 @@
 
     /// Refused callers are spread over time, and told to come back within seconds.
     #[test]
-    fn refused_callers_come_back_spread(waiting in 0_usize..256, random in any::<u64>()) {
-        let after = wait::retry_after(waiting, random);
-        prop_assert!(after >= Duration::from_millis(500) && after < Duration::from_secs(8));
+    fn refused_callers_come_back_spread(
+        refused in 1_usize..600,
+        randoms in prop::collection::vec(any::<u64>(), 2),
+    ) {
+        let mut refusals = Refusals::default();
+        for _ in 1..refused {
+            refusals.refuse(at_ms(0), 0);
+        }
+        let first = refusals.refuse(at_ms(0), randoms[0]);
+        prop_assert!(first >= Duration::from_millis(800) && first < Duration::from_secs(6));
+        let second = refusals.refuse(at_ms(0), randoms[1]);
+        prop_assert!(randoms[0] >> 11 == randoms[1] >> 11 || first != second);
+    }
+}
+
+/// Requests that are refused twice, of those that come while `served_ms` apart can be served in the
+/// first six seconds and twice as many afterwards; each comes back once, after `wait`.
+fn refused_twice(mut wait: impl FnMut(Instant, u64) -> Duration) -> usize {
+    let mut random = 1_u64;
+    let mut arrivals = std::collections::BTreeSet::new();
+    // 50 a second for 12 s.
+    for n in 0..600_u64 {
+        arrivals.insert((n * 20, n, false));
     }
+    let (mut free_at, mut twice) = (0.0, 0);
+    while let Some((ms, n, is_return)) = arrivals.pop_first() {
+        let service_ms = if ms < 6_000 { 40.0 } else { 10.0 };
+        // A request waits for at most 250 ms.
+        if free_at - ms as f64 <= 250.0 {
+            free_at = f64::max(free_at, ms as f64) + service_ms;
+        } else if is_return {
+            twice += 1;
+        } else {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let back = wait(at_ms(ms), random).as_millis() as u64;
+            arrivals.insert((ms + back, n, true));
+        }
+    }
+    twice
+}
+
+/// Half of the capacity is gone for six seconds: callers that are told to come back later the more
+/// are refused find room more often than those that come back soon.
+#[test]
+fn callers_that_come_back_later_while_capacity_is_short_find_room() {
+    let soon = refused_twice(|_, random| Duration::from_millis(800 + random % 800));
+    let mut refusals = Refusals::default();
+    let later = refused_twice(|now, random| refusals.refuse(now, random));
+    println!("refused twice: {soon} coming back soon, {later} coming back later");
+    assert!(later * 4 < soon * 3, "{later} of {soon}");
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -196,11 +196,14 @@
     if writer.progress() != crate::reply::Progress::Nothing {
         return Ok(());
     }
-    let waiting = state.inner.borrow().queues.get(&request.service).map_or(0, |q| q.len());
     if not_run {
         let wait = match reason {
             Reason::Stopping => state.restart_wait(),
-            _ => forward::wait::retry_after(waiting, rand::random()),
+            _ => {
+                let mut inner = state.inner.borrow_mut();
+                let refusals = inner.refusals.entry(request.service.clone()).or_default();
+                refusals.refuse(state.now(), rand::random())
+            }
         };
         return writer.own(StatusCode::SERVICE_UNAVAILABLE, Some(wait)).await;
     }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -14,7 +14,7 @@
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::choice::Record;
 use oriole_core::forward::lane::{self, Lane, Source};
-use oriole_core::forward::wait::Queue;
+use oriole_core::forward::wait::{Queue, Refusals};
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan};
 use oriole_core::route::Table;
@@ -55,6 +55,8 @@
     pub lanes: BTreeMap<name::Service, Rc<Vec<Lane>>>,
     /// Work in progress.
     pub book: Book,
+    /// Refusals by service.
+    pub refusals: BTreeMap<name::Service, Refusals>,
     /// Requests that wait for room, by service.
     pub queues: BTreeMap<name::Service, Queue>,
     /// Retries by service.
@@ -120,6 +122,7 @@
             plans: vec![],
             lanes: BTreeMap::new(),
             book: Book::default(),
+            refusals: BTreeMap::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
             record: Record::default(),
