--- a/crates/load/src/cmd/demo.rs
+++ b/crates/load/src/cmd/demo.rs
@@ -43,20 +43,25 @@
             }
         };
         let parts = demo::run(&mut cluster, progress).await;
-        if json {
-            println!("{}", serde_json::to_string_pretty(&parts).unwrap_or_default());
-        }
-        if parts.iter().all(|part| part.right) {
-            eprintln!("all came out right");
-            ExitCode::SUCCESS
-        } else {
-            eprintln!("NOT all came out right");
-            ExitCode::FAILURE
-        }
+        conclude(&parts, json)
     }
 }
 
-fn print(part: &Part) {
+/// Prints the outcome as JSON if that was asked for; the exit code tells whether all is right.
+pub(super) fn conclude(parts: &[Part], json: bool) -> ExitCode {
+    if json {
+        println!("{}", serde_json::to_string_pretty(&parts).unwrap_or_default());
+    }
+    if parts.iter().all(|part| part.right) {
+        eprintln!("all came out right");
+        ExitCode::SUCCESS
+    } else {
+        eprintln!("NOT all came out right");
+        ExitCode::FAILURE
+    }
+}
+
+pub(super) fn print(part: &Part) {
     let verdict = if part.right { "right" } else { "WRONG" };
     println!("{verdict}  {}: {}", part.title, part.seen);
     if let Some(request) = &part.request {
--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod bound;
 pub mod demo;
+pub mod platform;
 pub mod recover;
 pub mod slopes;
 
@@ -34,6 +35,9 @@
     /// Measures the time from a fault to the next token
     #[bpaf(command("recover"))]
     Recover(#[bpaf(external(recover::command))] recover::Command),
+    /// Shows the path on the users' platform: answers, a refusal, a lost stage, a revoked key
+    #[bpaf(command("platform"))]
+    Platform(#[bpaf(external(platform::command))] platform::Command),
     /// Measures how the costs of each role grow with the size of a deployment
     #[bpaf(command("slopes"))]
     Slopes(#[bpaf(external(slopes::command))] slopes::Command),
@@ -46,6 +50,7 @@
             Self::Demo(command) => command.execute().await,
             Self::Bound(command) => command.execute().await,
             Self::Recover(command) => command.execute().await,
+            Self::Platform(command) => command.execute().await,
             Self::Slopes(command) => command.execute().await,
         }
     }
--- /dev/null
+++ b/crates/load/src/cmd/platform.rs
@@ -0,0 +1,34 @@
+//! `oriole-load platform`.
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+use super::demo;
+use crate::platform;
+
+/// Flags of the subcommand.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(command))]
+pub struct Command {
+    /// Prints the outcome as JSON
+    json: bool,
+}
+
+impl Command {
+    pub(super) async fn execute(self) -> ExitCode {
+        let json = self.json;
+        let outcome = platform::run(|part| {
+            if !json {
+                demo::print(part);
+            }
+        });
+        match outcome.await {
+            Ok(parts) => demo::conclude(&parts, json),
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`deployment`], [`cluster`]: reads a deployment and runs it over loopback.
 //! - [`caller`], [`arrivals`], [`tally`]: sends requests, judges and counts the answers.
 //! - [`demo`]: the main job of a deployment, with a failure in the middle.
+//! - [`platform`]: the path on the users' platform.
 //! - [`run`]: streams of arrivals on several threads.
 //! - [`bound`]: admitted throughput over the contracts' bounds.
 //! - [`recover`]: time from a fault to the next token.
@@ -17,6 +18,7 @@
 pub mod cmd;
 pub mod demo;
 pub mod deployment;
+pub mod platform;
 pub mod plot;
 pub mod recover;
 pub mod run;
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -6,6 +6,7 @@
 
 use std::cell::Cell;
 
+use oriole_platform_standin::caller::Answer;
 use oriole_platform_standin::document::{KEY, config};
 use oriole_platform_standin::{fleet, store};
 use oriole_router::process;
@@ -34,12 +35,12 @@
         next = end.parse().unwrap();
     }
     assert_eq!(next, 80, "{path}");
-    assert_eq!(world.fleet.last_header("oriolelanding-tenant").as_deref(), Some("workspace-1"));
-    assert_eq!(world.fleet.last_header("api-key"), None);
+    assert_eq!(world.fleet.last_workspace().as_deref(), Some("workspace-1"));
+    assert_eq!(world.fleet.last_key(), None);
 }
 
 /// Loses the second stage of stream `r1` after its tenth event; returns the answer.
-async fn lose_second_stage(world: &World) -> world::Answer {
+async fn lose_second_stage(world: &World) -> Answer {
     let lost = Cell::new(false);
     let answer = world.entries[0].call_while("/draft/a", "r1", KEY, |body| {
         if body.contains("id: 10\n") && !lost.get() {
--- a/crates/router/tests/path/world.rs
+++ b/crates/router/tests/path/world.rs
@@ -3,11 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
-use bytes::Bytes;
-use oriole_adapter::exchange;
-use oriole_platform_standin::document::{HOST, KEY, config};
+use oriole_platform_standin::caller::{self, Answer};
+use oriole_platform_standin::document::{KEY, config};
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
 use oriole_router::process::{self, Sockets};
@@ -33,16 +30,6 @@
     pub entries: Vec<Entry>,
 }
 
-/// An answer, whole or broken off.
-#[derive(Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub signature: Option<String>,
-    pub retry_after: Option<f64>,
-    pub body: String,
-    pub is_whole: bool,
-}
-
 impl World {
     /// A store with a configuration, two zones of engines, two plain endpoints and `entries` entries.
     pub async fn new(entries: usize) -> Self {
@@ -135,52 +122,13 @@
         path: &str,
         id: &str,
         key: &str,
-        mut meanwhile: impl FnMut(&str),
+        meanwhile: impl FnMut(&str),
     ) -> Answer {
-        let mut head = RequestHead::default();
-        head.method = Method::POST;
-        head.uri = path.parse().unwrap();
-        for (name, value) in [
-            ("host", HOST),
-            ("oriolelanding-request-id", id),
-            ("oriolelanding-deadline-ms", "20000"),
-            ("oriolelanding-token-usage", "800,160"),
-            ("api-key", key),
-        ] {
-            let name = HeaderName::from_static(name);
-            head.headers.insert(name, HeaderValue::from_str(value).unwrap());
-        }
-        let stream = exchange::connect(self.callers, LIMIT).await.unwrap();
-        let body = Bytes::from_static(b"the caller's body");
-        let sent = timeout(LIMIT, exchange::send(stream, head, body)).await.unwrap();
-        let exchange::Answer { head, body: mut rest } = sent.unwrap();
-        let header = |name: &str| {
-            let value = head.headers().get(name).and_then(|v| v.to_str().ok());
-            value.map(str::to_owned)
-        };
-        let signature = header("oriolelanding-response-signature");
-        let retry_after = header("retry-after").and_then(|t| t.parse().ok());
-        let (mut body, mut is_whole) = (String::new(), true);
-        loop {
-            match timeout(LIMIT, rest.next()).await.unwrap() {
-                Ok(Some(bytes)) => body.push_str(std::str::from_utf8(&bytes).unwrap()),
-                Ok(None) => break,
-                Err(_) => {
-                    is_whole = false;
-                    break;
-                }
-            }
-            meanwhile(&body);
-        }
-        Answer { status: head.status.as_u16(), signature, retry_after, body, is_whole }
+        caller::call(self.callers, path, id, key, meanwhile).await.unwrap()
     }
 
     /// Whether the entry says that it is ready.
     pub async fn is_ready(&self) -> bool {
-        let mut head = RequestHead::default();
-        head.uri = "/v1/ready".parse().unwrap();
-        head.headers.insert(actix_http::header::HOST, HeaderValue::from_static("entry"));
-        let answer = exchange::call(self.ready, head, Bytes::new(), 1024, LIMIT).await;
-        answer.unwrap().0.status.is_success()
+        caller::is_ready(self.ready).await.unwrap()
     }
 }
