Doubt a silent endpoint only when several entries hear nothing from it

Silence now needs two entries and one more for each ten; a refused connection, a report or a refusal that names the endpoint need none. Every endpoint that may have run a request counts. News come less often among many entries.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -109,6 +109,8 @@
     Held(Doubt, placement::Range, u64),
     /// An endpoint that was seen not to work.
     Doubt(Doubt),
+    /// An endpoint that did not answer the sender, which may be the sender's own fault.
+    Suspicion(Doubt),
 }
 
 /// How long a doubt about an endpoint lasts without being renewed.
@@ -134,12 +136,19 @@
     listed_at: Option<Instant>,
     reports: BTreeMap<name::Endpoint, Report>,
     doubts: BTreeMap<name::Endpoint, (u64, Instant)>,
+    suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
     draining: BTreeMap<name::Endpoint, Instant>,
     paused: BTreeMap<name::Endpoint, Instant>,
     /// Until when endpoints that are missing from a listing may still come back.
     returning: Option<Instant>,
 }
 
+/// Time within which suspicions of several entries count together.
+const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
+
+/// Entries that must suspect an endpoint: two, and one more for each so many entries.
+const ENTRIES_PER_SUSPICION: usize = 10;
+
 /// Time between two listings from which on leases may have run out in between.
 const OUTAGE: Duration = Duration::from_millis(1500);
 
@@ -211,6 +220,20 @@
         !was_doubted && self.is_doubted(&seen.endpoint, now)
     }
 
+    /// Notes that an endpoint did not answer one of `entries` entries; returns whether it is
+    /// doubted from now on.
+    ///
+    /// An entry that is slow, or whose link is, hears no answer from endpoints that work: it takes
+    /// several to doubt one.
+    pub fn suspect(&mut self, seen: &Doubt, by: name::Host, entries: usize, now: Instant) -> bool {
+        let suspicions = self.suspicions.entry(seen.endpoint.clone()).or_default();
+        suspicions.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
+        suspicions.insert(by, (seen.born, now));
+        let agreeing = suspicions.values().filter(|(born, _)| *born == seen.born).count();
+        let needed = if entries <= 1 { 1 } else { 2 + entries / ENTRIES_PER_SUSPICION };
+        agreeing >= needed && self.doubt(seen, now, now)
+    }
+
     /// Doubts that hold, with their age in milliseconds.
     pub fn doubts(&self, now: Instant) -> Vec<(Doubt, u64)> {
         let fresh = self.doubts.iter().filter(|(_, (_, at))| now.since(*at) < DOUBT_PERIOD);
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -38,7 +38,9 @@
 /// Attempts so far of one request.
 #[derive(Clone, Debug, Default)]
 pub struct Tries {
-    /// Endpoints that may have run it, each once; those that ended since do not count.
+    /// Endpoints that may have run it, each once.
+    ///
+    /// Those that seem lost stay among them: they may only be out of this entry's reach.
     pub ran_at: Vec<name::Endpoint>,
     /// Whether it may have run at all.
     pub may_have_run: bool,
@@ -50,16 +52,14 @@
 const MAX_NOT_RUN: u32 = 3;
 
 impl Tries {
-    /// Counts the end of an attempt at `endpoint`, which `is_gone` if it does not work any more.
-    pub fn count(&mut self, endpoint: &name::Endpoint, failure: Failure, is_gone: bool) {
+    /// Counts the end of an attempt at `endpoint`.
+    pub fn count(&mut self, endpoint: &name::Endpoint, failure: Failure) {
         if failure.is_not_run() {
             self.not_run += 1;
             return;
         }
         self.may_have_run = true;
-        if is_gone {
-            self.ran_at.retain(|e| e != endpoint);
-        } else if !self.ran_at.contains(endpoint) {
+        if !self.ran_at.contains(endpoint) {
             self.ran_at.push(endpoint.clone());
         }
     }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -154,6 +154,28 @@
     assert!(!world.view.listing().endpoints.is_empty());
 }
 
+/// One of many entries has a slow link: it hears nothing from endpoints that work.
+#[test]
+fn an_endpoint_is_doubted_when_several_entries_hear_nothing() {
+    let mut world = World::new();
+    let id = world.plan.services[&service()][0].stages[1].endpoint.clone();
+    let seen = Doubt { endpoint: id.clone(), born: 1 };
+    for ms in [0, 300, 600] {
+        assert!(!world.view.suspect(&seen, "slow".into(), 4, at_ms(ms)));
+    }
+    // Too late to count together.
+    assert!(!world.view.suspect(&seen, "other".into(), 4, at_ms(2_700)));
+    assert!(!world.view.is_doubted(&id, at_ms(2_700)));
+    assert!(world.view.suspect(&seen, "third".into(), 4, at_ms(2_800)));
+    assert!(world.view.is_doubted(&id, at_ms(2_800)));
+    let mut large = World::new();
+    for (n, host) in ["a", "b", "c", "d"].into_iter().enumerate() {
+        assert_eq!(large.view.suspect(&seen, host.into(), 29, at_ms(0)), n == 3);
+    }
+    let mut alone = World::new();
+    assert!(alone.view.suspect(&seen, "only".into(), 1, at_ms(0)));
+}
+
 /// The store was away and leases ran out: endpoints come back within two seconds of its return.
 #[test]
 fn endpoints_that_lapsed_in_an_outage_are_given_time_to_come_back() {
@@ -338,17 +360,19 @@
     assert!(!tries.may_retry(&stream, Failure::Unknown));
 }
 
+/// An entry whose own link is slow takes endpoints for lost that work: they count all the same.
 #[test]
-fn endpoints_that_ended_do_not_count_against_the_attempts() {
+fn every_endpoint_that_may_have_run_a_request_counts() {
     let mut tries = Tries::default();
-    let (a, b) = ("a".into(), "b".into());
-    tries.count(&a, Failure::Unknown, true);
+    let (a, b): (name::Endpoint, name::Endpoint) = ("a".into(), "b".into());
+    tries.count(&a, Failure::Doubted);
     assert!(tries.may_have_run && tries.may_run_elsewhere(&route()));
-    tries.count(&b, Failure::Unknown, false);
-    tries.count(&b, Failure::Unknown, false);
-    assert_eq!(tries.ran_at, [b]);
-    tries.count(&a, Failure::NotExecuted, false);
-    assert_eq!((tries.ran_at.len(), tries.not_run), (1, 1));
+    tries.count(&b, Failure::Unknown);
+    tries.count(&b, Failure::Doubted);
+    assert_eq!(tries.ran_at, [a.clone(), b]);
+    assert!(!tries.may_run_elsewhere(&route()));
+    tries.count(&a, Failure::NotExecuted);
+    assert_eq!((tries.ran_at.len(), tries.not_run), (2, 1));
 }
 
 #[test]
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -100,7 +100,7 @@
         log::info!(id = request.id(), endpoint = target.id.as_str(), failure:?; "attempt failed");
         Metrics::count(&state.metrics.failures, failure.as_str());
         state.inner.borrow_mut().record.fail(&target.id, state.clock.now());
-        tries.count(&target.id, failure, state.is_doubted(&target.id));
+        tries.count(&target.id, failure);
         tried.push(target.id);
         let again = tries.may_retry(&request.route, failure);
         if !again || !tries.may_run_elsewhere(&request.route) {
@@ -145,7 +145,8 @@
         Ok(stream) => stream,
         Err(error) => {
             log::info!(id = request.id(), endpoint = target.id.as_str(), error:%; "not sent");
-            suspect::unreachable(state, &Doubt { endpoint: target.id.clone(), born: target.born });
+            let seen = Doubt { endpoint: target.id.clone(), born: target.born };
+            suspect::missed(state, &seen, &error);
             return Err(Failure::NotSent);
         }
     };
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -80,7 +80,7 @@
         };
         log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
         Metrics::count(&state.metrics.failures, failure.as_str());
-        tries.count(lane.head(), failure, state.is_doubted(lane.head()));
+        tries.count(lane.head(), failure);
         if next.is_some() {
             continue;
         }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -85,7 +85,7 @@
         Ok(stream) => stream,
         Err(e) => {
             log::info!(id = request.id(), endpoint = hop.endpoint.as_str(), error:% = e; "not sent");
-            suspect::unreachable(state, &hop.seen());
+            suspect::missed(state, &hop.seen(), &e);
             return Err(End::Failed(Failure::NotSent));
         }
     };
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -76,7 +76,7 @@
             return None;
         }
         let mut ran_at = self.tries.ran_at.clone();
-        if !self.state.is_doubted(lane.head()) && !ran_at.contains(lane.head()) {
+        if !ran_at.contains(lane.head()) {
             ran_at.push(lane.head().clone());
         }
         admission::elsewhere(self.state, self.request, &ran_at, &lane.key)
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -20,6 +20,9 @@
 /// Interval of news.
 const NEWS_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Entries for which news come less often by one more interval.
+const ENTRIES_PER_INTERVAL: u32 = 6;
+
 /// Rounds of news between two log lines about the load of each chain.
 const REPORT_ROUNDS: u64 = 10;
 
@@ -90,10 +93,15 @@
         }
         round += 1;
         tell(&state, &hub);
-        sleep(NEWS_INTERVAL).await;
+        sleep(interval(state.entries())).await;
     }
 }
 
+/// Interval of news among `entries` entries: what one hears in a second stays bounded.
+fn interval(entries: usize) -> Duration {
+    NEWS_INTERVAL * (1 + entries as u32 / ENTRIES_PER_INTERVAL)
+}
+
 fn tell(state: &Shared, hub: &Hub) {
     let news = message::Message::Fleet(Message::News(news(state)));
     let peers = state.inner.borrow().peers.clone();
@@ -161,6 +169,9 @@
                 state.refresh();
             }
         }
+        Message::Suspicion(seen) => {
+            state.suspect(&seen, &host);
+        }
         Message::Doubt(seen) => {
             state.doubt(&seen, Duration::ZERO, host.as_str());
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -262,6 +262,19 @@
         is_new
     }
 
+    /// Notes that an endpoint did not answer an entry.
+    pub fn suspect(&self, seen: &Doubt, by: &name::Host) -> bool {
+        let (now, entries) = (self.now(), self.entries());
+        let is_new = self.inner.borrow_mut().view.suspect(seen, by.clone(), entries, now);
+        if is_new {
+            log::warn!(endpoint = seen.endpoint.as_str(), entries; "endpoint answers nobody");
+            self.metrics.doubts.inc();
+            self.refresh();
+            self.doubted.notify_waiters();
+        }
+        is_new
+    }
+
     /// Gives an endpoint that refused no new work for a while.
     pub fn pause(&self, endpoint: &name::Endpoint) {
         let now = self.now();
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -1,5 +1,6 @@
 //! What is done about endpoints that fall silent, refuse, or cannot be reached.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -41,7 +42,7 @@
         match report {
             Err(error) => {
                 log::info!(endpoint = lane.head().as_str(), error:%; "first stage is silent");
-                doubt(&state, &seen);
+                missed(&state, &seen, &error);
             }
             Ok(report) => {
                 let (pace, stalled) = (report.pace, report.stalled.len());
@@ -70,7 +71,8 @@
         actix_rt::spawn(async move {
             match report(hop.address).await {
                 Ok(report) if report.born == hop.born => {}
-                Ok(_) | Err(_) => doubt(&state, &hop.seen()),
+                Ok(_) => doubt(&state, &hop.seen()),
+                Err(error) => missed(&state, &hop.seen(), &error),
             }
         });
     }
@@ -97,14 +99,25 @@
                     state.refresh();
                 }
             }
-            Ok(_) | Err(_) => doubt(&state, &seen),
+            Ok(_) => doubt(&state, &seen),
+            // Another endpoint has named it already.
+            Err(_) if at_fault.is_some() => doubt(&state, &seen),
+            Err(error) => missed(&state, &seen, &error),
         }
     });
 }
 
-/// Notes that no connection to an endpoint could be opened.
-pub fn unreachable(state: &Shared, seen: &Doubt) {
-    doubt(state, seen);
+/// Notes that an endpoint did not answer.
+///
+/// One that refuses connections is lost for certain; silence may be this entry's own fault, so that
+/// others must see it too.
+pub fn missed(state: &Shared, seen: &Doubt, error: &Error) {
+    if matches!(error, Error::Connect(e) if e.kind() == ErrorKind::ConnectionRefused) {
+        doubt(state, seen);
+        return;
+    }
+    peers::broadcast(state, &Message::Suspicion(seen.clone()));
+    state.suspect(seen, &state.host);
 }
 
 /// Notes a doubt and tells the other entries.
