--- a/crates/load/src/platform.rs
+++ b/crates/load/src/platform.rs
@@ -18,7 +18,6 @@
 use oriole_router::settings::{self, Settings};
 use oriole_router::state::Shared;
 use serde_json::Value;
-use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 use crate::demo::Part;
@@ -29,9 +28,12 @@
 /// Why the path cannot be shown.
 #[derive(Debug, Display, Error, From)]
 pub enum Failure {
-    /// A socket cannot be opened.
-    #[display("opening a socket: {_0}")]
-    Socket(io::Error),
+    /// A stand-in cannot be started.
+    #[display("starting a stand-in: {_0}")]
+    Standin(io::Error),
+    /// An entry cannot be started.
+    #[display("starting an entry: {_0}")]
+    Entry(process::Error),
     /// An entry does not answer.
     #[display("calling an entry: {_0}")]
     Exchange(exchange::Error),
@@ -77,7 +79,7 @@
         }
         let mut scene = Self { store, fleet, entries: vec![] };
         for n in 0..2 {
-            let entry = scene.entry(n).await?;
+            let entry = scene.entry(n)?;
             scene.entries.push(entry);
         }
         let has_chains = |scene: &Self| {
@@ -90,20 +92,8 @@
         Ok(scene)
     }
 
-    async fn entry(&self, number: usize) -> Result<(Shared, SocketAddr), Failure> {
-        let bind = || TcpListener::bind("127.0.0.1:0");
-        let sockets = Sockets {
-            callers: bind().await?,
-            ready: bind().await?,
-            peers: bind().await?,
-            metrics: bind().await?,
-        };
-        let listen = settings::Listen {
-            callers: sockets.callers.local_addr()?,
-            ready: sockets.ready.local_addr()?,
-            peers: sockets.peers.local_addr()?,
-            metrics: sockets.metrics.local_addr()?,
-        };
+    fn entry(&self, number: usize) -> Result<(Shared, SocketAddr), Failure> {
+        let (sockets, listen) = Sockets::loopback()?;
         let address = listen.callers;
         let settings = Settings {
             name: format!("entry-{number}"),
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -66,6 +66,23 @@
 }
 
 impl Sockets {
+    /// Listens on loopback ports of the system's choice; also returns their addresses.
+    pub fn loopback() -> Result<(Self, Listen), Error> {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listen = Listen { callers: any, ready: any, peers: any, metrics: any };
+        let sockets = Self::bind(&listen)?;
+        let address = |listener: &TcpListener| {
+            listener.local_addr().map_err(|source| Error::Listen { address: any, source })
+        };
+        let listen = Listen {
+            callers: address(&sockets.callers)?,
+            ready: address(&sockets.ready)?,
+            peers: address(&sockets.peers)?,
+            metrics: address(&sockets.metrics)?,
+        };
+        Ok((sockets, listen))
+    }
+
     /// Listens on the addresses of the settings.
     pub fn bind(listen: &Listen) -> Result<Self, Error> {
         Ok(Self {
--- a/crates/router/tests/path/world.rs
+++ b/crates/router/tests/path/world.rs
@@ -10,7 +10,6 @@
 use oriole_router::process::{self, Sockets};
 use oriole_router::settings::{self, Settings};
 use oriole_router::state::Shared;
-use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 /// Longest time that a test waits for anything.
@@ -66,17 +65,8 @@
 
     /// Starts an entry that reaches the store through `store`.
     pub async fn entry_at(&self, number: usize, store: &Store) -> Entry {
-        let bind = || TcpListener::bind("127.0.0.1:0");
-        let (callers, ready) = (bind().await.unwrap(), bind().await.unwrap());
-        let (peers, metrics) = (bind().await.unwrap(), bind().await.unwrap());
-        let address = |l: &TcpListener| l.local_addr().unwrap();
-        let (at, ready_at) = (address(&callers), address(&ready));
-        let listen = settings::Listen {
-            callers: at,
-            ready: ready_at,
-            peers: address(&peers),
-            metrics: address(&metrics),
-        };
+        let (sockets, listen) = Sockets::loopback().unwrap();
+        let (callers, ready) = (listen.callers, listen.ready);
         let settings = Settings {
             name: format!("entry-{number}"),
             zone: format!("zone-{}", number % 2),
@@ -90,8 +80,8 @@
             },
             retries: settings::Retries { ratio: 0.2, fixed: 200.0, window_ms: 10_000 },
         };
-        let state = process::start(settings, Sockets { callers, ready, peers, metrics });
-        Entry { state, callers: at, ready: ready_at }
+        let state = process::start(settings, sockets);
+        Entry { state, callers, ready }
     }
 
     /// Waits until something holds.
