--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -289,6 +289,14 @@
         is_ready && !self.is_doubted(id, now)
     }
 
+    /// Whether time alone changes nothing in what can be used: no doubt, pause or leave runs out.
+    pub fn is_settled(&self, grace: Duration, now: Instant) -> bool {
+        let is_over = |at: &Instant, period: Duration| now.since(*at) >= period;
+        self.doubts.values().all(|(_, at)| is_over(at, DOUBT_PERIOD))
+            && self.paused.values().all(|at| is_over(at, PAUSE))
+            && self.draining.values().all(|at| is_over(at, grace))
+    }
+
     /// The listing as it is, to be passed on.
     pub fn listing(&self) -> &Listing {
         &self.listing
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -154,6 +154,19 @@
     assert!(!world.view.listing().endpoints.is_empty());
 }
 
+#[test]
+fn only_periods_that_run_out_make_time_matter() {
+    let mut world = World::new();
+    let id = world.plan.services[&service()][0].stages[1].endpoint.clone();
+    assert!(world.view.is_settled(GRACE, at_ms(0)));
+    world.view.pause(&id, at_ms(0));
+    assert!(!world.view.is_settled(GRACE, at_ms(399)));
+    assert!(world.view.is_settled(GRACE, at_ms(400)));
+    world.doubt(&id, at_ms(1_000));
+    assert!(!world.view.is_settled(GRACE, at_ms(6_999)));
+    assert!(world.view.is_settled(GRACE, at_ms(7_000)));
+}
+
 /// One of many entries has a slow link: it hears nothing from endpoints that work.
 #[test]
 fn an_endpoint_is_doubted_when_several_entries_hear_nothing() {
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -56,11 +56,15 @@
 pub async fn run(state: Shared) {
     let busy = Busy::default();
     let mut since: BTreeMap<(name::Endpoint, Range), Instant> = BTreeMap::new();
+    let mut seen = None;
     loop {
         sleep(INTERVAL).await;
-        if state.stopping.get() {
+        let changes = state.changes.get();
+        let is_idle = since.is_empty() && seen == Some(changes);
+        if state.stopping.get() || is_idle {
             continue;
         }
+        seen = Some(changes);
         let now = state.now();
         let due = due(&state, now);
         let key = |d: &Due| (d.seen.endpoint.clone(), d.layers);
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -42,8 +42,14 @@
 /// Proposes plans until the process ends.
 pub async fn run(state: Shared, store: Client) {
     let mut need: Option<Need> = None;
+    let mut seen = None;
     loop {
         sleep(INTERVAL).await;
+        let changes = state.changes.get();
+        if need.is_none() && seen == Some(changes) {
+            continue;
+        }
+        seen = Some(changes);
         let now = state.now();
         let Some(wanted) = wanted(&state, now) else {
             need = None;
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -156,7 +156,7 @@
 async fn refresh(state: Shared) {
     loop {
         sleep(REFRESH).await;
-        state.refresh();
+        state.tick();
     }
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -78,6 +78,9 @@
     pub host: name::Host,
     /// The entry's availability zone.
     pub zone: name::Zone,
+    /// Counts changes of what is known.
+    pub changes: Cell<u64>,
+    was_settled: Cell<bool>,
     /// When the process started.
     pub started: Instant,
     /// Counters and histograms.
@@ -131,6 +134,8 @@
         };
         let clock = Clock::start();
         Rc::new(Self {
+            changes: Cell::new(0),
+            was_settled: Cell::new(false),
             started: clock.now(),
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
@@ -289,8 +294,27 @@
         self.inner.borrow().view.is_doubted(endpoint, self.now())
     }
 
-    /// Works out anew which chains can be used.
+    /// Works out anew which chains can be used, since something has changed.
     pub fn refresh(&self) {
+        self.changes.set(self.changes.get() + 1);
+        self.rebuild();
+    }
+
+    /// Works out anew which chains can be used where time alone may have changed that.
+    pub fn tick(&self) {
+        let is_settled = {
+            let inner = self.inner.borrow();
+            inner.view.is_settled(self.drain_grace(), self.now())
+        };
+        // The first tick after the last period has run out still counts.
+        if is_settled && self.was_settled.replace(true) {
+            return;
+        }
+        self.was_settled.set(is_settled);
+        self.refresh();
+    }
+
+    fn rebuild(&self) {
         let now = self.now();
         let grace = self.drain_grace();
         let mut inner = self.inner.borrow_mut();
