--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -105,7 +105,7 @@
     Plan(placement::Plan),
     /// A listing that is fresher than the receiver's, and its age in milliseconds.
     Listing(Listing, u64),
-    /// Layers that an endpoint was seen to hold.
+    /// Layers that an endpoint was seen to hold, and the orders that it had accepted by then.
     Held(Doubt, placement::Range, u64),
     /// An endpoint that was seen not to work.
     Doubt(Doubt),
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -70,7 +70,7 @@
 }
 
 async fn pass_on(whole: Whole, writer: &mut Writer) -> io::Result<()> {
-    let headers = endpoint::answer_headers(whole.head.headers());
+    let headers = endpoint::end_to_end(whole.head.headers());
     writer.whole(whole.head.status, headers, whole.body).await
 }
 
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -163,7 +163,7 @@
         stream.event(state, lane);
         if first {
             first = false;
-            let headers = endpoint::answer_headers(head.headers());
+            let headers = endpoint::end_to_end(head.headers());
             if let Err(e) = writer.begin(head.status, headers).await {
                 return End::Caller(e);
             }
@@ -175,7 +175,7 @@
     }
     if first {
         // A stream without any event.
-        let headers = endpoint::answer_headers(head.headers());
+        let headers = endpoint::end_to_end(head.headers());
         if let Err(e) = writer.begin(head.status, headers).await {
             return End::Caller(e);
         }
@@ -243,7 +243,7 @@
             Ok(Some(_)) | Err(_) => return End::Failed(Failure::Unknown),
         }
     }
-    let headers = endpoint::answer_headers(head.headers());
+    let headers = endpoint::end_to_end(head.headers());
     match writer.whole(head.status, headers, whole.freeze()).await {
         Ok(()) => End::Complete,
         Err(e) => End::Caller(e),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -164,8 +164,8 @@
             let read = state.now() - Duration::from_millis(age_ms);
             follow::take_listing(state, listing, read);
         }
-        Message::Held(seen, layers, sequence) => {
-            if state.inner.borrow_mut().view.hold(&seen, layers, sequence) {
+        Message::Held(seen, layers, orders) => {
+            if state.inner.borrow_mut().view.hold(&seen, layers, orders) {
                 state.refresh();
             }
         }
