--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -12,7 +12,7 @@
 use super::Need;
 use super::book::{Book, Sum};
 use crate::fleet::{Doubt, Endpoint, View};
-use crate::placement::estimate::{self, Stage as Part};
+use crate::placement::estimate::{self, Cost, Stage as Part};
 use crate::placement::{Accelerator, Chain, Model, Plan, Range};
 use crate::time::Instant;
 use crate::{name, route};
@@ -63,7 +63,11 @@
     pub hops: Vec<Hop>,
     /// The availability zone of the first stage.
     pub zone: name::Zone,
-    accelerators: Vec<Accelerator>,
+    cost: Cost,
+    /// Tokens for which the stage with the least room has room, if no other lane uses it.
+    room: f64,
+    /// Whether another lane runs through one of the endpoints.
+    is_shared: bool,
 }
 
 impl Lane {
@@ -85,7 +89,7 @@
 
     /// Estimated time of one event with `requests` requests of `tokens` tokens in progress.
     pub fn event(&self, model: &Model, requests: u32, tokens: u64) -> Duration {
-        let ms = estimate::token_ms(model, &self.parts(), f64::from(requests), tokens as f64);
+        let ms = self.cost.token_ms(model, f64::from(requests), tokens as f64);
         Duration::from_secs_f64(ms * f64::from(model.stride) / 1000.0)
     }
 
@@ -94,14 +98,9 @@
     pub fn longest(&self, model: &Model, need: &Need, sum: Sum, factor: f64) -> Duration {
         let event = self.event(model, sum.requests, sum.tokens).mul_f64(factor.max(1.0));
         let events = f64::from(need.most) / f64::from(model.stride.max(1));
-        let read_ms = estimate::read_ms(model, &self.parts(), f64::from(need.prompt));
+        let read_ms = self.cost.read_ms(model, f64::from(need.prompt));
         event.mul_f64(events.ceil() + 1.0) + Duration::from_secs_f64(read_ms / 1000.0)
     }
-
-    fn parts(&self) -> Vec<Part<'_>> {
-        let stages = self.hops.iter().zip(&self.accelerators);
-        stages.map(|(h, accelerator)| Part { accelerator, layers: h.layers.len() }).collect()
-    }
 }
 
 /// What lanes are made from.
@@ -178,8 +177,15 @@
         if !all.iter().all(|(hop, _)| endpoints.insert(hop.endpoint.clone())) {
             return None;
         }
-        let (hops, accelerators) = all.into_iter().unzip();
-        Some(Lane { key, hops, zone, accelerators })
+        let parts: Vec<Part<'_>> = all
+            .iter()
+            .map(|(hop, accelerator)| Part { accelerator, layers: hop.layers.len() })
+            .collect();
+        let cost = Cost::of(self.model, &parts);
+        let hops: Vec<Hop> = all.into_iter().map(|(hop, _)| hop).collect();
+        let bytes = |h: &Hop| f64::from(h.layers.len()) * self.model.token_layer_bytes;
+        let room = hops.iter().map(|h| h.free / bytes(h)).fold(f64::INFINITY, f64::min);
+        Some(Lane { key, hops, zone, cost, room, is_shared: false })
     }
 }
 
@@ -196,9 +202,20 @@
             lanes.extend(source.lane(chain));
         }
     }
+    mark_shared(&mut lanes);
     lanes
 }
 
+fn mark_shared(lanes: &mut [Lane]) {
+    let mut count: BTreeMap<name::Endpoint, usize> = BTreeMap::new();
+    for hop in lanes.iter().flat_map(|l| &l.hops) {
+        *count.entry(hop.endpoint.clone()).or_default() += 1;
+    }
+    for lane in lanes {
+        lane.is_shared = lane.hops.iter().any(|h| count.get(&h.endpoint) > Some(&1));
+    }
+}
+
 /// What is asked of the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
@@ -223,7 +240,7 @@
     }
 }
 
-/// Bytes that work in progress takes of each endpoint, by the lanes that run through it.
+/// Bytes that work in progress takes of each endpoint of the lanes that share some.
 fn used<'a>(
     model: &Model,
     lanes: &'a [Lane],
@@ -231,7 +248,7 @@
     now: Instant,
 ) -> BTreeMap<&'a name::Endpoint, f64> {
     let mut used = BTreeMap::new();
-    for lane in lanes {
+    for lane in lanes.iter().filter(|l| l.is_shared) {
         let tokens = book.sum(&lane.key, now).tokens as f64;
         for hop in &lane.hops {
             let bytes = tokens * f64::from(hop.layers.len()) * model.token_layer_bytes;
@@ -249,17 +266,25 @@
     ask: &Ask<'_>,
     now: Instant,
 ) -> Option<&'a Lane> {
+    // Most chains share no endpoint; only for those that do is the use of each one summed up.
     let used = used(model, lanes, book, now);
-    let has_room = |hop: &Hop| {
+    let fits_hop = |hop: &Hop| {
         let bytes = ask.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
         let taken = used.get(&hop.endpoint).copied().unwrap_or_default();
         taken + bytes <= hop.free * ROOM_PART
     };
+    let has_room = |lane: &Lane, tokens: u64| {
+        if lane.is_shared {
+            lane.hops.iter().all(fits_hop)
+        } else {
+            tokens as f64 <= lane.room * ROOM_PART
+        }
+    };
     let mut best: Option<(f64, &Lane)> = None;
     for lane in lanes.iter().filter(|l| ask.allows(l)) {
         let sum = book.sum(&lane.key, now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.tokens);
-        if requests > model.slots || !lane.hops.iter().all(has_room) {
+        if requests > model.slots || !has_room(lane, tokens) {
             continue;
         }
         let factor = book.factor(&lane.key, now);
--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -14,18 +14,38 @@
     pub layers: u32,
 }
 
-/// Milliseconds of one token with `requests` requests and `tokens` tokens of context in progress.
-pub fn token_ms(model: &Model, stages: &[Stage<'_>], requests: f64, tokens: f64) -> f64 {
-    let whole =
-        model.step_ms + model.step_request_ms * requests + model.step_context_ms * tokens / 1000.0;
-    let sum = stages.iter().map(|s| share(model, s) * s.accelerator.step_factor).sum::<f64>();
-    whole * sum + HOP_MS * stages.len() as f64
+/// How slowly a chain runs, summed over its stages.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    /// Factor on the time of a decode step over all layers.
+    steps: f64,
+    /// Factor on the time of reading a prompt.
+    reads: f64,
+    /// Milliseconds that a token spends between stages.
+    hops_ms: f64,
 }
 
-/// Milliseconds to read a prompt of `tokens` tokens on an idle chain.
-pub fn read_ms(model: &Model, stages: &[Stage<'_>], tokens: f64) -> f64 {
-    let sum = stages.iter().map(|s| share(model, s) * s.accelerator.read_factor).sum::<f64>();
-    tokens / model.read_per_ms * sum + HOP_MS * stages.len() as f64
+impl Cost {
+    /// The cost of a chain of `stages`.
+    pub fn of(model: &Model, stages: &[Stage<'_>]) -> Self {
+        let steps = stages.iter().map(|s| share(model, s) * s.accelerator.step_factor).sum();
+        let reads = stages.iter().map(|s| share(model, s) * s.accelerator.read_factor).sum();
+        Self { steps, reads, hops_ms: HOP_MS * stages.len() as f64 }
+    }
+
+    /// Milliseconds of one token with `requests` requests and `tokens` tokens of context in
+    /// progress.
+    pub fn token_ms(&self, model: &Model, requests: f64, tokens: f64) -> f64 {
+        let whole = model.step_ms
+            + model.step_request_ms * requests
+            + model.step_context_ms * tokens / 1000.0;
+        whole * self.steps + self.hops_ms
+    }
+
+    /// Milliseconds to read a prompt of `tokens` tokens on an idle chain.
+    pub fn read_ms(&self, model: &Model, tokens: f64) -> f64 {
+        tokens / model.read_per_ms * self.reads + self.hops_ms
+    }
 }
 
 /// Tokens that the stage with the least room can hold.
@@ -47,9 +67,10 @@
 pub fn throughput(model: &Model, stages: &[Stage<'_>], crossings: usize) -> f64 {
     let usual = model.usual_prompt + model.usual_answer;
     let requests = (room(model, stages) / usual).min(f64::from(model.slots));
-    let step = token_ms(model, stages, requests, requests * usual);
+    let cost = Cost::of(model, stages);
+    let step = cost.token_ms(model, requests, requests * usual);
     let crossing_ms = crossing_ms(model, usual) * crossings as f64;
-    let read_ms = read_ms(model, stages, model.usual_prompt) + crossing_ms;
+    let read_ms = cost.read_ms(model, model.usual_prompt) + crossing_ms;
     let by_stages = requests / (step * model.usual_answer + read_ms) * 1000.0;
     if crossings == 0 {
         return by_stages;
