--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -132,12 +132,14 @@
         writer.close = state.stopping.get();
         let _active = Active::new(&state);
         tokio::select! {
+            // First, so that nothing is sent on for a caller that left before it was read.
+            biased;
+            () = reader.gone() => return,
             result = serve::request(&state, Rc::new(head), body, &mut writer) => {
                 if result.is_err() {
                     return;
                 }
             }
-            () = reader.gone() => return,
         }
         if writer.progress() == Progress::Part {
             // Ends the connection without the mark of a complete body.
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -6,7 +6,7 @@
 
 use std::cell::Cell;
 
-use oriole_platform_standin::caller::Answer;
+use oriole_platform_standin::caller::{self, Answer};
 use oriole_platform_standin::document::{KEY, config};
 use oriole_platform_standin::{fleet, store};
 use oriole_router::process;
@@ -158,6 +158,21 @@
     }
 }
 
+/// An entry that was held up reads requests whose callers have left meanwhile.
+#[actix_rt::test]
+async fn a_request_whose_caller_has_left_is_not_sent_on() {
+    let world = World::new(1).await;
+    for n in 0..20 {
+        caller::leave(world.entries[0].callers, "/once/a", &format!("left-{n}"), KEY).unwrap();
+    }
+    // All of them have been read before this one, which comes later.
+    assert_eq!(world.entries[0].call("/once/a", "r1", KEY).await.status, 200);
+    assert_eq!(world.entries[0].call("/once/a", "r2", KEY).await.status, 200);
+    for n in 0..20 {
+        assert_eq!(world.fleet.runs(&format!("left-{n}")), Vec::<String>::new());
+    }
+}
+
 #[actix_rt::test]
 async fn an_answer_to_another_request_is_not_passed_on() {
     let world = World::new(1).await;
