Take nothing more once the last request has been answered at a stop

Connections are now closed unread from that moment. The test stops an entry and calls it: it failed before.

--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -129,6 +129,10 @@
                 break;
             }
         };
+        if state.ended.get() {
+            // An answer might not be whole before the exit; the caller knows that nothing ran.
+            return;
+        }
         writer.close = state.stopping.get();
         let _active = Active::new(&state);
         tokio::select! {
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -176,6 +176,7 @@
             break;
         }
     }
+    state.ended.set(true);
     log::info!(active = state.active.get(); "stopped");
     // Lines are written by another thread.
     sleep(POLL).await;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -103,6 +103,8 @@
     pub ends: Cell<Option<Instant>>,
     /// When all stages of chains were last asked.
     pub probed: RefCell<BTreeMap<name::Endpoint, Instant>>,
+    /// Whether the last request has been answered and the process is about to exit.
+    pub ended: Cell<bool>,
     /// Whether idle connections are to be closed.
     pub closing: Cell<bool>,
     /// Wakes idle connections that are to be closed.
@@ -151,6 +153,7 @@
             asked: RefCell::default(),
             probed: RefCell::default(),
             ends: Cell::new(None),
+            ended: Cell::new(false),
             closing: Cell::new(false),
             closed: Notify::new(),
             stopping: Cell::new(false),
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -307,3 +307,14 @@
     let answer = world.entries[0].call("/draft/a", "r2", KEY).await;
     assert_eq!(answer.body, all_events());
 }
+
+/// The last requests have been answered and the process writes its last lines.
+#[actix_rt::test]
+async fn an_entry_that_has_ended_takes_nothing_more() {
+    let world = World::new(1).await;
+    let state = &world.entries[0].state;
+    process::stop(state).await;
+    let late = caller::call(world.entries[0].callers, "/once/a", "late", KEY, |_| {}).await;
+    assert!(late.is_err(), "{late:?}");
+    assert_eq!(world.fleet.runs("late"), Vec::<String>::new());
+}
