Let the test of the end of a stop fail by the call that is sent on

It failed without the change by a 503 that the deadline alone caused. With time left, the call is sent on and answered 200 without the change; checked by switching the change off.

--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -314,6 +314,8 @@
     let world = World::new(1).await;
     let state = &world.entries[0].state;
     process::stop(state).await;
+    // Else a long deadline alone would keep the call from being sent on.
+    state.ends.set(Some(state.now() + std::time::Duration::from_secs(60)));
     let late = caller::call(world.entries[0].callers, "/once/a", "late", KEY, |_| {}).await;
     assert!(late.is_err(), "{late:?}");
     assert_eq!(world.fleet.runs("late"), Vec::<String>::new());
