Ask one entry for what is missing instead of being sent it by all

Each entry that heard from one that was behind sent it the whole table; 28 copies filled its link of 20 Mbit/s.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,7 @@
 //! What is known of the endpoints, and what entries tell each other about it.
 
+pub mod lag;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -93,17 +95,31 @@
     pub doubts: Vec<(Doubt, u64)>,
 }
 
+/// What an entry may ask another one for.
+#[key]
+#[serde(rename_all = "kebab-case")]
+pub enum Topic {
+    /// The routing table.
+    Table,
+    /// The plan.
+    Plan,
+    /// The registrations.
+    Listing,
+}
+
 /// Any message between entries about endpoints and configuration.
 #[data]
 #[serde(rename_all = "kebab-case")]
 pub enum Message {
     /// Several times a second.
     News(News),
-    /// A routing table that the receiver lacks.
+    /// The sender is behind and asks for what the receiver has.
+    Want(Topic),
+    /// A routing table that the receiver asked for.
     Table(Box<route::Table>),
-    /// A plan that the receiver lacks.
+    /// A plan that is new, or that the receiver asked for.
     Plan(placement::Plan),
-    /// A listing that is fresher than the receiver's, and its age in milliseconds.
+    /// A listing that the receiver asked for, and its age in milliseconds.
     Listing(Listing, u64),
     /// Layers that an endpoint was seen to hold, and the orders that it had accepted by then.
     Held(Doubt, placement::Range, u64),
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -11,7 +11,7 @@
 use oriole_core::placement::Plan;
 use oriole_core::time::Instant;
 use oriole_macros::data;
-use oriole_platform::store::{Change, Client, Error, Item, Write};
+use oriole_platform::store::{Change, Client, Error, Item, Read, Write};
 use oriole_platform::{config, registry};
 use tokio::time::sleep;
 
@@ -148,7 +148,7 @@
     if item.key != config::KEY {
         return;
     }
-    match config::decode(&item.value) {
+    match state.timed("configuration", || config::decode(&item.value)) {
         Ok(table) => {
             state.adopt_table(table);
         }
@@ -164,24 +164,29 @@
         dependency.note(&read);
         Metrics::time(&state.metrics.store_call, state.now().since(began));
         if let Ok(read) = read {
-            let mut listing = Listing { revision: read.revision, endpoints: BTreeMap::new() };
-            for item in &read.found {
-                match registry::decode(&item.key, &item.value) {
-                    Some(endpoint) => {
-                        listing.endpoints.insert(endpoint.id.clone(), endpoint);
-                    }
-                    None => {
-                        state.metrics.skipped.inc();
-                        log::debug!(key = item.key.as_str(); "registration not usable");
-                    }
-                }
-            }
+            let listing = state.timed("listing", || decode_listing(&state, &read));
             take_listing(&state, listing, began);
         }
         sleep(LISTING_INTERVAL.saturating_sub(state.now().since(began))).await;
     }
 }
 
+fn decode_listing(state: &Shared, read: &Read<Item>) -> Listing {
+    let mut listing = Listing { revision: read.revision, endpoints: BTreeMap::new() };
+    for item in &read.found {
+        match registry::decode(&item.key, &item.value) {
+            Some(endpoint) => {
+                listing.endpoints.insert(endpoint.id.clone(), endpoint);
+            }
+            None => {
+                state.metrics.skipped.inc();
+                log::debug!(key = item.key.as_str(); "registration not usable");
+            }
+        }
+    }
+    listing
+}
+
 /// Takes over a listing that was read at `read`.
 pub fn take_listing(state: &Shared, listing: Listing, read: Instant) {
     let count = listing.endpoints.len();
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod attempt;
+mod pace;
 mod repath;
 mod watch;
 
@@ -19,6 +20,7 @@
 
 pub use admission::{Refusal, Slot};
 use attempt::{Attempt, End};
+use pace::Pace;
 
 /// How long a stream in progress may wait for another chain; callers leave soon after.
 const RESUME_WAIT: Duration = Duration::from_millis(1200);
@@ -27,6 +29,7 @@
 pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
     let mut splitter = Splitter::after(request.terms.last_event.clone());
     let mut tries = Tries::default();
+    let pace = Pace::default();
     let mut until = wait::until(request.arrived, request.route.objective, request.deadline);
     let mut next = None;
     let mut failed = None;
@@ -50,7 +53,7 @@
         };
         let sent = state.now();
         let end = attempt::run(
-            Attempt { state, request, tries: &tries },
+            Attempt { state, request, tries: &tries, pace: &pace },
             &mut lane,
             &mut splitter,
             writer,
@@ -63,7 +66,9 @@
         let waited_ms = sent.since(request.arrived).as_millis() as u64;
         let failure = match end {
             End::Complete => {
-                log::info!(id = request.id(), head, waited_ms, took_ms; "served");
+                let first_ms = pace.first_after(request.arrived).as_millis() as u64;
+                let pause_ms = pace.longest_pause().as_millis() as u64;
+                log::info!(id = request.id(), head, waited_ms, first_ms, pause_ms, took_ms; "served");
                 state.metrics.served.inc();
                 Metrics::time(&state.metrics.answer, now.since(request.arrived));
                 return Ok(());
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -13,7 +13,7 @@
 use oriole_platform::endpoint::{self, Additions, Verdict};
 use tokio::time::sleep;
 
-use crate::generation::Slot;
+use crate::generation::{Pace, Slot};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
@@ -55,6 +55,8 @@
     pub request: &'a Request,
     /// The attempts before this one.
     pub tries: &'a Tries,
+    /// Times of the events that the caller gets, over all attempts.
+    pub pace: &'a Pace,
 }
 
 /// Sends the request to the chain and passes its events on.
@@ -140,7 +142,7 @@
     *splitter = Splitter::after(splitter.last().map(str::to_owned));
     let mut first = writer.progress() == Progress::Nothing;
     let mut silence = FIRST_SILENCE;
-    let mut stream = Stream::new(state, lane);
+    let mut stream = Stream::new(attempt, lane);
     loop {
         let bytes = match attempt.watch(lane, silence, body.next()).await {
             Err(end) => return end,
@@ -160,7 +162,7 @@
             continue;
         }
         silence = SILENCE;
-        stream.event(state, lane);
+        stream.event(lane);
         if first {
             first = false;
             let headers = endpoint::end_to_end(head.headers());
@@ -187,19 +189,21 @@
 }
 
 /// Tells the book of a stream's events while it lives.
-struct Stream {
-    state: Shared,
+struct Stream<'a> {
+    attempt: Attempt<'a>,
     head: name::Endpoint,
     last: Option<Instant>,
 }
 
-impl Stream {
-    fn new(state: &Shared, lane: &Lane) -> Self {
-        Self { state: state.clone(), head: lane.key.clone(), last: None }
+impl<'a> Stream<'a> {
+    fn new(attempt: Attempt<'a>, lane: &Lane) -> Self {
+        Self { attempt, head: lane.key.clone(), last: None }
     }
 
-    fn event(&mut self, state: &Shared, lane: &Lane) {
+    fn event(&mut self, lane: &Lane) {
+        let state = self.attempt.state;
         let now = state.now();
+        self.attempt.pace.event(now);
         let mut inner = state.inner.borrow_mut();
         inner.progress.insert(lane.key.clone(), now);
         match self.last {
@@ -213,10 +217,10 @@
     }
 }
 
-impl Drop for Stream {
+impl Drop for Stream<'_> {
     fn drop(&mut self) {
         if self.last.is_some() {
-            self.state.inner.borrow_mut().book.finish(&self.head);
+            self.attempt.state.inner.borrow_mut().book.finish(&self.head);
         }
     }
 }
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -66,7 +66,7 @@
         }
         seen = Some(changes);
         let now = state.now();
-        let due = due(&state, now);
+        let due = state.timed("orders", || due(&state, now));
         let key = |d: &Due| (d.seen.endpoint.clone(), d.layers);
         let keys: BTreeSet<_> = due.iter().map(key).collect();
         since.retain(|k, _| keys.contains(k));
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::{Message, News};
+use oriole_core::fleet::{Message, News, Topic};
 use oriole_core::message;
 use oriole_core::name;
 use oriole_platform::store::{Client, Commit, Error, Write};
@@ -84,7 +84,7 @@
     *state.hub.borrow_mut() = Some(hub.clone());
     let mut round = 0_u64;
     loop {
-        state.measure();
+        state.timed("measuring", || state.measure());
         for lane in state.silent_lanes() {
             suspect::ask_all(&state, &lane);
         }
@@ -92,7 +92,7 @@
             state.log_load();
         }
         round += 1;
-        tell(&state, &hub);
+        state.timed("telling", || tell(&state, &hub));
         sleep(interval(state.entries())).await;
     }
 }
@@ -137,7 +137,9 @@
         match kind {
             Kind::Up => log::info!(host = host.as_str(); "connected to entry"),
             Kind::Lost(e) => log::info!(host = host.as_str(), reason:% = e; "lost entry"),
-            Kind::Message(message::Message::Fleet(message)) => take(&state, &hub, host, message),
+            Kind::Message(message::Message::Fleet(message)) => {
+                state.timed("news", || take(&state, &hub, host, message));
+            }
             Kind::Message(_) => log::debug!(host = host.as_str(); "message out of place"),
         }
     }
@@ -146,7 +148,7 @@
 fn take(state: &Shared, hub: &Hub, host: name::Host, message: Message) {
     match message {
         Message::News(news) => {
-            answer(state, hub, &host, &news);
+            ask(state, hub, &host, &news);
             let now = state.now();
             for (seen, age_ms) in &news.doubts {
                 state.doubt(seen, Duration::from_millis(*age_ms), host.as_str());
@@ -154,6 +156,7 @@
             state.inner.borrow_mut().book.hear(host, news.loads, now);
             state.room.notify_waiters();
         }
+        Message::Want(topic) => answer(state, hub, &host, topic),
         Message::Table(table) => {
             state.adopt_table(*table);
         }
@@ -178,24 +181,43 @@
     }
 }
 
-/// Sends what the other entry lacks.
-fn answer(state: &Shared, hub: &Hub, host: &name::Host, news: &News) {
-    let send = |message| {
-        hub.send(host, None, message::Message::Fleet(message));
-    };
+/// Asks another entry for what this one lacks, by what the other one says of itself.
+fn ask(state: &Shared, hub: &Hub, host: &name::Host, news: &News) {
+    let now = state.now();
     let inner = state.inner.borrow();
-    if let Some(table) = inner.table.as_ref().filter(|t| t.version > news.table) {
-        send(Message::Table(Box::new((**table).clone())));
-    }
-    if let Some(plan) = inner.plans.first().filter(|p| p.revision > news.plan) {
-        send(Message::Plan(plan.clone()));
+    let table = inner.table.as_ref().map_or(0, |t| t.version);
+    let plan = inner.plans.first().map_or(0, |p| p.revision);
+    let is_old = inner.view.age(now).is_none_or(|age| age > OLD_LISTING);
+    let is_young = Duration::from_millis(news.listing_age_ms) < YOUNG_LISTING;
+    let mut lags = state.lags.borrow_mut();
+    for (topic, is_current, is_ahead) in [
+        (Topic::Table, false, news.table > table),
+        (Topic::Plan, false, news.plan > plan),
+        (Topic::Listing, !is_old, is_old && is_young),
+    ] {
+        let lag = lags.entry(topic).or_default();
+        if is_current {
+            lag.clear();
+        }
+        if lag.ask(is_ahead, now) {
+            log::debug!(host = host.as_str(), topic:?; "asked an entry that is ahead");
+            hub.send(host, None, message::Message::Fleet(Message::Want(topic)));
+        }
     }
-    let Some(age) = inner.view.age(state.now()) else {
-        return;
+}
+
+/// Sends what the other entry asked for.
+fn answer(state: &Shared, hub: &Hub, host: &name::Host, topic: Topic) {
+    let inner = state.inner.borrow();
+    let message = match topic {
+        Topic::Table => inner.table.as_ref().map(|t| Message::Table(Box::new((**t).clone()))),
+        Topic::Plan => inner.plans.first().map(|p| Message::Plan(p.clone())),
+        Topic::Listing => inner
+            .view
+            .age(state.now())
+            .map(|age| Message::Listing(inner.view.listing().clone(), age.as_millis() as u64)),
     };
-    let is_old = Duration::from_millis(news.listing_age_ms) > OLD_LISTING;
-    if is_old && age < YOUNG_LISTING {
-        let age_ms = age.as_millis() as u64;
-        send(Message::Listing(inner.view.listing().clone(), age_ms));
+    if let Some(message) = message {
+        hub.send(host, None, message::Message::Fleet(message));
     }
 }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -51,7 +51,7 @@
         }
         seen = Some(changes);
         let now = state.now();
-        let Some(wanted) = wanted(&state, now) else {
+        let Some(wanted) = state.timed("planning", || wanted(&state, now)) else {
             need = None;
             continue;
         };
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::Clock;
-use oriole_core::fleet::{Doubt, View};
+use oriole_core::fleet::lag::Lag;
+use oriole_core::fleet::{Doubt, Topic, View};
 use oriole_core::forward::book::Book;
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::choice::Record;
@@ -36,6 +37,10 @@
 /// Time from the end of a process to the readiness of the next one.
 const RESTART: Duration = Duration::from_millis(900);
 
+/// Time from which work that nothing else runs beside is told of: half of a usual pause between
+/// two events.
+const LONG_WORK: Duration = Duration::from_millis(30);
+
 /// Another entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -97,6 +102,8 @@
     pub changed: Notify,
     /// Connections to other entries, once the secret is known.
     pub hub: RefCell<Option<oriole_wire::Hub>>,
+    /// In what this entry is behind others.
+    pub lags: RefCell<BTreeMap<Topic, Lag>>,
     /// When endpoints were last asked for a report.
     pub asked: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// When the process ends at the latest, once it has been told to stop.
@@ -150,6 +157,7 @@
             doubted: Notify::new(),
             changed: Notify::new(),
             hub: RefCell::new(None),
+            lags: RefCell::default(),
             asked: RefCell::default(),
             probed: RefCell::default(),
             ends: Cell::new(None),
@@ -166,6 +174,18 @@
         self.clock.now()
     }
 
+    /// Does `work`, during which nothing else runs, and tells if it held everything up.
+    pub fn timed<T>(&self, purpose: &'static str, work: impl FnOnce() -> T) -> T {
+        let began = self.now();
+        let result = work();
+        let took = self.now().since(began);
+        if took >= LONG_WORK {
+            Metrics::count(&self.metrics.held_up, purpose);
+            log::warn!(purpose, took_ms = took.as_millis() as u64; "requests held up by work");
+        }
+        result
+    }
+
     /// Settings that may change while the process runs.
     pub fn tunables(&self) -> Tunables {
         self.tunables.borrow().clone()
@@ -237,6 +257,7 @@
         self.metrics.table_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
         inner.table = Some(Rc::new(table));
         drop(inner);
+        self.lags.borrow_mut().remove(&Topic::Table);
         self.refresh();
         true
     }
@@ -253,6 +274,7 @@
         inner.plans.insert(0, plan);
         inner.plans.truncate(KEPT_PLANS);
         drop(inner);
+        self.lags.borrow_mut().remove(&Topic::Plan);
         self.refresh();
         true
     }
@@ -318,6 +340,12 @@
     }
 
     fn rebuild(&self) {
+        self.timed("chains", || self.rebuild_lanes());
+        self.room.notify_waiters();
+        self.changed.notify_waiters();
+    }
+
+    fn rebuild_lanes(&self) {
         let now = self.now();
         let grace = self.drain_grace();
         let mut inner = self.inner.borrow_mut();
@@ -341,9 +369,6 @@
         let chains = all.values().map(|l| l.len()).sum::<usize>();
         self.metrics.chains.set(chains as i64);
         inner.lanes = all;
-        drop(inner);
-        self.room.notify_waiters();
-        self.changed.notify_waiters();
     }
 
     /// Entries that are known, this one included.
