Take weak chains apart for a strong broken one where clearly more is served

A chain was left as it is whenever other endpoints held its layers. Now the whole plan is valued both ways (a bridged chain at 0.3 of its throughput), and rebuilt where that serves 1.1 times as much; chains are taken apart only in the broken chain's availability zone. Test: losing any endpoint of two sites keeps 0.85 of what planning anew would serve; before, losing a small accelerator of the best zone left 122 of 170.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -3,12 +3,14 @@
 //! - [`estimate`]: what a chain is expected to serve.
 //! - [`build`]: chains out of endpoints that are in no chain.
 //! - [`revise`]: the next plan when endpoints come, leave or fail; it moves as little as it can.
+//! - [`survey`]: what the chains of a plan are expected to serve together.
 //! - [`order`]: what an endpoint is to be told next so that it comes to hold its part.
 
 pub mod build;
 pub mod estimate;
 pub mod order;
 pub mod revise;
+pub mod survey;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -2,14 +2,15 @@
 //!
 //! A chain with a lost stage is mended with endpoints of its availability zone that are in no chain.
 //! If there are none, it stays as it is where other chains' endpoints hold the missing layers, so
-//! that requests go through those; else the chain that serves least is taken apart for it. What is
-//! left over forms further chains. Stages that can stay do.
+//! that requests go through those, unless clearly more would be served otherwise; then, or where the
+//! layers are nowhere, the chain of its zone that serves least is taken apart for it. What is left
+//! over forms further chains. Stages that can stay do.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use super::build::{self, Besides};
-use super::estimate::{self, Stage as Part};
-use super::{Candidate, Chain, Model, Range, Stage};
+use super::survey::Survey;
+use super::{Candidate, Chain, Model, Range, Stage, estimate};
 use crate::name;
 
 /// Parts of a chain's room that a replacement may have, in the order in which they are tried.
@@ -21,19 +22,19 @@
 /// Least room of a replacement, in tokens.
 const MIN_ROOM: f64 = 8_000.0;
 
+/// Factor by which more must be served for other chains to be taken apart while a broken one can
+/// go on through them: moving layers takes seconds in which neither serves.
+const REBUILD_GAIN: f64 = 1.1;
+
 /// Chains after `current` for the endpoints that are expected to stay.
 pub fn revise(model: &Model, current: &[Chain], endpoints: &[Candidate]) -> Vec<Chain> {
-    let known: BTreeMap<&name::Endpoint, &Candidate> =
-        endpoints.iter().map(|e| (&e.endpoint, e)).collect();
-    let mut work = Work { model, known, chains: current.to_vec(), bridged: BTreeSet::new() };
+    let survey = Survey::new(model, endpoints);
+    let mut work = Work { model, survey, chains: current.to_vec(), bridged: BTreeSet::new() };
     work.chains.retain(|c| c.is_complete(model.layers));
     while let Some(broken) = work.broken() {
         work.mend(broken);
     }
-    let free: Vec<Candidate> = work.free().into_iter().cloned().collect();
-    let besides = work.besides();
-    work.chains.extend(build::chains(model, &free, besides));
-    work.chains
+    work.complete()
 }
 
 /// Where replacements may be.
@@ -45,15 +46,24 @@
     Anywhere,
 }
 
+#[derive(Clone)]
 struct Work<'a> {
     model: &'a Model,
-    known: BTreeMap<&'a name::Endpoint, &'a Candidate>,
+    survey: Survey<'a>,
     chains: Vec<Chain>,
     /// First endpoints of broken chains that stay as they are.
     bridged: BTreeSet<name::Endpoint>,
 }
 
 impl<'a> Work<'a> {
+    /// The chains, with further ones out of what is left over.
+    fn complete(&self) -> Vec<Chain> {
+        let free: Vec<Candidate> = self.free().into_iter().cloned().collect();
+        let mut chains = self.chains.clone();
+        chains.extend(build::chains(self.model, &free, self.besides()));
+        chains
+    }
+
     /// The broken chain that is worth most.
     fn broken(&self) -> Option<usize> {
         let is_open = |i: &usize| {
@@ -64,14 +74,33 @@
         broken.max_by(|&a, &b| self.value(a).total_cmp(&self.value(b)).then(b.cmp(&a)))
     }
 
-    /// Fills the gaps of a chain, taking apart chains that serve less, or the chain itself.
+    /// Fills the gaps of a chain, or leaves it as it is where other chains' endpoints hold what is
+    /// missing and taking some of those apart would not serve clearly more.
     fn mend(&mut self, index: usize) {
-        let mut index = index;
-        while !self.fill(index, Reach::Zone, &ROOM_PARTS) {
-            if self.is_bridged(index) {
-                self.bridged.insert(self.chains[index].stages[0].endpoint.clone());
+        if self.fill(index, Reach::Zone, &ROOM_PARTS) {
+            return;
+        }
+        let mut rebuilt = self.clone();
+        rebuilt.rebuild(index);
+        if self.is_bridged(index) {
+            self.bridged.insert(self.chains[index].stages[0].endpoint.clone());
+            let gain = rebuilt.total() / self.total().max(f64::MIN_POSITIVE);
+            if gain < REBUILD_GAIN {
                 return;
             }
+        }
+        *self = rebuilt;
+    }
+
+    /// What all chains would serve.
+    fn total(&self) -> f64 {
+        self.survey.total(&self.complete())
+    }
+
+    /// Fills the gaps of a chain, taking apart chains that serve less, or the chain itself.
+    fn rebuild(&mut self, index: usize) {
+        let mut index = index;
+        while !self.fill(index, Reach::Zone, &ROOM_PARTS) {
             let Some(least) = self.least_below(index) else {
                 let filled = self.fill(index, Reach::Anywhere, &ROOM_PARTS)
                     || self.fill(index, Reach::Zone, &SMALL_ROOM_PARTS)
@@ -96,7 +125,9 @@
         let others = self.chains.iter().enumerate().filter(|(i, _)| *i != index);
         let stages = others.flat_map(|(_, chain)| &chain.stages);
         let near: Vec<Range> = stages
-            .filter(|s| self.known.get(&s.endpoint).is_some_and(|c| Some(&c.zone) == zone.as_ref()))
+            .filter(|s| {
+                self.survey.get(&s.endpoint).is_some_and(|c| Some(&c.zone) == zone.as_ref())
+            })
             .map(|s| s.layers)
             .collect();
         let holds = |layer| near.iter().any(|r| r.first <= layer && layer < r.end);
@@ -104,9 +135,15 @@
         missing.all(holds)
     }
 
-    /// The chain that serves least, if it serves less than the one at `index`.
+    /// The chain with endpoints in the availability zone of the one at `index` that serves least, if
+    /// it serves less than that one.
     fn least_below(&self, index: usize) -> Option<usize> {
-        let others = (0..self.chains.len()).filter(|&i| i != index);
+        let zone = self.zone(index);
+        let is_near = |i: &usize| {
+            let zones = self.survey.zones(&self.chains[*i]);
+            zone.as_ref().is_none_or(|zone| zones.contains_key(zone))
+        };
+        let others = (0..self.chains.len()).filter(|&i| i != index).filter(is_near);
         let least = others.min_by(|&a, &b| self.value(a).total_cmp(&self.value(b)))?;
         (self.value(least) < self.value(index)).then_some(least)
     }
@@ -173,64 +210,42 @@
     }
 
     fn replace(&mut self, index: usize, stages: Vec<Stage>) {
-        let known = &self.known;
+        let survey = &self.survey;
         let chain = &mut self.chains[index];
-        chain.stages.retain(|s| known.contains_key(&s.endpoint));
+        chain.stages.retain(|s| survey.get(&s.endpoint).is_some());
         chain.stages.extend(stages);
         chain.stages.sort_by_key(|s| s.layers);
     }
 
     fn missing(&self, index: usize) -> Vec<Range> {
-        let stages = self.chains[index].stages.iter();
-        stages.filter(|s| !self.known.contains_key(&s.endpoint)).map(|s| s.layers).collect()
+        self.survey.missing(&self.chains[index])
     }
 
     /// Endpoints that are in no chain.
     fn free(&self) -> Vec<&'a Candidate> {
-        let stages = self.chains.iter().flat_map(|c| &c.stages);
-        let used: BTreeSet<&name::Endpoint> = stages.map(|s| &s.endpoint).collect();
-        self.known.values().filter(|c| !used.contains(&c.endpoint)).copied().collect()
-    }
-
-    fn parts(&self, index: usize) -> Vec<Part<'a>> {
-        let stages = self.chains[index].stages.iter();
-        let known = stages.filter_map(|s| Some((self.known.get(&s.endpoint)?, s.layers.len())));
-        known.map(|(c, layers)| Part { accelerator: &c.accelerator, layers }).collect()
+        self.survey.free(&self.chains)
     }
 
     fn value(&self, index: usize) -> f64 {
-        estimate::throughput(self.model, &self.parts(index), self.crossings(index))
+        self.survey.throughput(&self.chains[index])
     }
 
     fn besides(&self) -> Besides {
         if self.chains.is_empty() {
             return Besides::Nothing;
         }
-        let is_across = (0..self.chains.len()).any(|i| self.crossings(i) > 0);
+        let is_across = self.chains.iter().any(|c| self.survey.crossings(c) > 0);
         if is_across { Besides::Across } else { Besides::Within }
     }
 
-    /// Passages between availability zones along the chain.
-    fn crossings(&self, index: usize) -> usize {
-        let stages = self.chains[index].stages.iter();
-        let zones: Vec<_> =
-            stages.filter_map(|s| Some(&self.known.get(&s.endpoint)?.zone)).collect();
-        zones.windows(2).filter(|pair| pair[0] != pair[1]).count()
-    }
-
     fn room(&self, index: usize) -> f64 {
-        let room = estimate::room(self.model, &self.parts(index));
+        let room = estimate::room(self.model, &self.survey.parts(&self.chains[index]));
         if room.is_finite() { room } else { MIN_ROOM }
     }
 
     /// The availability zone in which most of the chain's stages are.
     fn zone(&self, index: usize) -> Option<name::Zone> {
-        let mut counts: BTreeMap<&name::Zone, usize> = BTreeMap::new();
-        for stage in &self.chains[index].stages {
-            if let Some(candidate) = self.known.get(&stage.endpoint) {
-                *counts.entry(&candidate.zone).or_default() += 1;
-            }
-        }
+        let counts = self.survey.zones(&self.chains[index]);
         counts.into_iter().max_by_key(|(_, n)| *n).map(|(zone, _)| zone.clone())
     }
 }
--- a/crates/core/tests/fleet_world/mod.rs
+++ b/crates/core/tests/fleet_world/mod.rs
@@ -79,9 +79,18 @@
 
 /// A [`site`] with `more` further slow accelerators in each zone.
 pub fn site_with(more: usize) -> Vec<Candidate> {
-    let counts = [(0, [2, 4, 4 + more]), (1, [1, 6, 6 + more]), (2, [1, 10, 4 + more])];
+    of_zones([[2, 4, 4 + more], [1, 6, 6 + more], [1, 10, 4 + more]])
+}
+
+/// A [`site`] that has grown: one availability zone's chain is of large accelerators alone.
+pub fn grown_site() -> Vec<Candidate> {
+    of_zones([[3, 6, 7], [1, 9, 10], [1, 14, 5]])
+}
+
+/// Numbers of large, small and slow accelerators in each zone.
+fn of_zones(counts: [[usize; 3]; 3]) -> Vec<Candidate> {
     let mut all = vec![];
-    for (zone, kinds) in counts {
+    for (zone, kinds) in counts.into_iter().enumerate() {
         for (kind, count) in kinds.into_iter().enumerate() {
             for _ in 0..count {
                 all.push(candidate(all.len(), zone, kind));
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -9,6 +9,7 @@
 use oriole_core::name;
 use oriole_core::placement::build::Besides;
 use oriole_core::placement::estimate::{self, Stage as Part};
+use oriole_core::placement::survey::Survey;
 use oriole_core::placement::{Candidate, Chain, Model, Range, build, order, revise};
 use proptest::prelude::*;
 
@@ -206,20 +207,7 @@
     let model = model();
     let endpoints = fleet_world::site();
     let chains = build::chains(&model, &endpoints, Besides::Nothing);
-    let by_name: BTreeMap<_, _> = endpoints.iter().map(|e| (&e.endpoint, e)).collect();
-    let planned = chains.iter().map(|chain| {
-        let parts: Vec<_> = chain
-            .stages
-            .iter()
-            .map(|s| Part {
-                accelerator: &by_name[&s.endpoint].accelerator,
-                layers: s.layers.len(),
-            })
-            .collect();
-        let zones: Vec<_> = chain.stages.iter().map(|s| &by_name[&s.endpoint].zone).collect();
-        let crossings = zones.windows(2).filter(|pair| pair[0] != pair[1]).count();
-        estimate::throughput(&model, &parts, crossings)
-    });
+    let planned = Survey::new(&model, &endpoints).total(&chains);
     // The baseline: all endpoints of a zone hold equal shares of one chain.
     let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for endpoint in &endpoints {
@@ -231,7 +219,7 @@
             zone.iter().map(|e| Part { accelerator: &e.accelerator, layers }).collect();
         estimate::throughput(&model, &parts, 0)
     });
-    assert!(planned.sum::<f64>() > equal.sum::<f64>());
+    assert!(planned > equal.sum::<f64>());
 }
 
 /// Whichever endpoint is lost, its layers stay in reach, and no other endpoint moves for it that
@@ -284,3 +272,21 @@
         }
     }
 }
+
+/// Where the best chain has no spare of its zone that holds enough, going on through the endpoints
+/// of weak chains would leave most of its accelerators without work.
+#[test]
+fn losing_any_endpoint_costs_little_more_than_planning_anew_would() {
+    let model = model();
+    for endpoints in [fleet_world::site(), fleet_world::grown_site()] {
+        let before = revise::revise(&model, &[], &endpoints);
+        for lost in 0..endpoints.len() {
+            let mut left = endpoints.clone();
+            let gone = left.remove(lost);
+            let survey = Survey::new(&model, &left);
+            let after = survey.total(&revise::revise(&model, &before, &left));
+            let anew = survey.total(&revise::revise(&model, &[], &left));
+            assert!(after >= 0.85 * anew, "losing {}: {after:.1} of {anew:.1}", gone.endpoint);
+        }
+    }
+}
