Plan nothing while endpoints of the plan may still register again after a start

Only a process that lived through the outage waited for them. Also: pauses are compared with estimates each 150 ms by a task of their own. They were measured in the loop of news, which runs each 875 ms among 29 entries, and not at all without the secret. Ruled out: losses of endpoints (none then), memory (no refusals by endpoints).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -180,7 +180,8 @@
         if listing.revision < self.listing.revision {
             return false;
         }
-        if self.listed_at.is_some_and(|at| read.since(at) > OUTAGE) {
+        // Before the first listing there may have been an outage, too.
+        if self.listed_at.is_none_or(|at| read.since(at) > OUTAGE) {
             self.returning = Some(read + RETURN_PERIOD);
         }
         if self.listed_at.is_none_or(|at| at < read) {
@@ -318,6 +319,17 @@
         &self.listing
     }
 
+    /// Whether endpoints that are not listed may still come back, since the store was away.
+    pub fn is_returning(&self, now: Instant) -> bool {
+        self.returning.is_some_and(|until| now < until)
+    }
+
+    /// Whether a stage of `plan` is not listed and may just not have come back yet.
+    pub fn may_return(&self, plan: &placement::Plan, now: Instant) -> bool {
+        let mut stages = plan.services.values().flatten().flat_map(|c| &c.stages);
+        self.is_returning(now) && stages.any(|s| self.get(&s.endpoint).is_none())
+    }
+
     /// How old the listing is.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.listed_at.map(|at| now.since(at))
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,9 +1,13 @@
 //! What entries ask each other for when a change reaches some of them first.
 #![allow(clippy::unwrap_used)]
 
+mod fleet_world;
+
 use std::time::Duration;
 
+use oriole_core::fleet::View;
 use oriole_core::fleet::lag::Lag;
+use oriole_core::placement::{Plan, revise};
 use oriole_core::time::Instant;
 
 fn at(ms: u64) -> Instant {
@@ -35,3 +39,25 @@
     assert!(!lag.ask(false, at(500)));
     assert!(lag.ask(true, at(510)));
 }
+
+/// All entries start again while registrations that lapsed are not all back: a plan without those
+/// endpoints would move the layers of the others.
+#[test]
+fn a_process_that_has_just_started_waits_for_endpoints_that_are_not_listed() {
+    let endpoints = fleet_world::site();
+    let chains = revise::revise(&fleet_world::model(), &[], &endpoints);
+    let services = [(fleet_world::service(), chains)].into();
+    let plan = Plan { number: 1, revision: 1, services };
+    let whole = fleet_world::listing(&endpoints, &plan);
+    let mut part = whole.clone();
+    part.endpoints.retain(|id, _| id.as_str() < "e-010");
+    let mut view = View::default();
+    view.list(part.clone(), at(0));
+    assert!(view.may_return(&plan, at(100)));
+    view.list(part.clone(), at(1_100));
+    view.list(part, at(2_200));
+    assert!(view.may_return(&plan, at(2_200)));
+    assert!(!view.may_return(&plan, at(2_400)), "what is missing then is gone");
+    view.list(whole, at(2_500));
+    assert!(!view.may_return(&plan, at(2_500)));
+}
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -106,7 +106,9 @@
 fn wanted(state: &Shared, now: Instant) -> Option<Vec<(name::Service, Vec<Chain>)>> {
     let inner = state.inner.borrow();
     let table = inner.table.as_ref()?;
-    if state.stopping.get() || inner.view.listing().endpoints.is_empty() {
+    let is_unknown = inner.view.listing().endpoints.is_empty()
+        || inner.plans.first().is_some_and(|p| inner.view.may_return(p, now));
+    if state.stopping.get() || is_unknown {
         return None;
     }
     let chains = next(table, inner.plans.first(), &inner.view, now);
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -13,7 +13,7 @@
 use tokio::time::sleep;
 
 use crate::settings::{Listen, Settings};
-use crate::state::{Shared, State};
+use crate::state::{Shared, State, load};
 use crate::{follow, listen, orders, peers, planner};
 
 /// Longest time of a call to the store, but for watches.
@@ -119,6 +119,7 @@
     actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
+    actix_rt::spawn(load::run(state.clone()));
     actix_rt::spawn(refresh(state.clone()));
     state
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,6 @@
 //! What the process knows, shared by its tasks.
 
-mod load;
+pub mod load;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/router/src/state/load.rs
+++ b/crates/router/src/state/load.rs
@@ -6,7 +6,16 @@
 use oriole_core::forward::lane::Lane;
 use oriole_core::name;
 
-use super::{Inner, State};
+use tokio::time::sleep;
+
+use super::{Inner, Shared, State};
+use crate::suspect;
+
+/// Interval at which pauses are compared with the estimates.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// Rounds between two log lines about the load of each chain.
+const REPORT_ROUNDS: u64 = 10;
 
 /// Usual events that all streams of a chain must miss before its stages are asked.
 const SILENT_EVENTS: f64 = 3.0;
@@ -17,6 +26,22 @@
 /// Least silence after which a chain's stages are asked.
 const LEAST_SILENCE: Duration = Duration::from_millis(250);
 
+/// Watches the chains until the process ends.
+pub async fn run(state: Shared) {
+    let mut round = 0_u64;
+    loop {
+        state.timed("measuring", || state.measure());
+        for lane in state.silent_lanes() {
+            suspect::ask_all(&state, &lane);
+        }
+        if round % REPORT_ROUNDS == 0 {
+            state.log_load();
+        }
+        round += 1;
+        sleep(INTERVAL).await;
+    }
+}
+
 impl State {
     /// Compares the pauses between events with the estimates.
     pub fn measure(&self) {
