--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -1,6 +1,10 @@
 //! Work in progress of this entry and of the others.
+//!
+//! Load pattern: many entries that choose at the same time by what they last heard of each other.
+//! All would send their next requests to the chain that had most room then. So what this entry has
+//! begun and ended since is taken as a sample of what the others have, until they tell.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::gauge::Gauge;
@@ -11,6 +15,29 @@
 /// How long another entry's figures count without being renewed.
 const KEEP: Duration = Duration::from_secs(2);
 
+/// Interval of news among few entries.
+const NEWS_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Entries for which news come less often by one more interval.
+const ENTRIES_PER_INTERVAL: usize = 6;
+
+/// Interval of news among `entries` entries: what one hears in a second stays bounded.
+pub fn news_interval(entries: usize) -> Duration {
+    let steps = 1 + entries / ENTRIES_PER_INTERVAL;
+    NEWS_INTERVAL * u32::try_from(steps).unwrap_or(u32::MAX)
+}
+
+/// A request of this entry that began or ended lately.
+#[derive(Debug)]
+struct Change {
+    at: Instant,
+    head: name::Endpoint,
+    /// 1 or -1.
+    requests: f64,
+    /// Negative for one that ended.
+    tokens: f64,
+}
+
 /// Requests and tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sum {
@@ -26,18 +53,21 @@
     own: BTreeMap<name::Endpoint, Sum>,
     others: BTreeMap<name::Host, (Instant, Vec<Load>)>,
     gauges: BTreeMap<name::Endpoint, (Gauge, u32)>,
+    recent: VecDeque<Change>,
 }
 
 impl Book {
     /// Counts a request of this entry.
-    pub fn add(&mut self, head: &name::Endpoint, tokens: u64) {
+    pub fn add(&mut self, head: &name::Endpoint, tokens: u64, now: Instant) {
+        self.note(head, 1.0, tokens as f64, now);
         let sum = self.own.entry(head.clone()).or_default();
         sum.requests += 1;
         sum.tokens += tokens;
     }
 
     /// Ends a request that [`Book::add`] counted with the same figures.
-    pub fn remove(&mut self, head: &name::Endpoint, tokens: u64) {
+    pub fn remove(&mut self, head: &name::Endpoint, tokens: u64, now: Instant) {
+        self.note(head, -1.0, -(tokens as f64), now);
         let Some(sum) = self.own.get_mut(head) else {
             return;
         };
@@ -48,13 +78,46 @@
         }
     }
 
+    fn note(&mut self, head: &name::Endpoint, requests: f64, tokens: f64, now: Instant) {
+        let interval = news_interval(self.others.len() + 1);
+        while self.recent.front().is_some_and(|c| now.since(c.at) >= interval) {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Change { at: now, head: head.clone(), requests, tokens });
+    }
+
+    /// What the other entries are expected to have begun and not told yet, less what has ended.
+    fn untold(&self, head: &name::Endpoint, now: Instant) -> (f64, f64) {
+        let others = self.others(now);
+        let interval = news_interval(others + 1).as_secs_f64();
+        let (mut requests, mut tokens) = (0.0, 0.0);
+        for change in self.recent.iter().filter(|c| c.head == *head) {
+            // The older the change, the more of the others have told since.
+            let part = (1.0 - now.since(change.at).as_secs_f64() / interval).max(0.0);
+            requests += change.requests * part;
+            tokens += change.tokens * part;
+        }
+        (requests * others as f64, tokens * others as f64)
+    }
+
     /// Takes over what another entry said of itself.
     pub fn hear(&mut self, host: name::Host, loads: Vec<Load>, now: Instant) {
         self.others.insert(host, (now, loads));
     }
 
-    /// Work in progress of all entries.
+    /// Work in progress of all entries, as far as it can be known.
     pub fn sum(&self, head: &name::Endpoint, now: Instant) -> Sum {
+        let told = self.told(head, now);
+        let (requests, tokens) = self.untold(head, now);
+        let own = self.own.get(head).copied().unwrap_or_default();
+        // Casts from floats saturate.
+        let requests = (f64::from(told.requests) + requests).max(f64::from(own.requests)) as u32;
+        let tokens = (told.tokens as f64 + tokens).max(own.tokens as f64) as u64;
+        Sum { requests, tokens }
+    }
+
+    /// Work in progress of this entry, and of the others as they last told.
+    fn told(&self, head: &name::Endpoint, now: Instant) -> Sum {
         let mut sum = self.own.get(head).copied().unwrap_or_default();
         for (at, loads) in self.others.values() {
             if now.since(*at) >= KEEP {
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -57,6 +57,12 @@
         lane::choose(&self.model, lanes, book, &ask, at_ms(0)).cloned()
     }
 
+    fn choose_at(&self, lanes: &[Lane], book: &Book, now: Instant) -> Option<Lane> {
+        let (route, zone) = (route(), "zone-0".into());
+        let ask = Ask { route: &route, tokens: 300, zone: &zone, ran_at: &[], avoid: None };
+        lane::choose(&self.model, lanes, book, &ask, now).cloned()
+    }
+
     fn doubt(&mut self, id: &name::Endpoint, now: Instant) {
         self.view.doubt(&Doubt { endpoint: id.clone(), born: 1 }, now, now);
     }
@@ -242,7 +248,7 @@
     let mut book = Book::default();
     let mut admitted = 0;
     while let Some(lane) = world.choose(&lanes, &book, &[]) {
-        book.add(&lane.key, 1_000);
+        book.add(&lane.key, 1_000, at_ms(0));
         admitted += 1;
         assert!(admitted < 10_000);
     }
@@ -266,7 +272,7 @@
     let mut book = Book::default();
     for _ in 0..10_000 {
         let Some(lane) = world.choose(&lanes, &book, &[]) else { break };
-        book.add(&lane.key, 1_000);
+        book.add(&lane.key, 1_000, at_ms(0));
     }
     let mut used = std::collections::BTreeMap::<_, f64>::new();
     for lane in &lanes {
@@ -295,6 +301,51 @@
     assert_eq!(book.sum(&lanes[0].key, at_ms(5_000)).requests, 0);
 }
 
+/// Thirty entries choose by what they heard up to an interval of news ago: their requests must not
+/// all go where there was most room then.
+#[test]
+fn entries_that_hear_of_each_other_late_do_not_all_choose_the_same_chain() {
+    const ENTRIES: usize = 30;
+    let world = World::new();
+    let lanes = world.lanes(at_ms(0));
+    let heads: Vec<_> = lanes.iter().map(|l| l.key.clone()).collect();
+    let mut books: Vec<Book> = (0..ENTRIES).map(|_| Book::default()).collect();
+    let mut total = vec![0_u32; heads.len()];
+    // One request each 120 ms at each entry; entries tell the others at times of their own.
+    for ms in (0..1_800).step_by(10) {
+        for entry in 0..ENTRIES {
+            if ms % 120 == entry % 12 * 10 {
+                let chosen = world.choose_at(&lanes, &books[entry], at_ms(ms as u64));
+                let key = chosen.map(|lane| lane.key);
+                if let Some(index) = heads.iter().position(|h| Some(h) == key.as_ref()) {
+                    books[entry].add(&heads[index], 300, at_ms(ms as u64));
+                    total[index] += 1;
+                }
+            }
+            if ms % 900 == entry * 30 {
+                let loads = books[entry].loads();
+                for other in (0..ENTRIES).filter(|&o| o != entry) {
+                    let host = format!("entry-{entry}").as_str().into();
+                    books[other].hear(host, loads.clone(), at_ms(ms as u64));
+                }
+            }
+        }
+    }
+    // What one that always knows all would do with as many requests.
+    let mut ideal = Book::default();
+    let mut even = vec![0_u32; heads.len()];
+    for _ in 0..total.iter().sum::<u32>() {
+        let Some(lane) = world.choose_at(&lanes, &ideal, at_ms(0)) else { break };
+        let index = heads.iter().position(|h| *h == lane.key).unwrap();
+        even[index] += 1;
+        let key = lane.key.clone();
+        ideal.add(&key, 300, at_ms(0));
+    }
+    for (most, even) in total.iter().zip(&even) {
+        assert!(*most <= even + 30, "{total:?} in place of {even:?}");
+    }
+}
+
 #[test]
 fn a_request_that_ran_at_as_many_endpoints_as_allowed_goes_back_to_one_of_them() {
     let world = World::new();
@@ -313,7 +364,7 @@
     let lanes = world.lanes(at_ms(0));
     let fast = world.choose(&lanes, &Book::default(), &[]).unwrap();
     let mut book = Book::default();
-    book.add(&fast.key, 1_000);
+    book.add(&fast.key, 1_000, at_ms(0));
     book.begin(&fast.key, at_ms(0));
     for round in 1..20 {
         book.event(&fast.key, Duration::from_millis(900), at_ms(round * 150));
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -29,14 +29,16 @@
 impl Slot {
     /// Takes room for `tokens` tokens.
     pub fn take(state: &Shared, head: &name::Endpoint, tokens: u64) -> Self {
-        state.inner.borrow_mut().book.add(head, tokens);
+        let now = state.now();
+        state.inner.borrow_mut().book.add(head, tokens, now);
         Self { state: state.clone(), head: head.clone(), tokens }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.state.inner.borrow_mut().book.remove(&self.head, self.tokens);
+        let now = self.state.now();
+        self.state.inner.borrow_mut().book.remove(&self.head, self.tokens, now);
         self.state.room.notify_waiters();
     }
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::{Message, News, Topic};
+use oriole_core::forward::book;
 use oriole_core::message;
 use oriole_core::name;
 use oriole_platform::store::{Client, Commit, Error, Write};
@@ -15,16 +16,6 @@
 
 use crate::follow;
 use crate::state::Shared;
-use crate::suspect;
-
-/// Interval of news.
-const NEWS_INTERVAL: Duration = Duration::from_millis(150);
-
-/// Entries for which news come less often by one more interval.
-const ENTRIES_PER_INTERVAL: u32 = 6;
-
-/// Rounds of news between two log lines about the load of each chain.
-const REPORT_ROUNDS: u64 = 10;
 
 /// Age from which another entry's listing is refreshed by a younger one.
 const OLD_LISTING: Duration = Duration::from_millis(1300);
@@ -82,26 +73,12 @@
     hub.listen(listener);
     actix_rt::spawn(hear(state.clone(), hub.clone(), events));
     *state.hub.borrow_mut() = Some(hub.clone());
-    let mut round = 0_u64;
     loop {
-        state.timed("measuring", || state.measure());
-        for lane in state.silent_lanes() {
-            suspect::ask_all(&state, &lane);
-        }
-        if round % REPORT_ROUNDS == 0 {
-            state.log_load();
-        }
-        round += 1;
         state.timed("telling", || tell(&state, &hub));
-        sleep(interval(state.entries())).await;
+        sleep(book::news_interval(state.entries())).await;
     }
 }
 
-/// Interval of news among `entries` entries: what one hears in a second stays bounded.
-fn interval(entries: usize) -> Duration {
-    NEWS_INTERVAL * (1 + entries as u32 / ENTRIES_PER_INTERVAL)
-}
-
 fn tell(state: &Shared, hub: &Hub) {
     let news = message::Message::Fleet(Message::News(news(state)));
     let peers = state.inner.borrow().peers.clone();
