--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -157,6 +157,8 @@
     paused: BTreeMap<name::Endpoint, Instant>,
     /// Until when endpoints that are missing from a listing may still come back.
     returning: Option<Instant>,
+    /// Before the first listing there may have been an outage, too.
+    first_listed: Option<Instant>,
 }
 
 /// Time within which suspicions of several entries count together.
@@ -180,8 +182,8 @@
         if listing.revision < self.listing.revision {
             return false;
         }
-        // Before the first listing there may have been an outage, too.
-        if self.listed_at.is_none_or(|at| read.since(at) > OUTAGE) {
+        self.first_listed.get_or_insert(read);
+        if self.listed_at.is_some_and(|at| read.since(at) > OUTAGE) {
             self.returning = Some(read + RETURN_PERIOD);
         }
         if self.listed_at.is_none_or(|at| at < read) {
@@ -321,7 +323,8 @@
 
     /// Whether endpoints that are not listed may still come back, since the store was away.
     pub fn is_returning(&self, now: Instant) -> bool {
-        self.returning.is_some_and(|until| now < until)
+        let first = self.first_listed.map(|at| at + RETURN_PERIOD);
+        self.returning.max(first).is_some_and(|until| now < until)
     }
 
     /// Whether a stage of `plan` is not listed and may just not have come back yet.
