Bound what a chain is given by the prompts that it has yet to read and to pass between zones

Ruled out: lost stages (heads answered, nothing stalled, pace 1), memory (no refusals by endpoints). Change: entries count the prompt tokens of requests without an event; a chain is not chosen if those would make the next one begin after 0.7 of its objective, and prompts that pass between zones count for all chains that do. Silence of a chain that has requests but no stream raises its factor. A request that has waited as long as it may is sent where it begins late (up to twice the objective).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -67,6 +67,8 @@
     pub requests: u32,
     /// Tokens that they hold or are expected to hold.
     pub tokens: u64,
+    /// Tokens of prompts whose requests have had no event yet.
+    pub reading: u64,
     /// How much more slowly than estimated its events come to the sender.
     pub factor: f64,
 }
--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use super::Need;
 use super::gauge::Gauge;
 use crate::fleet::Load;
 use crate::name;
@@ -27,15 +28,32 @@
     NEWS_INTERVAL * u32::try_from(steps).unwrap_or(u32::MAX)
 }
 
-/// A request of this entry that began or ended lately.
+/// A change of this entry's work in progress.
 #[derive(Debug)]
 struct Change {
     at: Instant,
     head: name::Endpoint,
-    /// 1 or -1.
-    requests: f64,
-    /// Negative for one that ended.
-    tokens: f64,
+    work: Work,
+    /// 1 for what began, -1 for what ended.
+    sign: f64,
+}
+
+/// What one request adds to the work in progress.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// 1, or 0 for a part of a request.
+    pub requests: u32,
+    /// Tokens to reserve.
+    pub tokens: u64,
+    /// Tokens of the prompt, while there is no event yet.
+    pub reading: u64,
+}
+
+impl Work {
+    /// A request that is to be read.
+    pub fn of(need: &Need) -> Self {
+        Self { requests: 1, tokens: need.tokens(), reading: u64::from(need.prompt) }
+    }
 }
 
 /// Requests and tokens.
@@ -45,6 +63,22 @@
     pub requests: u32,
     /// Tokens reserved.
     pub tokens: u64,
+    /// Tokens of prompts of requests that have had no event yet.
+    pub reading: u64,
+}
+
+impl Sum {
+    fn add(&mut self, work: Work) {
+        self.requests += work.requests;
+        self.tokens += work.tokens;
+        self.reading += work.reading;
+    }
+
+    fn remove(&mut self, work: Work) {
+        self.requests = self.requests.saturating_sub(work.requests);
+        self.tokens = self.tokens.saturating_sub(work.tokens);
+        self.reading = self.reading.saturating_sub(work.reading);
+    }
 }
 
 /// Work in progress by the first endpoint of a chain, or the only endpoint of a plain service.
@@ -52,52 +86,57 @@
 pub struct Book {
     own: BTreeMap<name::Endpoint, Sum>,
     others: BTreeMap<name::Host, (Instant, Vec<Load>)>,
-    gauges: BTreeMap<name::Endpoint, (Gauge, u32)>,
+    gauges: BTreeMap<name::Endpoint, Gauge>,
     recent: VecDeque<Change>,
 }
 
 impl Book {
-    /// Counts a request of this entry.
-    pub fn add(&mut self, head: &name::Endpoint, tokens: u64, now: Instant) {
-        self.note(head, 1.0, tokens as f64, now);
+    /// Counts work of this entry.
+    pub fn add(&mut self, head: &name::Endpoint, work: Work, now: Instant) {
+        self.note(head, work, 1.0, now);
         let sum = self.own.entry(head.clone()).or_default();
-        sum.requests += 1;
-        sum.tokens += tokens;
+        let is_only = sum.requests == 0;
+        sum.add(work);
+        let gauge = self.gauges.entry(head.clone()).or_insert_with(|| Gauge::new(now));
+        gauge.wait(is_only, now);
     }
 
-    /// Ends a request that [`Book::add`] counted with the same figures.
-    pub fn remove(&mut self, head: &name::Endpoint, tokens: u64, now: Instant) {
-        self.note(head, -1.0, -(tokens as f64), now);
+    /// Ends work that [`Book::add`] counted: all of it, or what is left after [`Book::begin`].
+    pub fn remove(&mut self, head: &name::Endpoint, work: Work, now: Instant) {
+        self.note(head, work, -1.0, now);
         let Some(sum) = self.own.get_mut(head) else {
             return;
         };
-        sum.requests = sum.requests.saturating_sub(1);
-        sum.tokens = sum.tokens.saturating_sub(tokens);
+        sum.remove(work);
         if sum.requests == 0 {
             self.own.remove(head);
         }
     }
 
-    fn note(&mut self, head: &name::Endpoint, requests: f64, tokens: f64, now: Instant) {
+    fn note(&mut self, head: &name::Endpoint, work: Work, sign: f64, now: Instant) {
         let interval = news_interval(self.others.len() + 1);
         while self.recent.front().is_some_and(|c| now.since(c.at) >= interval) {
             self.recent.pop_front();
         }
-        self.recent.push_back(Change { at: now, head: head.clone(), requests, tokens });
+        self.recent.push_back(Change { at: now, head: head.clone(), work, sign });
     }
 
-    /// What the other entries are expected to have begun and not told yet, less what has ended.
-    fn untold(&self, head: &name::Endpoint, now: Instant) -> (f64, f64) {
+    /// What the other entries are expected to have begun and not told yet, less what has ended:
+    /// requests, tokens and tokens of prompts.
+    fn untold(&self, head: &name::Endpoint, now: Instant) -> [f64; 3] {
         let others = self.others(now);
         let interval = news_interval(others + 1).as_secs_f64();
-        let (mut requests, mut tokens) = (0.0, 0.0);
+        let mut sums = [0.0; 3];
         for change in self.recent.iter().filter(|c| c.head == *head) {
             // The older the change, the more of the others have told since.
             let part = (1.0 - now.since(change.at).as_secs_f64() / interval).max(0.0);
-            requests += change.requests * part;
-            tokens += change.tokens * part;
+            let Work { requests, tokens, reading } = change.work;
+            let figures = [f64::from(requests), tokens as f64, reading as f64];
+            for (sum, figure) in sums.iter_mut().zip(figures) {
+                *sum += figure * part * change.sign * others as f64;
+            }
         }
-        (requests * others as f64, tokens * others as f64)
+        sums
     }
 
     /// Takes over what another entry said of itself.
@@ -108,12 +147,14 @@
     /// Work in progress of all entries, as far as it can be known.
     pub fn sum(&self, head: &name::Endpoint, now: Instant) -> Sum {
         let told = self.told(head, now);
-        let (requests, tokens) = self.untold(head, now);
+        let [requests, tokens, reading] = self.untold(head, now);
         let own = self.own.get(head).copied().unwrap_or_default();
         // Casts from floats saturate.
-        let requests = (f64::from(told.requests) + requests).max(f64::from(own.requests)) as u32;
-        let tokens = (told.tokens as f64 + tokens).max(own.tokens as f64) as u64;
-        Sum { requests, tokens }
+        Sum {
+            requests: (f64::from(told.requests) + requests).max(f64::from(own.requests)) as u32,
+            tokens: (told.tokens as f64 + tokens).max(own.tokens as f64) as u64,
+            reading: (told.reading as f64 + reading).max(own.reading as f64) as u64,
+        }
     }
 
     /// Work in progress of this entry, and of the others as they last told.
@@ -126,27 +167,29 @@
             for load in loads.iter().filter(|l| l.head == *head) {
                 sum.requests += load.requests;
                 sum.tokens += load.tokens;
+                sum.reading += load.reading;
             }
         }
         sum
     }
 
-    /// Counts a stream of this entry that had its first event.
-    pub fn begin(&mut self, head: &name::Endpoint, now: Instant) {
+    /// Counts a stream of this entry that had its first event, and takes its prompt as read.
+    pub fn begin(&mut self, head: &name::Endpoint, work: Work, now: Instant) {
+        self.remove(head, Work { reading: work.reading, ..Work::default() }, now);
         let gauge = self.gauges.entry(head.clone());
-        gauge.or_insert_with(|| (Gauge::new(now), 0)).1 += 1;
+        gauge.or_insert_with(|| Gauge::new(now)).begin(now);
     }
 
     /// Ends a stream that [`Book::begin`] counted.
     pub fn finish(&mut self, head: &name::Endpoint) {
-        if let Some((_, streams)) = self.gauges.get_mut(head) {
-            *streams = streams.saturating_sub(1);
+        if let Some(gauge) = self.gauges.get_mut(head) {
+            gauge.finish();
         }
     }
 
     /// Counts an event that came `pause` after the one before it in its stream.
     pub fn event(&mut self, head: &name::Endpoint, pause: Duration, now: Instant) {
-        if let Some((gauge, _)) = self.gauges.get_mut(head) {
+        if let Some(gauge) = self.gauges.get_mut(head) {
             gauge.event(pause, now);
         }
     }
@@ -164,8 +207,9 @@
                 self.gauges.remove(&head);
                 continue;
             };
-            if let Some((gauge, streams)) = self.gauges.get_mut(&head) {
-                gauge.close(estimate, *streams, now);
+            let requests = self.own.get(&head).map_or(0, |sum| sum.requests);
+            if let Some(gauge) = self.gauges.get_mut(&head) {
+                gauge.close(estimate, requests, now);
             }
         }
     }
@@ -173,13 +217,13 @@
     /// How long this entry's streams on a chain have all been without an event, if there are at
     /// least `streams` of them.
     pub fn silence(&self, head: &name::Endpoint, streams: u32, now: Instant) -> Option<Duration> {
-        let (gauge, count) = self.gauges.get(head)?;
-        (*count >= streams).then(|| gauge.silence(now))
+        let gauge = self.gauges.get(head)?;
+        (gauge.streams() >= streams).then(|| gauge.silence(now))
     }
 
     /// How much more slowly than estimated a chain's events come, as all entries see it.
     pub fn factor(&self, head: &name::Endpoint, now: Instant) -> f64 {
-        let own = self.gauges.get(head).map_or(1.0, |(gauge, _)| gauge.factor());
+        let own = self.gauges.get(head).map_or(1.0, Gauge::factor);
         let requests = self.own.get(head).map_or(0, |sum| sum.requests);
         let mut weight = f64::from(requests) + 1.0;
         let mut total = own * weight;
@@ -201,7 +245,8 @@
             head: head.clone(),
             requests: sum.requests,
             tokens: sum.tokens,
-            factor: self.gauges.get(head).map_or(1.0, |(gauge, _)| gauge.factor()),
+            reading: sum.reading,
+            factor: self.gauges.get(head).map_or(1.0, Gauge::factor),
         };
         self.own.iter().map(load).collect()
     }
--- a/crates/core/src/forward/gauge.rs
+++ b/crates/core/src/forward/gauge.rs
@@ -19,12 +19,16 @@
 /// Smallest factor.
 const MIN_FACTOR: f64 = 0.5;
 
+/// Silence of a chain that has requests but no stream yet, from which on it counts as pauses.
+const FIRST_SILENCE: Duration = Duration::from_millis(900);
+
 /// Events of one chain in the present period, and the factor so far.
 #[derive(Clone, Debug)]
 pub struct Gauge {
     factor: f64,
     sum: Duration,
     count: u32,
+    streams: u32,
     last: Instant,
     closed: Instant,
 }
@@ -32,7 +36,26 @@
 impl Gauge {
     /// A gauge that has seen nothing.
     pub fn new(now: Instant) -> Self {
-        Self { factor: 1.0, sum: Duration::ZERO, count: 0, last: now, closed: now }
+        let (sum, count, streams) = (Duration::ZERO, 0, 0);
+        Self { factor: 1.0, sum, count, streams, last: now, closed: now }
+    }
+
+    /// Notes that a request is on its way; `is_only` if there was none before it.
+    pub fn wait(&mut self, is_only: bool, now: Instant) {
+        if is_only {
+            self.last = now;
+        }
+    }
+
+    /// Counts the first event of a stream.
+    pub fn begin(&mut self, now: Instant) {
+        self.streams += 1;
+        self.last = now;
+    }
+
+    /// Ends a stream that [`Gauge::begin`] counted.
+    pub fn finish(&mut self) {
+        self.streams = self.streams.saturating_sub(1);
     }
 
     /// Counts an event that came `pause` after the one before it in its stream.
@@ -42,15 +65,16 @@
         self.last = now;
     }
 
-    /// Ends a period in which an event was estimated to take `estimate`, with `streams` streams
-    /// that have had their first event.
-    pub fn close(&mut self, estimate: Duration, streams: u32, now: Instant) {
+    /// Ends a period in which an event was estimated to take `estimate`, with `requests` requests
+    /// in progress.
+    pub fn close(&mut self, estimate: Duration, requests: u32, now: Instant) {
         let passed = now.since(self.closed);
         self.closed = now;
         let silent = now.since(self.last);
+        let limit = if self.streams > 0 { estimate * 2 } else { FIRST_SILENCE };
         let seen = if self.count > 0 {
             Some(self.sum / self.count)
-        } else if streams > 0 && silent > estimate * 2 {
+        } else if requests > 0 && silent > limit {
             Some(silent)
         } else {
             None
@@ -62,7 +86,7 @@
                 let factor = factor.clamp(MIN_FACTOR, MAX_FACTOR);
                 self.factor += (factor - self.factor) * NEWEST;
             }
-            None if streams == 0 => {
+            None if self.streams == 0 => {
                 let halves = passed.as_secs_f64() / HALF_LIFE.as_secs_f64();
                 self.factor = 1.0 + (self.factor - 1.0) * 0.5_f64.powf(halves);
             }
@@ -75,6 +99,11 @@
         now.since(self.last)
     }
 
+    /// Streams in progress.
+    pub fn streams(&self) -> u32 {
+        self.streams
+    }
+
     /// The factor on estimated pauses.
     pub fn factor(&self) -> f64 {
         self.factor
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::Need;
-use super::book::{Book, Sum};
+use super::book::{Book, Sum, Work};
 use crate::fleet::{Doubt, Endpoint, View};
 use crate::placement::estimate::{self, Cost, Stage as Part};
 use crate::placement::{Accelerator, Chain, Model, Plan, Range};
@@ -23,6 +23,12 @@
 /// Part of the longest allowed pause that an event may take by the estimate.
 const PAUSE_PART: f64 = 0.6;
 
+/// Part of the objective by which the first event is to come by the estimate.
+const FIRST_PART: f64 = 0.7;
+
+/// Objectives within which it is to come where it can only come late; callers leave soon after.
+const LATE_PART: f64 = 2.0;
+
 /// Estimated extra cost of a chain that starts in another availability zone, in milliseconds.
 const FAR_MS: f64 = 800.0;
 
@@ -93,6 +99,17 @@
         Duration::from_secs_f64(ms * f64::from(model.stride) / 1000.0)
     }
 
+    /// Estimated time until `reading` tokens of prompts have been read, if `crossing` tokens have yet
+    /// to pass between availability zones.
+    pub fn read(&self, model: &Model, reading: u64, crossing: u64) -> Duration {
+        let read_ms = self.cost.read_ms(model, reading as f64);
+        let passage_ms = match self.crossings() {
+            0 => 0.0,
+            _ => estimate::crossing_ms(model, crossing as f64),
+        };
+        Duration::from_secs_f64((read_ms + passage_ms) / 1000.0)
+    }
+
     /// Longest time that a generation of `need` takes if events come `factor` times as slowly as
     /// estimated.
     pub fn longest(&self, model: &Model, need: &Need, sum: Sum, factor: f64) -> Duration {
@@ -221,17 +238,25 @@
 pub struct Ask<'a> {
     /// The route.
     pub route: &'a route::Route,
-    /// Tokens to reserve.
-    pub tokens: u64,
+    /// What the request adds to the work in progress.
+    pub work: Work,
     /// The entry's availability zone.
     pub zone: &'a name::Zone,
     /// First endpoints at which the request has run already.
     pub ran_at: &'a [name::Endpoint],
     /// The key of a chain that is not to be chosen.
     pub avoid: Option<&'a name::Endpoint>,
+    /// Whether an answer that begins late is better than none, since it cannot wait any longer.
+    pub is_last: bool,
 }
 
 impl Ask<'_> {
+    /// The time by which the first event is to come.
+    fn first_limit(&self) -> Duration {
+        let part = if self.is_last { LATE_PART } else { FIRST_PART };
+        self.route.objective.mul_f64(part)
+    }
+
     /// Whether the request may run on a chain, too.
     fn allows(&self, lane: &Lane) -> bool {
         let attempts = self.route.max_attempts as usize;
@@ -258,6 +283,18 @@
     used
 }
 
+/// Tokens of prompts that have yet to pass between availability zones, on all chains.
+///
+/// All chains share the way between two availability zones: what one sends there, the others wait
+/// for.
+fn crossing_tokens(lanes: &[Lane], book: &Book, now: Instant) -> u64 {
+    let tokens = |lane: &Lane| match lane.crossings() as u64 {
+        0 => 0,
+        crossings => book.sum(&lane.key, now).reading * crossings,
+    };
+    lanes.iter().map(tokens).sum()
+}
+
 /// The chain on which the request is estimated to be complete first, among those with room.
 pub fn choose<'a>(
     model: &Model,
@@ -269,7 +306,7 @@
     // Most chains share no endpoint; only for those that do is the use of each one summed up.
     let used = used(model, lanes, book, now);
     let fits_hop = |hop: &Hop| {
-        let bytes = ask.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
+        let bytes = ask.work.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
         let taken = used.get(&hop.endpoint).copied().unwrap_or_default();
         taken + bytes <= hop.free * ROOM_PART
     };
@@ -280,22 +317,25 @@
             tokens as f64 <= lane.room * ROOM_PART
         }
     };
+    let crossing = crossing_tokens(lanes, book, now) + ask.work.reading;
     let mut best: Option<(f64, &Lane)> = None;
     for lane in lanes.iter().filter(|l| ask.allows(l)) {
         let sum = book.sum(&lane.key, now);
-        let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.tokens);
+        let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.work.tokens);
         if requests > model.slots || !has_room(lane, tokens) {
             continue;
         }
         let factor = book.factor(&lane.key, now);
         let event = lane.event(model, requests, tokens).mul_f64(factor);
         let late = ask.route.pause.is_some_and(|pause| event > pause.mul_f64(PAUSE_PART));
-        if late && sum.requests > 0 {
+        let first = event + lane.read(model, sum.reading + ask.work.reading, crossing);
+        let begins_late = sum.reading > 0 && first > ask.first_limit();
+        if (late && sum.requests > 0) || begins_late {
             continue;
         }
         let far = if lane.zone == *ask.zone { 0.0 } else { FAR_MS };
-        let crossing = estimate::crossing_ms(model, ask.tokens as f64) * CROSSING_WEIGHT;
-        let far = far + crossing * lane.crossings() as f64;
+        let passage = estimate::crossing_ms(model, ask.work.tokens as f64) * CROSSING_WEIGHT;
+        let far = far + passage * lane.crossings() as f64;
         let events = model.usual_answer / f64::from(model.stride.max(1));
         let cost = event.as_secs_f64() * 1000.0 * events + far;
         if best.is_none_or(|(least, _)| cost < least) {
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -7,7 +7,7 @@
 
 use fleet_world::{listing, model, route, seed, service, site};
 use oriole_core::fleet::{Doubt, Load, State, View};
-use oriole_core::forward::book::Book;
+use oriole_core::forward::book::{Book, Work};
 use oriole_core::forward::budget::{Bound, Budget};
 use oriole_core::forward::choice::{self, Record};
 use oriole_core::forward::event::Splitter;
@@ -53,13 +53,27 @@
 
     fn choose(&self, lanes: &[Lane], book: &Book, ran_at: &[name::Endpoint]) -> Option<Lane> {
         let (route, zone) = (route(), "zone-0".into());
-        let ask = Ask { route: &route, tokens: 1_000, zone: &zone, ran_at, avoid: None };
+        let ask = Ask {
+            route: &route,
+            work: held(1_000),
+            zone: &zone,
+            ran_at,
+            avoid: None,
+            is_last: false,
+        };
         lane::choose(&self.model, lanes, book, &ask, at_ms(0)).cloned()
     }
 
-    fn choose_at(&self, lanes: &[Lane], book: &Book, now: Instant) -> Option<Lane> {
+    fn choose_for(
+        &self,
+        lanes: &[Lane],
+        book: &Book,
+        work: Work,
+        is_last: bool,
+        now: Instant,
+    ) -> Option<Lane> {
         let (route, zone) = (route(), "zone-0".into());
-        let ask = Ask { route: &route, tokens: 300, zone: &zone, ran_at: &[], avoid: None };
+        let ask = Ask { route: &route, work, zone: &zone, ran_at: &[], avoid: None, is_last };
         lane::choose(&self.model, lanes, book, &ask, now).cloned()
     }
 
@@ -68,6 +82,11 @@
     }
 }
 
+/// A request that holds `tokens` tokens and has been read.
+fn held(tokens: u64) -> Work {
+    Work { requests: 1, tokens, reading: 0 }
+}
+
 /// The layers of a lane, which must be each once and in order.
 fn check(lane: &Lane, layers: u32) {
     let mut next = 0;
@@ -248,7 +267,7 @@
     let mut book = Book::default();
     let mut admitted = 0;
     while let Some(lane) = world.choose(&lanes, &book, &[]) {
-        book.add(&lane.key, 1_000, at_ms(0));
+        book.add(&lane.key, held(1_000), at_ms(0));
         admitted += 1;
         assert!(admitted < 10_000);
     }
@@ -272,7 +291,7 @@
     let mut book = Book::default();
     for _ in 0..10_000 {
         let Some(lane) = world.choose(&lanes, &book, &[]) else { break };
-        book.add(&lane.key, 1_000, at_ms(0));
+        book.add(&lane.key, held(1_000), at_ms(0));
     }
     let mut used = std::collections::BTreeMap::<_, f64>::new();
     for lane in &lanes {
@@ -294,6 +313,7 @@
         head: lane.key.clone(),
         requests: 192,
         tokens: 10_000_000,
+        reading: 0,
         factor: 1.0,
     };
     book.hear("other".into(), lanes.iter().map(full).collect(), at_ms(0));
@@ -301,6 +321,51 @@
     assert_eq!(book.sum(&lanes[0].key, at_ms(5_000)).requests, 0);
 }
 
+/// Many prompts at once: a chain gets no more than it reads before its first events would be late,
+/// and what passes between availability zones counts for all chains that pass there.
+#[test]
+fn a_burst_of_prompts_is_not_sent_where_it_would_begin_late() {
+    let world = World::new();
+    let lanes = world.lanes(at_ms(0));
+    let mut book = Book::default();
+    let prompt = Work { requests: 1, tokens: 1_000, reading: 1_000 };
+    let mut admitted = 0;
+    while let Some(lane) = world.choose_for(&lanes, &book, prompt, false, at_ms(0)) {
+        book.add(&lane.key, prompt, at_ms(0));
+        admitted += 1;
+    }
+    assert!(admitted > 10, "{admitted}");
+    let reading = |lane: &Lane| book.sum(&lane.key, at_ms(0)).reading;
+    let crossing = lanes.iter().map(|l| reading(l) * l.crossings() as u64).sum();
+    for lane in &lanes {
+        let first = lane.read(&world.model, reading(lane), crossing);
+        assert!(first <= route().objective, "{first:?} on {}", lane.path());
+    }
+    // Where all would begin late, late is better than never, up to a point.
+    assert!(world.choose_for(&lanes, &book, prompt, true, at_ms(0)).is_some());
+    let lane = lanes[0].key.clone();
+    let before = book.sum(&lane, at_ms(0)).reading;
+    book.begin(&lane, prompt, at_ms(0));
+    assert_eq!(book.sum(&lane, at_ms(0)).reading, before - 1_000);
+    assert!(world.choose_for(&lanes, &book, prompt, false, at_ms(0)).is_some());
+}
+
+/// A chain takes requests and gives no event: it must not go on to take them.
+#[test]
+fn a_chain_that_never_begins_is_left() {
+    let world = World::new();
+    let lanes = world.lanes(at_ms(0));
+    let first = world.choose(&lanes, &Book::default(), &[]).unwrap();
+    let mut book = Book::default();
+    for round in 0..12 {
+        book.add(&first.key, held(100), at_ms(round * 150));
+        book.close(|_, _| Some(Duration::from_millis(40)), at_ms(round * 150));
+    }
+    let other = world.choose_for(&lanes, &book, held(100), false, at_ms(1_800)).unwrap();
+    assert_ne!(other.key, first.key);
+    assert!(book.factor(&first.key, at_ms(1_800)) > 3.0);
+}
+
 /// Thirty entries choose by what they heard up to an interval of news ago: their requests must not
 /// all go where there was most room then.
 #[test]
@@ -315,10 +380,11 @@
     for ms in (0..1_800).step_by(10) {
         for entry in 0..ENTRIES {
             if ms % 120 == entry % 12 * 10 {
-                let chosen = world.choose_at(&lanes, &books[entry], at_ms(ms as u64));
+                let chosen =
+                    world.choose_for(&lanes, &books[entry], held(300), false, at_ms(ms as u64));
                 let key = chosen.map(|lane| lane.key);
                 if let Some(index) = heads.iter().position(|h| Some(h) == key.as_ref()) {
-                    books[entry].add(&heads[index], 300, at_ms(ms as u64));
+                    books[entry].add(&heads[index], held(300), at_ms(ms as u64));
                     total[index] += 1;
                 }
             }
@@ -335,11 +401,13 @@
     let mut ideal = Book::default();
     let mut even = vec![0_u32; heads.len()];
     for _ in 0..total.iter().sum::<u32>() {
-        let Some(lane) = world.choose_at(&lanes, &ideal, at_ms(0)) else { break };
+        let Some(lane) = world.choose_for(&lanes, &ideal, held(300), false, at_ms(0)) else {
+            break;
+        };
         let index = heads.iter().position(|h| *h == lane.key).unwrap();
         even[index] += 1;
         let key = lane.key.clone();
-        ideal.add(&key, 300, at_ms(0));
+        ideal.add(&key, held(300), at_ms(0));
     }
     for (most, even) in total.iter().zip(&even) {
         assert!(*most <= even + 30, "{total:?} in place of {even:?}");
@@ -364,8 +432,8 @@
     let lanes = world.lanes(at_ms(0));
     let fast = world.choose(&lanes, &Book::default(), &[]).unwrap();
     let mut book = Book::default();
-    book.add(&fast.key, 1_000, at_ms(0));
-    book.begin(&fast.key, at_ms(0));
+    book.add(&fast.key, held(1_000), at_ms(0));
+    book.begin(&fast.key, held(1_000), at_ms(0));
     for round in 1..20 {
         book.event(&fast.key, Duration::from_millis(900), at_ms(round * 150));
         book.close(|_, _| Some(Duration::from_millis(40)), at_ms(round * 150));
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use oriole_adapter::exchange::{self, Answer};
 use oriole_core::fleet::{Doubt, Endpoint};
+use oriole_core::forward::book::Work;
 use oriole_core::forward::outcome::{Failure, Tries};
 use oriole_core::forward::{choice, wait};
 use oriole_core::name;
@@ -86,7 +87,7 @@
         let Some(target) = find(state, request, &tried, until).await else {
             return Err(Reason::NoRoom);
         };
-        let slot = Slot::take(state, &target.id, 0);
+        let slot = Slot::take(state, &target.id, Work { requests: 1, ..Work::default() });
         let result = attempt(state, request, &target, tries).await;
         drop(slot);
         let failure = match result {
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -53,7 +53,7 @@
         };
         let sent = state.now();
         let end = attempt::run(
-            Attempt { state, request, tries: &tries, pace: &pace },
+            Attempt { state, request, tries: &tries, slot: &slot, pace: &pace },
             &mut lane,
             &mut splitter,
             writer,
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -1,5 +1,8 @@
 //! Room on a chain for one request.
 
+use std::cell::Cell;
+
+use oriole_core::forward::book::Work;
 use oriole_core::forward::lane::{self, Ask, Lane};
 use oriole_core::forward::wait::Ticket;
 use oriole_core::name;
@@ -23,22 +26,40 @@
 pub struct Slot {
     state: Shared,
     head: name::Endpoint,
-    tokens: u64,
+    work: Cell<Work>,
+    has_begun: Cell<bool>,
 }
 
 impl Slot {
-    /// Takes room for `tokens` tokens.
-    pub fn take(state: &Shared, head: &name::Endpoint, tokens: u64) -> Self {
+    /// Takes room for `work`.
+    pub fn take(state: &Shared, head: &name::Endpoint, work: Work) -> Self {
         let now = state.now();
-        state.inner.borrow_mut().book.add(head, tokens, now);
-        Self { state: state.clone(), head: head.clone(), tokens }
+        state.inner.borrow_mut().book.add(head, work, now);
+        let (work, has_begun) = (Cell::new(work), Cell::new(false));
+        Self { state: state.clone(), head: head.clone(), work, has_begun }
+    }
+
+    /// Notes the first event: the prompt has been read.
+    pub fn begin(&self) {
+        if self.has_begun.replace(true) {
+            return;
+        }
+        let (work, now) = (self.work.get(), self.state.now());
+        self.state.inner.borrow_mut().book.begin(&self.head, work, now);
+        self.work.set(Work { reading: 0, ..work });
+        self.state.room.notify_waiters();
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let now = self.state.now();
-        self.state.inner.borrow_mut().book.remove(&self.head, self.tokens, now);
+        let mut inner = self.state.inner.borrow_mut();
+        if self.has_begun.get() {
+            inner.book.finish(&self.head);
+        }
+        inner.book.remove(&self.head, self.work.get(), now);
+        drop(inner);
         self.state.room.notify_waiters();
     }
 }
@@ -72,23 +93,31 @@
     loop {
         let mut room = pin!(state.room.notified());
         room.as_mut().enable();
-        if is_next(state, request, place.as_ref()) {
-            let other = choose(state, request, ran_at, failed);
-            if let Some(lane) = other.or_else(|| choose(state, request, ran_at, None)) {
+        let left = until.since(state.now());
+        let ask = |avoid| Ask {
+            route: &request.route,
+            work: Work::of(&request.terms.need),
+            zone: &state.zone,
+            ran_at,
+            avoid,
+            is_last: left.is_zero(),
+        };
+        if is_next(state, request, place.as_ref()) || left.is_zero() {
+            let other = choose(state, request, &ask(failed));
+            if let Some(lane) = other.or_else(|| choose(state, request, &ask(None))) {
                 if let Some(place) = &mut place {
                     place.served = true;
                 }
                 if !fits(state, request, &lane) {
                     return Err(Refusal::Stopping);
                 }
-                let slot = Slot::take(state, &lane.key, request.terms.need.tokens());
+                let slot = Slot::take(state, &lane.key, Work::of(&request.terms.need));
                 return Ok((lane, slot));
             }
         }
         if place.is_none() {
             place = Some(enqueue(state, request).ok_or(Refusal::NoRoom)?);
         }
-        let left = until.since(state.now());
         if left.is_zero() {
             return Err(Refusal::NoRoom);
         }
@@ -119,27 +148,28 @@
     ran_at: &[name::Endpoint],
     avoid: &name::Endpoint,
 ) -> Option<(Lane, Slot)> {
-    let lane = choose(state, request, ran_at, Some(avoid))?;
+    let ask = Ask {
+        route: &request.route,
+        work: Work::of(&request.terms.need),
+        zone: &state.zone,
+        ran_at,
+        avoid: Some(avoid),
+        is_last: true,
+    };
+    let lane = choose(state, request, &ask)?;
     if !state.take_retry(&request.service) {
         return None;
     }
-    let slot = Slot::take(state, &lane.key, request.terms.need.tokens());
+    let slot = Slot::take(state, &lane.key, Work::of(&request.terms.need));
     Some((lane, slot))
 }
 
-fn choose(
-    state: &Shared,
-    request: &Request,
-    ran_at: &[name::Endpoint],
-    avoid: Option<&name::Endpoint>,
-) -> Option<Lane> {
+fn choose(state: &Shared, request: &Request, ask: &Ask<'_>) -> Option<Lane> {
     let now = state.now();
     let model = state.model(&request.service)?;
     let inner = state.inner.borrow();
     let lanes = inner.lanes.get(&request.service)?;
-    let tokens = request.terms.need.tokens();
-    let ask = Ask { route: &request.route, tokens, zone: &state.zone, ran_at, avoid };
-    lane::choose(&model, lanes, &inner.book, &ask, now).cloned()
+    lane::choose(&model, lanes, &inner.book, ask, now).cloned()
 }
 
 /// Whether the answer is complete before the process ends.
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -55,6 +55,8 @@
     pub request: &'a Request,
     /// The attempts before this one.
     pub tries: &'a Tries,
+    /// The room that it takes.
+    pub slot: &'a Slot,
     /// Times of the events that the caller gets, over all attempts.
     pub pace: &'a Pace,
 }
@@ -211,20 +213,15 @@
                 Metrics::time(&state.metrics.pause, now.since(last));
                 inner.book.event(&self.head, now.since(last), now);
             }
-            None => inner.book.begin(&self.head, now),
+            None => {
+                drop(inner);
+                self.attempt.slot.begin();
+            }
         }
         self.last = Some(now);
     }
 }
 
-impl Drop for Stream<'_> {
-    fn drop(&mut self) {
-        if self.last.is_some() {
-            self.attempt.state.inner.borrow_mut().book.finish(&self.head);
-        }
-    }
-}
-
 fn note_first(state: &Shared, request: &Request, lane: &Lane) {
     let first = state.now().since(request.arrived);
     Metrics::time(&state.metrics.first_event, first);
