--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -103,11 +103,16 @@
     /// to pass between availability zones.
     pub fn read(&self, model: &Model, reading: u64, crossing: u64) -> Duration {
         let read_ms = self.cost.read_ms(model, reading as f64);
-        let passage_ms = match self.crossings() {
-            0 => 0.0,
-            _ => estimate::crossing_ms(model, crossing as f64),
-        };
-        Duration::from_secs_f64((read_ms + passage_ms) / 1000.0)
+        Duration::from_secs_f64(read_ms / 1000.0) + self.passage(model, crossing)
+    }
+
+    /// Estimated time that `crossing` tokens take between availability zones, if the chain passes
+    /// between some.
+    fn passage(&self, model: &Model, crossing: u64) -> Duration {
+        if self.crossings() == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(estimate::crossing_ms(model, crossing as f64) / 1000.0)
     }
 
     /// Longest time that a generation of `need` takes if events come `factor` times as slowly as
@@ -327,7 +332,9 @@
         }
         let factor = book.factor(&lane.key, now);
         let event = lane.event(model, requests, tokens).mul_f64(factor);
-        let late = ask.route.pause.is_some_and(|pause| event > pause.mul_f64(PAUSE_PART));
+        // Events wait for the prompts that pass before them.
+        let pause = event + lane.passage(model, crossing);
+        let late = ask.route.pause.is_some_and(|most| pause > most.mul_f64(PAUSE_PART));
         let first = event + lane.read(model, sum.reading + ask.work.reading, crossing);
         let begins_late = sum.reading > 0 && first > ask.first_limit();
         if (late && sum.requests > 0) || begins_late {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -362,8 +362,8 @@
         }
         if all != inner.lanes {
             for lane in all.values().flat_map(|l| l.iter()) {
-                let (head, path) = (lane.head().as_str(), lane.path());
-                log::info!(head, path = path.as_str(); "usable chain");
+                let (head, crossings, path) = (lane.head().as_str(), lane.crossings(), lane.path());
+                log::info!(head, crossings, path = path.as_str(); "usable chain");
             }
         }
         let chains = all.values().map(|l| l.len()).sum::<usize>();
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -45,8 +45,12 @@
                 missed(&state, &seen, &error);
             }
             Ok(report) => {
-                let (pace, stalled) = (report.pace, report.stalled.len());
-                log::info!(endpoint = lane.head().as_str(), pace, stalled; "asked a silent chain");
+                let Report { pace, queued, running, memory_used, .. } = report;
+                let stalled = report.stalled.len();
+                log::info!(
+                    endpoint = lane.head().as_str(), pace, queued, running, memory_used, stalled;
+                    "asked a silent chain"
+                );
                 for hop in lane.hops.iter().filter(|h| report.stalled.contains(&h.address)) {
                     doubt(&state, &hop.seen());
                 }
