Queue prompts at the slowest stage, and take little from what one entry does for few others

The time to read others' prompts was taken through all stages one after another, though they follow each other through the slowest; pauses were taken to wait for all prompts that pass between zones, though at most one pass of each chain goes before an event; and one request of this entry was taken for one of each other entry, which among four is chance.

--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -22,6 +22,10 @@
 /// Entries for which news come less often by one more interval.
 const ENTRIES_PER_INTERVAL: usize = 6;
 
+/// Others at which half of what this entry does is taken for chance: what one entry does says little
+/// about a few.
+const CHANCE: f64 = 6.0;
+
 /// Interval of news among `entries` entries: what one hears in a second stays bounded.
 pub fn news_interval(entries: usize) -> Duration {
     let steps = 1 + entries / ENTRIES_PER_INTERVAL;
@@ -126,6 +130,8 @@
     fn untold(&self, head: &name::Endpoint, now: Instant) -> [f64; 3] {
         let others = self.others(now);
         let interval = news_interval(others + 1).as_secs_f64();
+        let others = others as f64;
+        let weight = others * others / (others + CHANCE);
         let mut sums = [0.0; 3];
         for change in self.recent.iter().filter(|c| c.head == *head) {
             // The older the change, the more of the others have told since.
@@ -133,7 +139,7 @@
             let Work { requests, tokens, reading } = change.work;
             let figures = [f64::from(requests), tokens as f64, reading as f64];
             for (sum, figure) in sums.iter_mut().zip(figures) {
-                *sum += figure * part * change.sign * others as f64;
+                *sum += figure * part * change.sign * weight;
             }
         }
         sums
@@ -144,9 +150,10 @@
         self.others.insert(host, (now, loads));
     }
 
-    /// Work in progress of all entries, as far as it can be known.
-    pub fn sum(&self, head: &name::Endpoint, now: Instant) -> Sum {
-        let told = self.told(head, now);
+    /// Work in progress of all entries, with what the others are expected to have begun and ended
+    /// since they told.
+    pub fn expected(&self, head: &name::Endpoint, now: Instant) -> Sum {
+        let told = self.sum(head, now);
         let [requests, tokens, reading] = self.untold(head, now);
         let own = self.own.get(head).copied().unwrap_or_default();
         // Casts from floats saturate.
@@ -158,7 +165,7 @@
     }
 
     /// Work in progress of this entry, and of the others as they last told.
-    fn told(&self, head: &name::Endpoint, now: Instant) -> Sum {
+    pub fn sum(&self, head: &name::Endpoint, now: Instant) -> Sum {
         let mut sum = self.own.get(head).copied().unwrap_or_default();
         for (at, loads) in self.others.values() {
             if now.since(*at) >= KEEP {
--- a/crates/core/src/forward/lane.rs
+++ b/crates/core/src/forward/lane.rs
@@ -99,20 +99,21 @@
         Duration::from_secs_f64(ms * f64::from(model.stride) / 1000.0)
     }
 
-    /// Estimated time until `reading` tokens of prompts have been read, if `crossing` tokens have yet
-    /// to pass between availability zones.
-    pub fn read(&self, model: &Model, reading: u64, crossing: u64) -> Duration {
-        let read_ms = self.cost.read_ms(model, reading as f64);
+    /// Estimated time until a prompt of `prompt` tokens has been read after `queue` tokens of others,
+    /// if `crossing` tokens have yet to pass between availability zones.
+    pub fn read(&self, model: &Model, prompt: u64, queue: u64, crossing: f64) -> Duration {
+        let read_ms =
+            self.cost.queue_ms(model, queue as f64) + self.cost.read_ms(model, prompt as f64);
         Duration::from_secs_f64(read_ms / 1000.0) + self.passage(model, crossing)
     }
 
     /// Estimated time that `crossing` tokens take between availability zones, if the chain passes
     /// between some.
-    fn passage(&self, model: &Model, crossing: u64) -> Duration {
+    fn passage(&self, model: &Model, crossing: f64) -> Duration {
         if self.crossings() == 0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(estimate::crossing_ms(model, crossing as f64) / 1000.0)
+        Duration::from_secs_f64(estimate::crossing_ms(model, crossing) / 1000.0)
     }
 
     /// Longest time that a generation of `need` takes if events come `factor` times as slowly as
@@ -288,16 +289,29 @@
     used
 }
 
-/// Tokens of prompts that have yet to pass between availability zones, on all chains.
+/// Tokens of prompts that have yet to pass between availability zones.
 ///
 /// All chains share the way between two availability zones: what one sends there, the others wait
 /// for.
-fn crossing_tokens(lanes: &[Lane], book: &Book, now: Instant) -> u64 {
-    let tokens = |lane: &Lane| match lane.crossings() as u64 {
-        0 => 0,
-        crossings => book.sum(&lane.key, now).reading * crossings,
-    };
-    lanes.iter().map(tokens).sum()
+struct Crossing {
+    /// On all chains.
+    all: f64,
+    /// Those that may pass before the next event of a stream: one pass of each chain.
+    pass: f64,
+}
+
+impl Crossing {
+    fn of(model: &Model, lanes: &[Lane], book: &Book, now: Instant) -> Self {
+        let pass = model.chunk * f64::from(model.stride);
+        let mut sum = Self { all: 0.0, pass: 0.0 };
+        for lane in lanes.iter().filter(|l| l.crossings() > 0) {
+            let crossings = lane.crossings() as f64;
+            let reading = book.sum(&lane.key, now).reading as f64;
+            sum.all += reading * crossings;
+            sum.pass += reading.min(pass) * crossings;
+        }
+        sum
+    }
 }
 
 /// The chain on which the request is estimated to be complete first, among those with room.
@@ -322,10 +336,11 @@
             tokens as f64 <= lane.room * ROOM_PART
         }
     };
-    let crossing = crossing_tokens(lanes, book, now) + ask.work.reading;
+    let crossing = Crossing::of(model, lanes, book, now);
+    let prompt = ask.work.reading;
     let mut best: Option<(f64, &Lane)> = None;
     for lane in lanes.iter().filter(|l| ask.allows(l)) {
-        let sum = book.sum(&lane.key, now);
+        let sum = book.expected(&lane.key, now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + ask.work.tokens);
         if requests > model.slots || !has_room(lane, tokens) {
             continue;
@@ -333,9 +348,10 @@
         let factor = book.factor(&lane.key, now);
         let event = lane.event(model, requests, tokens).mul_f64(factor);
         // Events wait for the prompts that pass before them.
-        let pause = event + lane.passage(model, crossing);
+        let pause = event + lane.passage(model, crossing.pass);
         let late = ask.route.pause.is_some_and(|most| pause > most.mul_f64(PAUSE_PART));
-        let first = event + lane.read(model, sum.reading + ask.work.reading, crossing);
+        let crossing = crossing.all + prompt as f64 * lane.crossings() as f64;
+        let first = event + lane.read(model, prompt, sum.reading, crossing);
         let begins_late = sum.reading > 0 && first > ask.first_limit();
         if (late && sum.requests > 0) || begins_late {
             continue;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -84,6 +84,9 @@
     pub step_context_ms: f64,
     /// Prompt tokens that are read in a millisecond.
     pub read_per_ms: f64,
+    /// Prompt tokens that are read in one step at most; infinite without a bound.
+    #[serde(default = "unbounded")]
+    pub chunk: f64,
     /// Steps of a pass, which is also the tokens of one event.
     pub stride: u32,
     /// Bytes that a stage passes on for each token.
@@ -98,6 +101,11 @@
     pub accelerators: BTreeMap<String, Accelerator>,
 }
 
+/// For tables that an entry of an earlier version passed on.
+fn unbounded() -> f64 {
+    f64::INFINITY
+}
+
 impl Model {
     /// Most layers that fit into `memory` bytes with room for `tokens` tokens.
     pub fn capacity(&self, memory: f64, tokens: f64) -> u32 {
--- a/crates/core/src/placement/estimate.rs
+++ b/crates/core/src/placement/estimate.rs
@@ -21,6 +21,8 @@
     steps: f64,
     /// Factor on the time of reading a prompt.
     reads: f64,
+    /// The same of the slowest stage alone, which bounds how fast prompts follow each other.
+    slowest_read: f64,
     /// Milliseconds that a token spends between stages.
     hops_ms: f64,
 }
@@ -29,8 +31,10 @@
     /// The cost of a chain of `stages`.
     pub fn of(model: &Model, stages: &[Stage<'_>]) -> Self {
         let steps = stages.iter().map(|s| share(model, s) * s.accelerator.step_factor).sum();
-        let reads = stages.iter().map(|s| share(model, s) * s.accelerator.read_factor).sum();
-        Self { steps, reads, hops_ms: HOP_MS * stages.len() as f64 }
+        let read = |s: &Stage<'_>| share(model, s) * s.accelerator.read_factor;
+        let reads = stages.iter().map(read).sum();
+        let slowest_read = stages.iter().map(read).fold(0.0, f64::max);
+        Self { steps, reads, slowest_read, hops_ms: HOP_MS * stages.len() as f64 }
     }
 
     /// Milliseconds of one token with `requests` requests and `tokens` tokens of context in
@@ -42,6 +46,11 @@
         whole * self.steps + self.hops_ms
     }
 
+    /// Milliseconds until prompts of `tokens` tokens have passed the slowest stage.
+    pub fn queue_ms(&self, model: &Model, tokens: f64) -> f64 {
+        tokens / model.read_per_ms * self.slowest_read
+    }
+
     /// Milliseconds to read a prompt of `tokens` tokens on an idle chain.
     pub fn read_ms(&self, model: &Model, tokens: f64) -> f64 {
         tokens / model.read_per_ms * self.reads + self.hops_ms
--- a/crates/core/tests/fleet_world/mod.rs
+++ b/crates/core/tests/fleet_world/mod.rs
@@ -45,6 +45,7 @@
         step_request_ms: 0.0046,
         step_context_ms: 0.006,
         read_per_ms: 160.0,
+        chunk: 512.0,
         stride: 4,
         activation_bytes: 30_000.0,
         pipe_bytes: 2e9,
