--- a/crates/load/src/cmd/mod.rs
+++ b/crates/load/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod bound;
 pub mod demo;
+pub mod placement;
 pub mod platform;
 pub mod recover;
 pub mod slopes;
@@ -38,6 +39,9 @@
     /// Shows the path on the users' platform: answers, a refusal, a lost stage, a revoked key
     #[bpaf(command("platform"))]
     Platform(#[bpaf(external(platform::command))] platform::Command),
+    /// Proposes which layers lie where on a site, with baselines and the cost of each loss
+    #[bpaf(command("placement"))]
+    Placement(#[bpaf(external(placement::command))] placement::Command),
     /// Measures how the costs of each role grow with the size of a deployment
     #[bpaf(command("slopes"))]
     Slopes(#[bpaf(external(slopes::command))] slopes::Command),
@@ -51,6 +55,7 @@
             Self::Bound(command) => command.execute().await,
             Self::Recover(command) => command.execute().await,
             Self::Platform(command) => command.execute().await,
+            Self::Placement(command) => command.execute(),
             Self::Slopes(command) => command.execute().await,
         }
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`caller`], [`arrivals`], [`tally`]: sends requests, judges and counts the answers.
 //! - [`demo`]: the main job of a deployment, with a failure in the middle.
 //! - [`platform`]: the path on the users' platform.
+//! - [`placement`]: the planner's proposal for a site, its baselines and the cost of losses.
 //! - [`run`]: streams of arrivals on several threads.
 //! - [`bound`]: admitted throughput over the contracts' bounds.
 //! - [`recover`]: time from a fault to the next token.
@@ -18,6 +19,7 @@
 pub mod cmd;
 pub mod demo;
 pub mod deployment;
+pub mod placement;
 pub mod platform;
 pub mod plot;
 pub mod recover;
--- /dev/null
+++ b/crates/load/src/placement.rs
@@ -0,0 +1,215 @@
+//! What the planner proposes for a site that is described in a file, against plain baselines, and
+//! what the loss of each endpoint would cost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_core::name;
+use oriole_core::placement::estimate::{self, Stage as Part};
+use oriole_core::placement::survey::Survey;
+use oriole_core::placement::{Accelerator, Candidate, Chain, Model, Range, build, revise};
+use serde::{Deserialize, Serialize};
+
+const BYTES_PER_MB: f64 = 1e6;
+
+const BYTES_PER_MBIT: f64 = 1e6 / 8.0;
+
+/// A site.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Site {
+    /// The model.
+    pub model: Figures,
+    /// Kinds of accelerators by name.
+    pub accelerators: BTreeMap<String, Kind>,
+    /// Endpoints of each availability zone.
+    pub endpoints: Vec<Group>,
+}
+
+/// A model that is split over endpoints.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Figures {
+    /// Number of layers.
+    pub layers: u32,
+    /// Memory of a layer, in megabytes.
+    pub layer_mb: f64,
+    /// Memory of a token in all layers, in bytes.
+    pub token_bytes: f64,
+    /// Time to load all layers, in seconds.
+    pub load_s: f64,
+    /// Requests that one endpoint takes as the first of a chain.
+    pub slots: u32,
+    /// Time of a decode step over all layers, in milliseconds.
+    pub step_ms: f64,
+    /// Additional time of a step for each request, in milliseconds.
+    pub step_request_ms: f64,
+    /// Additional time of a step for each 1,000 tokens of context, in milliseconds.
+    pub step_context_ms: f64,
+    /// Prompt tokens that are read in a millisecond.
+    pub read_per_ms: f64,
+    /// Prompt tokens that are read in one step at most.
+    pub chunk: f64,
+    /// Tokens of one event.
+    pub stride: u32,
+    /// Bytes that a stage passes on for each token.
+    pub activation_bytes: f64,
+    /// Megabits a second between two availability zones, for all chains together.
+    pub pipe_mbps: f64,
+    /// Mean tokens of a prompt.
+    pub usual_prompt: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: f64,
+}
+
+/// A kind of accelerator.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Kind {
+    /// Memory for layers and requests, in megabytes.
+    pub memory_mb: f64,
+    /// Factor on the time of decode steps.
+    pub step_factor: f64,
+    /// Factor on the time of reading prompts.
+    pub read_factor: f64,
+}
+
+/// Endpoints of one availability zone.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Group {
+    /// The availability zone.
+    pub zone: String,
+    /// Number of endpoints by kind of accelerator.
+    pub accelerators: BTreeMap<String, usize>,
+}
+
+/// A site names a kind of accelerator that it does not describe.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("availability zone {zone} has accelerators of the kind {kind}, which is not described")]
+pub struct UnknownKind {
+    zone: String,
+    kind: String,
+}
+
+impl Site {
+    /// The model as the planner takes it.
+    pub fn model(&self) -> Model {
+        let m = &self.model;
+        let kinds = self.accelerators.iter().map(|(name, kind)| (name.clone(), kind.accelerator()));
+        Model {
+            layers: m.layers,
+            layer_bytes: m.layer_mb * BYTES_PER_MB,
+            token_layer_bytes: m.token_bytes / f64::from(m.layers.max(1)),
+            load: Duration::from_secs_f64(m.load_s.max(0.0)),
+            slots: m.slots,
+            step_ms: m.step_ms,
+            step_request_ms: m.step_request_ms,
+            step_context_ms: m.step_context_ms,
+            read_per_ms: m.read_per_ms,
+            chunk: m.chunk,
+            stride: m.stride,
+            activation_bytes: m.activation_bytes,
+            pipe_bytes: m.pipe_mbps * BYTES_PER_MBIT,
+            usual_prompt: m.usual_prompt,
+            usual_answer: m.usual_answer,
+            accelerators: kinds.collect(),
+        }
+    }
+
+    /// The endpoints, empty, named by availability zone, kind and number.
+    pub fn endpoints(&self) -> Result<Vec<Candidate>, UnknownKind> {
+        let mut all = vec![];
+        for group in &self.endpoints {
+            for (kind, count) in &group.accelerators {
+                let Some(found) = self.accelerators.get(kind) else {
+                    return Err(UnknownKind { zone: group.zone.clone(), kind: kind.clone() });
+                };
+                let zone = name::Zone::from(group.zone.as_str());
+                all.extend((1..=*count).map(|number| Candidate {
+                    endpoint: format!("{}-{kind}-{number:02}", group.zone).as_str().into(),
+                    zone: zone.clone(),
+                    accelerator: found.accelerator(),
+                    held: Range::default(),
+                }));
+            }
+        }
+        Ok(all)
+    }
+}
+
+impl Kind {
+    fn accelerator(&self) -> Accelerator {
+        Accelerator {
+            memory: self.memory_mb * BYTES_PER_MB,
+            step_factor: self.step_factor,
+            read_factor: self.read_factor,
+        }
+    }
+}
+
+/// What a proposal and its baselines serve, in usual requests a second.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The proposed chains, each with what it serves.
+    pub chains: Vec<(Chain, f64)>,
+    /// Endpoints in no chain.
+    pub spares: Vec<name::Endpoint>,
+    /// All proposed chains together.
+    pub total: f64,
+    /// One chain of each availability zone, with equal shares for all of its endpoints.
+    pub equal_shares: f64,
+    /// The best chain of each availability zone, and nothing across them.
+    pub chain_a_zone: f64,
+    /// What is served after the loss of each endpoint, once plans have been carried out.
+    pub losses: Vec<(name::Endpoint, f64)>,
+}
+
+/// Works out the proposal for a site.
+pub fn report(model: &Model, endpoints: &[Candidate]) -> Report {
+    let survey = Survey::new(model, endpoints);
+    let chains = revise::revise(model, &[], endpoints);
+    let zones = by_zone(endpoints);
+    let best = |zone: &Vec<Candidate>| {
+        let chains = build::chains(model, zone, build::Besides::Nothing);
+        chains.iter().map(|c| survey.throughput(c)).fold(0.0, f64::max)
+    };
+    Report {
+        total: survey.total(&chains),
+        equal_shares: zones.values().map(|zone| equal_shares(model, zone)).sum(),
+        chain_a_zone: zones.values().map(best).sum(),
+        losses: losses(model, endpoints, &chains),
+        spares: survey.free(&chains).into_iter().map(|c| c.endpoint.clone()).collect(),
+        chains: chains.into_iter().map(|c| (c.clone(), survey.throughput(&c))).collect(),
+    }
+}
+
+fn by_zone(endpoints: &[Candidate]) -> BTreeMap<name::Zone, Vec<Candidate>> {
+    let mut zones: BTreeMap<name::Zone, Vec<Candidate>> = BTreeMap::new();
+    for endpoint in endpoints {
+        zones.entry(endpoint.zone.clone()).or_default().push(endpoint.clone());
+    }
+    zones
+}
+
+/// What a chain of equal shares serves; nothing if a share does not fit into some endpoint.
+fn equal_shares(model: &Model, zone: &[Candidate]) -> f64 {
+    let layers = model.layers.div_ceil(zone.len().max(1) as u32);
+    let part = |c: &Candidate| c.accelerator.memory >= f64::from(layers) * model.layer_bytes;
+    if !zone.iter().all(part) {
+        return 0.0;
+    }
+    let parts: Vec<Part<'_>> =
+        zone.iter().map(|c| Part { accelerator: &c.accelerator, layers }).collect();
+    estimate::throughput(model, &parts, 0)
+}
+
+fn losses(model: &Model, endpoints: &[Candidate], chains: &[Chain]) -> Vec<(name::Endpoint, f64)> {
+    let after = |lost: &Candidate| {
+        let is_left = |c: &&Candidate| c.endpoint != lost.endpoint;
+        let left: Vec<Candidate> = endpoints.iter().filter(is_left).cloned().collect();
+        let total = Survey::new(model, &left).total(&revise::revise(model, chains, &left));
+        (lost.endpoint.clone(), total)
+    };
+    endpoints.iter().map(after).collect()
+}
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -50,6 +50,65 @@
     pub lines: Vec<(String, Vec<(f64, f64)>)>,
 }
 
+/// One row of [`Bands`].
+#[derive(Clone, Debug)]
+pub struct Band {
+    /// What the row is of.
+    pub name: String,
+    /// Where the band begins and ends.
+    pub span: (f64, f64),
+    /// Rows of one group have one colour.
+    pub group: usize,
+}
+
+/// Bands in rows, the first at the top.
+#[derive(Clone, Debug)]
+pub struct Bands {
+    /// Title of the plot.
+    pub title: String,
+    /// What the spans mean.
+    pub unit: String,
+    /// The rows.
+    pub rows: Vec<Band>,
+}
+
+/// Height of a row of bands, in pixels.
+const ROW: u32 = 16;
+
+/// Draws bands into a file.
+pub fn bands(path: &Path, bands: &Bands) -> Result<(), Error> {
+    let count = bands.rows.len();
+    let height = u32::try_from(count).unwrap_or(u32::MAX / ROW - 120) * ROW + 120;
+    let area = SVGBackend::new(path, (SIZE.0, height)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let right = bands.rows.iter().map(|b| b.span.1).fold(f64::MIN_POSITIVE, f64::max);
+    let mut chart = ChartBuilder::on(&area)
+        .caption(&bands.title, ("sans-serif", 22))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(140)
+        .build_cartesian_2d(0.0..right, count as f64..0.0)?;
+    let label = |y: &f64| match bands.rows.get(*y as usize) {
+        Some(band) if (y.fract() - 0.5).abs() < 0.01 => band.name.clone(),
+        _ => String::new(),
+    };
+    chart
+        .configure_mesh()
+        .disable_y_mesh()
+        .y_labels(count * 2 + 1)
+        .y_label_formatter(&label)
+        .x_desc(&bands.unit)
+        .draw()?;
+    let rectangles = bands.rows.iter().enumerate().map(|(row, band)| {
+        let color = Palette99::pick(band.group).to_rgba();
+        let (top, bottom) = (row as f64 + 0.1, row as f64 + 0.9);
+        Rectangle::new([(band.span.0, top), (band.span.1, bottom)], color.filled())
+    });
+    chart.draw_series(rectangles)?;
+    area.present()?;
+    Ok(())
+}
+
 /// Draws bars into a file.
 pub fn bars(path: &Path, bars: &Bars) -> Result<(), Error> {
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
--- /dev/null
+++ b/crates/load/tests/placement.rs
@@ -0,0 +1,33 @@
+//! The placement of the example site: better than its baselines, and drawn.
+#![allow(clippy::unwrap_used)]
+
+use std::path::Path;
+
+use oriole_adapter::settings;
+use oriole_load::placement::{self, Site};
+
+fn example() -> Site {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    settings::load(&root.join("examples/placement/three-zones.toml")).unwrap()
+}
+
+#[test]
+fn the_proposal_serves_more_than_its_baselines_and_survives_each_loss() {
+    let site = example();
+    let endpoints = site.endpoints().unwrap();
+    let report = placement::report(&site.model(), &endpoints);
+    assert!(report.total > report.chain_a_zone);
+    assert!(report.total > report.equal_shares);
+    assert_eq!(report.losses.len(), endpoints.len());
+    for (endpoint, left) in &report.losses {
+        assert!(*left > report.total * 0.6, "{left:.1} without {endpoint}");
+    }
+}
+
+#[test]
+fn a_kind_that_is_not_described_is_named_with_its_zone() {
+    let mut site = example();
+    site.accelerators.remove("slow");
+    let error = site.endpoints().unwrap_err().to_string();
+    assert!(error.contains("north") && error.contains("slow"), "{error}");
+}
