--- a/crates/ctl/src/cmd/mod.rs
+++ b/crates/ctl/src/cmd/mod.rs
@@ -19,6 +19,7 @@
 pub mod explain;
 pub mod get;
 pub mod history;
+pub mod logs;
 pub mod status;
 
 const FOOTER: &str = "Exit codes:
@@ -76,6 +77,9 @@
     /// Tells what became of a request, and why
     #[bpaf(command("explain"))]
     Explain(#[bpaf(external(explain::command))] explain::Command),
+    /// Reads the logs of entries on the users' platform: requests, beliefs, layers
+    #[bpaf(command("logs"))]
+    Logs(#[bpaf(external(logs::command))] logs::Command),
 }
 
 /// What the subcommands share.
@@ -122,14 +126,17 @@
     /// Runs the command.
     pub async fn run(self) -> Result<(), Error> {
         let form = self.form();
-        if let Action::Check(command) = self.action {
-            return command.execute(form);
+        match self.action {
+            Action::Check(command) => return command.execute(form),
+            Action::Logs(command) => return command.execute(form),
+            _ => {}
         }
         let settings = Settings::load(&self.settings)?;
         let store = Store::new(&settings);
         let context = Context { settings, store, form };
         match self.action {
             Action::Check(command) => command.execute(form),
+            Action::Logs(command) => command.execute(form),
             Action::Diff(command) => command.execute(&context).await,
             Action::Apply(command) => command.execute(&context).await,
             Action::Get(command) => command.execute(&context).await,
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -20,6 +20,15 @@
     /// A file cannot be read or written.
     #[display("{_0}")]
     Files(documents::Error),
+    /// A log cannot be read.
+    #[from(skip)]
+    #[display("reading the log {}: {source}", path.display())]
+    Logs {
+        /// The file.
+        path: PathBuf,
+        /// What the system reports.
+        source: std::io::Error,
+    },
     /// The documents are no valid configuration.
     #[display("{_0}")]
     Invalid(config::Error),
@@ -125,7 +134,7 @@
     /// The exit code; `oriolectl --help` lists them.
     pub fn code(&self) -> u8 {
         match self {
-            Self::Settings(_) | Self::Files(_) | Self::BadBase { .. } => 1,
+            Self::Settings(_) | Self::Files(_) | Self::Logs { .. } | Self::BadBase { .. } => 1,
             Self::Invalid(_) => 2,
             Self::Conflict(_) | Self::NoBase { .. } => 3,
             Self::Unreachable(_) | Self::Contended => 4,
--- /dev/null
+++ b/crates/ctl/src/logs/summary.rs
@@ -0,0 +1,124 @@
+//! What each entry believed and did, by its log lines.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use serde::Serialize;
+
+use super::line::Line;
+
+/// What one entry told.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Entry {
+    /// Version of the routing table in force.
+    pub table: Option<String>,
+    /// Number of the plan in force.
+    pub plan: Option<String>,
+    /// Paths of usable chains by their first endpoint, each as endpoint=first-end.
+    pub chains: BTreeMap<String, String>,
+    /// Purposes for which the store is lost.
+    pub store_lost: BTreeSet<String>,
+    /// Requests by how they ended.
+    pub requests: BTreeMap<String, usize>,
+}
+
+/// What all entries told.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Entries by name.
+    pub entries: BTreeMap<String, Entry>,
+}
+
+impl Summary {
+    /// Sums up lines.
+    pub fn of(lines: &[Line]) -> Self {
+        let mut entries: BTreeMap<String, Entry> = BTreeMap::new();
+        for line in lines {
+            entries.entry(line.source.clone()).or_default().take(line);
+        }
+        Self { entries }
+    }
+}
+
+impl Entry {
+    fn take(&mut self, line: &Line) {
+        let field = |key: &str| line.get(key).to_owned();
+        match line.message.as_str() {
+            "started" => {
+                *self = Self { requests: std::mem::take(&mut self.requests), ..Self::default() }
+            }
+            "routing table in force" => self.table = Some(field("version")),
+            "plan in force" => {
+                self.plan = Some(field("number"));
+                self.chains.clear();
+            }
+            "usable chain" => {
+                self.chains.insert(field("head"), field("path"));
+            }
+            "store lost" => {
+                self.store_lost.insert(field("purpose"));
+            }
+            "store regained" => {
+                self.store_lost.remove(line.get("purpose"));
+            }
+            "served" | "caller left" | "endpoint's failure passed on" => {
+                self.count(line.message.clone())
+            }
+            "given up" | "rejected" => self.count(format!("{} {}", line.message, field("reason"))),
+            _ => {}
+        }
+    }
+
+    fn count(&mut self, end: String) {
+        *self.requests.entry(end).or_default() += 1;
+    }
+}
+
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (name, entry) in &self.entries {
+            let table = entry.table.as_deref().unwrap_or("none");
+            let plan = entry.plan.as_deref().unwrap_or("none");
+            write!(f, "{name}: table {table}, plan {plan}, {} chains", entry.chains.len())?;
+            for purpose in &entry.store_lost {
+                write!(f, ", store lost for {purpose}")?;
+            }
+            for (end, count) in &entry.requests {
+                write!(f, ", {count} {end}")?;
+            }
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
+
+/// Who holds which layers, as the last entry that told of a plan believes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Layout {
+    /// The entry.
+    pub entry: String,
+    /// Its number of the plan.
+    pub plan: String,
+    /// Paths of usable chains by their first endpoint.
+    pub chains: BTreeMap<String, String>,
+}
+
+impl Layout {
+    /// The layout of the newest plan that `summary` knows; none without a plan.
+    pub fn of(summary: &Summary) -> Option<Self> {
+        let number = |entry: &Entry| entry.plan.as_ref()?.parse::<u64>().ok();
+        let known = summary.entries.iter().filter_map(|(name, e)| Some((number(e)?, name, e)));
+        let (plan, entry, found) = known.max_by_key(|(number, _, e)| (*number, e.chains.len()))?;
+        Some(Self { entry: entry.clone(), plan: plan.to_string(), chains: found.chains.clone() })
+    }
+}
+
+impl fmt::Display for Layout {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "plan {} as {} believes:", self.plan, self.entry)?;
+        for path in self.chains.values() {
+            writeln!(f, "  {}", path.replace(',', ", "))?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/ctl/tests/logs.rs
@@ -0,0 +1,56 @@
+//! From a request's id to its cause, by log lines alone.
+#![allow(clippy::unwrap_used)]
+
+use oriole_ctl::logs::line::Line;
+use oriole_ctl::logs::request::Report;
+use oriole_ctl::logs::summary::{Layout, Summary};
+
+const LOG: &str = "\
+  0.5 entry-1 [2026-01-02T15:03:40Z INFO  oriole_router::state] endpoint does not work endpoint=i-9 word=entry-2
+  1.0 entry-1 [2026-01-02T15:03:41Z INFO  oriole_router::process] started host=entry-1 zone=a
+  1.1 entry-1 [2026-01-02T15:03:41Z INFO  oriole_router::state] routing table in force version=3 services=2
+  1.2 entry-2 [2026-01-02T15:03:41Z INFO  oriole_router::state] routing table in force version=4 services=2
+  1.3 entry-1 [2026-01-02T15:03:41Z INFO  oriole_router::state] plan in force number=7 revision=49 chains=1
+  1.4 entry-1 [2026-01-02T15:03:41Z INFO  oriole_router::state] usable chain head=i-1 crossings=0 path=i-1=0-40,i-2=40-80
+  2.0 entry-1 [2026-01-02T15:03:42Z INFO  oriole_router::state::load] load chain=i-1 requests=90 tokens=83000 event_ms=34 factor=1.2 waiting=4
+  2.1 entry-1 [2026-01-02T15:03:42Z WARN  oriole_router::follow] store lost purpose=endpoints error=the store refused with status 503
+  2.2 entry-1 [2026-01-02T15:03:42Z INFO  oriole_router::serve] given up id=4892 route=r-1 reason=NoRoom not_run=true waited_ms=251 table=3 plan=49
+  2.3 entry-1 [2026-01-02T15:03:42Z INFO  oriole_router::generation] served id=77 head=i-1 waited_ms=0 first_ms=40 pause_ms=60 took_ms=900
+  2.4 entry-1 [2026-01-02T15:03:42Z INFO  oriole_router::state::load] load chain=i-1 requests=10 tokens=9000 event_ms=20 factor=1 waiting=0
+no log line
+";
+
+fn lines() -> Vec<Line> {
+    LOG.lines().filter_map(|text| Line::parse(text, "file")).collect()
+}
+
+#[test]
+fn a_refused_request_is_explained_by_what_its_entry_had_told_before() {
+    let report = Report::find(&lines(), "4892").unwrap();
+    assert!(report.verdict.contains("no chain or endpoint had room"), "{}", report.verdict);
+    assert!(report.verdict.contains("has not run"), "{}", report.verdict);
+    let told: Vec<&str> = report.beliefs.iter().map(|l| l.message.as_str()).collect();
+    assert_eq!(told, ["routing table in force", "plan in force", "load", "store lost"]);
+    assert_eq!(report.beliefs[2].get("requests"), "90", "not what was told later");
+    assert_eq!(report.beliefs[3].get("error"), "the store refused with status 503");
+    assert!(Report::find(&lines(), "nobody").is_none());
+}
+
+#[test]
+fn the_status_tells_entries_apart() {
+    let summary = Summary::of(&lines());
+    assert_eq!(summary.entries["entry-2"].table.as_deref(), Some("4"));
+    let entry = &summary.entries["entry-1"];
+    assert_eq!(entry.requests["given up NoRoom"], 1);
+    assert_eq!(entry.requests["served"], 1);
+    assert!(entry.store_lost.contains("endpoints"));
+    let layout = Layout::of(&summary).unwrap();
+    assert_eq!((layout.plan.as_str(), layout.chains["i-1"].as_str()), ("7", "i-1=0-40,i-2=40-80"));
+}
+
+#[test]
+fn a_line_of_a_process_itself_has_its_file_as_source() {
+    let text = "[2026-01-02T15:03:41Z INFO  oriole_router::state] plan in force number=7";
+    let line = Line::parse(text, "entry-9").unwrap();
+    assert_eq!((line.source.as_str(), line.at.as_str()), ("entry-9", "2026-01-02T15:03:41Z"));
+}
