--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -21,7 +21,7 @@
     /// A chain that does not work is left for another one with the same first stage, if there is
     /// one in time. The attempt ends if there is none, if the new stages would read all tokens
     /// across availability zones and another chain has room, or if other requests go on at the
-    /// chain and this one does not.
+    /// chain, this one does not, and another chain has room. Silence alone ends no answer.
     pub(super) async fn watch<T>(
         &self,
         lane: &mut Lane,
@@ -57,7 +57,9 @@
                 () = doubted => {}
                 () = sleep(left) => {
                     if limit > silence && is_alone(state, lane) {
-                        return Err(End::Failed(Failure::Doubted));
+                        if let Some((other, slot)) = self.anywhere(lane) {
+                            return Err(End::Elsewhere(other, slot));
+                        }
                     }
                     limit += LONGEST_SILENCE;
                     suspect::ask(state, lane);
@@ -68,13 +70,18 @@
 
     /// Room on another chain, if moving around the lost stage would read across zones.
     fn elsewhere(&self, lane: &Lane) -> Option<(Lane, Slot)> {
-        if !self.request.route.may_repeat() {
-            return None;
-        }
         let near = repath::find(self.state, self.request, lane);
         if near.is_some_and(|other| other.crossings() <= lane.crossings()) {
             return None;
         }
+        self.anywhere(lane)
+    }
+
+    /// Room on another chain.
+    fn anywhere(&self, lane: &Lane) -> Option<(Lane, Slot)> {
+        if !self.request.route.may_repeat() {
+            return None;
+        }
         let mut ran_at = self.tries.ran_at.clone();
         if !ran_at.contains(lane.head()) {
             ran_at.push(lane.head().clone());
