--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -120,6 +120,37 @@
     assert_eq!(world.fleet.runs("r1").len(), 2);
 }
 
+/// A stream falls silent while others go on at its chain, and it may not run elsewhere: its engine
+/// works, so its answer still comes whole.
+#[actix_rt::test]
+async fn a_silent_stream_that_can_run_nowhere_else_is_waited_for() {
+    let world = World::new(1).await;
+    let state = &world.entries[0].state;
+    let mut settings = state.settings.clone();
+    (settings.retries.ratio, settings.retries.fixed) = (0.0, 0.0);
+    state.reload(&settings);
+    for n in 0..8 {
+        world.fleet.set_fault(&format!("engine-{n}"), fleet::Fault::Preempt);
+    }
+    // What streams of others on the same chain would note at each of their events.
+    let others = async {
+        loop {
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            for engine in world.fleet.runs("slow") {
+                let now = state.now();
+                state.inner.borrow_mut().progress.insert(engine.as_str().into(), now);
+            }
+        }
+    };
+    let answer = tokio::select! {
+        answer = world.entries[0].call("/draft/a", "slow", KEY) => answer,
+        () = others => return,
+    };
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, all_events());
+    assert_eq!(world.fleet.runs("slow").len(), 1);
+}
+
 #[actix_rt::test]
 async fn a_call_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
     let world = World::new(1).await;
