--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -39,21 +39,35 @@
     assert_eq!(world.fleet.last_key(), None);
 }
 
-/// Loses the second stage of stream `r1` after its tenth event; returns the answer.
-async fn lose_second_stage(world: &World) -> Answer {
+/// Loses an endpoint of stream `r1` after its tenth event; returns the answer.
+async fn lose(world: &World, endpoint: impl Fn() -> String) -> Answer {
     let lost = Cell::new(false);
     let answer = world.entries[0].call_while("/draft/a", "r1", KEY, |body| {
-        if body.contains("id: 10\n") && !lost.get() {
-            lost.set(true);
-            let path = world.fleet.path("r1").unwrap();
-            let second = path.split(',').nth(1).unwrap().split('=').next().unwrap();
-            let id = world.fleet.id_at(second).unwrap();
-            world.fleet.set_fault(&id, fleet::Fault::Dark);
+        if body.contains("id: 10\n") && !lost.replace(true) {
+            world.fleet.set_fault(&endpoint(), fleet::Fault::Dark);
         }
     });
     answer.await
 }
 
+async fn lose_second_stage(world: &World) -> Answer {
+    let second = || {
+        let path = world.fleet.path("r1").unwrap();
+        let address = path.split(',').nth(1).unwrap().split('=').next().unwrap().to_owned();
+        world.fleet.id_at(&address).unwrap()
+    };
+    lose(world, second).await
+}
+
+/// The answer is whole, by a second run of which the caller notices nothing.
+fn check_second_run(world: &World, answer: &Answer) {
+    assert!(answer.is_whole);
+    assert_eq!(answer.body, all_events());
+    let runs = world.fleet.runs("r1");
+    assert_eq!(runs.len(), 2);
+    assert_eq!(answer.signature, Some(format!("of-{}", runs[0])));
+}
+
 #[actix_rt::test]
 async fn a_lost_stage_is_passed_around_without_another_run() {
     let world = World::with_zones(1, 1).await;
@@ -67,31 +81,14 @@
 async fn a_stage_that_only_another_zone_could_replace_is_left_for_another_chain() {
     let world = World::new(1).await;
     let answer = lose_second_stage(&world).await;
-    assert!(answer.is_whole);
-    assert_eq!(answer.body, all_events());
-    let runs = world.fleet.runs("r1");
-    assert_eq!(runs.len(), 2);
-    assert_eq!(answer.signature, Some(format!("of-{}", runs[0])));
+    check_second_run(&world, &answer);
 }
 
 #[actix_rt::test]
 async fn a_stream_goes_on_elsewhere_when_its_first_stage_is_lost() {
     let world = World::new(1).await;
-    let lost = Cell::new(false);
-    let answer = world.entries[0]
-        .call_while("/draft/a", "r1", KEY, |body| {
-            if body.contains("id: 10\n") && !lost.get() {
-                lost.set(true);
-                let first = world.fleet.runs("r1")[0].clone();
-                world.fleet.set_fault(&first, fleet::Fault::Dark);
-            }
-        })
-        .await;
-    assert!(answer.is_whole);
-    assert_eq!(answer.body, all_events());
-    let runs = world.fleet.runs("r1");
-    assert_eq!(runs.len(), 2);
-    assert_eq!(answer.signature, Some(format!("of-{}", runs[0])));
+    let answer = lose(&world, || world.fleet.runs("r1")[0].clone()).await;
+    check_second_run(&world, &answer);
 }
 
 #[actix_rt::test]
@@ -144,7 +141,7 @@
     };
     let answer = tokio::select! {
         answer = world.entries[0].call("/draft/a", "slow", KEY) => answer,
-        () = others => return,
+        () = others => panic!("the others never end"),
     };
     assert!(answer.is_whole);
     assert_eq!(answer.body, all_events());
