--- a/crates/core/src/forward/book.rs
+++ b/crates/core/src/forward/book.rs
@@ -127,7 +127,7 @@
 
     /// What the other entries are expected to have begun and not told yet, less what has ended:
     /// requests, tokens and tokens of prompts.
-    fn untold(&self, head: &name::Endpoint, now: Instant) -> [f64; 3] {
+    fn unreported(&self, head: &name::Endpoint, now: Instant) -> [f64; 3] {
         let others = self.others(now);
         let interval = news_interval(others + 1).as_secs_f64();
         let others = others as f64;
@@ -154,7 +154,7 @@
     /// since they told.
     pub fn expected(&self, head: &name::Endpoint, now: Instant) -> Sum {
         let told = self.sum(head, now);
-        let [requests, tokens, reading] = self.untold(head, now);
+        let [requests, tokens, reading] = self.unreported(head, now);
         let own = self.own.get(head).copied().unwrap_or_default();
         // Casts from floats saturate.
         Sum {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -50,8 +50,8 @@
     pub plans: Counter,
     /// Calls to the store that failed, by purpose.
     pub store_failures: Reasons,
-    /// Work that held up requests, by purpose.
-    pub held_up: Reasons,
+    /// Work that blocked the event loop, by purpose.
+    pub blocked: Reasons,
     /// Registrations that name no usable endpoint.
     pub skipped: Counter,
     /// Time from a request's arrival to the first event of its answer.
@@ -88,7 +88,7 @@
             orders: Reasons::default(),
             plans: Counter::default(),
             store_failures: Reasons::default(),
-            held_up: Reasons::default(),
+            blocked: Reasons::default(),
             skipped: Counter::default(),
             first_event: histogram(),
             pause: histogram(),
@@ -116,7 +116,7 @@
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
-        r.register("held_up", "Work that held up requests", self.held_up.clone());
+        r.register("event_loop_blocked", "Work that blocked the event loop", self.blocked.clone());
         r.register("registrations_skipped", "Unusable registrations", self.skipped.clone());
         r.register("first_event_seconds", "Arrival to first event", self.first_event.clone());
         r.register("pause_seconds", "Between two events of a stream", self.pause.clone());
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -178,14 +178,14 @@
         self.clock.now()
     }
 
-    /// Does `work`, during which nothing else runs, and tells if it held everything up.
+    /// Does `work`, during which nothing else runs, and tells if it blocked the event loop for long.
     pub fn timed<T>(&self, purpose: &'static str, work: impl FnOnce() -> T) -> T {
         let began = self.now();
         let result = work();
         let took = self.now().since(began);
         if took >= LONG_WORK {
-            Metrics::count(&self.metrics.held_up, purpose);
-            log::warn!(purpose, took_ms = took.as_millis() as u64; "requests held up by work");
+            Metrics::count(&self.metrics.blocked, purpose);
+            log::warn!(purpose, took_ms = took.as_millis() as u64; "event loop blocked");
         }
         result
     }
