Forget the pauses of a chain whose stages have been replaced

After a stage crashed, its chain was silent; the meter took the silence for a slowdown of up to 20. The stage was replaced 1.3 s later, but the factor halves only every 3 s without streams, so the chain got one request at a time for 4 to 7 s while the others were full (10.2 s: x16, 5 requests; 11.7 s: x5, 12 requests).

Change: observed pauses are discarded when the hops of a chain change; streams stay counted.

--- a/crates/core/src/forward/chain.rs
+++ b/crates/core/src/forward/chain.rs
@@ -244,6 +244,16 @@
     chains
 }
 
+/// Returns the keys of the chains that run on other stages than before.
+pub fn with_other_stages<'a>(
+    before: &'a [Chain],
+    after: &'a [Chain],
+) -> impl Iterator<Item = &'a name::Endpoint> {
+    let differs =
+        |chain: &&Chain| before.iter().any(|old| old.key == chain.key && old.hops != chain.hops);
+    after.iter().filter(differs).map(|chain| &chain.key)
+}
+
 fn mark_shared(chains: &mut [Chain]) {
     let mut count: BTreeMap<name::Endpoint, usize> = BTreeMap::new();
     for hop in chains.iter().flat_map(|c| &c.hops) {
--- a/crates/core/src/forward/in_flight.rs
+++ b/crates/core/src/forward/in_flight.rs
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Discards the observed pauses of a chain whose stages have changed: they say nothing about the
+    /// new ones.
+    pub fn forget_pauses(&mut self, key: &name::Endpoint, now: Instant) {
+        if let Some(meter) = self.meters.get_mut(key) {
+            meter.reset(now);
+        }
+    }
+
     /// Returns how long no stream of this entry on a chain has had an event.
     ///
     /// Returns `None` if this entry has fewer than `streams` streams on the chain.
--- a/crates/core/src/forward/slowdown.rs
+++ b/crates/core/src/forward/slowdown.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Discards all observations; streams in progress stay counted.
+    pub fn reset(&mut self, now: Instant) {
+        *self = Self { streams: self.streams, ..Self::new(now) };
+    }
+
     /// Returns the time since the last event, or since the first request was sent.
     pub fn silence(&self, now: Instant) -> Duration {
         now.since(self.last_event)
--- a/crates/router/src/state/chains.rs
+++ b/crates/router/src/state/chains.rs
@@ -62,6 +62,12 @@
         }
         let chains = all.values().map(|c| c.len()).sum::<usize>();
         self.metrics.chains.set(chains as i64);
-        inner.chains = all;
+        let previous = std::mem::replace(&mut inner.chains, all.clone());
+        for (service, chains) in &all {
+            let before = previous.get(service).map_or(&[][..], |c| c.as_slice());
+            for key in chain::with_other_stages(before, chains) {
+                inner.in_flight.forget_pauses(key, now);
+            }
+        }
     }
 }
