Move no requests over links between zones that cannot carry their tokens in time

Two stages of one zone crashed; 83 streams moved within 150 ms to stages of other zones and read 75,000 tokens there through a link of 260 MB/s, 12 s of transfers. All chains of the zone stood still, 90 callers left, and 200 requests were refused, while replacements in the zone were ready at 8.1 and 8.5 s.

Change: a move whose transfers would take over 600 ms, by the tokens of the whole chain, the new crossings and the link's rate, is not made; the request waits for another path, as it did without one.

Tests: moving_to_another_zone_takes_the_time_of_the_link, moving_to_stages_of_the_same_zone_needs_no_link.

--- a/crates/core/src/forward/chain.rs
+++ b/crates/core/src/forward/chain.rs
@@ -121,6 +121,19 @@
         Duration::from_secs_f64(estimate::crossing_ms(model, crossing) / 1000.0)
     }
 
+    /// Estimates the time to transfer `tokens` tokens to the stages that `other` has instead of
+    /// this chain's, as far as these are reached from another availability zone.
+    ///
+    /// Requests that move to `other` prefill all their tokens again on those stages.
+    pub fn move_time(&self, model: &Model, other: &Self, tokens: u64) -> Duration {
+        let is_new = |hop: &Hop| !self.hops.contains(hop);
+        let crosses =
+            |pair: &&[Hop]| pair[0].zone != pair[1].zone && (is_new(&pair[0]) || is_new(&pair[1]));
+        let crossings = other.hops.windows(2).filter(crosses).count();
+        let ms = estimate::crossing_ms(model, tokens as f64) * crossings as f64;
+        Duration::from_secs_f64(ms / 1000.0)
+    }
+
     /// Estimates the longest time that a generation of `need` takes.
     ///
     /// `sum` is the work in progress on the chain, and `factor` the ratio of observed to estimated
--- a/crates/core/tests/chain_loss.rs
+++ b/crates/core/tests/chain_loss.rs
@@ -90,3 +90,31 @@
     assert!(is_chosen(&model, first, &in_flight, at_ms(2_000)));
     assert!(in_flight.silence(&first.key, 3, at_ms(2_100)).is_some(), "streams stay counted");
 }
+
+#[test]
+fn moving_to_stages_of_the_same_zone_needs_no_link() {
+    let model = model();
+    let plan = plan(&model);
+    let whole = usable(&model, &plan, None, at_ms(0));
+    for chain in &whole {
+        assert_eq!(chain.move_time(&model, chain, 100_000), Duration::ZERO);
+    }
+}
+
+/// A stage that only another zone can replace is reached over a link that all chains share. All
+/// tokens of all streams pass it twice, to the stage and back.
+#[test]
+fn moving_to_another_zone_takes_the_time_of_the_link() {
+    let mut model = model();
+    let plan = plan(&model);
+    let whole = usable(&model, &plan, None, at_ms(0));
+    let chain = whole.iter().find(|c| c.crossings() == 0).unwrap();
+    let mut other = chain.clone();
+    other.hops[1].zone = "zone-far".into();
+    other.hops[1].endpoint = "e-far".into();
+    // 60,000 tokens of 30,000 bytes, twice.
+    let seconds = |model: &Model| chain.move_time(model, &other, 60_000).as_secs_f64();
+    assert!((seconds(&model) - 1.8).abs() < 0.01, "{}", seconds(&model));
+    model.zone_link_bytes_per_s /= 8.0;
+    assert!((seconds(&model) - 14.4).abs() < 0.01, "{}", seconds(&model));
+}
--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -17,6 +17,10 @@
 /// Longest wait for a chain with the same first stage; callers disconnect soon after.
 const MAX_CHAIN_WAIT: Duration = Duration::from_millis(1400);
 
+/// Longest time for the transfer of tokens between availability zones that a move may cause; it
+/// delays all requests that cross zones.
+const MAX_TRANSFER_TIME: Duration = Duration::from_millis(600);
+
 /// Timeout for the response of the first stage to the order to move.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -69,9 +73,17 @@
 }
 
 /// Returns a usable chain with the same first stage: the same endpoint with the same layers.
+///
+/// Returns `None` also if the links between availability zones could not transfer the tokens of all
+/// requests on the chain to its new stages in time ([`MAX_TRANSFER_TIME`]).
 pub fn find_chain(state: &Shared, request: &Request, chain: &Chain) -> Option<Chain> {
+    let now = state.now();
+    let model = state.model(&request.service)?;
     let inner = state.inner.borrow();
     let chains = inner.chains.get(&request.service)?;
     let same = |c: &&Chain| c.head() == chain.head() && c.hops[0].layers == chain.hops[0].layers;
-    chains.iter().find(same).cloned()
+    let other = chains.iter().find(same)?;
+    let tokens = inner.in_flight.sum(&chain.key, now).tokens;
+    let is_timely = chain.move_time(&model, other, tokens) <= MAX_TRANSFER_TIME;
+    is_timely.then(|| other.clone())
 }
