Share the calls to the store among the entries, and plan first when all endpoints are known

Change: three live entries by rank read the registrations, the others take listings from peers and read only from half of the drain bound on. Waits of watches and pauses after failures grow with the number of entries, up to five times, and are spread. Changes in quick succession are read together. Ranks count live entries only, unless an entry hears a minority. The first plan waits for half of the drain bound without changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
 pub mod lag;
+pub mod polling;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -178,7 +179,7 @@
 const ENTRIES_PER_EXTRA_SUSPICION: usize = 10;
 
 /// Time between two listings above which leases may have expired in between.
-const OUTAGE_GAP: Duration = Duration::from_millis(1500);
+const OUTAGE_GAP: Duration = Duration::from_secs(2);
 
 /// Time after an outage of the store within which endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2300);
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriole_core::fleet::Listing;
+use oriole_core::fleet::{Listing, polling};
 use oriole_core::name;
 use oriole_core::placement::Plan;
 use oriole_core::time::Instant;
@@ -29,18 +29,21 @@
 /// Key of the plan.
 pub const PLAN_KEY: &str = "oriole/plan";
 
-/// Interval between two reads of the endpoints' registrations, as a fraction of the time within
-/// which a draining endpoint must stop getting requests.
-const LISTING_INTERVAL_FRACTION: f64 = 0.3;
+/// Interval at which an entry checks whether to read the registrations.
+const LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time after which the store answers a watch of the configuration even without changes. A
-/// connection that stops answering delays a change by about this time.
+/// Shortest time after which the store answers a watch of the configuration even without changes. A
+/// connection that stops answering delays a change by about this time, unless a peer tells of it.
 const CONFIG_WATCH_WAIT: Duration = Duration::from_millis(1200);
 
-/// Time after which the store answers a watch of the keys that entries write even without changes.
+/// Shortest time after which the store answers a watch of the keys that entries write even without
+/// changes.
 const ENTRY_WATCH_WAIT: Duration = Duration::from_millis(2500);
 
-/// Pause after a failed call. Every call loads the store, including those that it refuses.
+/// Pause after changes were reported, so that changes in quick succession come with one answer.
+const CHANGES_PAUSE: Duration = Duration::from_millis(200);
+
+/// Shortest pause after a failed call. Every call loads the store, including those that it refuses.
 const RETRY_DELAY: Duration = Duration::from_millis(600);
 
 /// Time to live of an entry's registration unless it is renewed.
@@ -110,22 +113,26 @@
         let read = store.range(prefix).await;
         monitor.record(&read);
         let Ok(read) = read else {
-            sleep(RETRY_DELAY).await;
+            sleep(spread(state, RETRY_DELAY)).await;
             continue;
         };
         let mut revision = read.revision;
         apply(Update::Snapshot, read.found.into_iter().map(Change::Written).collect());
         loop {
-            let changes = store.watch(prefix, revision, wait).await;
+            let changes = store.watch(prefix, revision, spread(state, wait)).await;
             monitor.record(&changes);
             match changes {
                 Ok(changes) => {
                     revision = revision.max(changes.revision);
+                    let has_changes = !changes.found.is_empty();
                     apply(Update::Delta, changes.found);
+                    if has_changes {
+                        sleep(CHANGES_PAUSE).await;
+                    }
                 }
                 Err(Error::Compacted) => break,
                 Err(_) => {
-                    sleep(RETRY_DELAY).await;
+                    sleep(spread(state, RETRY_DELAY)).await;
                     break;
                 }
             }
@@ -133,6 +140,11 @@
     }
 }
 
+/// Lengthens a wait or a pause by the number of entries, and spreads it.
+fn spread(state: &Shared, shortest: Duration) -> Duration {
+    polling::spread(shortest, state.entry_count(), rand::random())
+}
+
 /// Whether changes are the full contents of a prefix or those since the last update.
 #[derive(Clone, Copy, PartialEq)]
 enum Update {
@@ -169,17 +181,24 @@
 async fn endpoints(state: Shared, store: Client) {
     let mut monitor = Monitor::new(&state, "endpoints");
     loop {
+        let rank = state.rank(|host| *host < state.host);
+        let limit = polling::listing_age_limit(rank, state.drain_time());
+        let age = state.inner.borrow().view.age(state.now());
+        if age.is_some_and(|age| age < limit) {
+            sleep(LISTING_CHECK_INTERVAL).await;
+            continue;
+        }
         let began = state.now();
         let read = store.range(registry::PREFIX).await;
         monitor.record(&read);
         Metrics::time(&state.metrics.store_call, state.now().since(began));
-        if let Ok(read) = read {
-            let listing = state.timed("listing", || decode_listing(&state, &read));
-            apply_listing(&state, listing, began);
+        match read {
+            Ok(read) => {
+                let listing = state.timed("listing", || decode_listing(&state, &read));
+                apply_listing(&state, listing, began);
+            }
+            Err(_) => sleep(spread(&state, RETRY_DELAY)).await,
         }
-        let drain = Duration::from_millis(state.tunables().times.drain_ms);
-        sleep(drain.mul_f64(LISTING_INTERVAL_FRACTION).saturating_sub(state.now().since(began)))
-            .await;
     }
 }
 
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -87,17 +87,16 @@
     }
 }
 
-/// Returns the number of entries that rank before this one for an endpoint.
+/// Returns the number of live entries that rank before this one for an endpoint.
 ///
 /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
 fn rank(state: &Shared, endpoint: &name::Endpoint) -> u32 {
-    let inner = state.inner.borrow();
     let hash = |host: &name::Host| {
         let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
         bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
     };
     let own = hash(&state.host);
-    inner.peers.keys().filter(|host| hash(host) < own).count() as u32
+    state.rank(|host| hash(host) < own) as u32
 }
 
 /// Returns the next order for each healthy endpoint whose layers differ from the plan, except those
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::{Gossip, Message, Topic};
+use oriole_core::fleet::{Gossip, Message, Topic, polling};
 use oriole_core::forward::in_flight;
 use oriole_core::message;
 use oriole_core::name;
@@ -21,12 +21,6 @@
 use crate::follow;
 use crate::state::Shared;
 
-/// Age of this entry's listing above which it requests a fresher one from another entry.
-const STALE_LISTING_AGE: Duration = Duration::from_millis(1300);
-
-/// Age of another entry's listing below which it is worth requesting.
-const FRESH_LISTING_AGE: Duration = Duration::from_millis(900);
-
 /// Key of the secret by which entries authenticate to each other.
 const SECRET_KEY: &str = "oriole/secret";
 
@@ -181,8 +175,11 @@
     let inner = state.inner.borrow();
     let table = inner.table.as_ref().map_or(0, |t| t.version);
     let plan = inner.plans.first().map_or(0, |p| p.revision);
-    let is_stale = inner.view.age(now).is_none_or(|age| age > STALE_LISTING_AGE);
-    let is_fresh = Duration::from_millis(gossip.listing_age_ms) < FRESH_LISTING_AGE;
+    let drain = state.drain_time();
+    let age = inner.view.age(now).unwrap_or(Duration::MAX);
+    let is_stale = age > polling::listing_request_age(drain);
+    let peer_age = Duration::from_millis(gossip.listing_age_ms);
+    let is_fresh = peer_age.saturating_add(polling::min_listing_gain(drain)) < age;
     let mut lags = state.lags.borrow_mut();
     for (topic, is_current, is_ahead) in [
         (Topic::Table, false, gossip.table > table),
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::View;
+use oriole_core::fleet::{View, polling};
 use oriole_core::placement::{Candidate, Chain, Model, Plan, revise};
 use oriole_core::route::Table;
 use oriole_core::time::Instant;
@@ -22,9 +22,6 @@
 /// Interval at which an entry checks whether the plan has to be revised.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which the set of endpoints must be unchanged before the first plan is proposed.
-const FIRST_PLAN_DELAY: Duration = Duration::from_millis(700);
-
 /// Time for which further chains must be possible before they are planned. A broken chain is
 /// replaced without this delay.
 const EXTENSION_DELAY: Duration = Duration::from_millis(2500);
@@ -80,7 +77,7 @@
 /// Returns the time for which a revision must have been due before it is proposed.
 fn proposal_delay(state: &Shared, now: Instant) -> Duration {
     if !has_plan(state) {
-        return FIRST_PLAN_DELAY;
+        return polling::settling_time(state.drain_time());
     }
     if now.since(state.started) < STARTUP_PERIOD || !is_urgent(state, now) {
         return EXTENSION_DELAY;
@@ -101,10 +98,9 @@
     !state.inner.borrow().plans.is_empty()
 }
 
-/// Returns the number of known entries whose names come before this one's.
+/// Returns the number of live entries whose names come before this one's.
 fn rank(state: &Shared) -> u32 {
-    let inner = state.inner.borrow();
-    inner.peers.keys().filter(|host| **host < state.host).count() as u32
+    state.rank(|host| *host < state.host) as u32
 }
 
 /// Returns the revised chains of all services, or `None` if they equal the current plan, too little
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -258,7 +258,7 @@
 
     /// Returns how long a draining endpoint still gets work.
     pub fn drain_grace(&self) -> Duration {
-        Duration::from_millis(self.tunables.borrow().times.drain_ms).mul_f64(DRAIN_GRACE_FRACTION)
+        self.drain_time().mul_f64(DRAIN_GRACE_FRACTION)
     }
 
     /// Puts a routing table in force if it is newer, and returns whether it is.
@@ -352,6 +352,25 @@
         inner.peers.len().max(inner.in_flight.peer_count(self.now())) + 1
     }
 
+    /// Returns the number of other entries for which `is_before` holds, and which act before this
+    /// one where one of them suffices.
+    ///
+    /// Entries that stopped to send gossip do not count, so that nobody waits for them. An entry that
+    /// hears of only a minority may itself be cut off and counts them all: what it knows may be old.
+    pub fn rank(&self, is_before: impl Fn(&name::Host) -> bool) -> usize {
+        let now = self.now();
+        let inner = self.inner.borrow();
+        let is_live = |host: &name::Host| inner.in_flight.is_live(host, now);
+        let hosts = inner.peers.keys();
+        let is_cut_off = hosts.clone().filter(|host| is_live(host)).count() * 2 < hosts.len();
+        hosts.filter(|host| is_before(host) && (is_cut_off || is_live(host))).count()
+    }
+
+    /// Returns the time within which a draining endpoint must stop getting requests.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.tunables.borrow().times.drain_ms)
+    }
+
     /// Takes a retry out of this entry's share of the service's retry budget.
     ///
     /// Returns false, and takes nothing, if the share is used up.
