Replace slow stages by free endpoints of their zone

Eight endpoints run at a twelfth of their speed and stand in all four chains; every chain's events come at three times the estimate, and of 1,000 requests 150 are in time. Reports tell the pace (12 in 22 of 26 reports), which decided nothing.

Change: where a chain's events come at 1.5 times the estimate or later, one entry by rank asks its stages for their pace and tells the others. A stage at a pace of 1.8 or more counts as slow for 3 s; the plan replaces it by a free endpoint of the zone that is not slow, and leaves it where there is none. Messages between entries have a module of their own.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,8 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
 pub mod lag;
+pub mod message;
+pub mod pace;
 pub mod polling;
 
 use std::collections::BTreeMap;
@@ -10,7 +12,9 @@
 use oriole_macros::{data, key};
 
 use crate::time::Instant;
-use crate::{name, placement, route};
+pub use message::{Gossip, Incarnation, Load, Message, Topic};
+
+use crate::{name, placement};
 
 /// Lifecycle state of a registered endpoint.
 #[key]
@@ -59,87 +63,6 @@
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
 }
 
-/// Work in progress of one entry on one chain, or on one endpoint of a plain service.
-#[data]
-pub struct Load {
-    /// The first endpoint that the plan assigns to the chain, or the endpoint of the plain service.
-    #[serde(rename = "head")]
-    pub key: name::Endpoint,
-    /// Number of requests in progress.
-    pub requests: u32,
-    /// Tokens that the requests occupy or are expected to occupy in KV caches.
-    pub tokens: u64,
-    /// Prompt tokens of requests that have had no event yet.
-    #[serde(rename = "reading")]
-    pub prefill: u64,
-    /// Ratio of observed to estimated pauses between events, as the sender measures it.
-    pub factor: f64,
-}
-
-/// One run of an endpoint, from a start to the next.
-#[data]
-pub struct Incarnation {
-    /// Identifier of the endpoint.
-    pub endpoint: name::Endpoint,
-    /// Unix time of the start in milliseconds.
-    pub born: u64,
-}
-
-/// State that an entry sends to all other entries several times a second.
-#[data]
-pub struct Gossip {
-    /// Version of the sender's routing table, 0 if it has none.
-    pub table: u64,
-    /// Revision of the sender's plan, 0 if it has none.
-    pub plan: u64,
-    /// Age of the sender's listing in milliseconds.
-    pub listing_age_ms: u64,
-    /// Work in progress of the sender.
-    pub loads: Vec<Load>,
-    /// Endpoints that the sender treats as unhealthy, with the age of the finding in milliseconds.
-    #[serde(rename = "doubts")]
-    pub unhealthy: Vec<(Incarnation, u64)>,
-}
-
-/// Data that an entry may request from another entry.
-#[key]
-#[serde(rename_all = "kebab-case")]
-pub enum Topic {
-    /// The routing table.
-    Table,
-    /// The plan.
-    Plan,
-    /// The listing of registered endpoints.
-    Listing,
-}
-
-/// A message between entries about endpoints and configuration.
-#[data]
-#[serde(rename_all = "kebab-case")]
-pub enum Message {
-    /// State of the sender, sent several times a second.
-    #[serde(rename = "news")]
-    Gossip(Gossip),
-    /// Request for the receiver's version of a topic on which the sender is behind.
-    Want(Topic),
-    /// A routing table that the receiver requested.
-    Table(Box<route::Table>),
-    /// A plan that is new or that the receiver requested.
-    Plan(placement::Plan),
-    /// A listing that the receiver requested, and its age in milliseconds.
-    Listing(Listing, u64),
-    /// Layers that an endpoint reported to hold, and the number of orders that it had accepted.
-    Held(Incarnation, placement::Range, u64),
-    /// The sender has ordered an endpoint to load layers and monitors it, for at most the given
-    /// number of milliseconds.
-    Ordered(Incarnation, placement::Range, u64),
-    /// An endpoint that the sender found to be unhealthy.
-    #[serde(rename = "doubt")]
-    Unhealthy(Incarnation),
-    /// An endpoint that did not answer the sender. The cause may be the sender or its link.
-    Suspicion(Incarnation),
-}
-
 /// Time for which an endpoint is treated as unhealthy after the last such finding.
 pub const UNHEALTHY_PERIOD: Duration = Duration::from_secs(6);
 
@@ -166,6 +89,7 @@
     suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
     draining: BTreeMap<name::Endpoint, Instant>,
     paused: BTreeMap<name::Endpoint, Instant>,
+    paces: pace::Paces,
     /// Time until which endpoints that are missing from a listing may still register again.
     recovering_until: Option<Instant>,
     /// Time of the first listing, before which there may have been an outage of the store, too.
@@ -322,6 +246,17 @@
         same && now.since(*at) < UNHEALTHY_PERIOD
     }
 
+    /// Records the pace that an endpoint reported, and returns whether it became slow or ceased to
+    /// be.
+    pub fn record_pace(&mut self, incarnation: &Incarnation, pace: f64, now: Instant) -> bool {
+        self.paces.record(incarnation, pace, now)
+    }
+
+    /// Returns whether an endpoint runs much more slowly than its kind, by its last reports.
+    pub fn is_slow(&self, id: &name::Endpoint, now: Instant) -> bool {
+        self.get(id).is_some_and(|e| self.paces.is_slow(id, e.born, now))
+    }
+
     /// Returns an endpoint, or `None` if it is not listed.
     pub fn get(&self, id: &name::Endpoint) -> Option<&Endpoint> {
         self.listing.endpoints.get(id)
--- /dev/null
+++ b/crates/core/src/fleet/message.rs
@@ -0,0 +1,89 @@
+//! Messages between entries about endpoints and configuration.
+
+use oriole_macros::{data, key};
+
+use super::Listing;
+use crate::{name, placement, route};
+
+/// Work in progress of one entry on one chain, or on one endpoint of a plain service.
+#[data]
+pub struct Load {
+    /// The first endpoint that the plan assigns to the chain, or the endpoint of the plain service.
+    #[serde(rename = "head")]
+    pub key: name::Endpoint,
+    /// Number of requests in progress.
+    pub requests: u32,
+    /// Tokens that the requests occupy or are expected to occupy in KV caches.
+    pub tokens: u64,
+    /// Prompt tokens of requests that have had no event yet.
+    #[serde(rename = "reading")]
+    pub prefill: u64,
+    /// Ratio of observed to estimated pauses between events, as the sender measures it.
+    pub factor: f64,
+}
+
+/// One run of an endpoint, from a start to the next.
+#[data]
+pub struct Incarnation {
+    /// Identifier of the endpoint.
+    pub endpoint: name::Endpoint,
+    /// Unix time of the start in milliseconds.
+    pub born: u64,
+}
+
+/// State that an entry sends to all other entries several times a second.
+#[data]
+pub struct Gossip {
+    /// Version of the sender's routing table, 0 if it has none.
+    pub table: u64,
+    /// Revision of the sender's plan, 0 if it has none.
+    pub plan: u64,
+    /// Age of the sender's listing in milliseconds.
+    pub listing_age_ms: u64,
+    /// Work in progress of the sender.
+    pub loads: Vec<Load>,
+    /// Endpoints that the sender treats as unhealthy, with the age of the finding in milliseconds.
+    #[serde(rename = "doubts")]
+    pub unhealthy: Vec<(Incarnation, u64)>,
+}
+
+/// Data that an entry may request from another entry.
+#[key]
+#[serde(rename_all = "kebab-case")]
+pub enum Topic {
+    /// The routing table.
+    Table,
+    /// The plan.
+    Plan,
+    /// The listing of registered endpoints.
+    Listing,
+}
+
+/// A message between entries about endpoints and configuration.
+#[data]
+#[serde(rename_all = "kebab-case")]
+pub enum Message {
+    /// State of the sender, sent several times a second.
+    #[serde(rename = "news")]
+    Gossip(Gossip),
+    /// Request for the receiver's version of a topic on which the sender is behind.
+    Want(Topic),
+    /// A routing table that the receiver requested.
+    Table(Box<route::Table>),
+    /// A plan that is new or that the receiver requested.
+    Plan(placement::Plan),
+    /// A listing that the receiver requested, and its age in milliseconds.
+    Listing(Listing, u64),
+    /// Layers that an endpoint reported to hold, and the number of orders that it had accepted.
+    Held(Incarnation, placement::Range, u64),
+    /// The sender has ordered an endpoint to load layers and monitors it, for at most the given
+    /// number of milliseconds.
+    Ordered(Incarnation, placement::Range, u64),
+    /// An endpoint that the sender found to be unhealthy.
+    #[serde(rename = "doubt")]
+    Unhealthy(Incarnation),
+    /// Ratio of an endpoint's step time to its usual one, as it reported.
+    Pace(Incarnation, f64),
+    /// An endpoint that did not answer the sender. The cause may be the sender or its link.
+    Suspicion(Incarnation),
+}
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -193,4 +193,6 @@
     pub accelerator: Accelerator,
     /// The layers that it holds now.
     pub held: Range,
+    /// Whether it runs much more slowly than its kind at present.
+    pub is_slow: bool,
 }
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -28,6 +28,11 @@
         self.by_name.get(endpoint).copied()
     }
 
+    /// Takes an endpoint out.
+    pub fn remove(&mut self, endpoint: &name::Endpoint) {
+        self.by_name.remove(endpoint);
+    }
+
     /// Returns the available stages of a chain as input of [`estimate`].
     pub fn assignments(&self, chain: &Chain) -> Vec<Assignment<'a>> {
         let present = chain.stages.iter().filter_map(|s| Some((self.get(&s.endpoint)?, s.layers)));
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -5,7 +5,7 @@
 //! dissolved and their endpoints fill the gaps. There is one exception: if other chains' endpoints
 //! in the same zone hold the missing layers, requests are rerouted through those and the chain
 //! stays as it is, unless rebuilding gains enough throughput (`MIN_REBUILD_GAIN`). Endpoints that
-//! are left over form further chains. Stages stay where they are if possible, because moving layers
+//! are left over form further chains. Slow stages are replaced if there are enough others. Stages stay where they are if possible, because moving layers
 //! takes seconds.
 
 use std::collections::BTreeSet;
@@ -38,6 +38,7 @@
     while let Some(broken) = draft.next_broken() {
         draft.repair(broken);
     }
+    draft.replace_slow();
     draft.with_new_chains()
 }
 
@@ -97,6 +98,30 @@
         *self = rebuilt;
     }
 
+    /// Replaces slow stages by free endpoints of the chain's zone, where there are enough.
+    ///
+    /// Other chains are not touched for them: a slow stage still serves.
+    fn replace_slow(&mut self) {
+        for index in 0..self.chains.len() {
+            if !self.missing(index).is_empty() {
+                continue;
+            }
+            for endpoint in self.slow_endpoints(index) {
+                let mut replaced = self.clone();
+                replaced.inventory.remove(&endpoint);
+                if replaced.fill_gaps(index, Scope::Zone, &CAPACITY_FRACTIONS) {
+                    self.chains = replaced.chains;
+                }
+            }
+        }
+    }
+
+    fn slow_endpoints(&self, index: usize) -> Vec<name::Endpoint> {
+        let stages = self.chains[index].stages.iter();
+        let slow = stages.filter(|s| self.inventory.get(&s.endpoint).is_some_and(|c| c.is_slow));
+        slow.map(|s| s.endpoint.clone()).collect()
+    }
+
     /// Estimates the throughput of all chains, including the new ones.
     fn total_throughput(&self) -> f64 {
         self.inventory.total_throughput(&self.with_new_chains())
@@ -235,9 +260,11 @@
         self.inventory.missing(&self.chains[index])
     }
 
-    /// Returns the endpoints that are in no chain.
+    /// Returns the endpoints that are in no chain and not slow.
     fn free(&self) -> Vec<&'a Candidate> {
-        self.inventory.free(&self.chains)
+        let mut free = self.inventory.free(&self.chains);
+        free.retain(|c| !c.is_slow);
+        free
     }
 
     fn throughput(&self, index: usize) -> f64 {
--- a/crates/core/tests/fleet_fixture/mod.rs
+++ b/crates/core/tests/fleet_fixture/mod.rs
@@ -63,6 +63,7 @@
         zone: format!("zone-{zone}").as_str().into(),
         accelerator: accelerators()[kind].1.clone(),
         held: Range::default(),
+        is_slow: false,
     }
 }
 
--- a/crates/load/src/placement.rs
+++ b/crates/load/src/placement.rs
@@ -138,6 +138,7 @@
                     zone: zone.clone(),
                     accelerator: described.accelerator(),
                     held: Range::default(),
+                    is_slow: false,
                 }));
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod log_output;
 pub mod metrics;
 pub mod orders;
+pub mod pace;
 pub mod peers;
 pub mod planner;
 pub mod process;
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -78,7 +78,7 @@
         due_since.retain(|k, _| keys.contains(k));
         for order in orders {
             let first = *due_since.entry(key(&order)).or_insert(now);
-            let wait = DELAY_PER_RANK * rank(&state, &order.incarnation.endpoint);
+            let wait = DELAY_PER_RANK * state.rank_for(&order.incarnation.endpoint) as u32;
             let is_turn = now.since(first) >= wait;
             if is_turn && busy.borrow_mut().insert(order.incarnation.endpoint.clone()) {
                 actix_rt::spawn(place_layers(state.clone(), busy.clone(), order));
@@ -87,18 +87,6 @@
     }
 }
 
-/// Returns the number of live entries that rank before this one for an endpoint.
-///
-/// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
-fn rank(state: &Shared, endpoint: &name::Endpoint) -> u32 {
-    let hash = |host: &name::Host| {
-        let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
-        bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-    };
-    let own = hash(&state.host);
-    state.rank(|host| hash(host) < own) as u32
-}
-
 /// Returns the next order for each healthy endpoint whose layers differ from the plan, except those
 /// that another entry monitors.
 fn due_orders(state: &Shared, now: Instant) -> Vec<Order> {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -19,6 +19,7 @@
 use tokio::time::sleep;
 
 use crate::follow;
+use crate::pace;
 use crate::state::Shared;
 
 /// Key of the secret by which entries authenticate to each other.
@@ -160,6 +161,9 @@
             let until = state.now() + Duration::from_millis(monitor_ms);
             state.peer_orders.borrow_mut().insert(incarnation.endpoint, (layers, until));
         }
+        Message::Pace(incarnation, value) => {
+            pace::record(state, &incarnation, value);
+        }
         Message::Suspicion(incarnation) => {
             state.suspect(&incarnation, &host);
         }
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -91,7 +91,9 @@
     let inner = state.inner.borrow();
     let chains = inner.plans.first().into_iter().flat_map(|p| p.services.values().flatten());
     let mut stages = chains.flat_map(|c| &c.stages);
-    stages.any(|s| !inner.view.is_ready(&s.endpoint, now))
+    let is_impaired =
+        |id: &name::Endpoint| !inner.view.is_ready(id, now) || inner.view.is_slow(id, now);
+    stages.any(|s| is_impaired(&s.endpoint))
 }
 
 fn has_plan(state: &Shared) -> bool {
@@ -143,16 +145,17 @@
 
 fn candidates(model: &Model, view: &View, service: &name::Service, now: Instant) -> Vec<Candidate> {
     let ready = view.of_service(service).filter(|e| view.is_ready(&e.id, now));
-    ready.filter_map(|endpoint| candidate(model, endpoint)).collect()
+    ready.filter_map(|e| candidate(model, e, view.is_slow(&e.id, now))).collect()
 }
 
-fn candidate(model: &Model, endpoint: &fleet::Endpoint) -> Option<Candidate> {
+fn candidate(model: &Model, endpoint: &fleet::Endpoint, is_slow: bool) -> Option<Candidate> {
     let accelerator = model.accelerators.get(endpoint.accelerator.as_ref()?)?;
     Some(Candidate {
         endpoint: endpoint.id.clone(),
         zone: endpoint.zone.clone(),
         accelerator: accelerator.clone(),
         held: endpoint.layers,
+        is_slow,
     })
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -366,6 +366,18 @@
         hosts.filter(|host| is_before(host) && (is_cut_off || is_live(host))).count()
     }
 
+    /// Returns the [`State::rank`] of this entry for work on an endpoint.
+    ///
+    /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
+    pub fn rank_for(&self, endpoint: &name::Endpoint) -> usize {
+        let hash = |host: &name::Host| {
+            let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
+            bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+        };
+        let own = hash(&self.host);
+        self.rank(|host| hash(host) < own)
+    }
+
     /// Returns the time within which a draining endpoint must stop getting requests.
     pub fn drain_time(&self) -> Duration {
         Duration::from_millis(self.tunables.borrow().times.drain_ms)
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -25,7 +25,7 @@
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// Requests a report, and once more if the first request times out.
-async fn request_report(address: SocketAddr) -> Result<Report, Error> {
+pub async fn request_report(address: SocketAddr) -> Result<Report, Error> {
     match endpoint::report(address, REPORT_TIMEOUTS[0]).await {
         Err(Error::Timeout | Error::ConnectTimeout) => {
             endpoint::report(address, REPORT_TIMEOUTS[1]).await
