Tell callers of a stopping entry to come back when the first entry gets new connections

All three entries stop at overlapping times; 150 to 200 requests on kept connections are turned away and told to wait for the restart of that very entry, up to 6 s, though another one is ready sooner. Callers come back once.

Change: gossip tells when an entry gets new connections: at once, after the load balancer's next round of questions, or after its stop, restart and that round. A caller that is turned away is told the first of these times, spread by 100 ms. An entry that restarts is silent meanwhile and counts by what it told.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
 pub mod lag;
+pub mod liveness;
 pub mod message;
 pub mod pace;
 pub mod polling;
--- /dev/null
+++ b/crates/core/src/fleet/liveness.rs
@@ -0,0 +1,50 @@
+//! Which other entries are running, and when they get new connections, by their gossip.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::name;
+use crate::time::Instant;
+
+/// Time without gossip after which an entry counts as lost.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// The last gossip of one entry.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    at: Instant,
+    ready_at: Instant,
+}
+
+/// When other entries sent gossip last.
+#[derive(Debug, Default)]
+pub struct Liveness {
+    heard: BTreeMap<name::Host, Heard>,
+}
+
+impl Liveness {
+    /// Records gossip of an entry that gets new connections in `ready_in`.
+    pub fn record(&mut self, host: name::Host, ready_in: Duration, now: Instant) {
+        self.heard.insert(host, Heard { at: now, ready_at: now + ready_in });
+    }
+
+    /// Returns whether an entry sent gossip recently.
+    pub fn is_live(&self, host: &name::Host, now: Instant) -> bool {
+        self.heard.get(host).is_some_and(|heard| is_recent(heard, now))
+    }
+
+    /// Returns the time after which the first of the other entries gets new connections, or `None`
+    /// if none is known.
+    ///
+    /// An entry that restarts is silent in between, so one that told when it will be ready counts
+    /// until then.
+    pub fn ready_in(&self, now: Instant) -> Option<Duration> {
+        let is_known = |heard: &&Heard| is_recent(heard, now) || heard.ready_at > now;
+        let known = self.heard.values().filter(is_known);
+        known.map(|heard| heard.ready_at.since(now)).min()
+    }
+}
+
+fn is_recent(heard: &Heard, now: Instant) -> bool {
+    now.since(heard.at) < SILENCE_LIMIT
+}
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -40,6 +40,9 @@
     pub plan: u64,
     /// Age of the sender's listing in milliseconds.
     pub listing_age_ms: u64,
+    /// Time after which the sender gets new connections, in milliseconds; 0 if it does already.
+    #[serde(default)]
+    pub ready_in_ms: u64,
     /// Work in progress of the sender.
     pub loads: Vec<Load>,
     /// Endpoints that the sender treats as unhealthy, with the age of the finding in milliseconds.
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -8,6 +8,7 @@
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
 //! - [`event`]: splits response streams at event boundaries.
+//! - [`stop`]: when a caller that a stopping entry turns away may come back.
 
 pub mod budget;
 pub mod chain;
@@ -17,6 +18,7 @@
 pub mod outcome;
 pub mod queue;
 pub mod slowdown;
+pub mod stop;
 
 use crate::route;
 
--- a/crates/core/src/forward/in_flight.rs
+++ b/crates/core/src/forward/in_flight.rs
@@ -277,11 +277,6 @@
         self.own.iter().map(load).collect()
     }
 
-    /// Returns whether a peer reported recently.
-    pub fn is_live(&self, host: &name::Host, now: Instant) -> bool {
-        self.peers.get(host).is_some_and(|(at, _)| now.since(*at) < PEER_LOAD_LIFETIME)
-    }
-
     /// Returns the number of peers that reported recently.
     pub fn peer_count(&self, now: Instant) -> usize {
         self.peers.values().filter(|(at, _)| now.since(*at) < PEER_LOAD_LIFETIME).count()
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -47,7 +47,10 @@
 /// Serves the readiness route until the task is aborted.
 pub async fn readiness(state: Shared, listener: TcpListener) {
     serve_internal(state, listener, |state, path| match path {
-        ingress::READY_PATH if state.is_ready() => (StatusCode::OK, None),
+        ingress::READY_PATH if state.is_ready() => {
+            state.announced.set(true);
+            (StatusCode::OK, None)
+        }
         ingress::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, None),
         _ => (StatusCode::NOT_FOUND, None),
     })
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -106,6 +106,7 @@
         table: inner.table.as_ref().map_or(0, |t| t.version),
         plan: inner.plans.first().map_or(0, |p| p.revision),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+        ready_in_ms: state.ready_in().as_millis() as u64,
         loads: inner.in_flight.loads(),
         unhealthy: inner.view.unhealthy(state.now()),
     }
@@ -138,7 +139,11 @@
             for (incarnation, age_ms) in &gossip.unhealthy {
                 state.mark_unhealthy(incarnation, Duration::from_millis(*age_ms), host.as_str());
             }
-            state.inner.borrow_mut().in_flight.update_peer(host, gossip.loads, now);
+            let mut inner = state.inner.borrow_mut();
+            let ready_in = Duration::from_millis(gossip.ready_in_ms);
+            inner.liveness.record(host.clone(), ready_in, now);
+            inner.in_flight.update_peer(host, gossip.loads, now);
+            drop(inner);
             state.capacity_changed.notify_waiters();
         }
         Message::Want(topic) => send_requested(state, hub, &host, topic),
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -209,7 +209,7 @@
     }
     if not_run {
         let retry_after = match reason {
-            Reason::Stopping => state.retry_after_restart(),
+            Reason::Stopping => state.retry_after_stop(),
             _ => {
                 let mut inner = state.inner.borrow_mut();
                 let refusals = inner.refusals.entry(request.service.clone()).or_default();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -14,12 +14,14 @@
 
 use oriole_adapter::clock::Clock;
 use oriole_core::fleet::lag::Lag;
+use oriole_core::fleet::liveness::Liveness;
 use oriole_core::fleet::{Incarnation, Topic, View};
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::choice::Failures;
 use oriole_core::forward::in_flight::Tracker;
 use oriole_core::forward::queue::{Queue, Refusals};
+use oriole_core::forward::stop;
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, Range};
 use oriole_core::route::Table;
@@ -38,9 +40,6 @@
 /// Safety factor on the estimated duration of work that must end before the process exits.
 const EXIT_TIME_FACTOR: f64 = 1.25;
 
-/// Time from the exit of a process until the next one is ready.
-const RESTART_TIME: Duration = Duration::from_millis(900);
-
 /// Time for which work may block the event loop before it is logged: half of a usual pause between
 /// two events.
 const BLOCKED_THRESHOLD: Duration = Duration::from_millis(30);
@@ -74,6 +73,8 @@
     pub failures: Failures,
     /// When this entry last got an event from a chain, by key of the chain.
     pub last_event_at: BTreeMap<name::Endpoint, Instant>,
+    /// Which other entries are running.
+    pub liveness: Liveness,
     /// Other entries registered in the store, by host.
     pub peers: BTreeMap<name::Host, Peer>,
 }
@@ -123,6 +124,8 @@
     pub closing: Cell<bool>,
     /// Wakes idle connections when they must close.
     pub closing_changed: Notify,
+    /// Whether the load balancer has been told that the entry is ready.
+    pub announced: Cell<bool>,
     /// Whether the process has been signalled to stop.
     pub stopping: Cell<bool>,
     /// Number of requests in progress.
@@ -146,6 +149,7 @@
             budgets: BTreeMap::new(),
             failures: Failures::default(),
             last_event_at: BTreeMap::new(),
+            liveness: Liveness::default(),
             peers: BTreeMap::new(),
         };
         let clock = Clock::start();
@@ -172,6 +176,7 @@
             exiting: Cell::new(false),
             closing: Cell::new(false),
             closing_changed: Notify::new(),
+            announced: Cell::new(false),
             stopping: Cell::new(false),
             active_requests: Cell::new(0),
         })
@@ -236,11 +241,19 @@
         self.now() + longest.mul_f64(EXIT_TIME_FACTOR) <= deadline
     }
 
-    /// Returns the time until the entry is ready again after its restart.
-    pub fn retry_after_restart(&self) -> Duration {
-        let left =
-            self.exit_deadline.get().map_or(Duration::ZERO, |deadline| deadline.since(self.now()));
-        left + RESTART_TIME
+    /// Returns the time after which a caller that this stopping entry turns away may come back.
+    pub fn retry_after_stop(&self) -> Duration {
+        let peer = self.inner.borrow().liveness.ready_in(self.now());
+        stop::retry_after(self.ready_in(), peer, rand::random())
+    }
+
+    /// Returns the time after which this entry gets new connections.
+    pub fn ready_in(&self) -> Duration {
+        stop::ready_in(match self.exit_deadline.get() {
+            Some(deadline) => stop::Phase::Stopping(deadline.since(self.now())),
+            None if self.announced.get() => stop::Phase::Ready,
+            None => stop::Phase::Starting,
+        })
     }
 
     /// Returns the version of the routing table and the revision of the plan, for logs; 0 for none.
@@ -360,7 +373,7 @@
     pub fn rank(&self, is_before: impl Fn(&name::Host) -> bool) -> usize {
         let now = self.now();
         let inner = self.inner.borrow();
-        let is_live = |host: &name::Host| inner.in_flight.is_live(host, now);
+        let is_live = |host: &name::Host| inner.liveness.is_live(host, now);
         let hosts = inner.peers.keys();
         let is_cut_off = hosts.clone().filter(|host| is_live(host)).count() * 2 < hosts.len();
         hosts.filter(|host| is_before(host) && (is_cut_off || is_live(host))).count()
