Count lost requests by second and first cause: oriolectl logs losses

Joins what entries log about a request by its id: given up, left by its caller, or late by its first event or a pause, with the first trouble that was logged about it. Test: lost_requests_are_counted_by_second_and_first_cause.

--- a/crates/ctl/src/cmd/logs.rs
+++ b/crates/ctl/src/cmd/logs.rs
@@ -7,6 +7,7 @@
 
 use crate::Error;
 use crate::logs::line::Line;
+use crate::logs::losses::{Limits, Losses};
 use crate::logs::request::Report;
 use crate::logs::summary::{Layout, Summary};
 use crate::output::Format;
@@ -25,6 +26,19 @@
         #[bpaf(positional("FILE"))]
         files: Vec<PathBuf>,
     },
+    /// Counts the requests that were not served in time, by second and first logged cause
+    #[bpaf(command("losses"))]
+    Losses {
+        /// Longest time to the first event of an answer in time, in milliseconds
+        #[bpaf(argument("MS"), fallback(500), display_fallback)]
+        first_ms: u64,
+        /// Longest pause between two events of an answer in time, in milliseconds
+        #[bpaf(argument("MS"), fallback(250), display_fallback)]
+        pause_ms: u64,
+        /// Log files of entries; without any, reads standard input
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Shows the last logged state of each entry, and how requests ended
     #[bpaf(command("status"))]
     Status {
@@ -49,6 +63,10 @@
                 let report = Report::find(&read(files)?, id).ok_or(Error::NotFound { what })?;
                 format.print(&report);
             }
+            Self::Losses { first_ms, pause_ms, files } => {
+                let limits = Limits { first_ms: *first_ms, pause_ms: *pause_ms };
+                format.print(&Losses::of(&read(files)?, limits));
+            }
             Self::Status { files } => format.print(&Summary::of(&read(files)?)),
             Self::Plan { files } => {
                 let what = "line about a plan".to_owned();
--- a/crates/ctl/tests/logs.rs
+++ b/crates/ctl/tests/logs.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::unwrap_used)]
 
 use oriole_ctl::logs::line::Line;
+use oriole_ctl::logs::losses::{Limits, Loss, Losses};
 use oriole_ctl::logs::request::Report;
 use oriole_ctl::logs::summary::{Layout, Summary};
 
@@ -60,3 +61,32 @@
     let line = Line::parse(text, "entry-9").unwrap();
     assert_eq!((line.source.as_str(), line.at.as_str()), ("entry-9", "2026-01-02T15:03:41Z"));
 }
+
+#[test]
+fn lost_requests_are_counted_by_second_and_first_cause() {
+    let text = "\
+  9.9 entry-1 [T INFO  m] attempt failed id=1 head=i-1 waited_ms=0 took_ms=90 failure=Doubted
+  10.1 entry-1 [T INFO  m] attempt failed id=1 head=i-2 waited_ms=9 took_ms=90 failure=NotExecuted
+  10.2 entry-1 [T INFO  m] served id=1 head=i-3 waited_ms=9 first_ms=40 pause_ms=900 took_ms=2000
+  10.3 entry-1 [T INFO  m] served id=2 head=i-3 waited_ms=9 first_ms=501 pause_ms=60 took_ms=2000
+  10.4 entry-1 [T INFO  m] served id=3 head=i-3 waited_ms=9 first_ms=500 pause_ms=250 took_ms=2000
+  9.5 entry-2 [T INFO  m] given up id=4 route=r reason=NoRoom not_run=true waited_ms=251 table=3 plan=4
+  9.6 entry-2 [T INFO  m] given up id=5 route=r reason=NoRoom not_run=true waited_ms=251 table=3 plan=4
+  10.9 entry-2 [T INFO  m] caller left id=6 waited_ms=3000 table=3 plan=4
+";
+    let lines: Vec<Line> = text.lines().filter_map(|text| Line::parse(text, "file")).collect();
+    let losses = Losses::of(&lines, Limits { first_ms: 500, pause_ms: 250 });
+    assert_eq!(losses.requests, 6);
+    let found: Vec<_> =
+        losses.lost.iter().map(|g| (g.at.as_str(), g.loss, g.cause.as_str(), g.count)).collect();
+    assert_eq!(
+        found,
+        [
+            ("9", Loss::GivenUp, "NoRoom after: no earlier line", 2),
+            ("10", Loss::LateFirstEvent, "no earlier line", 1),
+            ("10", Loss::LongPause, "attempt failed: Doubted", 1),
+            ("10", Loss::CallerLeft, "no earlier line", 1),
+        ]
+    );
+    assert!(losses.to_string().starts_with("5 of 6 requests were not served in time"));
+}
