Tell all entries of refusals, and try a stage that keeps refusing ever more rarely

Eight stages leave while the store cannot tell. A refusal paused a stage for 400 ms at one entry, the next entry and the next 400 ms learnt it anew, each time for a retry: 120 to 170 requests a second were given up without a retry left.

Change: a refusal that names a stage which has room and holds its layers, by its own report, is told to all entries. A stage that refuses again within a second after its pause is paused twice as long, up to 3.2 s.

Tests: refusal.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -5,6 +5,7 @@
 pub mod message;
 pub mod pace;
 pub mod polling;
+pub mod refusal;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -92,7 +93,7 @@
     unhealthy: BTreeMap<name::Endpoint, (u64, Instant)>,
     suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
     draining: BTreeMap<name::Endpoint, Instant>,
-    paused: BTreeMap<name::Endpoint, Instant>,
+    pauses: refusal::Pauses,
     paces: pace::Paces,
     /// Time until which endpoints that are missing from a listing may still register again.
     recovering_until: Option<Instant>,
@@ -112,9 +113,6 @@
 /// Time after an outage of the store within which endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2300);
 
-/// Time for which an endpoint that refused a request gets no new work.
-const PAUSE_PERIOD: Duration = Duration::from_millis(400);
-
 impl View {
     /// Replaces the listing by one that was read at `read_at`.
     ///
@@ -147,7 +145,7 @@
         let endpoints = &listing.endpoints;
         self.reports.retain(|id, _| endpoints.contains_key(id));
         self.draining.retain(|id, _| endpoints.contains_key(id));
-        self.paused.retain(|id, _| endpoints.contains_key(id));
+        self.pauses.retain(|id| endpoints.contains_key(id));
         for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
             self.draining.entry(endpoint.id.clone()).or_insert(read_at);
         }
@@ -229,17 +227,11 @@
         reported.collect()
     }
 
-    /// Sends no new work to an endpoint that refused a request, for a short period.
+    /// Sends no new work to an endpoint that refused a request, for a while ([`refusal`]).
     ///
     /// Returns whether the endpoint was not paused before.
     pub fn pause(&mut self, endpoint: &name::Endpoint, now: Instant) -> bool {
-        let is_new = !self.is_paused(endpoint, now);
-        self.paused.insert(endpoint.clone(), now);
-        is_new
-    }
-
-    fn is_paused(&self, endpoint: &name::Endpoint, now: Instant) -> bool {
-        self.paused.get(endpoint).is_some_and(|at| now.since(*at) < PAUSE_PERIOD)
+        self.pauses.record(endpoint, now)
     }
 
     /// Returns whether an endpoint is treated as unhealthy.
@@ -284,7 +276,7 @@
     /// `grace`.
     pub fn is_usable(&self, id: &name::Endpoint, grace: Duration, now: Instant) -> bool {
         let drained = self.draining.get(id).is_some_and(|since| now.since(*since) >= grace);
-        let unavailable = self.is_unhealthy(id, now) || self.is_paused(id, now);
+        let unavailable = self.is_unhealthy(id, now) || self.pauses.is_paused(id, now);
         self.get(id).is_some() && !drained && !unavailable
     }
 
@@ -300,7 +292,7 @@
     pub fn has_no_pending_expiry(&self, grace: Duration, now: Instant) -> bool {
         let is_over = |at: &Instant, period: Duration| now.since(*at) >= period;
         self.unhealthy.values().all(|(_, at)| is_over(at, UNHEALTHY_PERIOD))
-            && self.paused.values().all(|at| is_over(at, PAUSE_PERIOD))
+            && self.pauses.are_over(now)
             && self.draining.values().all(|at| is_over(at, grace))
     }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -166,6 +166,7 @@
             let until = state.now() + Duration::from_millis(monitor_ms);
             state.peer_orders.borrow_mut().insert(incarnation.endpoint, (layers, until));
         }
+        Message::Refusal(incarnation) => state.pause(&incarnation.endpoint),
         Message::Pace(incarnation, value) => {
             pace::record(state, &incarnation, value);
         }
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -21,6 +21,10 @@
 /// Minimum time between two requests for a report to one endpoint.
 const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(450);
 
+/// Fraction of an endpoint's memory in use above which a refusal is taken for want of memory, which
+/// passes soon.
+const FULL_MEMORY: f64 = 0.9;
+
 /// Minimum time between two probes of all stages of one chain.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -116,6 +120,10 @@
                     layers,
                     report.orders,
                 );
+                let is_full = report.queued > 0 || report.memory_used > FULL_MEMORY;
+                if at_fault.is_some() && !is_full {
+                    peers::broadcast(&state, &Message::Refusal(incarnation.clone()));
+                }
                 if is_new {
                     let orders = report.orders;
                     peers::broadcast(&state, &Message::Held(incarnation.clone(), layers, orders));
