Lengthen the pause after changes with the number of entries

Changes in quick succession wake every watch of every entry; with many entries one of them tells the others.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -40,7 +40,8 @@
 /// changes.
 const ENTRY_WATCH_WAIT: Duration = Duration::from_millis(2500);
 
-/// Pause after changes were reported, so that changes in quick succession come with one answer.
+/// Shortest pause after changes were reported, so that changes in quick succession come with one
+/// answer.
 const CHANGES_PAUSE: Duration = Duration::from_millis(200);
 
 /// Shortest pause after a failed call. Every call loads the store, including those that it refuses.
@@ -127,7 +128,7 @@
                     let has_changes = !changes.found.is_empty();
                     apply(Update::Delta, changes.found);
                     if has_changes {
-                        sleep(CHANGES_PAUSE).await;
+                        sleep(spread(state, CHANGES_PAUSE)).await;
                     }
                 }
                 Err(Error::Compacted) => break,
