--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -33,6 +33,29 @@
         self.heard.get(host).is_some_and(|heard| is_recent(heard, now))
     }
 
+    /// Returns the number of `hosts` for which `is_before` holds, and which act before this entry
+    /// where one of them suffices.
+    ///
+    /// Entries that stopped to send gossip do not count, so that nobody waits for them. An entry that
+    /// hears of only a minority may itself be cut off and counts them all: what it knows may be old.
+    pub fn rank<'a>(
+        &self,
+        hosts: impl Iterator<Item = &'a name::Host>,
+        is_before: impl Fn(&name::Host) -> bool,
+        now: Instant,
+    ) -> usize {
+        let (mut all, mut live, mut before, mut live_before) = (0, 0, 0, 0);
+        for host in hosts {
+            let (is_live, is_before) = (self.is_live(host, now), is_before(host));
+            all += 1;
+            live += usize::from(is_live);
+            before += usize::from(is_before);
+            live_before += usize::from(is_live && is_before);
+        }
+        let is_cut_off = live * 2 < all;
+        if is_cut_off { before } else { live_before }
+    }
+
     /// Returns the time after which the first of the other entries gets new connections, or `None`
     /// if none is known.
     ///
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -43,3 +43,19 @@
     assert_eq!(liveness.ready_in(at_ms(2_100)), Some(Duration::from_secs(3)));
     assert_eq!(liveness.ready_in(at_ms(5_100)), None);
 }
+
+/// Guards against proposals of entries that are cut off from the others and know old state.
+#[test]
+fn ranks_count_live_entries_unless_most_are_silent() {
+    let hosts: Vec<oriole_core::name::Host> =
+        (1..=4).map(|n| format!("entry-{n}").as_str().into()).collect();
+    let mut liveness = Liveness::default();
+    let rank = |liveness: &Liveness| liveness.rank(hosts.iter(), |_| true, at_ms(1_000));
+    assert_eq!(rank(&liveness), 4, "nobody is heard");
+    liveness.record(hosts[0].clone(), Duration::ZERO, at_ms(500));
+    assert_eq!(rank(&liveness), 4, "one of four is heard");
+    liveness.record(hosts[2].clone(), Duration::ZERO, at_ms(500));
+    assert_eq!(rank(&liveness), 2, "half are heard");
+    let first = |host: &oriole_core::name::Host| *host < hosts[2];
+    assert_eq!(liveness.rank(hosts.iter(), first, at_ms(1_000)), 1);
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -4,6 +4,8 @@
 //! when these change. All tasks run on one thread, so that cells take the place of locks.
 
 mod chains;
+mod entries;
+mod health;
 pub mod load;
 
 use std::cell::{Cell, RefCell};
@@ -15,13 +17,12 @@
 use oriole_adapter::clock::Clock;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
-use oriole_core::fleet::{Incarnation, Topic, View};
+use oriole_core::fleet::{Topic, View};
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::choice::Failures;
 use oriole_core::forward::in_flight::Tracker;
 use oriole_core::forward::queue::{Queue, Refusals};
-use oriole_core::forward::stop;
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, Range};
 use oriole_core::route::Table;
@@ -241,21 +242,6 @@
         self.now() + longest.mul_f64(EXIT_TIME_FACTOR) <= deadline
     }
 
-    /// Returns the time after which a caller that this stopping entry turns away may come back.
-    pub fn retry_after_stop(&self) -> Duration {
-        let peer = self.inner.borrow().liveness.ready_in(self.now());
-        stop::retry_after(self.ready_in(), peer, rand::random())
-    }
-
-    /// Returns the time after which this entry gets new connections.
-    pub fn ready_in(&self) -> Duration {
-        stop::ready_in(match self.exit_deadline.get() {
-            Some(deadline) => stop::Phase::Stopping(deadline.since(self.now())),
-            None if self.announced.get() => stop::Phase::Ready,
-            None => stop::Phase::Starting,
-        })
-    }
-
     /// Returns the version of the routing table and the revision of the plan, for logs; 0 for none.
     pub fn versions(&self) -> (u64, u64) {
         let inner = self.inner.borrow();
@@ -269,6 +255,11 @@
         inner.table.as_ref()?.services.get(service)?.model.clone()
     }
 
+    /// Returns the time within which a draining endpoint must stop getting requests.
+    pub fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.tunables.borrow().times.drain_ms)
+    }
+
     /// Returns how long a draining endpoint still gets work.
     pub fn drain_grace(&self) -> Duration {
         self.drain_time().mul_f64(DRAIN_GRACE_FRACTION)
@@ -308,118 +299,4 @@
         self.refresh();
         true
     }
-
-    /// Marks an endpoint as unhealthy and returns whether it was healthy before.
-    ///
-    /// `age` is the time since the finding, and `reporter` the host that reported it.
-    pub fn mark_unhealthy(&self, incarnation: &Incarnation, age: Duration, reporter: &str) -> bool {
-        let now = self.now();
-        let is_new = self.inner.borrow_mut().view.mark_unhealthy(incarnation, now - age, now);
-        if is_new {
-            log::warn!(
-                endpoint = incarnation.endpoint.as_str(), word = reporter;
-                "endpoint does not work"
-            );
-            self.metrics.unhealthy.inc();
-            self.refresh();
-            self.health_changed.notify_waiters();
-        }
-        is_new
-    }
-
-    /// Records that an endpoint did not answer the entry `by`.
-    ///
-    /// Returns whether this marks the endpoint as unhealthy, since enough entries agree.
-    pub fn suspect(&self, incarnation: &Incarnation, by: &name::Host) -> bool {
-        let (now, entries) = (self.now(), self.entry_count());
-        let is_new = self.inner.borrow_mut().view.suspect(incarnation, by.clone(), entries, now);
-        if is_new {
-            log::warn!(
-                endpoint = incarnation.endpoint.as_str(), entries;
-                "endpoint answers nobody"
-            );
-            self.metrics.unhealthy.inc();
-            self.refresh();
-            self.health_changed.notify_waiters();
-        }
-        is_new
-    }
-
-    /// Sends no new work to an endpoint that refused a request, for a short period.
-    pub fn pause(&self, endpoint: &name::Endpoint) {
-        let now = self.now();
-        let is_new = self.inner.borrow_mut().view.pause(endpoint, now);
-        if is_new {
-            self.refresh();
-        }
-    }
-
-    /// Returns whether an endpoint is treated as unhealthy.
-    pub fn is_unhealthy(&self, endpoint: &name::Endpoint) -> bool {
-        self.inner.borrow().view.is_unhealthy(endpoint, self.now())
-    }
-
-    /// Returns the number of known entries, this one included.
-    pub fn entry_count(&self) -> usize {
-        let inner = self.inner.borrow();
-        inner.peers.len().max(inner.in_flight.peer_count(self.now())) + 1
-    }
-
-    /// Returns the number of other entries for which `is_before` holds, and which act before this
-    /// one where one of them suffices.
-    ///
-    /// Entries that stopped to send gossip do not count, so that nobody waits for them. An entry that
-    /// hears of only a minority may itself be cut off and counts them all: what it knows may be old.
-    pub fn rank(&self, is_before: impl Fn(&name::Host) -> bool) -> usize {
-        let now = self.now();
-        let inner = self.inner.borrow();
-        let is_live = |host: &name::Host| inner.liveness.is_live(host, now);
-        let hosts = inner.peers.keys();
-        let is_cut_off = hosts.clone().filter(|host| is_live(host)).count() * 2 < hosts.len();
-        hosts.filter(|host| is_before(host) && (is_cut_off || is_live(host))).count()
-    }
-
-    /// Returns the [`State::rank`] of this entry for work on an endpoint.
-    ///
-    /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
-    pub fn rank_for(&self, endpoint: &name::Endpoint) -> usize {
-        let hash = |host: &name::Host| {
-            let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
-            bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-        };
-        let own = hash(&self.host);
-        self.rank(|host| hash(host) < own)
-    }
-
-    /// Returns the time within which a draining endpoint must stop getting requests.
-    pub fn drain_time(&self) -> Duration {
-        Duration::from_millis(self.tunables.borrow().times.drain_ms)
-    }
-
-    /// Takes a retry out of this entry's share of the service's retry budget.
-    ///
-    /// Returns false, and takes nothing, if the share is used up.
-    pub fn take_retry(&self, service: &name::Service) -> bool {
-        // One more than known, since another entry may be starting.
-        let entries = self.entry_count() + 1;
-        let now = self.now();
-        let bound = self.tunables.borrow().retries.bound();
-        let mut inner = self.inner.borrow_mut();
-        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        let taken = budget.try_take(entries, now);
-        if taken {
-            self.metrics.retries.inc();
-        }
-        taken
-    }
-
-    /// Counts a caller's request, which adds to the retry budget of the service.
-    pub fn count_request(&self, service: &name::Service) {
-        let now = self.now();
-        self.metrics.requests.inc();
-        let bound = self.tunables.borrow().retries.bound();
-        let mut inner = self.inner.borrow_mut();
-        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        budget.record_request(now);
-    }
 }
--- /dev/null
+++ b/crates/router/src/state/entries.rs
@@ -0,0 +1,78 @@
+//! What this entry knows of the other entries, and its shares of what they use together.
+
+use std::time::Duration;
+
+use oriole_core::forward::budget::Budget;
+use oriole_core::forward::stop;
+use oriole_core::name;
+
+use super::State;
+
+impl State {
+    /// Returns the time after which a caller that this stopping entry turns away may come back.
+    pub fn retry_after_stop(&self) -> Duration {
+        let peer = self.inner.borrow().liveness.ready_in(self.now());
+        stop::retry_after(self.ready_in(), peer, rand::random())
+    }
+
+    /// Returns the time after which this entry gets new connections.
+    pub fn ready_in(&self) -> Duration {
+        stop::ready_in(match self.exit_deadline.get() {
+            Some(deadline) => stop::Phase::Stopping(deadline.since(self.now())),
+            None if self.announced.get() => stop::Phase::Ready,
+            None => stop::Phase::Starting,
+        })
+    }
+
+    /// Returns the number of known entries, this one included.
+    pub fn entry_count(&self) -> usize {
+        let inner = self.inner.borrow();
+        inner.peers.len().max(inner.in_flight.peer_count(self.now())) + 1
+    }
+
+    /// Returns the number of other entries for which `is_before` holds, and which act before this
+    /// one where one of them suffices.
+    pub fn rank(&self, is_before: impl Fn(&name::Host) -> bool) -> usize {
+        let inner = self.inner.borrow();
+        inner.liveness.rank(inner.peers.keys(), is_before, self.now())
+    }
+
+    /// Returns the [`State::rank`] of this entry for work on an endpoint.
+    ///
+    /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
+    pub fn rank_for(&self, endpoint: &name::Endpoint) -> usize {
+        let hash = |host: &name::Host| {
+            let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
+            bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+        };
+        let own = hash(&self.host);
+        self.rank(|host| hash(host) < own)
+    }
+
+    /// Takes a retry out of this entry's share of the service's retry budget.
+    ///
+    /// Returns false, and takes nothing, if the share is used up.
+    pub fn take_retry(&self, service: &name::Service) -> bool {
+        // One more than known, since another entry may be starting.
+        let entries = self.entry_count() + 1;
+        let now = self.now();
+        let bound = self.tunables.borrow().retries.bound();
+        let mut inner = self.inner.borrow_mut();
+        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
+        let taken = budget.try_take(entries, now);
+        if taken {
+            self.metrics.retries.inc();
+        }
+        taken
+    }
+
+    /// Counts a caller's request, which adds to the retry budget of the service.
+    pub fn count_request(&self, service: &name::Service) {
+        let now = self.now();
+        self.metrics.requests.inc();
+        let bound = self.tunables.borrow().retries.bound();
+        let mut inner = self.inner.borrow_mut();
+        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
+        budget.record_request(now);
+    }
+}
