--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -87,7 +87,7 @@
     Unhealthy(Incarnation),
     /// Ratio of an endpoint's step time to its usual one, as it reported.
     Pace(Incarnation, f64),
-    /// An endpoint that refused a request of the sender, although it has room and holds its layers.
+    /// An endpoint that refused a request of the sender, although it has room by its own report.
     Refusal(Incarnation),
     /// An endpoint that did not answer the sender. The cause may be the sender or its link.
     Suspicion(Incarnation),
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -4,9 +4,9 @@
 //! If there are too few, the chain is rebuilt: the chains of its zone with the least throughput are
 //! dissolved and their endpoints fill the gaps. There is one exception: if other chains' endpoints
 //! in the same zone hold the missing layers, requests are rerouted through those and the chain
-//! stays as it is, unless rebuilding gains enough throughput (`MIN_REBUILD_GAIN`). Endpoints that
-//! are left over form further chains. Slow stages are replaced if there are enough others. Stages stay where they are if possible, because moving layers
-//! takes seconds.
+//! stays as it is, unless rebuilding gains enough throughput (`MIN_REBUILD_GAIN`). Slow stages are
+//! replaced if the zone has enough other endpoints in no chain. Endpoints that are left over form
+//! further chains. Stages stay where they are if possible, because moving layers takes seconds.
 
 use std::collections::BTreeSet;
 
