Log how an endpoint was found not to work, and whether a caller had a part of its answer

Change: findings carry a cause (core::fleet::health, split off the view); the log lines carry `cause` and `cut`; the counter answers_cut counts answers ended midway, by reason. No decision changes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,6 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
+pub mod health;
 pub mod lag;
 pub mod liveness;
 pub mod message;
@@ -14,6 +15,7 @@
 use oriole_macros::{data, key};
 
 use crate::time::Instant;
+pub use health::{Cause, UNHEALTHY_PERIOD};
 pub use message::{Gossip, Incarnation, Load, Message, Topic};
 
 use crate::{name, placement};
@@ -65,9 +67,6 @@
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
 }
 
-/// Time for which an endpoint is treated as unhealthy after the last such finding.
-pub const UNHEALTHY_PERIOD: Duration = Duration::from_secs(6);
-
 /// State that an endpoint reported directly, without the store.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -90,8 +89,7 @@
     /// Endpoints that are missing from the last listing and may still register again.
     unregistered: BTreeSet<name::Endpoint>,
     reports: BTreeMap<name::Endpoint, Report>,
-    unhealthy: BTreeMap<name::Endpoint, (u64, Instant)>,
-    suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
+    health: health::Health,
     draining: BTreeMap<name::Endpoint, Instant>,
     pauses: refusal::Pauses,
     paces: pace::Paces,
@@ -101,12 +99,6 @@
     first_listed_at: Option<Instant>,
 }
 
-/// Window within which suspicions of several entries are counted together.
-const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
-
-/// Two entries must suspect an endpoint, and one more for each this many entries.
-const ENTRIES_PER_EXTRA_SUSPICION: usize = 10;
-
 /// Time between two listings above which leases may have expired in between.
 const OUTAGE_GAP: Duration = Duration::from_secs(2);
 
@@ -187,21 +179,18 @@
     pub fn mark_unhealthy(
         &mut self,
         incarnation: &Incarnation,
+        cause: Cause,
         seen_at: Instant,
         now: Instant,
     ) -> bool {
         let was_unhealthy = self.is_unhealthy(&incarnation.endpoint, now);
-        let known = self.unhealthy.get(&incarnation.endpoint);
-        if known.is_none_or(|(born, at)| (*born, *at) < (incarnation.born, seen_at)) {
-            self.unhealthy.insert(incarnation.endpoint.clone(), (incarnation.born, seen_at));
-        }
+        self.health.record(incarnation, cause, seen_at);
         !was_unhealthy && self.is_unhealthy(&incarnation.endpoint, now)
     }
 
     /// Records that an endpoint did not answer the entry `by`, one of `entries` entries.
     ///
-    /// An entry that is slow or has a slow link gets no answer from healthy endpoints, so several
-    /// entries must agree. Returns whether this marks the endpoint as unhealthy.
+    /// Several entries must agree. Returns whether this marks the endpoint as unhealthy.
     pub fn suspect(
         &mut self,
         incarnation: &Incarnation,
@@ -209,22 +198,13 @@
         entries: usize,
         now: Instant,
     ) -> bool {
-        let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
-        suspicions.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
-        suspicions.insert(by, (incarnation.born, now));
-        let agreeing = suspicions.values().filter(|(born, _)| *born == incarnation.born).count();
-        let needed = if entries <= 1 { 1 } else { 2 + entries / ENTRIES_PER_EXTRA_SUSPICION };
-        agreeing >= needed && self.mark_unhealthy(incarnation, now, now)
+        let is_agreed = self.health.suspect(incarnation, by, entries, now);
+        is_agreed && self.mark_unhealthy(incarnation, Cause::Silent, now, now)
     }
 
     /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
     pub fn unhealthy(&self, now: Instant) -> Vec<(Incarnation, u64)> {
-        let fresh = self.unhealthy.iter().filter(|(_, (_, at))| now.since(*at) < UNHEALTHY_PERIOD);
-        let reported = fresh.map(|(id, (born, at))| {
-            let incarnation = Incarnation { endpoint: id.clone(), born: *born };
-            (incarnation, now.since(*at).as_millis() as u64)
-        });
-        reported.collect()
+        self.health.unhealthy(now)
     }
 
     /// Sends no new work to an endpoint that refused a request, for a while ([`refusal`]).
@@ -238,12 +218,12 @@
     ///
     /// A finding about one incarnation does not apply to later ones.
     pub fn is_unhealthy(&self, id: &name::Endpoint, now: Instant) -> bool {
-        let Some((born, at)) = self.unhealthy.get(id) else {
-            return false;
-        };
-        // Requests in progress may ask about an endpoint that is no longer listed.
-        let same = self.get(id).is_none_or(|e| e.born == *born);
-        same && now.since(*at) < UNHEALTHY_PERIOD
+        self.unhealthy_cause(id, now).is_some()
+    }
+
+    /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
+    pub fn unhealthy_cause(&self, id: &name::Endpoint, now: Instant) -> Option<Cause> {
+        self.health.cause(id, self.get(id).map(|e| e.born), now)
     }
 
     /// Records the pace that an endpoint reported, and returns whether it became slow or ceased to
@@ -291,7 +271,7 @@
     /// This is so if all unhealthy, paused and draining periods are over.
     pub fn has_no_pending_expiry(&self, grace: Duration, now: Instant) -> bool {
         let is_over = |at: &Instant, period: Duration| now.since(*at) >= period;
-        self.unhealthy.values().all(|(_, at)| is_over(at, UNHEALTHY_PERIOD))
+        self.health.are_over(now)
             && self.pauses.are_over(now)
             && self.draining.values().all(|at| is_over(at, grace))
     }
--- /dev/null
+++ b/crates/core/src/fleet/health.rs
@@ -0,0 +1,112 @@
+//! Which endpoints do not work, by what entries found and told each other.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_macros::key;
+
+use super::Incarnation;
+use crate::name;
+use crate::time::Instant;
+
+/// Time for which an endpoint is treated as unhealthy after the last such finding.
+pub const UNHEALTHY_PERIOD: Duration = Duration::from_secs(6);
+
+/// Window within which suspicions of several entries are counted together.
+const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
+
+/// Two entries must suspect an endpoint, and one more for each this many entries.
+const ENTRIES_PER_EXTRA_SUSPICION: usize = 10;
+
+/// How an endpoint was found to be unhealthy.
+#[key]
+pub enum Cause {
+    /// It refuses connections.
+    ConnectionRefused,
+    /// It has started again and lost its work in progress.
+    Restarted,
+    /// Another endpoint refused a request because of it, and it gives no report.
+    AtFault,
+    /// Requests of another endpoint wait for it.
+    Stalled,
+    /// Another entry found it unhealthy.
+    Peer,
+    /// Several entries get no answer from it.
+    Silent,
+}
+
+/// A finding about one incarnation of an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Finding {
+    born: u64,
+    at: Instant,
+    cause: Cause,
+}
+
+/// Findings and suspicions about endpoints.
+#[derive(Debug, Default)]
+pub struct Health {
+    findings: BTreeMap<name::Endpoint, Finding>,
+    suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
+}
+
+impl Health {
+    /// Records a finding that was made at `seen_at`. Older ones do not replace newer ones.
+    pub fn record(&mut self, incarnation: &Incarnation, cause: Cause, seen_at: Instant) {
+        let known = self.findings.get(&incarnation.endpoint);
+        if known.is_none_or(|f| (f.born, f.at) < (incarnation.born, seen_at)) {
+            let finding = Finding { born: incarnation.born, at: seen_at, cause };
+            self.findings.insert(incarnation.endpoint.clone(), finding);
+        }
+    }
+
+    /// Records that an endpoint did not answer the entry `by`, one of `entries` entries.
+    ///
+    /// Returns whether enough entries agree.
+    pub fn suspect(
+        &mut self,
+        incarnation: &Incarnation,
+        by: name::Host,
+        entries: usize,
+        now: Instant,
+    ) -> bool {
+        let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
+        suspicions.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
+        suspicions.insert(by, (incarnation.born, now));
+        let agreeing = suspicions.values().filter(|(born, _)| *born == incarnation.born).count();
+        agreeing >= needed_suspicions(entries)
+    }
+
+    /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
+    ///
+    /// `born` is the start of its current incarnation if it is listed; requests in progress may ask
+    /// about an endpoint that no longer is.
+    pub fn cause(&self, id: &name::Endpoint, born: Option<u64>, now: Instant) -> Option<Cause> {
+        let finding = self.findings.get(id)?;
+        let is_same = born.is_none_or(|born| born == finding.born);
+        (is_same && now.since(finding.at) < UNHEALTHY_PERIOD).then_some(finding.cause)
+    }
+
+    /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
+    pub fn unhealthy(&self, now: Instant) -> Vec<(Incarnation, u64)> {
+        let fresh = self.findings.iter().filter(|(_, f)| now.since(f.at) < UNHEALTHY_PERIOD);
+        let reported = fresh.map(|(id, finding)| {
+            let incarnation = Incarnation { endpoint: id.clone(), born: finding.born };
+            (incarnation, now.since(finding.at).as_millis() as u64)
+        });
+        reported.collect()
+    }
+
+    /// Returns whether no finding is in force.
+    pub fn are_over(&self, now: Instant) -> bool {
+        self.findings.values().all(|f| now.since(f.at) >= UNHEALTHY_PERIOD)
+    }
+}
+
+/// Returns the number of entries that must suspect an endpoint, of `entries` entries.
+///
+/// An entry that is slow or has a slow link gets no answer from healthy endpoints, so several
+/// entries must agree.
+fn needed_suspicions(entries: usize) -> usize {
+    if entries <= 1 { 1 } else { 2 + entries / ENTRIES_PER_EXTRA_SUSPICION }
+}
--- a/crates/core/tests/chain_loss.rs
+++ b/crates/core/tests/chain_loss.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet_fixture::{listing, model, route, service, site_with};
-use oriole_core::fleet::{Incarnation, View};
+use oriole_core::fleet::{Cause, Incarnation, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::placement::{Model, Plan, Stage, revise};
@@ -28,7 +28,7 @@
     view.update_listing(listing(&site_with(2), plan), at_ms(0));
     if let Some(stage) = lost {
         let incarnation = Incarnation { endpoint: stage.endpoint.clone(), born: 1 };
-        view.mark_unhealthy(&incarnation, now, now);
+        view.mark_unhealthy(&incarnation, Cause::ConnectionRefused, now, now);
     }
     let service = service();
     let resolver = Resolver { model, service: &service, view: &view, grace: GRACE, now };
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet_fixture::{listing, model, route, service, site};
-use oriole_core::fleet::{Incarnation, Load, State, View};
+use oriole_core::fleet::{Cause, Incarnation, Load, State, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
 use oriole_core::forward::choice::{self, Failures};
 use oriole_core::forward::in_flight::{Tracker, Work};
@@ -78,7 +78,8 @@
     }
 
     fn mark_unhealthy(&mut self, id: &name::Endpoint, now: Instant) {
-        self.view.mark_unhealthy(&Incarnation { endpoint: id.clone(), born: 1 }, now, now);
+        let incarnation = Incarnation { endpoint: id.clone(), born: 1 };
+        self.view.mark_unhealthy(&incarnation, Cause::ConnectionRefused, now, now);
     }
 }
 
@@ -137,8 +138,8 @@
     let reported = fixture.view.unhealthy(at_ms(4_000));
     assert_eq!((reported.len(), reported[0].1), (1, 4_000));
     let mut other = Fixture::new();
-    assert!(other.view.mark_unhealthy(&reported[0].0, at_ms(0), at_ms(4_000)));
-    assert!(!fixture.view.mark_unhealthy(&reported[0].0, at_ms(0), at_ms(4_000)));
+    assert!(other.view.mark_unhealthy(&reported[0].0, Cause::Peer, at_ms(0), at_ms(4_000)));
+    assert!(!fixture.view.mark_unhealthy(&reported[0].0, Cause::Peer, at_ms(0), at_ms(4_000)));
     assert!(other.view.is_unhealthy(&id, at_ms(5_900)));
     assert!(!other.view.is_unhealthy(&id, at_ms(6_100)));
 }
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -5,7 +5,8 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use oriole_core::forward::chain::Chain;
+use oriole_core::fleet::Cause;
+use oriole_core::forward::chain::{Chain, Hop};
 use oriole_core::forward::outcome::Failure;
 use tokio::time::sleep;
 
@@ -45,7 +46,11 @@
         loop {
             let mut health_changed = pin!(state.health_changed.notified());
             health_changed.as_mut().enable();
-            if is_broken(state, chain) {
+            if let Some((stage, cause)) = broken_stage(state, chain) {
+                log::info!(
+                    id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
+                    "a stage of the chain does not work"
+                );
                 if let Some((other, slot)) = self.reserve_unless_movable(chain) {
                     return Err(Outcome::Rerouted(other, slot));
                 }
@@ -103,9 +108,9 @@
     }
 }
 
-/// Returns whether a stage of the chain is unhealthy.
-fn is_broken(state: &Shared, chain: &Chain) -> bool {
-    chain.hops.iter().any(|h| state.is_unhealthy(&h.endpoint))
+/// Returns the first unhealthy stage of the chain and how it was found to be so, if there is one.
+fn broken_stage<'a>(state: &Shared, chain: &'a Chain) -> Option<(&'a Hop, Cause)> {
+    chain.hops.iter().find_map(|hop| Some((hop, state.unhealthy_cause(&hop.endpoint)?)))
 }
 
 /// Returns whether any stream of this entry on the chain has had an event recently.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -37,6 +37,8 @@
     pub served: Counter,
     /// Requests that the entry answered itself, by reason.
     pub refused: Reasons,
+    /// Answers that the entry ended after a part of them had been sent, by reason.
+    pub cut: Reasons,
     /// Attempts that failed, by reason.
     pub failures: Reasons,
     /// Attempts beyond the first one of each request.
@@ -82,6 +84,7 @@
             requests: Counter::default(),
             served: Counter::default(),
             refused: Reasons::default(),
+            cut: Reasons::default(),
             failures: Reasons::default(),
             retries: Counter::default(),
             moves: Counter::default(),
@@ -110,6 +113,7 @@
         r.register("requests", "Requests that the routing table allows", self.requests.clone());
         r.register("served", "Answers passed on whole", self.served.clone());
         r.register("refused", "Requests answered by the entry itself", self.refused.clone());
+        r.register("answers_cut", "Answers ended midway", self.cut.clone());
         r.register("attempt_failures", "Attempts that failed", self.failures.clone());
         r.register("retries", "Attempts after a request's first one", self.retries.clone());
         r.register("moves", "Streams moved around a lost stage", self.moves.clone());
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::{Gossip, Message, Topic, polling};
+use oriole_core::fleet::{Cause, Gossip, Message, Topic, polling};
 use oriole_core::forward::in_flight;
 use oriole_core::message;
 use oriole_core::name;
@@ -137,7 +137,8 @@
             request_newer(state, hub, &host, &gossip);
             let now = state.now();
             for (incarnation, age_ms) in &gossip.unhealthy {
-                state.mark_unhealthy(incarnation, Duration::from_millis(*age_ms), host.as_str());
+                let age = Duration::from_millis(*age_ms);
+                state.mark_unhealthy(incarnation, Cause::Peer, age, host.as_str());
             }
             let mut inner = state.inner.borrow_mut();
             let ready_in = Duration::from_millis(gossip.ready_in_ms);
@@ -174,7 +175,7 @@
             state.suspect(&incarnation, &host);
         }
         Message::Unhealthy(incarnation) => {
-            state.mark_unhealthy(&incarnation, Duration::ZERO, host.as_str());
+            state.mark_unhealthy(&incarnation, Cause::Peer, Duration::ZERO, host.as_str());
         }
     }
 }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -15,7 +15,7 @@
 use oriole_platform::{header, ingress};
 
 use crate::metrics::Metrics;
-use crate::reply::Writer;
+use crate::reply::{Progress, Writer};
 use crate::state::Shared;
 use crate::{call, generation};
 
@@ -202,9 +202,14 @@
     let waited_ms = state.now().since(request.arrived).as_millis() as u64;
     let route = request.route.name.as_str();
     let (table, plan) = state.versions();
-    log::info!(id = request.id(), route, reason:?, not_run, waited_ms, table, plan; "given up");
+    let cut = writer.progress() != Progress::NotStarted;
+    log::info!(
+        id = request.id(), route, reason:?, not_run, cut, waited_ms, table, plan;
+        "given up"
+    );
     Metrics::count(&state.metrics.refused, reason.as_str());
-    if writer.progress() != crate::reply::Progress::NotStarted {
+    if cut {
+        Metrics::count(&state.metrics.cut, reason.as_str());
         return Ok(());
     }
     if not_run {
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::Incarnation;
+use oriole_core::fleet::{Cause, Incarnation};
 use oriole_core::name;
 
 use super::State;
@@ -11,12 +11,19 @@
     /// Marks an endpoint as unhealthy and returns whether it was healthy before.
     ///
     /// `age` is the time since the finding, and `reporter` the host that reported it.
-    pub fn mark_unhealthy(&self, incarnation: &Incarnation, age: Duration, reporter: &str) -> bool {
+    pub fn mark_unhealthy(
+        &self,
+        incarnation: &Incarnation,
+        cause: Cause,
+        age: Duration,
+        reporter: &str,
+    ) -> bool {
         let now = self.now();
-        let is_new = self.inner.borrow_mut().view.mark_unhealthy(incarnation, now - age, now);
+        let is_new =
+            self.inner.borrow_mut().view.mark_unhealthy(incarnation, cause, now - age, now);
         if is_new {
             log::warn!(
-                endpoint = incarnation.endpoint.as_str(), word = reporter;
+                endpoint = incarnation.endpoint.as_str(), word = reporter, cause:?;
                 "endpoint does not work"
             );
             self.metrics.unhealthy.inc();
@@ -55,6 +62,11 @@
 
     /// Returns whether an endpoint is treated as unhealthy.
     pub fn is_unhealthy(&self, endpoint: &name::Endpoint) -> bool {
-        self.inner.borrow().view.is_unhealthy(endpoint, self.now())
+        self.unhealthy_cause(endpoint).is_some()
+    }
+
+    /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
+    pub fn unhealthy_cause(&self, endpoint: &name::Endpoint) -> Option<Cause> {
+        self.inner.borrow().view.unhealthy_cause(endpoint, self.now())
     }
 }
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_adapter::exchange::Error;
-use oriole_core::fleet::{Incarnation, Message};
+use oriole_core::fleet::{Cause, Incarnation, Message};
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_platform::endpoint::{self, Report};
 
@@ -65,7 +65,7 @@
                     "report of the first stage of a silent chain"
                 );
                 for hop in chain.hops.iter().filter(|h| report.stalled.contains(&h.address)) {
-                    mark_unhealthy(&state, &hop.incarnation());
+                    mark_unhealthy(&state, &hop.incarnation(), Cause::Stalled);
                 }
             }
         }
@@ -91,7 +91,7 @@
         actix_rt::spawn(async move {
             match request_report(hop.address).await {
                 Ok(report) if report.born == hop.born => {}
-                Ok(_) => mark_unhealthy(&state, &hop.incarnation()),
+                Ok(_) => mark_unhealthy(&state, &hop.incarnation(), Cause::Restarted),
                 Err(error) => record_no_answer(&state, &hop.incarnation(), &error),
             }
         });
@@ -130,9 +130,9 @@
                     state.refresh();
                 }
             }
-            Ok(_) => mark_unhealthy(&state, &incarnation),
+            Ok(_) => mark_unhealthy(&state, &incarnation, Cause::Restarted),
             // The endpoint that refused has found it to be at fault as well.
-            Err(_) if at_fault.is_some() => mark_unhealthy(&state, &incarnation),
+            Err(_) if at_fault.is_some() => mark_unhealthy(&state, &incarnation, Cause::AtFault),
             Err(error) => record_no_answer(&state, &incarnation, &error),
         }
     });
@@ -144,7 +144,7 @@
 /// or its link, so the endpoint is marked as unhealthy only once other entries see it as well.
 pub fn record_no_answer(state: &Shared, incarnation: &Incarnation, error: &Error) {
     if matches!(error, Error::Connect(e) if e.kind() == ErrorKind::ConnectionRefused) {
-        mark_unhealthy(state, incarnation);
+        mark_unhealthy(state, incarnation, Cause::ConnectionRefused);
         return;
     }
     peers::broadcast(state, &Message::Suspicion(incarnation.clone()));
@@ -152,8 +152,8 @@
 }
 
 /// Marks an endpoint as unhealthy and tells the other entries.
-fn mark_unhealthy(state: &Shared, incarnation: &Incarnation) {
-    if state.mark_unhealthy(incarnation, Duration::ZERO, state.host.as_str()) {
+fn mark_unhealthy(state: &Shared, incarnation: &Incarnation, cause: Cause) {
+    if state.mark_unhealthy(incarnation, cause, Duration::ZERO, state.host.as_str()) {
         peers::broadcast(state, &Message::Unhealthy(incarnation.clone()));
     }
 }
