Wait for streams whose stage is silent instead of ending them

Cause: silence seen by enough entries made an endpoint unhealthy, and that was taken for the loss of its work. Where no other chain had room, no stage could be replaced or no retry was left, the stream was ended although its connection was open and its engine would go on.

Change: findings say whether work is certainly lost (refused connections, a restart, a refusal that names the endpoint together with its silence). Otherwise the stream waits for its engine and looks for another chain every 200 ms; if the stage is lost, the engine before it ends the response.

--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -35,6 +35,14 @@
     Silent,
 }
 
+impl Cause {
+    /// Returns whether the endpoint has certainly lost its work in progress. Otherwise it may still
+    /// go on with it.
+    pub fn is_loss(self) -> bool {
+        matches!(self, Self::ConnectionRefused | Self::Restarted | Self::AtFault)
+    }
+}
+
 /// A finding about one incarnation of an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Finding {
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -19,20 +19,24 @@
 /// streams of the chain have events.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Interval at which a stream on a chain with a silent stage looks for another chain.
+const BROKEN_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 impl Attempt<'_> {
     /// Waits for `work` while all stages of the chain are healthy.
     ///
     /// After `silence`, the first stage is asked for a report. If a stage is unhealthy, the request
     /// moves to a chain with the same first stage, as soon as there is one. The attempt ends
     ///
-    /// - if there is no such chain in time,
+    /// - if there is no such chain in time, and a stage has certainly lost its work,
     /// - if another chain has capacity, and there is no such chain yet or it crosses between
     ///   availability zones more often, so that its new stages would prefill all tokens across
     ///   zones,
     /// - if other requests on the chain have events, this one has none, and another chain has
     ///   capacity.
     ///
-    /// Silence alone does not end an attempt.
+    /// Silence alone does not end an attempt: a stage that seems to be lost may go on, and if it does
+    /// not, the stage before it ends the response.
     pub(super) async fn watch<T>(
         &self,
         chain: &mut Chain,
@@ -43,14 +47,17 @@
         let began = state.now();
         let mut work = pin!(work);
         let mut limit = silence;
+        let mut is_logged = false;
         loop {
             let mut health_changed = pin!(state.health_changed.notified());
             health_changed.as_mut().enable();
             if let Some((stage, cause)) = broken_stage(state, chain) {
-                log::info!(
-                    id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
-                    "a stage of the chain does not work"
-                );
+                if !std::mem::replace(&mut is_logged, true) {
+                    log::info!(
+                        id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
+                        "a stage of the chain does not work"
+                    );
+                }
                 if let Some((other, slot)) = self.reserve_unless_movable(chain) {
                     return Err(Outcome::Rerouted(other, slot));
                 }
@@ -58,11 +65,20 @@
                 tokio::select! {
                     biased;
                     result = &mut work => return Ok(result),
-                    moved = repath::run(state, self.request, chain) => match moved {
-                        Some(other) => *chain = other,
-                        None => return Err(Outcome::Failed(Failure::Doubted)),
+                    moved = repath::run(state, self.request, chain) => if let Some(other) = moved {
+                        *chain = other;
+                        continue;
                     },
                 }
+                if has_lost_stage(state, chain) {
+                    return Err(Outcome::Failed(Failure::Doubted));
+                }
+                tokio::select! {
+                    biased;
+                    result = &mut work => return Ok(result),
+                    () = health_changed => {}
+                    () = sleep(BROKEN_RECHECK_INTERVAL) => {}
+                }
                 continue;
             }
             let left = (began + limit).since(state.now());
@@ -113,6 +129,12 @@
     chain.hops.iter().find_map(|hop| Some((hop, state.unhealthy_cause(&hop.endpoint)?)))
 }
 
+/// Returns whether a stage of the chain has certainly lost its work in progress.
+fn has_lost_stage(state: &Shared, chain: &Chain) -> bool {
+    let mut causes = chain.hops.iter().filter_map(|hop| state.unhealthy_cause(&hop.endpoint));
+    causes.any(Cause::is_loss)
+}
+
 /// Returns whether any stream of this entry on the chain has had an event recently.
 fn has_recent_event(state: &Shared, chain: &Chain) -> bool {
     let inner = state.inner.borrow();
