Keep the response of a silent chain until another chain has sent an event

Cause: a stream that left its silent chain closed its connection before the other chain had taken the request. If that one refused it, or could not be reached, nothing was left, though the first engine went on.

Change: the response that is left is kept, unread and with its capacity, until the first event of the other chain; if that fails without one, the stream goes on where it was. The loop over attempts is split into the steps of a Generation.

--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -7,7 +7,7 @@
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits a stream of bytes into complete events.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Splitter {
     partial: Vec<u8>,
     last_id: Option<String>,
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -10,12 +10,16 @@
 mod timing;
 mod watch;
 
+use std::cell::Cell;
 use std::io;
+use std::time::Duration;
 
+use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::queue;
-use std::time::Duration;
+use oriole_core::name;
+use oriole_core::time::Instant;
 
 use crate::metrics::Metrics;
 use crate::reply::Writer;
@@ -23,90 +27,147 @@
 use crate::state::Shared;
 
 pub use admission::{Refusal, Slot};
-use attempt::{Attempt, Outcome};
+use attempt::{Attempt, Detour, Outcome, Suspended};
 use timing::Timing;
 
 /// Longest wait for capacity after a failed attempt; callers disconnect soon after.
 const MAX_RESUME_WAIT: Duration = Duration::from_millis(1200);
 
+/// What a request does next.
+enum Next {
+    /// It waits for capacity on a chain, other than `failed` if possible, until `until`.
+    Wait { failed: Option<name::Endpoint>, until: Instant },
+    /// It runs on a chain on which capacity has been reserved.
+    Run(Chain, Slot),
+    /// It goes on with the response of an earlier attempt.
+    Continue(Box<Suspended>),
+}
+
+/// A request and its attempts so far.
+struct Generation<'a> {
+    state: &'a Shared,
+    request: &'a Request,
+    attempts: Attempts,
+    timing: Timing,
+    suspended: Cell<Option<Box<Suspended>>>,
+}
+
 /// Serves the request, with further attempts on other chains as far as its route allows.
 ///
 /// An error means that the connection to the caller is lost.
 pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
+    let mut generation = Generation {
+        state,
+        request,
+        attempts: Attempts::default(),
+        timing: Timing::default(),
+        suspended: Cell::default(),
+    };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
-    let mut attempts = Attempts::default();
-    let timing = Timing::default();
-    let mut wait_until =
-        queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
-    let mut reserved = None;
-    let mut failed_chain = None;
+    let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
+    let mut next = Next::Wait { failed: None, until };
     loop {
-        let admitted = match reserved.take() {
-            Some(admitted) => Ok(admitted),
-            None => {
-                let ran_at = &attempts.ran_at;
-                admission::acquire(state, request, ran_at, failed_chain.as_ref(), wait_until).await
+        let (mut chain, slot, continued) = match next {
+            Next::Run(chain, slot) => (chain, slot, None),
+            Next::Continue(earlier) => {
+                splitter = earlier.splitter;
+                (earlier.chain, earlier.slot, Some(earlier.response))
             }
-        };
-        let (mut chain, slot) = match admitted {
-            Ok(admitted) => admitted,
-            Err(refusal) => {
-                let reason = match refusal {
-                    Refusal::NoRoom => Reason::NoRoom,
-                    Refusal::Stopping => Reason::Stopping,
-                };
-                return give_up(state, request, writer, reason, !attempts.may_have_run).await;
+            Next::Wait { failed, until } => {
+                let ran_at = &generation.attempts.ran_at;
+                match admission::acquire(state, request, ran_at, failed.as_ref(), until).await {
+                    Ok((chain, slot)) => (chain, slot, None),
+                    Err(refusal) => return generation.give_up(writer, refusal.into()).await,
+                }
             }
         };
         let sent = state.now();
-        let outcome = attempt::run(
-            Attempt { state, request, attempts: &attempts, slot: &slot, timing: &timing },
-            &mut chain,
-            &mut splitter,
-            writer,
-        )
-        .await;
-        drop(slot);
-        let now = state.now();
-        let head = chain.head().as_str();
-        let took_ms = now.since(sent).as_millis() as u64;
-        let waited_ms = sent.since(request.arrived).as_millis() as u64;
+        let context = generation.context(&slot);
+        let outcome = attempt::run(context, &mut chain, continued, &mut splitter, writer).await;
         let failure = match outcome {
             Outcome::Complete => {
-                let first_ms = timing.first_event_after(request.arrived).as_millis() as u64;
-                let pause_ms = timing.longest_pause().as_millis() as u64;
-                log::info!(
-                    id = request.id(), head, waited_ms, first_ms, pause_ms, took_ms;
-                    "served"
-                );
-                state.metrics.served.inc();
-                Metrics::time(&state.metrics.answer, now.since(request.arrived));
+                generation.log_served(&chain, sent);
                 return Ok(());
             }
             Outcome::CallerLost(error) => return Err(error),
             Outcome::DeadlineExceeded => {
+                drop(slot);
                 return give_up(state, request, writer, Reason::Timeout, false).await;
             }
-            Outcome::Rerouted(chain, slot) => {
-                reserved = Some((chain, slot));
-                Failure::Doubted
+            Outcome::Rerouted(detour) => {
+                generation.record_failure(&chain, Failure::Doubted, sent);
+                next = generation.leave(chain, slot, splitter.clone(), *detour);
+                continue;
             }
             Outcome::Failed(failure) => failure,
         };
-        log::info!(id = request.id(), head, waited_ms, took_ms, failure:?; "attempt failed");
-        Metrics::count(&state.metrics.failures, failure.as_str());
-        attempts.record(chain.head(), failure);
-        if reserved.is_some() {
-            continue;
+        drop(slot);
+        generation.record_failure(&chain, failure, sent);
+        next = match generation.after_failure(chain, failure) {
+            Ok(next) => next,
+            Err(reason) => return generation.give_up(writer, reason).await,
+        };
+    }
+}
+
+impl Generation<'_> {
+    /// Returns the context of the next attempt, for which `slot` is reserved.
+    fn context<'a>(&'a self, slot: &'a Slot) -> Attempt<'a> {
+        let Self { state, request, attempts, timing, suspended } = self;
+        Attempt { state, request, attempts, slot, timing, suspended }
+    }
+
+    /// Leaves a chain for another one, and keeps the response of the first one that was left.
+    fn leave(&mut self, chain: Chain, slot: Slot, splitter: Splitter, detour: Detour) -> Next {
+        let left = detour.left.map(|response| Suspended { chain, slot, response, splitter });
+        if self.suspended.get_mut().is_none() {
+            self.suspended.set(left.map(Box::new));
         }
-        let not_run = !attempts.may_have_run;
-        if !attempts.may_retry(&request.route, failure) {
-            return give_up(state, request, writer, Reason::Failed, not_run).await;
+        Next::Run(detour.chain, detour.slot)
+    }
+
+    /// Decides what follows a failed attempt on `chain`, or why nothing does.
+    fn after_failure(&mut self, chain: Chain, failure: Failure) -> Result<Next, Reason> {
+        let (state, request) = (self.state, self.request);
+        if let Some(earlier) = self.suspended.take() {
+            log::info!(id = request.id(); "going on with the response of an earlier attempt");
+            return Ok(Next::Continue(earlier));
+        }
+        if !self.attempts.may_retry(&request.route, failure) {
+            return Err(Reason::Failed);
         }
         if !state.take_retry(&request.service) {
-            return give_up(state, request, writer, Reason::NoBudget, not_run).await;
+            return Err(Reason::NoBudget);
         }
-        failed_chain = Some(chain.key);
-        wait_until = (now + MAX_RESUME_WAIT).min(request.deadline);
+        let until = (state.now() + MAX_RESUME_WAIT).min(request.deadline);
+        Ok(Next::Wait { failed: Some(chain.key), until })
+    }
+
+    async fn give_up(&self, writer: &mut Writer, reason: Reason) -> io::Result<()> {
+        give_up(self.state, self.request, writer, reason, !self.attempts.may_have_run).await
+    }
+
+    /// Records, logs and counts a failed attempt that was sent at `sent`.
+    fn record_failure(&mut self, chain: &Chain, failure: Failure, sent: Instant) {
+        let (id, head) = (self.request.id(), chain.head().as_str());
+        let took_ms = self.state.now().since(sent).as_millis() as u64;
+        let waited_ms = sent.since(self.request.arrived).as_millis() as u64;
+        log::info!(id, head, waited_ms, took_ms, failure:?; "attempt failed");
+        Metrics::count(&self.state.metrics.failures, failure.as_str());
+        self.attempts.record(chain.head(), failure);
+    }
+
+    /// Logs and counts a request whose response has been forwarded completely; its last attempt was
+    /// sent at `sent`.
+    fn log_served(&self, chain: &Chain, sent: Instant) {
+        let (now, arrived) = (self.state.now(), self.request.arrived);
+        let (id, head) = (self.request.id(), chain.head().as_str());
+        let took_ms = now.since(sent).as_millis() as u64;
+        let waited_ms = sent.since(arrived).as_millis() as u64;
+        let first_ms = self.timing.first_event_after(arrived).as_millis() as u64;
+        let pause_ms = self.timing.longest_pause().as_millis() as u64;
+        log::info!(id, head, waited_ms, first_ms, pause_ms, took_ms; "served");
+        self.state.metrics.served.inc();
+        Metrics::time(&self.state.metrics.answer, now.since(arrived));
     }
 }
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -10,7 +10,7 @@
 use std::pin::pin;
 use tokio::time::sleep;
 
-use crate::serve::Request;
+use crate::serve::{Reason, Request};
 use crate::state::Shared;
 
 /// Why a request is not admitted to any chain.
@@ -22,6 +22,15 @@
     Stopping,
 }
 
+impl From<Refusal> for Reason {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::NoRoom => Self::NoRoom,
+            Refusal::Stopping => Self::Stopping,
+        }
+    }
+}
+
 /// Capacity on a chain or a plain endpoint, reserved until this is dropped.
 pub struct Slot {
     state: Shared,
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -2,6 +2,7 @@
 //!
 //! During the attempt, stages of the chain may be replaced; see [`super::repath`].
 
+use std::cell::Cell;
 use std::io;
 use std::time::Duration;
 
@@ -40,14 +41,39 @@
     Complete,
     /// The attempt failed.
     Failed(Failure),
-    /// The chain broke or stalled, and capacity on this other chain has been reserved.
-    Rerouted(Chain, Slot),
+    /// The chain broke or stalled, and capacity on another chain has been reserved.
+    Rerouted(Box<Detour>),
     /// The deadline of the request has passed.
     DeadlineExceeded,
     /// Writing to the caller failed.
     CallerLost(io::Error),
 }
 
+/// Capacity on another chain, reserved for a request whose chain is broken or stalls.
+pub struct Detour {
+    /// The other chain.
+    pub chain: Chain,
+    /// Capacity on it.
+    pub slot: Slot,
+    /// The response of the chain that is left, if its head has arrived.
+    pub left: Option<Response>,
+}
+
+/// A response that is not read while its request runs on another chain.
+///
+/// If the other chain fails before its first event, the request goes on with this response: its
+/// stages may work again by then. Dropping it ends the request on its chain.
+pub struct Suspended {
+    /// The chain of the response.
+    pub chain: Chain,
+    /// Capacity on the chain.
+    pub slot: Slot,
+    /// The response.
+    pub response: Response,
+    /// Events of the response so far.
+    pub splitter: Splitter,
+}
+
 /// Context of an attempt.
 #[derive(Clone, Copy)]
 pub struct Attempt<'a> {
@@ -61,19 +87,26 @@
     pub slot: &'a Slot,
     /// Arrival times of the events over all attempts.
     pub timing: &'a Timing,
+    /// The response of an earlier attempt, which is dropped at the first event of this one.
+    pub suspended: &'a Cell<Option<Box<Suspended>>>,
 }
 
-/// Sends the request to the chain and forwards the events to the caller.
+/// Sends the request to the chain, or goes on with the response `continued` of an earlier attempt, and
+/// forwards the events to the caller.
 ///
 /// `chain` is updated when the request moves to other stages. `splitter` holds the id of the last
 /// event that was forwarded, after which the endpoint resumes.
 pub async fn run(
     attempt: Attempt<'_>,
     chain: &mut Chain,
+    continued: Option<Response>,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
     let exchange = async {
+        if let Some(answer) = continued {
+            return forward_events(attempt, chain, answer, splitter, writer).await;
+        }
         match send(attempt, chain, splitter).await {
             Ok(answer) => forward_stream(attempt, chain, answer, splitter, writer).await,
             Err(outcome) => outcome,
@@ -143,7 +176,7 @@
     }
 }
 
-/// Forwards complete events to the caller until the stream ends.
+/// Forwards a response to the caller.
 ///
 /// A response without status 200 is not a stream and is forwarded as one body, unless it is a
 /// server error and the request may run again.
@@ -154,21 +187,37 @@
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
-    let Attempt { state, request, .. } = attempt;
-    let Response { head, mut body } = answer;
-    if head.status != StatusCode::OK {
-        if head.status.is_server_error() && request.route.may_repeat() {
+    let status = answer.head.status;
+    if status != StatusCode::OK {
+        if status.is_server_error() && attempt.request.route.may_repeat() {
             return Outcome::Failed(Failure::Unknown);
         }
-        return forward_unstreamed(&head, body, writer).await;
+        return forward_unstreamed(&answer.head, answer.body, writer).await;
     }
     // Drops a partial event of an earlier attempt, which this attempt sends again from its start.
     *splitter = Splitter::after(splitter.last_id().map(str::to_owned));
+    forward_events(attempt, chain, answer, splitter, writer).await
+}
+
+/// Forwards complete events to the caller until the stream ends.
+async fn forward_events(
+    attempt: Attempt<'_>,
+    chain: &mut Chain,
+    answer: Response,
+    splitter: &mut Splitter,
+    writer: &mut Writer,
+) -> Outcome {
+    let Attempt { state, request, .. } = attempt;
+    let Response { head, mut body } = answer;
     let mut is_first = writer.progress() == Progress::NotStarted;
     let mut silence = FIRST_EVENT_SILENCE;
     let mut stream = Stream::new(attempt, chain);
     loop {
         let bytes = match attempt.watch(chain, silence, body.next()).await {
+            Err(Outcome::Rerouted(detour)) => {
+                let left = Some(Response { head, body });
+                return Outcome::Rerouted(Box::new(Detour { left, ..*detour }));
+            }
             Err(outcome) => return outcome,
             Ok(Err(e)) => {
                 log::info!(id = request.id(), error:% = e; "reading the response stream failed");
@@ -240,6 +289,7 @@
             None => {
                 drop(inner);
                 self.attempt.slot.begin_stream();
+                drop(self.attempt.suspended.take());
             }
         }
         self.last = Some(now);
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -10,8 +10,8 @@
 use oriole_core::forward::outcome::Failure;
 use tokio::time::sleep;
 
-use super::attempt::{Attempt, EVENT_SILENCE, Outcome};
-use super::{Slot, admission, repath};
+use super::attempt::{Attempt, Detour, EVENT_SILENCE, Outcome};
+use super::{admission, repath};
 use crate::state::Shared;
 use crate::suspect;
 
@@ -58,8 +58,8 @@
                         "a stage of the chain does not work"
                     );
                 }
-                if let Some((other, slot)) = self.reserve_unless_movable(chain) {
-                    return Err(Outcome::Rerouted(other, slot));
+                if let Some(detour) = self.reserve_unless_movable(chain) {
+                    return Err(Outcome::Rerouted(Box::new(detour)));
                 }
                 // The response may still complete if all its tokens have been generated.
                 tokio::select! {
@@ -88,8 +88,8 @@
                 () = health_changed => {}
                 () = sleep(left) => {
                     if limit > silence && has_recent_event(state, chain) {
-                        if let Some((other, slot)) = self.reserve_other_chain(chain) {
-                            return Err(Outcome::Rerouted(other, slot));
+                        if let Some(detour) = self.reserve_other_chain(chain) {
+                            return Err(Outcome::Rerouted(Box::new(detour)));
                         }
                     }
                     limit += RECHECK_INTERVAL;
@@ -101,7 +101,7 @@
 
     /// Reserves capacity on another chain, unless the request can move to other stages at once and
     /// without more crossings between availability zones.
-    fn reserve_unless_movable(&self, chain: &Chain) -> Option<(Chain, Slot)> {
+    fn reserve_unless_movable(&self, chain: &Chain) -> Option<Detour> {
         let replacement = repath::find_chain(self.state, self.request, chain);
         if replacement.is_some_and(|other| other.crossings() <= chain.crossings()) {
             return None;
@@ -112,15 +112,17 @@
     /// Reserves capacity on another chain, if the request may run again.
     ///
     /// Returns `None` if it may not, no chain has capacity, or the retry budget is used up.
-    fn reserve_other_chain(&self, chain: &Chain) -> Option<(Chain, Slot)> {
-        if !self.request.route.may_repeat() {
+    fn reserve_other_chain(&self, chain: &Chain) -> Option<Detour> {
+        if !self.attempts.may_retry(&self.request.route, Failure::Doubted) {
             return None;
         }
         let mut ran_at = self.attempts.ran_at.clone();
         if !ran_at.contains(chain.head()) {
             ran_at.push(chain.head().clone());
         }
-        admission::reserve_other(self.state, self.request, &ran_at, &chain.key)
+        let (chain, slot) =
+            admission::reserve_other(self.state, self.request, &ran_at, &chain.key)?;
+        Some(Detour { chain, slot, left: None })
     }
 }
 
