Leave a slow endpoint of a plain service only for another one

What callers saw: 502 after 1.5 times the objective for an idempotent call whose endpoint was silent for a while, although it would have been answered within its deadline.

Cause: the same as for streams: the attempt was ended for its silence before it was known whether another one could follow, and with no retry left, or no other endpoint, none did. Evidence: an_idempotent_call_is_not_given_up_while_its_endpoint_is_silent_and_no_retry_is_left failed before with 502.

Change: past that time the request looks for another endpoint and a retry every 100 ms, and goes on waiting until it has both.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -28,9 +28,13 @@
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout of an attempt as a multiple of the route's objective, if another attempt may follow.
+/// Time after which an attempt is left for another endpoint, if there is one, as a multiple of the
+/// route's objective.
 const ATTEMPT_TIMEOUT_FACTOR: f64 = 1.5;
 
+/// Interval at which an attempt that is past that time looks for another endpoint.
+const LEAVE_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum body size of a response; larger bodies fail the attempt.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -43,6 +47,17 @@
     body: Bytes,
 }
 
+/// How an attempt ended.
+enum Outcome {
+    /// The endpoint responded.
+    Response(Response),
+    /// The attempt failed.
+    Failed(Failure),
+    /// The endpoint took too long, and this other one has been found; the retry has been taken out of
+    /// the budget.
+    Left(Endpoint),
+}
+
 /// Serves the request. An error means that the connection to the caller is lost.
 pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
     let left = request.deadline.since(state.now());
@@ -90,26 +105,36 @@
     let mut tried: Vec<name::Endpoint> = vec![];
     let wait_deadline =
         queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
+    let mut found = None;
     loop {
-        let Some(target) = wait_for_endpoint(state, request, &tried, wait_deadline).await else {
-            return Err(Reason::NoRoom);
+        let waited = match found.take() {
+            Some(target) => Some(target),
+            None => wait_for_endpoint(state, request, &tried, wait_deadline).await,
         };
+        let target = waited.ok_or(Reason::NoRoom)?;
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
-        let result = attempt(state, request, &target, attempts).await;
+        let outcome = attempt(state, request, &target, attempts).await;
         drop(slot);
-        let failure = match result {
-            Ok(response) if response.head.status.is_server_error() => {
+        let failure = match outcome {
+            Outcome::Response(response) if response.head.status.is_server_error() => {
                 *failed = Some(response);
                 Failure::Unknown
             }
-            Ok(response) => return Ok(response),
-            Err(failure) => failure,
+            Outcome::Response(response) => return Ok(response),
+            Outcome::Failed(failure) => failure,
+            Outcome::Left(other) => {
+                found = Some(other);
+                Failure::Unknown
+            }
         };
         log::info!(id = request.id(), endpoint = target.id.as_str(), failure:?; "attempt failed");
         Metrics::count(&state.metrics.failures, failure.as_str());
         state.inner.borrow_mut().failures.add(&target.id, state.clock.now());
         attempts.record(&target.id, failure);
         tried.push(target.id);
+        if found.is_some() {
+            continue;
+        }
         let may_retry = attempts.may_retry(&request.route, failure);
         if !may_retry || !attempts.may_run_elsewhere(&request.route) {
             return Err(Reason::Failed);
@@ -131,31 +156,30 @@
     wait_deadline: Instant,
 ) -> Option<Endpoint> {
     loop {
-        let now = state.now();
-        let found = {
-            let inner = state.inner.borrow();
-            let grace = state.drain_grace();
-            let usable = inner
-                .view
-                .of_service(&request.service)
-                .filter(|e| inner.view.is_usable(&e.id, grace, now));
-            choice::choose(usable, &inner.in_flight, &inner.failures, &state.zone, tried, now)
-                .cloned()
-        };
-        if found.is_some() || now >= wait_deadline {
+        let found = choose(state, request, tried);
+        if found.is_some() || state.now() >= wait_deadline {
             return found;
         }
         sleep(CAPACITY_POLL_INTERVAL).await;
     }
 }
 
+/// Returns the usable endpoint with the least work, one of `tried` only if there is no other.
+fn choose(state: &Shared, request: &Request, tried: &[name::Endpoint]) -> Option<Endpoint> {
+    let (now, grace) = (state.now(), state.drain_grace());
+    let inner = state.inner.borrow();
+    let endpoints = inner.view.of_service(&request.service);
+    let usable = endpoints.filter(|e| inner.view.is_usable(&e.id, grace, now));
+    choice::choose(usable, &inner.in_flight, &inner.failures, &state.zone, tried, now).cloned()
+}
+
 /// Sends the request to `target` and reads the response.
 async fn attempt(
     state: &Shared,
     request: &Request,
     target: &Endpoint,
     attempts: &Attempts,
-) -> Result<Response, Failure> {
+) -> Outcome {
     let stream = match exchange::connect(target.address, CONNECT_TIMEOUT).await {
         Ok(stream) => stream,
         Err(error) => {
@@ -165,7 +189,7 @@
             );
             let incarnation = Incarnation { endpoint: target.id.clone(), born: target.born };
             suspect::record_no_answer(state, &incarnation, &error);
-            return Err(Failure::NotSent);
+            return Outcome::Failed(Failure::NotSent);
         }
     };
     let additions = Additions {
@@ -180,13 +204,37 @@
         let answer = exchange::send(stream, head, request.body.clone()).await;
         read_response(request, target, answer).await
     };
-    let may_retry = request.route.may_repeat()
-        && attempts.ran_at.len() + 1 < request.route.max_attempts as usize;
-    if !may_retry {
-        return exchange.await;
+    let leaving = leave(state, request, target, attempts);
+    tokio::select! {
+        biased;
+        result = exchange => result.map_or_else(Outcome::Failed, Outcome::Response),
+        other = leaving => Outcome::Left(other),
+    }
+}
+
+/// Waits until the request should leave `target` for another endpoint, and returns that one.
+///
+/// Silence alone is no reason to leave: an endpoint that is slow is waited for unless the route, the
+/// retry budget and another endpoint allow a further attempt.
+async fn leave(
+    state: &Shared,
+    request: &Request,
+    target: &Endpoint,
+    attempts: &Attempts,
+) -> Endpoint {
+    let mut ran_at = attempts.ran_at.clone();
+    ran_at.push(target.id.clone());
+    if !request.route.may_repeat() || ran_at.len() >= request.route.max_attempts as usize {
+        return std::future::pending().await;
+    }
+    sleep(request.route.objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR)).await;
+    loop {
+        let other = choose(state, request, &ran_at).filter(|other| !ran_at.contains(&other.id));
+        if let Some(other) = other.filter(|_| state.take_retry(&request.service)) {
+            return other;
+        }
+        sleep(LEAVE_RECHECK_INTERVAL).await;
     }
-    let limit = request.route.objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR);
-    timeout(limit, exchange).await.unwrap_or(Err(Failure::Unknown))
 }
 
 /// Checks that the response belongs to the request, and reads its body.
