Use endpoints again as soon as they answer after a silence

What callers saw: refusals for up to 6 s after stages had been silent for 1 s, for want of room on the other chains.

Cause: the finding that an endpoint answers nobody lasted 6 s whatever it did since, and entries passed it on in their gossip. Five tests of findings are new.

Change: the entries that made the finding ask the endpoint again every 400 ms, as many of them as must agree; its answer takes back the suspicions of all. Findings of silence are no longer told by gossip, so that nobody brings them back. A certain loss stays. A refusal that names a silent endpoint is no proof of its loss.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -202,7 +202,29 @@
         is_agreed && self.mark_unhealthy(incarnation, Cause::Silent, now, now)
     }
 
-    /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
+    /// Records that an endpoint answered an entry again, and returns whether it was unhealthy for its
+    /// silence.
+    pub fn record_answer(&mut self, incarnation: &Incarnation) -> bool {
+        self.health.answered(incarnation)
+    }
+
+    /// Returns the silent endpoints that the entry `host`, one of `entries`, is to ask again, with their
+    /// addresses.
+    pub fn to_ask_again(
+        &self,
+        host: &name::Host,
+        entries: usize,
+        now: Instant,
+    ) -> Vec<(Incarnation, SocketAddr)> {
+        let silent = self.health.to_ask_again(host, entries, now);
+        let listed = silent.into_iter().filter_map(|incarnation| {
+            let endpoint = self.get(&incarnation.endpoint)?;
+            Some((incarnation, endpoint.address))
+        });
+        listed.collect()
+    }
+
+    /// Returns the unhealthy endpoints that entries tell each other, with the age of the findings in milliseconds.
     pub fn unhealthy(&self, now: Instant) -> Vec<(Incarnation, u64)> {
         self.health.unhealthy(now)
     }
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -25,7 +25,8 @@
     ConnectionRefused,
     /// It has started again and lost its work in progress.
     Restarted,
-    /// Another endpoint refused a request because of it, and it gives no report.
+    /// Another endpoint refused a request because of it, and it gives no report. It may also be
+    /// draining or full, behind a link that does not work.
     AtFault,
     /// Requests of another endpoint wait for it.
     Stalled,
@@ -39,7 +40,7 @@
     /// Returns whether the endpoint has certainly lost its work in progress. Otherwise it may still
     /// go on with it.
     pub fn is_loss(self) -> bool {
-        matches!(self, Self::ConnectionRefused | Self::Restarted | Self::AtFault)
+        matches!(self, Self::ConnectionRefused | Self::Restarted)
     }
 }
 
@@ -59,9 +60,12 @@
 }
 
 impl Health {
-    /// Records a finding that was made at `seen_at`. Older ones do not replace newer ones.
+    /// Records a finding that was made at `seen_at`. Older ones do not replace newer ones, and no
+    /// later one replaces the cause of a certain loss.
     pub fn record(&mut self, incarnation: &Incarnation, cause: Cause, seen_at: Instant) {
         let known = self.findings.get(&incarnation.endpoint);
+        let lost = known.filter(|f| f.born == incarnation.born && f.cause.is_loss());
+        let cause = lost.map_or(cause, |f| f.cause);
         if known.is_none_or(|f| (f.born, f.at) < (incarnation.born, seen_at)) {
             let finding = Finding { born: incarnation.born, at: seen_at, cause };
             self.findings.insert(incarnation.endpoint.clone(), finding);
@@ -85,6 +89,48 @@
         agreeing >= needed_suspicions(entries)
     }
 
+    /// Records that an endpoint answered an entry again, and returns whether this makes it healthy.
+    ///
+    /// That takes back what silence told: the suspicions of all entries, and the finding that follows from
+    /// them. Entries that still get no answer suspect it anew.
+    pub fn answered(&mut self, incarnation: &Incarnation) -> bool {
+        let id = &incarnation.endpoint;
+        if let Some(suspicions) = self.suspicions.get_mut(id) {
+            suspicions.retain(|_, (born, _)| *born != incarnation.born);
+        }
+        let is_silent = |f: &Finding| f.born == incarnation.born && f.cause == Cause::Silent;
+        let is_taken_back = self.findings.get(id).is_some_and(is_silent);
+        if is_taken_back {
+            self.findings.remove(id);
+        }
+        is_taken_back
+    }
+
+    /// Returns the endpoints that are silent, and that the entry `host` is to ask again.
+    ///
+    /// Of the `entries` entries, as many ask as must agree to a suspicion: those that come first among
+    /// the ones that suspect the endpoint.
+    pub fn to_ask_again(
+        &self,
+        host: &name::Host,
+        entries: usize,
+        now: Instant,
+    ) -> Vec<Incarnation> {
+        let silent = self.findings.iter().filter(|(_, finding)| {
+            finding.cause == Cause::Silent && now.since(finding.at) < UNHEALTHY_PERIOD
+        });
+        let of_host = silent.filter(|(id, _)| {
+            let suspicions = self.suspicions.get(*id);
+            let mut hosts = suspicions.into_iter().flat_map(BTreeMap::keys);
+            hosts.position(|h| h == host).is_some_and(|rank| rank < needed_suspicions(entries))
+        });
+        let incarnation = |(id, f): (&name::Endpoint, &Finding)| Incarnation {
+            endpoint: id.clone(),
+            born: f.born,
+        };
+        of_host.map(incarnation).collect()
+    }
+
     /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
     ///
     /// `born` is the start of its current incarnation if it is listed; requests in progress may ask
@@ -96,8 +142,12 @@
     }
 
     /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
+    ///
+    /// Silent ones are left out: each entry hears the suspicions, and when they are taken back.
     pub fn unhealthy(&self, now: Instant) -> Vec<(Incarnation, u64)> {
-        let fresh = self.findings.iter().filter(|(_, f)| now.since(f.at) < UNHEALTHY_PERIOD);
+        let fresh = self.findings.iter().filter(|(_, finding)| {
+            finding.cause != Cause::Silent && now.since(finding.at) < UNHEALTHY_PERIOD
+        });
         let reported = fresh.map(|(id, finding)| {
             let incarnation = Incarnation { endpoint: id.clone(), born: finding.born };
             (incarnation, now.since(finding.at).as_millis() as u64)
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -45,7 +45,8 @@
     pub ready_in_ms: u64,
     /// Work in progress of the sender.
     pub loads: Vec<Load>,
-    /// Endpoints that the sender treats as unhealthy, with the age of the finding in milliseconds.
+    /// Endpoints that the sender treats as unhealthy for other reasons than their silence, with the age
+    /// of the finding in milliseconds.
     #[serde(rename = "doubts")]
     pub unhealthy: Vec<(Incarnation, u64)>,
 }
@@ -91,4 +92,6 @@
     Refusal(Incarnation),
     /// An endpoint that did not answer the sender. The cause may be the sender or its link.
     Suspicion(Incarnation),
+    /// An endpoint that several entries suspected and that has answered the sender since.
+    Answered(Incarnation),
 }
--- /dev/null
+++ b/crates/core/tests/health.rs
@@ -0,0 +1,69 @@
+//! Tests of findings about endpoints that do not answer.
+
+use std::time::Duration;
+
+use oriole_core::fleet::{Cause, Incarnation, View};
+use oriole_core::name;
+use oriole_core::time::Instant;
+
+fn at(ms: u64) -> Instant {
+    Instant::default() + Duration::from_millis(ms)
+}
+
+fn incarnation() -> Incarnation {
+    Incarnation { endpoint: "e".into(), born: 1 }
+}
+
+/// Returns a view in which the endpoint is suspected by `hosts`, of 29 entries, at 0 ms.
+fn suspected_by(hosts: &[&str]) -> View {
+    let mut view = View::default();
+    for host in hosts {
+        view.suspect(&incarnation(), (*host).into(), 29, at(0));
+    }
+    view
+}
+
+#[test]
+fn an_endpoint_that_answers_after_a_silence_is_used_at_once() {
+    let mut view = suspected_by(&["a", "b", "c", "d"]);
+    let id: name::Endpoint = "e".into();
+    assert_eq!(view.unhealthy_cause(&id, at(1)), Some(Cause::Silent));
+    assert!(view.record_answer(&incarnation()));
+    assert!(!view.is_unhealthy(&id, at(1)));
+    // Suspicions from before the answer do not count with later ones.
+    assert!(!view.suspect(&incarnation(), "a".into(), 29, at(2)));
+    assert!(!view.is_unhealthy(&id, at(2)));
+}
+
+#[test]
+fn an_answer_does_not_take_back_that_an_endpoint_refuses_connections() {
+    let mut view = suspected_by(&["a"]);
+    let id: name::Endpoint = "e".into();
+    view.mark_unhealthy(&incarnation(), Cause::ConnectionRefused, at(0), at(0));
+    assert!(!view.record_answer(&incarnation()));
+    assert!(view.is_unhealthy(&id, at(1)));
+}
+
+#[test]
+fn later_silence_does_not_hide_that_an_endpoint_has_lost_its_work() {
+    let mut view = View::default();
+    view.mark_unhealthy(&incarnation(), Cause::ConnectionRefused, at(0), at(0));
+    for host in ["a", "b", "c", "d"] {
+        view.suspect(&incarnation(), host.into(), 29, at(100));
+    }
+    assert_eq!(view.unhealthy_cause(&"e".into(), at(200)), Some(Cause::ConnectionRefused));
+}
+
+#[test]
+fn an_answer_of_an_earlier_incarnation_does_not_take_back_a_finding() {
+    let mut view = suspected_by(&["a", "b", "c", "d"]);
+    assert!(!view.record_answer(&Incarnation { endpoint: "e".into(), born: 0 }));
+    assert!(view.is_unhealthy(&"e".into(), at(1)));
+}
+
+#[test]
+fn silent_endpoints_are_not_told_as_unhealthy_by_gossip() {
+    let view = suspected_by(&["a", "b", "c", "d"]);
+    assert!(view.is_unhealthy(&"e".into(), at(1)));
+    assert_eq!(view.unhealthy(at(1)), vec![]);
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -174,6 +174,7 @@
         Message::Suspicion(incarnation) => {
             state.suspect(&incarnation, &host);
         }
+        Message::Answered(incarnation) => state.record_answer(&incarnation),
         Message::Unhealthy(incarnation) => {
             state.mark_unhealthy(&incarnation, Cause::Peer, Duration::ZERO, host.as_str());
         }
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -14,7 +14,7 @@
 
 use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State, load};
-use crate::{follow, listen, orders, pace, peers, planner};
+use crate::{follow, listen, orders, pace, peers, planner, suspect};
 
 /// Timeout of calls to the store, except watches.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -126,6 +126,7 @@
     actix_rt::spawn(orders::run(state.clone()));
     actix_rt::spawn(load::run(state.clone()));
     actix_rt::spawn(pace::run(state.clone()));
+    actix_rt::spawn(suspect::run(state.clone()));
     actix_rt::spawn(refresh(state.clone()));
     state
 }
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -51,6 +51,16 @@
         is_new
     }
 
+    /// Records that an endpoint answered an entry again, which makes it healthy if it was only silent.
+    pub fn record_answer(&self, incarnation: &Incarnation) {
+        let is_new = self.inner.borrow_mut().view.record_answer(incarnation);
+        if is_new {
+            log::info!(endpoint = incarnation.endpoint.as_str(); "endpoint answers again");
+            self.refresh();
+            self.health_changed.notify_waiters();
+        }
+    }
+
     /// Sends no new work to an endpoint that refused a request, for a short period.
     pub fn pause(&self, endpoint: &name::Endpoint) {
         let now = self.now();
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -10,6 +10,7 @@
 use oriole_core::fleet::{Cause, Incarnation, Message};
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_platform::endpoint::{self, Report};
+use tokio::time::sleep;
 
 use crate::peers;
 use crate::state::Shared;
@@ -28,6 +29,33 @@
 /// Minimum time between two probes of all stages of one chain.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// Interval at which silent endpoints are asked again.
+const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Asks silent endpoints again until they answer or are no longer listed. Runs until the process
+/// exits.
+pub async fn run(state: Shared) {
+    loop {
+        sleep(ASK_AGAIN_INTERVAL).await;
+        let (now, entries) = (state.now(), state.entry_count());
+        let silent = state.inner.borrow().view.to_ask_again(&state.host, entries, now);
+        for (incarnation, address) in silent {
+            actix_rt::spawn(ask_again(state.clone(), incarnation, address));
+        }
+    }
+}
+
+async fn ask_again(state: Shared, incarnation: Incarnation, address: SocketAddr) {
+    match request_report(address).await {
+        Ok(report) if report.born == incarnation.born => {
+            peers::broadcast(&state, &Message::Answered(incarnation.clone()));
+            state.record_answer(&incarnation);
+        }
+        Ok(_) => mark_unhealthy(&state, &incarnation, Cause::Restarted),
+        Err(error) => record_no_answer(&state, &incarnation, &error),
+    }
+}
+
 /// Requests a report, and once more if the first request times out.
 pub async fn request_report(address: SocketAddr) -> Result<Report, Error> {
     match endpoint::report(address, REPORT_TIMEOUTS[0]).await {
