--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -20,6 +20,10 @@
 pub mod slowdown;
 pub mod stop;
 
+use std::fmt;
+
+use oriole_macros::key;
+
 use crate::route;
 
 /// Tokens that one generation is expected to use.
@@ -33,6 +37,16 @@
     pub hint: Option<u32>,
 }
 
+/// A part of a prompt that several requests may share.
+#[key]
+pub struct Part(pub u64);
+
+impl fmt::Display for Part {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// Fraction of the expected answer to reserve: sequences in progress are on average half done.
 const RESERVED_ANSWER_FRACTION: f64 = 0.6;
 
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -14,6 +14,7 @@
 use std::io;
 use std::time::Duration;
 
+use oriole_core::forward::Part;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
@@ -50,6 +51,8 @@
     attempts: Attempts,
     timing: Timing,
     suspended: Cell<Option<Box<Suspended>>>,
+    /// When the current attempt had its first event.
+    first_event_at: Cell<Option<Instant>>,
 }
 
 /// Serves the request, with further attempts on other chains as far as its route allows.
@@ -62,6 +65,7 @@
         attempts: Attempts::default(),
         timing: Timing::default(),
         suspended: Cell::default(),
+        first_event_at: Cell::default(),
     };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
     let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
@@ -82,6 +86,7 @@
             }
         };
         let sent = state.now();
+        generation.first_event_at.set(None);
         let context = generation.context(&slot);
         let outcome = attempt::run(context, &mut chain, continued, &mut splitter, writer).await;
         let failure = match outcome {
@@ -113,8 +118,8 @@
 impl Generation<'_> {
     /// Returns the context of the next attempt, for which `slot` is reserved.
     fn context<'a>(&'a self, slot: &'a Slot) -> Attempt<'a> {
-        let Self { state, request, attempts, timing, suspended } = self;
-        Attempt { state, request, attempts, slot, timing, suspended }
+        let Self { state, request, attempts, timing, suspended, first_event_at } = self;
+        Attempt { state, request, attempts, slot, timing, suspended, first_event_at }
     }
 
     /// Leaves a chain for another one, and keeps the response of the first one that was left.
@@ -152,7 +157,14 @@
         let (id, head) = (self.request.id(), chain.head().as_str());
         let took_ms = self.state.now().since(sent).as_millis() as u64;
         let waited_ms = sent.since(self.request.arrived).as_millis() as u64;
-        log::info!(id, head, waited_ms, took_ms, failure:?; "attempt failed");
+        let writing = self.first_event_at.get().map(|at| self.state.now().since(at));
+        let writing_ms = writing.map_or(0, |time| time.as_millis() as u64);
+        let parts = self.request.parameters.shared_parts.iter().map(Part::to_string);
+        let parts = parts.collect::<Vec<_>>().join(",");
+        log::info!(
+            id, head, waited_ms, took_ms, failure:?, writing_ms, parts = parts.as_str();
+            "attempt failed"
+        );
         Metrics::count(&self.state.metrics.failures, failure.as_str());
         self.attempts.record(chain.head(), failure);
     }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -87,6 +87,8 @@
     pub slot: &'a Slot,
     /// Arrival times of the events over all attempts.
     pub timing: &'a Timing,
+    /// When this attempt had its first event.
+    pub first_event_at: &'a Cell<Option<Instant>>,
     /// The response of an earlier attempt, which is dropped at the first event of this one.
     pub suspended: &'a Cell<Option<Box<Suspended>>>,
 }
@@ -288,6 +290,7 @@
             }
             None => {
                 drop(inner);
+                self.attempt.first_event_at.set(Some(now));
                 self.attempt.slot.begin_stream();
                 drop(self.attempt.suspended.take());
             }
