Let the response of a silent chain and the attempt on another one race to the next event

Cause: findings were looked at before the stream itself, the way back was not told apart from the way out, and the response that was left was not read.

Change: a finding concerns a stream only after 250 ms without an event. While a request runs on another chain its earlier response is read as well, and whichever has an event first goes on (generation::race). There is one detour at a time, none from a response that the request has come back to, and one attempt to move it to other stages until findings change. Only the loss of the first stage ends an attempt. A plain call that leaves a slow endpoint avoids those that refused it.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -113,7 +113,7 @@
         };
         let target = waited.ok_or(Reason::NoRoom)?;
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
-        let outcome = attempt(state, request, &target, attempts).await;
+        let outcome = attempt(state, request, &target, attempts, &tried).await;
         drop(slot);
         let failure = match outcome {
             Outcome::Response(response) if response.head.status.is_server_error() => {
@@ -179,6 +179,7 @@
     request: &Request,
     target: &Endpoint,
     attempts: &Attempts,
+    tried: &[name::Endpoint],
 ) -> Outcome {
     let stream = match exchange::connect(target.address, CONNECT_TIMEOUT).await {
         Ok(stream) => stream,
@@ -204,7 +205,7 @@
         let answer = exchange::send(stream, head, request.body.clone()).await;
         read_response(request, target, answer).await
     };
-    let leaving = leave(state, request, target, attempts);
+    let leaving = leave(state, request, target, attempts, tried);
     tokio::select! {
         biased;
         result = exchange => result.map_or_else(Outcome::Failed, Outcome::Response),
@@ -221,15 +222,17 @@
     request: &Request,
     target: &Endpoint,
     attempts: &Attempts,
+    tried: &[name::Endpoint],
 ) -> Endpoint {
-    let mut ran_at = attempts.ran_at.clone();
-    ran_at.push(target.id.clone());
-    if !request.route.may_repeat() || ran_at.len() >= request.route.max_attempts as usize {
+    let mut tried = tried.to_vec();
+    tried.push(target.id.clone());
+    let runs = attempts.ran_at.len() + 1;
+    if !request.route.may_repeat() || runs >= request.route.max_attempts as usize {
         return std::future::pending().await;
     }
     sleep(request.route.objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR)).await;
     loop {
-        let other = choose(state, request, &ran_at).filter(|other| !ran_at.contains(&other.id));
+        let other = choose(state, request, &tried).filter(|other| !tried.contains(&other.id));
         if let Some(other) = other.filter(|_| state.take_retry(&request.service)) {
             return other;
         }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod attempt;
+mod race;
 mod repath;
 mod timing;
 mod watch;
@@ -28,7 +29,8 @@
 use crate::state::Shared;
 
 pub use admission::{Refusal, Slot};
-use attempt::{Attempt, Detour, Outcome, Suspended};
+use attempt::{Attempt, Continued, Detour, Outcome};
+use race::{Race, Suspended};
 use timing::Timing;
 
 /// Longest wait for capacity after a failed attempt; callers disconnect soon after.
@@ -50,7 +52,6 @@
     request: &'a Request,
     attempts: Attempts,
     timing: Timing,
-    suspended: Cell<Option<Box<Suspended>>>,
     /// When the current attempt had its first event.
     first_event_at: Cell<Option<Instant>>,
 }
@@ -64,18 +65,19 @@
         request,
         attempts: Attempts::default(),
         timing: Timing::default(),
-        suspended: Cell::default(),
         first_event_at: Cell::default(),
     };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
     let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
     let mut next = Next::Wait { failed: None, until };
+    let mut suspended: Option<Box<Suspended>> = None;
     loop {
         let (mut chain, slot, continued) = match next {
             Next::Run(chain, slot) => (chain, slot, None),
             Next::Continue(earlier) => {
                 splitter = earlier.splitter;
-                (earlier.chain, earlier.slot, Some(earlier.response))
+                let Suspended { chain, slot, response, unread, .. } = *earlier;
+                (chain, slot, Some(Continued { response, unread }))
             }
             Next::Wait { failed, until } => {
                 let ran_at = &generation.attempts.ran_at;
@@ -87,8 +89,20 @@
         };
         let sent = state.now();
         generation.first_event_at.set(None);
-        let context = generation.context(&slot);
-        let outcome = attempt::run(context, &mut chain, continued, &mut splitter, writer).await;
+        // One detour at a time, and none from a response that the request has come back to.
+        let may_leave = continued.is_none() && suspended.is_none();
+        let context = generation.context(&slot, may_leave);
+        let attempt = attempt::run(context, &mut chain, continued, &mut splitter, writer);
+        let outcome = match race::run(attempt, &generation.first_event_at, suspended.take()).await {
+            Race::Ended(outcome, earlier) => {
+                suspended = earlier;
+                outcome
+            }
+            Race::Earlier(earlier) => {
+                suspended = Some(earlier);
+                Outcome::Failed(Failure::Doubted)
+            }
+        };
         let failure = match outcome {
             Outcome::Complete => {
                 generation.log_served(&chain, sent);
@@ -101,13 +115,23 @@
             }
             Outcome::Rerouted(detour) => {
                 generation.record_failure(&chain, Failure::Doubted, sent);
-                next = generation.leave(chain, slot, splitter.clone(), *detour);
+                let Detour { chain: other, slot: reserved, left } = *detour;
+                let splitter = splitter.clone();
+                suspended = left.map(|response| {
+                    Box::new(Suspended { chain, slot, response, unread: None, splitter })
+                });
+                next = Next::Run(other, reserved);
                 continue;
             }
             Outcome::Failed(failure) => failure,
         };
         drop(slot);
         generation.record_failure(&chain, failure, sent);
+        if let Some(earlier) = suspended.take() {
+            log::info!(id = request.id(); "going on with the response of an earlier attempt");
+            next = Next::Continue(earlier);
+            continue;
+        }
         next = match generation.after_failure(chain, failure) {
             Ok(next) => next,
             Err(reason) => return generation.give_up(writer, reason).await,
@@ -117,27 +141,14 @@
 
 impl Generation<'_> {
     /// Returns the context of the next attempt, for which `slot` is reserved.
-    fn context<'a>(&'a self, slot: &'a Slot) -> Attempt<'a> {
-        let Self { state, request, attempts, timing, suspended, first_event_at } = self;
-        Attempt { state, request, attempts, slot, timing, suspended, first_event_at }
-    }
-
-    /// Leaves a chain for another one, and keeps the response of the first one that was left.
-    fn leave(&mut self, chain: Chain, slot: Slot, splitter: Splitter, detour: Detour) -> Next {
-        let left = detour.left.map(|response| Suspended { chain, slot, response, splitter });
-        if self.suspended.get_mut().is_none() {
-            self.suspended.set(left.map(Box::new));
-        }
-        Next::Run(detour.chain, detour.slot)
+    fn context<'a>(&'a self, slot: &'a Slot, may_leave: bool) -> Attempt<'a> {
+        let Self { state, request, attempts, timing, first_event_at } = self;
+        Attempt { state, request, attempts, slot, timing, first_event_at, may_leave }
     }
 
     /// Decides what follows a failed attempt on `chain`, or why nothing does.
-    fn after_failure(&mut self, chain: Chain, failure: Failure) -> Result<Next, Reason> {
+    fn after_failure(&self, chain: Chain, failure: Failure) -> Result<Next, Reason> {
         let (state, request) = (self.state, self.request);
-        if let Some(earlier) = self.suspended.take() {
-            log::info!(id = request.id(); "going on with the response of an earlier attempt");
-            return Ok(Next::Continue(earlier));
-        }
         if !self.attempts.may_retry(&request.route, failure) {
             return Err(Reason::Failed);
         }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use bytes::Bytes;
 use oriole_adapter::exchange::{self, Body, Response};
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
@@ -59,19 +60,12 @@
     pub left: Option<Response>,
 }
 
-/// A response that is not read while its request runs on another chain.
-///
-/// If the other chain fails before its first event, the request goes on with this response: its
-/// stages may work again by then. Dropping it ends the request on its chain.
-pub struct Suspended {
-    /// The chain of the response.
-    pub chain: Chain,
-    /// Capacity on the chain.
-    pub slot: Slot,
-    /// The response.
+/// A response whose events are still to be forwarded.
+pub struct Continued {
+    /// The response, without what has been forwarded.
     pub response: Response,
-    /// Events of the response so far.
-    pub splitter: Splitter,
+    /// What has been read of it and not been forwarded; `None` in it is its end.
+    pub unread: Option<Option<Bytes>>,
 }
 
 /// Context of an attempt.
@@ -89,25 +83,25 @@
     pub timing: &'a Timing,
     /// When this attempt had its first event.
     pub first_event_at: &'a Cell<Option<Instant>>,
-    /// The response of an earlier attempt, which is dropped at the first event of this one.
-    pub suspended: &'a Cell<Option<Box<Suspended>>>,
+    /// Whether the request may leave the chain of this attempt for another one.
+    pub may_leave: bool,
 }
 
-/// Sends the request to the chain, or goes on with the response `continued` of an earlier attempt, and
-/// forwards the events to the caller.
+/// Sends the request to the chain, or goes on with the response `continued` of an earlier attempt,
+/// and forwards the events to the caller.
 ///
 /// `chain` is updated when the request moves to other stages. `splitter` holds the id of the last
 /// event that was forwarded, after which the endpoint resumes.
 pub async fn run(
     attempt: Attempt<'_>,
     chain: &mut Chain,
-    continued: Option<Response>,
+    continued: Option<Continued>,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
     let exchange = async {
-        if let Some(answer) = continued {
-            return forward_events(attempt, chain, answer, splitter, writer).await;
+        if let Some(continued) = continued {
+            return forward_events(attempt, chain, continued, splitter, writer).await;
         }
         match send(attempt, chain, splitter).await {
             Ok(answer) => forward_stream(attempt, chain, answer, splitter, writer).await,
@@ -198,24 +192,31 @@
     }
     // Drops a partial event of an earlier attempt, which this attempt sends again from its start.
     *splitter = Splitter::after(splitter.last_id().map(str::to_owned));
-    forward_events(attempt, chain, answer, splitter, writer).await
+    let continued = Continued { response: answer, unread: None };
+    forward_events(attempt, chain, continued, splitter, writer).await
 }
 
 /// Forwards complete events to the caller until the stream ends.
 async fn forward_events(
     attempt: Attempt<'_>,
     chain: &mut Chain,
-    answer: Response,
+    continued: Continued,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
     let Attempt { state, request, .. } = attempt;
-    let Response { head, mut body } = answer;
+    let Continued { response: Response { head, mut body }, mut unread } = continued;
     let mut is_first = writer.progress() == Progress::NotStarted;
     let mut silence = FIRST_EVENT_SILENCE;
     let mut stream = Stream::new(attempt, chain);
     loop {
-        let bytes = match attempt.watch(chain, silence, body.next()).await {
+        let next = async {
+            match unread.take() {
+                Some(bytes) => Ok(bytes),
+                None => body.next().await,
+            }
+        };
+        let bytes = match attempt.watch(chain, silence, next).await {
             Err(Outcome::Rerouted(detour)) => {
                 let left = Some(Response { head, body });
                 return Outcome::Rerouted(Box::new(Detour { left, ..*detour }));
@@ -292,7 +293,6 @@
                 drop(inner);
                 self.attempt.first_event_at.set(Some(now));
                 self.attempt.slot.begin_stream();
-                drop(self.attempt.suspended.take());
             }
         }
         self.last = Some(now);
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -19,21 +19,25 @@
 /// streams of the chain have events.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Silence of a stream from which on a finding about one of its stages concerns it.
+const BROKEN_SILENCE: Duration = Duration::from_millis(250);
+
 /// Interval at which a stream on a chain with a silent stage looks for another chain.
 const BROKEN_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 impl Attempt<'_> {
-    /// Waits for `work` while all stages of the chain are healthy.
+    /// Waits for `work`, and leaves or changes the chain if that helps.
     ///
-    /// After `silence`, the first stage is asked for a report. If a stage is unhealthy, the request
-    /// moves to a chain with the same first stage, as soon as there is one. The attempt ends
+    /// After `silence`, the first stage is asked for a report. While a stage is unhealthy and nothing
+    /// arrives, the request moves to a chain with the same first stage, as soon as there is one. The
+    /// attempt ends
     ///
-    /// - if there is no such chain in time, and a stage has certainly lost its work,
     /// - if another chain has capacity, and there is no such chain yet or it crosses between
     ///   availability zones more often, so that its new stages would prefill all tokens across
     ///   zones,
     /// - if other requests on the chain have events, this one has none, and another chain has
-    ///   capacity.
+    ///   capacity,
+    /// - if the first stage has certainly lost its work.
     ///
     /// Silence alone does not end an attempt: a stage that seems to be lost may go on, and if it does
     /// not, the stage before it ends the response.
@@ -48,19 +52,40 @@
         let mut work = pin!(work);
         let mut limit = silence;
         let mut is_logged = false;
+        let mut may_move = true;
         loop {
             let mut health_changed = pin!(state.health_changed.notified());
             health_changed.as_mut().enable();
-            if let Some((stage, cause)) = broken_stage(state, chain) {
-                if !std::mem::replace(&mut is_logged, true) {
-                    log::info!(
-                        id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
-                        "a stage of the chain does not work"
-                    );
-                }
-                if let Some(detour) = self.reserve_unless_movable(chain) {
-                    return Err(Outcome::Rerouted(Box::new(detour)));
+            let broken = broken_stage(state, chain);
+            let silent = state.now().since(began);
+            let Some((stage, cause)) = broken.filter(|_| silent >= BROKEN_SILENCE) else {
+                let wake = if broken.is_some() { BROKEN_SILENCE } else { limit };
+                tokio::select! {
+                    biased;
+                    result = &mut work => return Ok(result),
+                    () = health_changed => {}
+                    () = sleep(wake.saturating_sub(silent)) => if broken.is_none() {
+                        if limit > silence && has_recent_event(state, chain) {
+                            if let Some(detour) = self.reserve_other_chain(chain) {
+                                return Err(Outcome::Rerouted(Box::new(detour)));
+                            }
+                        }
+                        limit += RECHECK_INTERVAL;
+                        suspect::probe_first_stage(state, chain);
+                    },
                 }
+                continue;
+            };
+            if !std::mem::replace(&mut is_logged, true) {
+                log::info!(
+                    id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
+                    "a stage of the chain does not work"
+                );
+            }
+            if let Some(detour) = self.reserve_unless_movable(chain) {
+                return Err(Outcome::Rerouted(Box::new(detour)));
+            }
+            if std::mem::replace(&mut may_move, false) {
                 // The response may still complete if all its tokens have been generated.
                 tokio::select! {
                     biased;
@@ -70,31 +95,15 @@
                         continue;
                     },
                 }
-                if has_lost_stage(state, chain) {
-                    return Err(Outcome::Failed(Failure::Doubted));
-                }
-                tokio::select! {
-                    biased;
-                    result = &mut work => return Ok(result),
-                    () = health_changed => {}
-                    () = sleep(BROKEN_RECHECK_INTERVAL) => {}
-                }
-                continue;
             }
-            let left = (began + limit).since(state.now());
+            if state.unhealthy_cause(chain.head()).is_some_and(Cause::is_loss) {
+                return Err(Outcome::Failed(Failure::Doubted));
+            }
             tokio::select! {
                 biased;
                 result = &mut work => return Ok(result),
-                () = health_changed => {}
-                () = sleep(left) => {
-                    if limit > silence && has_recent_event(state, chain) {
-                        if let Some(detour) = self.reserve_other_chain(chain) {
-                            return Err(Outcome::Rerouted(Box::new(detour)));
-                        }
-                    }
-                    limit += RECHECK_INTERVAL;
-                    suspect::probe_first_stage(state, chain);
-                }
+                () = health_changed => may_move = true,
+                () = sleep(BROKEN_RECHECK_INTERVAL) => {}
             }
         }
     }
@@ -113,7 +122,8 @@
     ///
     /// Returns `None` if it may not, no chain has capacity, or the retry budget is used up.
     fn reserve_other_chain(&self, chain: &Chain) -> Option<Detour> {
-        if !self.attempts.may_retry(&self.request.route, Failure::Doubted) {
+        let may_retry = self.attempts.may_retry(&self.request.route, Failure::Doubted);
+        if !self.may_leave || !may_retry {
             return None;
         }
         let mut ran_at = self.attempts.ran_at.clone();
@@ -131,12 +141,6 @@
     chain.hops.iter().find_map(|hop| Some((hop, state.unhealthy_cause(&hop.endpoint)?)))
 }
 
-/// Returns whether a stage of the chain has certainly lost its work in progress.
-fn has_lost_stage(state: &Shared, chain: &Chain) -> bool {
-    let mut causes = chain.hops.iter().filter_map(|hop| state.unhealthy_cause(&hop.endpoint));
-    causes.any(Cause::is_loss)
-}
-
 /// Returns whether any stream of this entry on the chain has had an event recently.
 fn has_recent_event(state: &Shared, chain: &Chain) -> bool {
     let inner = state.inner.borrow();
--- a/crates/router/tests/path/silence.rs
+++ b/crates/router/tests/path/silence.rs
@@ -27,18 +27,39 @@
 
 /// Makes endpoints silent for [`SILENCE`].
 fn silence(fleet: &Fleet, ids: Vec<String>) {
+    silence_for(fleet, ids, SILENCE);
+}
+
+fn silence_for(fleet: &Fleet, ids: Vec<String>, time: Duration) {
     for id in &ids {
         fleet.set_fault(id, Fault::Silent);
     }
     let fleet = fleet.clone();
     actix_rt::spawn(async move {
-        sleep(SILENCE).await;
+        sleep(time).await;
         for id in &ids {
             fleet.set_fault(id, Fault::None);
         }
     });
 }
 
+/// Returns the stages of stream `r1` in order.
+fn stages(cluster: &Cluster) -> Vec<String> {
+    let path = cluster.fleet.path("r1").unwrap();
+    let addresses = path.split(',').filter_map(|part| part.split('=').next());
+    addresses.filter_map(|a| cluster.fleet.endpoint_at(a)).collect()
+}
+
+/// Returns the engines that are not in `ids`.
+fn other_engines(ids: &[String]) -> Vec<String> {
+    (0..8).map(|n| format!("engine-{n}")).filter(|id| !ids.contains(id)).collect()
+}
+
+fn mark_unhealthy(cluster: &Cluster, id: &str, cause: Cause) {
+    let incarnation = Incarnation { endpoint: id.into(), born: 1 };
+    cluster.entries[0].state.mark_unhealthy(&incarnation, cause, Duration::ZERO, "test");
+}
+
 /// Starts stream `r1`, calls `disturb` after its tenth event, and returns the response.
 async fn disturbed(cluster: &Cluster, disturb: impl Fn()) -> Answer {
     let is_disturbed = Cell::new(false);
@@ -70,13 +91,9 @@
     let cluster = Cluster::new(1).await;
     take_retry_budget(&cluster);
     let disturb = || {
-        let path = cluster.fleet.path("r1").unwrap();
-        let addresses = path.split(',').filter_map(|part| part.split('=').next());
-        let stages: Vec<_> = addresses.filter_map(|a| cluster.fleet.endpoint_at(a)).collect();
-        for id in (0..8).map(|n| format!("engine-{n}")).filter(|id| !stages.contains(id)) {
-            let incarnation = Incarnation { endpoint: id.as_str().into(), born: 1 };
-            let state = &cluster.entries[0].state;
-            state.mark_unhealthy(&incarnation, Cause::ConnectionRefused, Duration::ZERO, "test");
+        let stages = stages(&cluster);
+        for id in other_engines(&stages) {
+            mark_unhealthy(&cluster, &id, Cause::ConnectionRefused);
         }
         silence(&cluster.fleet, stages[1..].to_vec());
     };
@@ -84,13 +101,65 @@
     assert_ran_once(&cluster, &answer);
 }
 
+/// The first stage ends the response itself if a later one is lost; here it goes on.
+#[actix_rt::test]
+async fn a_stream_is_not_cut_before_its_first_stage_ends_it() {
+    let cluster = Cluster::new(1).await;
+    take_retry_budget(&cluster);
+    let disturb = || {
+        let stages = stages(&cluster);
+        for id in other_engines(&stages[..1]) {
+            mark_unhealthy(&cluster, &id, Cause::ConnectionRefused);
+        }
+        silence(&cluster.fleet, stages[1..].to_vec());
+    };
+    let answer = disturbed(&cluster, disturb).await;
+    assert_ran_once(&cluster, &answer);
+}
+
+#[actix_rt::test]
+async fn a_stream_with_events_does_not_leave_a_stage_that_others_find_unhealthy() {
+    let cluster = Cluster::new(1).await;
+    let disturb = || mark_unhealthy(&cluster, &stages(&cluster)[0], Cause::Peer);
+    let answer = disturbed(&cluster, disturb).await;
+    assert_ran_once(&cluster, &answer);
+}
+
+#[actix_rt::test]
+async fn a_stream_of_a_silent_chain_is_not_sent_again_and_again_to_one_that_fails() {
+    let cluster = Cluster::new(1).await;
+    let disturb = || {
+        let first = cluster.fleet.runs("r1");
+        for id in other_engines(&first) {
+            cluster.fleet.set_fault(&id, Fault::WrongRequestId);
+        }
+        silence(&cluster.fleet, first);
+    };
+    let answer = disturbed(&cluster, disturb).await;
+    assert!(answer.is_complete, "cut after {:?}", answer.body.lines().last());
+    assert_eq!(answer.body, all_events());
+    assert_eq!(cluster.fleet.runs("r1").len(), 2, "{:?}", cluster.fleet.runs("r1"));
+}
+
+#[actix_rt::test]
+async fn a_stream_goes_on_where_it_was_if_the_other_chain_is_silent_for_longer() {
+    let cluster = Cluster::new(1).await;
+    let disturb = || {
+        let stages = stages(&cluster);
+        silence_for(&cluster.fleet, other_engines(&stages), SILENCE * 4);
+        silence_for(&cluster.fleet, stages[..1].to_vec(), SILENCE / 2);
+    };
+    let answer = disturbed(&cluster, disturb).await;
+    assert!(answer.is_complete, "cut after {:?}", answer.body.lines().last());
+    assert_eq!(answer.body, all_events());
+}
+
 #[actix_rt::test]
 async fn a_stream_is_not_cut_if_all_other_chains_refuse_it_while_its_own_is_silent() {
     let cluster = Cluster::new(1).await;
     let disturb = || {
         let first = cluster.fleet.runs("r1");
-        let all = (0..8).map(|n| format!("engine-{n}"));
-        for id in all.filter(|id| !first.contains(id)) {
+        for id in other_engines(&first) {
             cluster.fleet.set_fault(&id, Fault::Full);
         }
         silence(&cluster.fleet, first);
