Test that version and Connection don't change how an answer ends

Cause: no test had an HTTP/1.0 answer, or one with Connection: close or keep-alive, with and without a length, ended by a close and by a reset.

Change: two tests; both pass on the code as it is.

Evidence: each fails when the code is broken: without Framing::UntilClose for HTTP/1.0 and 1.1 in turn, with a reset read as an end, with an early end taken as complete, with Content-Length ignored.

--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -70,6 +70,37 @@
     assert!(matches!(call(address).await, Err(Error::Io(_))));
 }
 
+/// The version and the fate of the connection must not change how an answer without a length ends.
+#[actix_rt::test]
+async fn a_response_without_a_length_ends_with_its_connection_whatever_its_head_says() {
+    for head in [
+        "HTTP/1.0 200 OK\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\n",
+    ] {
+        let whole = format!("{head}all of it").leak();
+        assert_eq!(call(peer_sending(whole).await).await.unwrap(), "all of it", "{head}");
+        let reset = peer_resetting(format!("{head}part of").leak()).await;
+        assert!(matches!(call(reset).await, Err(Error::Io(_))), "{head}");
+        let reset_at_once = peer_resetting(head).await;
+        assert!(matches!(call(reset_at_once).await, Err(Error::Io(_))), "{head}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_response_with_a_length_ends_with_it_whatever_its_head_says() {
+    for head in [
+        "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\n",
+    ] {
+        let whole = format!("{head}wholeand more").leak();
+        assert_eq!(call(peer_sending(whole).await).await.unwrap(), "whole", "{head}");
+        let short = peer_sending(format!("{head}shor").leak()).await;
+        assert!(matches!(call(short).await, Err(Error::Closed | Error::Body(_))), "{head}");
+    }
+}
+
 /// Guards against losing the reset to the write that fails of it, after which reading sees only the
 /// end of the connection. Which of the two comes first is left to chance, hence the repetitions.
 #[actix_rt::test]
