Read an answer with the transfer encoding identity until its connection ends

Cause: a Transfer-Encoding header counted as a length, but identity marks no end: the codec accepts it and takes the answer as empty. On the code as it was:

a_response_without_a_length_ends_with_its_connection_whatever_its_head_says panicked assertion `left == right` failed: HTTP/1.1 200 OK transfer-encoding: identity left: b"" right: "all of it"

Change: identity doesn't count as a length; with a Content-Length beside it, that one counts, as before.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -245,10 +245,9 @@
 /// A response without a length header may have a body that ends with the connection, but the codec
 /// treats it as empty.
 fn framing(head: &ResponseHead, codec: ClientCodec, is_reset: bool) -> Framing {
-    let headers = head.headers();
-    let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
     let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if !has_no_body && !length_headers.iter().any(|name| headers.contains_key(name)) {
+    let has_length = head.headers().contains_key(header::CONTENT_LENGTH) || is_encoded(head);
+    if !has_no_body && !has_length {
         return Framing::UntilClose { is_reset };
     }
     match codec.message_type() {
@@ -256,3 +255,9 @@
         _ => Framing::Codec(codec.into_payload_codec()),
     }
 }
+
+/// Returns whether a transfer encoding marks the end of the body, which `identity` does not.
+fn is_encoded(head: &ResponseHead) -> bool {
+    let encoding = head.headers().get(header::TRANSFER_ENCODING);
+    encoding.is_some_and(|e| !e.as_bytes().trim_ascii().eq_ignore_ascii_case(b"identity"))
+}
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -78,6 +78,7 @@
         "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\n",
         "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
         "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n",
     ] {
         let whole = format!("{head}all of it").leak();
         assert_eq!(call(peer_sending(whole).await).await.unwrap(), "all of it", "{head}");
@@ -93,6 +94,7 @@
     for head in [
         "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\n",
         "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\ncontent-length: 5\r\n\r\n",
     ] {
         let whole = format!("{head}wholeand more").leak();
         assert_eq!(call(peer_sending(whole).await).await.unwrap(), "whole", "{head}");
