Don't wait for the body of an answer to HEAD

Cause: an answer to HEAD has neither a body nor, often, a length, and was read until its connection ended, for as long as the engine kept it open; after an interim answer, which resets the codec, also one with a length waited for a body. On the code as it was:

thread 'a_response_to_head_has_no_body_to_wait_for' panicked called `Result::unwrap()` on an `Err` value: Timeout

Change: an answer to HEAD is complete with its head.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -13,7 +13,7 @@
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -119,6 +119,7 @@
     let (mut read, mut write) = stream.into_split();
     let mut codec = new_codec();
     let mut outgoing = BytesMut::with_capacity(1024 + body.len());
+    let is_head = head.method == Method::HEAD;
     encode(&mut codec, head, body, &mut outgoing)?;
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
     let mut is_reset = false;
@@ -134,7 +135,10 @@
             count = read.read_buf(&mut buffer) => {
                 let count = count?;
                 if let Some(head) = decode(&mut codec, &mut buffer)? {
-                    let framing = framing(&head, codec, is_reset);
+                    let framing = match is_head {
+                        true => Framing::Complete,
+                        false => framing(&head, codec, is_reset),
+                    };
                     let body = Body { read, _write: write, buffer, framing };
                     return Ok(Response { head, body });
                 }
@@ -240,7 +244,7 @@
     Ok(None)
 }
 
-/// Chooses the framing of a body.
+/// Chooses the framing of a body, of a response to any method but `HEAD`.
 ///
 /// A response without a length header may have a body that ends with the connection, but the codec
 /// treats it as empty.
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -127,6 +127,25 @@
     }
 }
 
+/// Guards against waiting for the end of the connection, which the peer keeps open.
+#[actix_rt::test]
+async fn a_response_to_head_has_no_body_to_wait_for() {
+    for bytes in ["", "HTTP/1.1 100 Continue\r\n\r\n"] {
+        for framing in ["", "content-length: 5\r\n", "transfer-encoding: chunked\r\n"] {
+            let bytes = format!("{bytes}HTTP/1.1 200 OK\r\n{framing}\r\n");
+            let address = peer(move |mut stream| async move {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                tokio::time::sleep(TIME_LIMIT * 2).await;
+            })
+            .await;
+            let mut head = RequestHead::default();
+            head.method = actix_http::Method::HEAD;
+            let result = exchange::call(address, head, Bytes::new(), 1024, TIME_LIMIT).await;
+            assert_eq!(result.unwrap().1, "", "{framing}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn a_short_response_is_not_complete() {
     let address = peer_sending("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nshort").await;
