Test answers without a length from caller to engine

Cause: no stand-in answered without a length, so only single exchanges were tested with such answers.

Change: stand-in endpoints whose answers have neither a length nor chunks and end with their connections, whole, closed or reset after some bytes; tests over an entry with only such endpoints.

--- /dev/null
+++ b/crates/router/tests/path/unframed.rs
@@ -0,0 +1,172 @@
+//! Answers with neither a length nor chunks, which end with their connections.
+//!
+//! Whatever breaks off, by a reset or by its end inside an event, must not reach a caller as a
+//! complete answer.
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead};
+use bytes::Bytes;
+use oriole_adapter::exchange;
+use oriole_platform::endpoint::{self, Acceptance};
+use oriole_platform_standin::caller::Answer;
+use oriole_platform_standin::config::{HOST, KEY, config};
+use oriole_platform_standin::fleet::Fleet;
+use oriole_platform_standin::store::Store;
+use oriole_platform_standin::unframed::Ending;
+use serde_json::json;
+
+use crate::all_events;
+use crate::cluster::{Cluster, WAIT_TIMEOUT};
+
+/// Starts one entry, with endpoints whose answers end with their connections.
+///
+/// Besides the usual routes there is one for streams that may not resume (`/strict/`).
+async fn cluster() -> Cluster {
+    let store = Store::start().await.unwrap();
+    let mut operator = config(1, &[KEY]);
+    let routes = operator["routes"].as_array_mut().unwrap();
+    let mut strict = routes[0].clone();
+    strict["name"] = json!("strict");
+    strict["prefix"] = json!("/strict/");
+    strict["resumable"] = json!(false);
+    routes.push(strict);
+    store.put("op/config", &operator);
+    let fleet = Fleet::new(&store);
+    for n in 0..8 {
+        let zone = format!("zone-{}", n % 2);
+        fleet.add_unframed_engine(&format!("engine-{n}"), &zone).await.unwrap();
+    }
+    for n in 0..2 {
+        fleet.add_unframed_plain(&format!("plain-{n}"), &format!("zone-{n}")).await.unwrap();
+    }
+    let mut cluster = Cluster { store, fleet, entries: vec![] };
+    let entry = cluster.entry(0).await;
+    cluster.entries.push(entry);
+    cluster.wait(|c| c.entries[0].chains() >= 2).await;
+    cluster
+}
+
+/// Returns the first `count` events that each stand-in engine sends.
+fn events(count: usize) -> String {
+    all_events().split_inclusive("\n\n").take(count).collect()
+}
+
+/// Calls `path` while answers end with `ending`, except those that resume.
+async fn call(cluster: &Cluster, path: &str, ending: Ending) -> Answer {
+    cluster.fleet.set_ending(ending);
+    cluster.entries[0].call(path, "r1", KEY).await
+}
+
+#[actix_rt::test]
+async fn a_stream_without_a_length_is_complete_when_its_connection_is_closed() {
+    let cluster = cluster().await;
+    for path in ["/draft/a", "/strict/a"] {
+        let answer = call(&cluster, path, Ending::Whole).await;
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert_eq!(answer.body, all_events());
+    }
+    assert_eq!(cluster.fleet.runs("r1").len(), 2);
+}
+
+/// Endings of a stream that break it off after 19 events, as the engine's answer shows.
+fn breaks_after_19_events() -> [Ending; 4] {
+    let whole = events(19).len();
+    [
+        Ending::CloseAfter(whole + 1),
+        Ending::CloseAfter(events(20).len() - 1),
+        Ending::ResetAfter(whole),
+        Ending::ResetAfter(whole + 4),
+    ]
+}
+
+#[actix_rt::test]
+async fn a_stream_without_a_length_that_breaks_off_resumes_on_another_chain() {
+    let cluster = cluster().await;
+    for (n, ending) in breaks_after_19_events().into_iter().enumerate() {
+        cluster.fleet.set_ending(ending);
+        let id = format!("r{n}");
+        let answer = cluster.entries[0].call("/draft/a", &id, KEY).await;
+        assert_eq!((answer.status, answer.is_complete), (200, true), "{ending:?}");
+        assert_eq!(answer.body, all_events(), "{ending:?}");
+        let runs = cluster.fleet.runs(&id);
+        assert_eq!(runs.len(), 2, "{ending:?}");
+        assert_eq!(answer.signature, Some(format!("of-{}", runs[0])));
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_without_a_length_that_breaks_off_and_may_not_resume_is_not_complete() {
+    let cluster = cluster().await;
+    for (n, ending) in breaks_after_19_events().into_iter().enumerate() {
+        cluster.fleet.set_ending(ending);
+        let id = format!("r{n}");
+        let answer = cluster.entries[0].call("/strict/a", &id, KEY).await;
+        assert!(!answer.is_complete, "{ending:?}");
+        assert_eq!(answer.body, events(19), "{ending:?}");
+        assert_eq!(cluster.fleet.runs(&id).len(), 1);
+    }
+}
+
+/// Guards against refusing what an engine has left to say after a stream's last event: nothing.
+#[actix_rt::test]
+async fn a_stream_that_resumes_after_its_last_event_is_complete_without_a_further_one() {
+    let cluster = cluster().await;
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = "/draft/a".parse().unwrap();
+    let headers = [
+        ("host", HOST),
+        ("oriolelanding-request-id", "r1"),
+        ("oriolelanding-deadline-ms", "20000"),
+        ("oriolelanding-token-usage", "800,160"),
+        ("last-event-id", "40"),
+        ("api-key", KEY),
+    ];
+    for (name, value) in headers {
+        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    let entry = cluster.entries[0].callers;
+    let answer = exchange::call(entry, head, Bytes::new(), 1024, WAIT_TIMEOUT).await;
+    let (head, body) = answer.unwrap();
+    assert_eq!((head.status.as_u16(), body.len()), (200, 0));
+    assert_eq!(cluster.fleet.runs("r1").len(), 1);
+}
+
+#[actix_rt::test]
+async fn a_report_and_an_order_are_understood_without_a_length() {
+    let cluster = cluster().await;
+    call(&cluster, "/draft/a", Ending::Whole).await;
+    let path = cluster.fleet.path("r1").unwrap();
+    let (address, layers) = path.split(',').next().unwrap().split_once('=').unwrap();
+    let address = address.parse().unwrap();
+    let report = endpoint::report(address, WAIT_TIMEOUT).await.unwrap();
+    assert_eq!(format!("{}-{}", report.layers.first, report.layers.end), layers);
+    assert!(report.orders > 0);
+    let id = cluster.fleet.runs("r1")[0].as_str().into();
+    let place = endpoint::place(address, &id, report.layers, report.orders, 1, WAIT_TIMEOUT);
+    assert_eq!(place.await.unwrap(), Acceptance::Begun);
+}
+
+#[actix_rt::test]
+async fn a_plain_answer_without_a_length_is_whole_when_its_connection_is_closed() {
+    let cluster = cluster().await;
+    for path in ["/once/a", "/page/a"] {
+        let answer = call(&cluster, path, Ending::Whole).await;
+        assert_eq!((answer.status, answer.is_complete), (200, true));
+        assert_eq!(answer.body, "the whole page");
+    }
+}
+
+#[actix_rt::test]
+async fn a_plain_answer_without_a_length_that_is_reset_is_not_passed_on() {
+    let cluster = cluster().await;
+    for (count, id) in [(0, "r1"), (5, "r2"), ("the whole page".len(), "r3")] {
+        cluster.fleet.set_ending(Ending::ResetAfter(count));
+        for (path, runs) in [("/once/a", 1), ("/page/a", 2)] {
+            let id = format!("{path} {id}");
+            let answer = cluster.entries[0].call(path, &id, KEY).await;
+            assert_eq!((answer.status, answer.signature), (502, None), "{path} {count}");
+            assert_eq!(cluster.fleet.runs(&id).len(), runs);
+        }
+    }
+}
