Treat a stream that ends without its first event as broken off

Cause: a 200 stream whose connection ended before any event was passed on as a complete, empty answer, also if it should have resumed in the middle of an event of which a part had been received. On the code as it was:

a_stream_without_any_event_is_not_passed_on_as_complete panicked: CloseAfter(0) left: (200, Some("of-engine-0")) right: (502, None) a_stream_without_any_event_runs_on_another_chain panicked left: "" right: "id: 1\ndata: token-1 .. a_stream_that_resumes_without_any_event_is_not_complete panicked: assertion failed: !answer.is_complete

Change: the splitter knows whether an event must still come: the first one, one of which a part has been received, or, after a stream that broke off, one that follows in an answer that only the end of its connection ends. An end without it fails the attempt, so it runs elsewhere or the caller gets 502, or, after events, no end. Still complete without an event: a stream that a caller resumes after its last event, one that we resume if a length or the last chunk states its end, answers to HEAD. A stream that is reset after its last event and resumed at an engine that answers without a length now ends incomplete; the caller may resume it.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -176,6 +176,11 @@
 }
 
 impl Body {
+    /// Returns whether only the end of the connection will show that the body is complete.
+    pub fn is_unframed(&self) -> bool {
+        matches!(self.framing, Framing::UntilClose { .. })
+    }
+
     /// Waits for the next bytes of the body; returns `None` when it is complete.
     ///
     /// A connection reset is always an error, even where closing the connection ends the body.
--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -2,15 +2,26 @@
 //!
 //! Only complete events are forwarded, so that a stream that breaks in the middle of an event can
 //! resume at another endpoint without a truncated or repeated event.
+//!
+//! A stream whose connection is its only end tells by its events whether it is whole: it has been
+//! broken off if it ends inside an event, or without the event that a caller must still get.
 
 /// Maximum size of an incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Splits a stream of bytes into complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Splitter {
     partial: Vec<u8>,
     last_id: Option<String>,
+    /// Whether an end without a further event is not believed.
+    is_event_due: bool,
+}
+
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::after(None)
+    }
 }
 
 /// Complete events, concatenated.
@@ -25,7 +36,16 @@
 impl Splitter {
     /// Creates a splitter for a stream that resumes after the event with id `last_id`.
     pub fn after(last_id: Option<String>) -> Self {
-        Self { partial: vec![], last_id }
+        Self { partial: vec![], is_event_due: last_id.is_none(), last_id }
+    }
+
+    /// Prepares for the stream of another endpoint, which begins after the last complete event.
+    ///
+    /// Drops a partial event, which that endpoint sends again from its start. `is_end_doubtful`
+    /// states that the stream may also end early without an event and not show it.
+    pub fn resume(&mut self, is_end_doubtful: bool) {
+        self.is_event_due |= is_end_doubtful || !self.partial.is_empty();
+        self.partial.clear();
     }
 
     /// Returns the id of the last complete event, if any event had one.
@@ -33,9 +53,12 @@
         self.last_id.as_deref()
     }
 
-    /// Returns whether bytes of an incomplete event are buffered.
-    pub fn is_partial(&self) -> bool {
-        !self.partial.is_empty()
+    /// Returns whether a stream that ends now has been broken off.
+    ///
+    /// A stream that resumes after an event may have no further one, unless its end is doubtful; any
+    /// other has at least one.
+    pub fn is_cut_off(&self) -> bool {
+        self.is_event_due || !self.partial.is_empty()
     }
 
     /// Appends bytes and returns the events that they complete.
@@ -51,6 +74,7 @@
             }
             end += length;
             count += 1;
+            self.is_event_due = false;
         }
         if self.partial.len() - end > MAX_EVENT_BYTES {
             return None;
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -78,6 +78,26 @@
     assert!(queue.would_be_first(0));
 }
 
+/// Only a stream that resumes where none is known to follow may end without an event.
+#[test]
+fn an_event_that_must_follow_is_missed_over_all_attempts() {
+    let mut splitter = Splitter::after(Some("7".to_owned()));
+    assert!(!splitter.is_cut_off());
+    splitter.push(b"id: 8\nda").unwrap();
+    for _ in 0..3 {
+        splitter.resume(false);
+        assert!(splitter.is_cut_off());
+        assert_eq!(splitter.last_id(), Some("7"));
+    }
+    let events = splitter.push(b"id: 8\ndata: d\n\n").unwrap();
+    assert_eq!((events.bytes.as_slice(), events.count), (&b"id: 8\ndata: d\n\n"[..], 1));
+    splitter.resume(false);
+    assert!(!splitter.is_cut_off());
+    splitter.resume(true);
+    assert!(splitter.is_cut_off());
+    assert!(Splitter::after(None).is_cut_off());
+}
+
 proptest! {
     #![proptest_config(proptest_config(256))]
 
@@ -103,7 +123,7 @@
             out.extend(whole.bytes);
             rest = left;
         }
-        prop_assert!(!splitter.is_partial());
+        prop_assert!(!splitter.is_cut_off());
         prop_assert_eq!(out, stream.as_bytes());
         prop_assert_eq!(count, lengths.len());
         let last = lengths.len().to_string();
@@ -120,6 +140,8 @@
         prop_assert!(whole.bytes.is_empty() || whole.bytes.ends_with(b"\n\n"));
         let last = (whole.count > 0).then(|| whole.count.to_string());
         prop_assert_eq!(splitter.last_id(), last.as_deref());
+        let is_boundary = cut > 0 && stream[..cut].ends_with("\n\n");
+        prop_assert_eq!(splitter.is_cut_off(), !is_boundary);
     }
 
     /// In any window, all entries together make at most as many retries as the bound allows.
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::time::Duration;
 
-use actix_http::StatusCode;
+use actix_http::{Method, StatusCode};
 use oriole_adapter::exchange::{self, Body, Response};
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
@@ -145,8 +145,8 @@
 
 /// Forwards complete events to the caller until the stream ends.
 ///
-/// A response without status 200 is not a stream and is forwarded as one body, unless it is a
-/// server error and the request may run again.
+/// A response without status 200, or to `HEAD`, is not a stream and is forwarded as one body, unless
+/// it is a server error and the request may run again.
 async fn forward_stream(
     attempt: Attempt<'_>,
     chain: &mut Chain,
@@ -156,15 +156,15 @@
 ) -> Outcome {
     let Attempt { state, request, .. } = attempt;
     let Response { head, mut body } = answer;
-    if head.status != StatusCode::OK {
+    if head.status != StatusCode::OK || request.head.method == Method::HEAD {
         if head.status.is_server_error() && request.route.may_repeat() {
             return Outcome::Failed(Failure::Unknown);
         }
         return forward_unstreamed(&head, body, writer).await;
     }
-    // Drops a partial event of an earlier attempt, which this attempt sends again from its start.
-    *splitter = Splitter::after(splitter.last_id().map(str::to_owned));
     let mut is_first = writer.progress() == Progress::NotStarted;
+    // After a stream that broke off, a mere close before any event may be another break.
+    splitter.resume(!is_first && body.is_unframed());
     let mut silence = FIRST_EVENT_SILENCE;
     let mut stream = Stream::new(attempt, chain);
     loop {
@@ -175,7 +175,7 @@
                 suspect::probe_first_stage(state, chain);
                 return Outcome::Failed(Failure::Unknown);
             }
-            Ok(Ok(None)) if splitter.is_partial() => return Outcome::Failed(Failure::Unknown),
+            Ok(Ok(None)) if splitter.is_cut_off() => return Outcome::Failed(Failure::Unknown),
             Ok(Ok(None)) => break,
             Ok(Ok(Some(bytes))) => bytes,
         };
@@ -200,7 +200,7 @@
         }
     }
     if is_first {
-        // The stream ended without an event; the caller still needs the head.
+        // The caller had the last event already; it still needs the head.
         let headers = endpoint::end_to_end(head.headers());
         if let Err(e) = writer.begin_stream(head.status, headers).await {
             return Outcome::CallerLost(e);
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -57,6 +57,34 @@
     cluster.entries[0].call(path, "r1", KEY).await
 }
 
+/// Sends request `r1` with a method and the last event that its caller has got. Returns the status
+/// and the body of its complete answer.
+async fn call_with(
+    cluster: &Cluster,
+    method: Method,
+    path: &str,
+    last_event: Option<&'static str>,
+) -> (u16, Bytes) {
+    let mut head = RequestHead::default();
+    head.method = method;
+    head.uri = path.parse().unwrap();
+    let headers = [
+        ("host", HOST),
+        ("oriolelanding-request-id", "r1"),
+        ("oriolelanding-deadline-ms", "20000"),
+        ("oriolelanding-token-usage", "800,160"),
+        ("api-key", KEY),
+    ];
+    let last = last_event.map(|id| ("last-event-id", id));
+    for (name, value) in headers.into_iter().chain(last) {
+        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
+    }
+    let entry = cluster.entries[0].callers;
+    let answer = exchange::call(entry, head, Bytes::new(), 1024, WAIT_TIMEOUT).await;
+    let (head, body) = answer.unwrap();
+    (head.status.as_u16(), body)
+}
+
 #[actix_rt::test]
 async fn a_stream_without_a_length_is_complete_when_its_connection_is_closed() {
     let cluster = cluster().await;
@@ -107,28 +135,65 @@
     }
 }
 
+/// A stream with no event at all is no answer, whether its connection is closed or reset.
+#[actix_rt::test]
+async fn a_stream_without_any_event_is_not_passed_on_as_complete() {
+    let cluster = cluster().await;
+    for ending in [Ending::CloseAfter(0), Ending::ResetAfter(0), Ending::CloseAfter(4)] {
+        let id = format!("draft {ending:?}");
+        cluster.fleet.set_ending(ending);
+        let answer = cluster.entries[0].call("/strict/a", &id, KEY).await;
+        assert_eq!((answer.status, answer.signature), (502, None), "{ending:?}");
+        assert_eq!(cluster.fleet.runs(&id).len(), 1);
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_without_any_event_runs_on_another_chain() {
+    let cluster = cluster().await;
+    cluster.fleet.set_ending(Ending::CloseAfter(0));
+    let repair = async {
+        cluster.wait(|c| !c.fleet.runs("r1").is_empty()).await;
+        cluster.fleet.set_ending(Ending::Whole);
+    };
+    let (answer, ()) = tokio::join!(cluster.entries[0].call("/draft/a", "r1", KEY), repair);
+    assert_eq!((answer.status, answer.is_complete), (200, true));
+    assert_eq!(answer.body, all_events());
+    let runs = cluster.fleet.runs("r1");
+    assert!(runs.len() > 1);
+    assert_eq!(answer.signature, Some(format!("of-{}", runs[runs.len() - 1])));
+}
+
+/// Engines that resume a stream which was reset after 19 events close it before any further one.
+/// The caller must not take that for the end of the stream.
+#[actix_rt::test]
+async fn a_stream_that_resumes_without_any_event_is_not_complete() {
+    let cluster = cluster().await;
+    let state = &cluster.entries[0].state;
+    let mut settings = state.settings.clone();
+    (settings.retries.ratio, settings.retries.fixed) = (0.0, 10.0);
+    state.reload(&settings);
+    let answer = call(&cluster, "/draft/a", Ending::ResetThenEmpty(events(19).len())).await;
+    assert!(!answer.is_complete);
+    assert_eq!(answer.body, events(19));
+    assert!(cluster.fleet.runs("r1").len() > 1);
+}
+
+/// Guards against missing the events of a stream where the method allows no body.
+#[actix_rt::test]
+async fn the_head_of_a_stream_is_complete_without_an_event() {
+    let cluster = cluster().await;
+    let answer = call_with(&cluster, Method::HEAD, "/strict/a", None).await;
+    assert_eq!(answer, (200, Bytes::new()));
+    assert_eq!(cluster.fleet.runs("r1").len(), 1);
+}
+
 /// Guards against refusing what an engine has left to say after a stream's last event: nothing.
 #[actix_rt::test]
 async fn a_stream_that_resumes_after_its_last_event_is_complete_without_a_further_one() {
     let cluster = cluster().await;
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    head.uri = "/draft/a".parse().unwrap();
-    let headers = [
-        ("host", HOST),
-        ("oriolelanding-request-id", "r1"),
-        ("oriolelanding-deadline-ms", "20000"),
-        ("oriolelanding-token-usage", "800,160"),
-        ("last-event-id", "40"),
-        ("api-key", KEY),
-    ];
-    for (name, value) in headers {
-        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
-    }
-    let entry = cluster.entries[0].callers;
-    let answer = exchange::call(entry, head, Bytes::new(), 1024, WAIT_TIMEOUT).await;
-    let (head, body) = answer.unwrap();
-    assert_eq!((head.status.as_u16(), body.len()), (200, 0));
+    let answer = call_with(&cluster, Method::POST, "/draft/a", Some("40")).await;
+    assert_eq!(answer, (200, Bytes::new()));
     assert_eq!(cluster.fleet.runs("r1").len(), 1);
 }
 
