Check that a stream of a service without a model is whole

Cause: streams of services without a model are read like plain answers, and an end of the connection inside an event counted as the end of the answer. On the code as it was:

thread 'unframed::a_stream_of_a_plain_service_that_breaks_off_is_not_passed_on' panicked assertion `left == right` failed: /feed/strict/a CloseAfter(0) left: (200, Some("of-plain-0")) right: (502, None)

Change: a body with status 200 on a streaming route goes through the splitter once read; if it ends inside an event or without any, the attempt has failed. It runs again where the route allows it.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -6,14 +6,16 @@
 use std::io;
 use std::time::Duration;
 
-use actix_http::ResponseHead;
+use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use oriole_adapter::exchange;
 use oriole_core::fleet::{Endpoint, Incarnation};
+use oriole_core::forward::event::Splitter;
 use oriole_core::forward::in_flight::Work;
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::{choice, queue};
 use oriole_core::name;
+use oriole_core::route::Kind;
 use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::{sleep, timeout};
@@ -213,8 +215,19 @@
             Ok(Some(bytes)) if content.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
                 content.extend_from_slice(&bytes);
             }
+            Ok(None) if is_cut_off(request, &head, &content) => return Err(Failure::Unknown),
             Ok(None) => return Ok(Response { head, body: content.freeze() }),
             Ok(Some(_)) | Err(_) => return Err(Failure::Unknown),
         }
     }
 }
+
+/// Returns whether the body is a stream that was broken off, although its framing is complete.
+fn is_cut_off(request: &Request, head: &ResponseHead, body: &[u8]) -> bool {
+    let is_stream = request.route.kind == Kind::Streaming && request.head.method != Method::HEAD;
+    if !is_stream || head.status != StatusCode::OK {
+        return false;
+    }
+    let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
+    splitter.push(body).is_none() || splitter.is_cut_off()
+}
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -9,27 +9,38 @@
 use oriole_adapter::exchange;
 use oriole_platform::endpoint::{self, Acceptance};
 use oriole_platform_standin::caller::Answer;
-use oriole_platform_standin::config::{HOST, KEY, config};
+use oriole_platform_standin::config::{HOST, KEY, MODEL_SERVICE, PLAIN_SERVICE, config};
+use oriole_platform_standin::engine::STREAM_OF_PLAIN;
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
 use oriole_platform_standin::unframed::Ending;
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::all_events;
 use crate::cluster::{Cluster, WAIT_TIMEOUT};
 
 /// Starts one entry, with endpoints whose answers end with their connections.
 ///
-/// Besides the usual routes there is one for streams that may not resume (`/strict/`).
+/// Besides the usual routes there are a stream that may not resume (`/strict/`), and streams of the
+/// plain service that may (`/feed/`) and may not (`/feed/strict/`).
 async fn cluster() -> Cluster {
     let store = Store::start().await.unwrap();
     let mut operator = config(1, &[KEY]);
     let routes = operator["routes"].as_array_mut().unwrap();
-    let mut strict = routes[0].clone();
-    strict["name"] = json!("strict");
-    strict["prefix"] = json!("/strict/");
-    strict["resumable"] = json!(false);
-    routes.push(strict);
+    let streaming = |prefix: &str, service: &str, resumable: bool| {
+        let mut route: Value = routes[0].clone();
+        route["name"] = json!(prefix);
+        route["prefix"] = json!(prefix);
+        route["service"] = json!(service);
+        route["resumable"] = json!(resumable);
+        route
+    };
+    let more = [
+        streaming("/strict/", MODEL_SERVICE, false),
+        streaming("/feed/", PLAIN_SERVICE, true),
+        streaming("/feed/strict/", PLAIN_SERVICE, false),
+    ];
+    routes.extend(more);
     store.put("op/config", &operator);
     let fleet = Fleet::new(&store);
     for n in 0..8 {
@@ -183,9 +194,11 @@
 #[actix_rt::test]
 async fn the_head_of_a_stream_is_complete_without_an_event() {
     let cluster = cluster().await;
-    let answer = call_with(&cluster, Method::HEAD, "/strict/a", None).await;
-    assert_eq!(answer, (200, Bytes::new()));
-    assert_eq!(cluster.fleet.runs("r1").len(), 1);
+    for path in ["/strict/a", "/feed/strict/a"] {
+        let answer = call_with(&cluster, Method::HEAD, path, None).await;
+        assert_eq!(answer, (200, Bytes::new()), "{path}");
+    }
+    assert_eq!(cluster.fleet.runs("r1").len(), 2);
 }
 
 /// Guards against refusing what an engine has left to say after a stream's last event: nothing.
@@ -235,3 +248,29 @@
         }
     }
 }
+
+/// Streams of services without a model are passed on as one body, and must be checked all the same.
+#[actix_rt::test]
+async fn a_stream_of_a_plain_service_that_breaks_off_is_not_passed_on() {
+    let cluster = cluster().await;
+    let first = "id: 1\ndata: first\n\n".len();
+    let all = STREAM_OF_PLAIN.len();
+    let endings = [
+        Ending::CloseAfter(0),
+        Ending::CloseAfter(first + 1),
+        Ending::CloseAfter(all - 1),
+        Ending::ResetAfter(first),
+        Ending::ResetAfter(all),
+    ];
+    for ending in endings {
+        for (path, runs) in [("/feed/strict/a", 1), ("/feed/a", 2)] {
+            let id = format!("{path} {ending:?}");
+            cluster.fleet.set_ending(ending);
+            let answer = cluster.entries[0].call(path, &id, KEY).await;
+            assert_eq!((answer.status, answer.signature), (502, None), "{id}");
+            assert_eq!(cluster.fleet.runs(&id).len(), runs, "{id}");
+        }
+    }
+    let answer = call(&cluster, "/feed/strict/a", Ending::Whole).await;
+    assert_eq!((answer.status, answer.body.as_str()), (200, STREAM_OF_PLAIN));
+}
