--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -13,7 +13,7 @@
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -94,7 +94,11 @@
     /// By `Content-Length` or chunked encoding.
     Codec(ClientPayloadCodec),
     /// The body ends when the peer closes the connection.
-    UntilClose,
+    UntilClose {
+        /// Whether writing the request failed, which only a lost or reset connection explains. The
+        /// kernel reports a reset once, so that reading then sees what looks like a regular end.
+        is_reset: bool,
+    },
     /// The body has been read completely.
     Complete,
 }
@@ -115,20 +119,28 @@
     let (mut read, mut write) = stream.into_split();
     let mut codec = new_codec();
     let mut outgoing = BytesMut::with_capacity(1024 + body.len());
+    let is_head = head.method == Method::HEAD;
     encode(&mut codec, head, body, &mut outgoing)?;
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
+    let mut is_reset = false;
     loop {
         tokio::select! {
             written = write.write_buf(&mut outgoing), if outgoing.has_remaining() => {
                 if written.is_err() {
                     // The peer may have responded before it closed the connection; keep reading.
                     outgoing.clear();
+                    is_reset = true;
                 }
             }
             count = read.read_buf(&mut buffer) => {
                 let count = count?;
                 if let Some(head) = decode(&mut codec, &mut buffer)? {
-                    return Ok(response(head, codec, read, write, buffer));
+                    let framing = match is_head {
+                        true => Framing::Complete,
+                        false => framing(&head, codec, is_reset),
+                    };
+                    let body = Body { read, _write: write, buffer, framing };
+                    return Ok(Response { head, body });
                 }
                 if count == 0 {
                     return Err(Error::Closed);
@@ -164,6 +176,11 @@
 }
 
 impl Body {
+    /// Returns whether only the end of the connection will show that the body is complete.
+    pub fn is_unframed(&self) -> bool {
+        matches!(self.framing, Framing::UntilClose { .. })
+    }
+
     /// Waits for the next bytes of the body; returns `None` when it is complete.
     ///
     /// A connection reset is always an error, even where closing the connection ends the body.
@@ -171,10 +188,10 @@
         loop {
             match &mut self.framing {
                 Framing::Complete => return Ok(None),
-                Framing::UntilClose if !self.buffer.is_empty() => {
+                Framing::UntilClose { .. } if !self.buffer.is_empty() => {
                     return Ok(Some(self.buffer.split().freeze()));
                 }
-                Framing::UntilClose => {}
+                Framing::UntilClose { .. } => {}
                 Framing::Codec(codec) => match codec.decode(&mut self.buffer)? {
                     Some(Some(bytes)) => return Ok(Some(bytes)),
                     Some(None) => {
@@ -186,9 +203,9 @@
             }
             self.buffer.reserve(READ_BUFFER_BYTES);
             if self.read.read_buf(&mut self.buffer).await? == 0 {
-                if matches!(self.framing, Framing::Codec(_)) {
+                let Framing::UntilClose { is_reset: false } = self.framing else {
                     return Err(Error::Closed);
-                }
+                };
                 self.framing = Framing::Complete;
             }
         }
@@ -232,30 +249,24 @@
     Ok(None)
 }
 
-fn response(
-    head: ResponseHead,
-    codec: ClientCodec,
-    read: OwnedReadHalf,
-    write: OwnedWriteHalf,
-    buffer: BytesMut,
-) -> Response {
-    let framing = framing(&head, codec);
-    Response { head, body: Body { read, _write: write, buffer, framing } }
-}
-
-/// Chooses the framing of a body.
+/// Chooses the framing of a body, of a response to any method but `HEAD`.
 ///
 /// A response without a length header may have a body that ends with the connection, but the codec
 /// treats it as empty.
-fn framing(head: &ResponseHead, codec: ClientCodec) -> Framing {
-    let headers = head.headers();
-    let length_headers = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+fn framing(head: &ResponseHead, codec: ClientCodec, is_reset: bool) -> Framing {
     let has_no_body = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if !has_no_body && !length_headers.iter().any(|name| headers.contains_key(name)) {
-        return Framing::UntilClose;
+    let has_length = head.headers().contains_key(header::CONTENT_LENGTH) || is_encoded(head);
+    if !has_no_body && !has_length {
+        return Framing::UntilClose { is_reset };
     }
     match codec.message_type() {
         MessageType::None => Framing::Complete,
         _ => Framing::Codec(codec.into_payload_codec()),
     }
 }
+
+/// Returns whether a transfer encoding marks the end of the body, which `identity` does not.
+fn is_encoded(head: &ResponseHead) -> bool {
+    let encoding = head.headers().get(header::TRANSFER_ENCODING);
+    encoding.is_some_and(|e| !e.as_bytes().trim_ascii().eq_ignore_ascii_case(b"identity"))
+}
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -46,6 +46,17 @@
     .await
 }
 
+/// Starts a peer that sends `bytes` as its response and resets the connection.
+async fn peer_resetting(bytes: &'static str) -> SocketAddr {
+    peer(move |mut stream| async move {
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    })
+    .await
+}
+
 #[actix_rt::test]
 async fn a_response_without_a_length_ends_with_its_connection() {
     let address = peer_sending("HTTP/1.1 200 OK\r\n\r\nall of it").await;
@@ -55,16 +66,86 @@
 /// A body that ends with its connection must not count as complete if the connection is reset.
 #[actix_rt::test]
 async fn a_response_without_a_length_that_is_reset_is_not_complete() {
-    let address = peer(|mut stream| async move {
-        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart of").await.unwrap();
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        let socket = socket2::SockRef::from(&stream);
-        socket.set_linger(Some(Duration::ZERO)).unwrap();
-    })
-    .await;
+    let address = peer_resetting("HTTP/1.1 200 OK\r\n\r\npart of").await;
     assert!(matches!(call(address).await, Err(Error::Io(_))));
 }
 
+/// The version and the fate of the connection must not change how an answer without a length ends.
+#[actix_rt::test]
+async fn a_response_without_a_length_ends_with_its_connection_whatever_its_head_says() {
+    for head in [
+        "HTTP/1.0 200 OK\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nconnection: keep-alive\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: keep-alive\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\n",
+    ] {
+        let whole = format!("{head}all of it").leak();
+        assert_eq!(call(peer_sending(whole).await).await.unwrap(), "all of it", "{head}");
+        let reset = peer_resetting(format!("{head}part of").leak()).await;
+        assert!(matches!(call(reset).await, Err(Error::Io(_))), "{head}");
+        let reset_at_once = peer_resetting(head).await;
+        assert!(matches!(call(reset_at_once).await, Err(Error::Io(_))), "{head}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_response_with_a_length_ends_with_it_whatever_its_head_says() {
+    for head in [
+        "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\ncontent-length: 5\r\n\r\n",
+    ] {
+        let whole = format!("{head}wholeand more").leak();
+        assert_eq!(call(peer_sending(whole).await).await.unwrap(), "whole", "{head}");
+        let short = peer_sending(format!("{head}shor").leak()).await;
+        assert!(matches!(call(short).await, Err(Error::Closed | Error::Body(_))), "{head}");
+    }
+}
+
+/// Guards against losing the reset to the write that fails of it, after which reading sees only the
+/// end of the connection. Which of the two comes first is left to chance, hence the repetitions.
+#[actix_rt::test]
+async fn a_response_that_is_reset_while_the_request_is_written_is_not_complete() {
+    for _ in 0..20 {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut head = RequestHead::default();
+        head.method = actix_http::Method::POST;
+        let body = Bytes::from(vec![0; 16 * 1024 * 1024]);
+        let calling = exchange::call(address, head, body, 1024, TIME_LIMIT);
+        let peer = async {
+            // Lets the call fill the buffers of the connection, so that it waits to write more.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            // Blocks the thread, so that the call sees the response and the reset at once.
+            let (mut stream, _) = listener.accept().unwrap();
+            std::io::Write::write_all(&mut stream, b"HTTP/1.1 200 OK\r\n\r\npart of").unwrap();
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        };
+        let (result, ()) = tokio::join!(calling, peer);
+        assert!(matches!(result, Err(Error::Io(_) | Error::Closed)), "{result:?}");
+    }
+}
+
+/// Guards against waiting for the end of the connection, which the peer keeps open.
+#[actix_rt::test]
+async fn a_response_to_head_has_no_body_to_wait_for() {
+    for bytes in ["", "HTTP/1.1 100 Continue\r\n\r\n"] {
+        for framing in ["", "content-length: 5\r\n", "transfer-encoding: chunked\r\n"] {
+            let bytes = format!("{bytes}HTTP/1.1 200 OK\r\n{framing}\r\n");
+            let address = peer(move |mut stream| async move {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                tokio::time::sleep(TIME_LIMIT * 2).await;
+            })
+            .await;
+            let mut head = RequestHead::default();
+            head.method = actix_http::Method::HEAD;
+            let result = exchange::call(address, head, Bytes::new(), 1024, TIME_LIMIT).await;
+            assert_eq!(result.unwrap().1, "", "{framing}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn a_short_response_is_not_complete() {
     let address = peer_sending("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\nshort").await;
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::time::Duration;
 
-use actix_http::StatusCode;
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use oriole_adapter::exchange::{self, Body, Response};
 use oriole_core::forward::chain::Chain;
@@ -174,8 +174,8 @@
 
 /// Forwards a response to the caller.
 ///
-/// A response without status 200 is not a stream and is forwarded as one body, unless it is a
-/// server error and the request may run again.
+/// A response without status 200, or to `HEAD`, is not a stream and is forwarded as one body, unless
+/// it is a server error and the request may run again.
 async fn forward_stream(
     attempt: Attempt<'_>,
     chain: &mut Chain,
@@ -183,15 +183,17 @@
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
+    let Attempt { request, .. } = attempt;
     let status = answer.head.status;
-    if status != StatusCode::OK {
-        if status.is_server_error() && attempt.request.route.may_repeat() {
+    if status != StatusCode::OK || request.head.method == Method::HEAD {
+        if status.is_server_error() && request.route.may_repeat() {
             return Outcome::Failed(Failure::Unknown);
         }
         return forward_unstreamed(&answer.head, answer.body, writer).await;
     }
-    // Drops a partial event of an earlier attempt, which this attempt sends again from its start.
-    *splitter = Splitter::after(splitter.last_id().map(str::to_owned));
+    // After a stream that broke off, a mere close before any event may be another break.
+    let is_first = writer.progress() == Progress::NotStarted;
+    splitter.resume(!is_first && answer.body.is_unframed());
     let continued = Continued { response: answer, unread: None };
     forward_events(attempt, chain, continued, splitter, writer).await
 }
@@ -227,7 +229,7 @@
                 suspect::probe_first_stage(state, chain);
                 return Outcome::Failed(Failure::Unknown);
             }
-            Ok(Ok(None)) if splitter.is_partial() => return Outcome::Failed(Failure::Unknown),
+            Ok(Ok(None)) if splitter.is_cut_off() => return Outcome::Failed(Failure::Unknown),
             Ok(Ok(None)) => break,
             Ok(Ok(Some(bytes))) => bytes,
         };
@@ -252,7 +254,7 @@
         }
     }
     if is_first {
-        // The stream ended without an event; the caller still needs the head.
+        // The caller had the last event already; it still needs the head.
         let headers = endpoint::end_to_end(head.headers());
         if let Err(e) = writer.begin_stream(head.status, headers).await {
             return Outcome::CallerLost(e);
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod silence;
+mod unframed;
 
 use std::cell::Cell;
 
