Tests of a prompt part under which engines crash, which fail: every request with it is sent on

The stand-in's engines can crash when they begin to answer a request with a certain part, and start again empty after a second. Each request crashes two engines, its first and that of its retry: nothing remembers what an engine was about to answer when it crashed.

--- /dev/null
+++ b/crates/router/tests/path/prompt_part.rs
@@ -0,0 +1,66 @@
+//! Tests of a part of prompts under which engines crash.
+
+use oriole_platform_standin::caller::{self, Answer};
+use oriole_platform_standin::config::KEY;
+
+use crate::all_events;
+use crate::cluster::Cluster;
+
+/// Part of prompts that crashes engines.
+const BAD: &str = "bad0";
+
+/// Part that sound requests share with those that crash engines.
+const SHARED: &str = "5c1e07a2";
+
+/// Sends a request to one of the entries in turn; its parts are `parts` and one of its own.
+async fn call(cluster: &Cluster, number: usize, parts: &[&str]) -> Answer {
+    let entry = &cluster.entries[number % cluster.entries.len()];
+    let id = format!("r{number}");
+    let mut list: Vec<String> = parts.iter().map(|part| format!("{part}:40")).collect();
+    list.push(format!("{:x}:760", 0xabc_000 + number));
+    let list = list.join(",");
+    let call = caller::call_with_parts(entry.callers, "/draft/a", &id, KEY, &list, |_| {});
+    call.await.unwrap()
+}
+
+async fn wait_for_chains(cluster: &Cluster) {
+    cluster.wait(|c| c.entries.iter().all(|e| e.chains() >= 1)).await;
+}
+
+/// The users' bound: of requests with the part, three may reach engines after the fifth crash.
+#[actix_rt::test]
+async fn engines_do_not_crash_one_after_the_other_by_a_part_of_prompts() {
+    let cluster = Cluster::new(2).await;
+    cluster.fleet.set_crashing_part(Some(BAD));
+    for number in 0..16 {
+        wait_for_chains(&cluster).await;
+        // No two requests are alike: what they share is the part.
+        let other = format!("{number:x}");
+        call(&cluster, number, &[SHARED, &other, BAD]).await;
+    }
+    assert!(cluster.fleet.crashes() <= 5 + 3, "{} crashes", cluster.fleet.crashes());
+}
+
+#[actix_rt::test]
+async fn a_request_with_a_part_that_crashes_engines_is_refused_and_sound_ones_are_served() {
+    let cluster = Cluster::new(2).await;
+    cluster.fleet.set_crashing_part(Some(BAD));
+    let mut refused = None;
+    for number in 0..16 {
+        wait_for_chains(&cluster).await;
+        let answer = call(&cluster, number, &[SHARED, BAD]).await;
+        if answer.status == 503 && cluster.fleet.runs(&format!("r{number}")).is_empty() {
+            refused = Some(answer);
+            break;
+        }
+    }
+    let refused = refused.expect("all requests with the part were sent to engines");
+    assert!(refused.retry_after.unwrap() > 1.0, "{refused:?}");
+    let crashes = cluster.fleet.crashes();
+    for number in 100..106 {
+        wait_for_chains(&cluster).await;
+        let answer = call(&cluster, number, &[SHARED]).await;
+        assert_eq!((answer.status, answer.body), (200, all_events()), "sound request {number}");
+    }
+    assert_eq!(cluster.fleet.crashes(), crashes);
+}
