Split the tests of the entry's state machine into a suite folder

It becomes entry/main.rs; the fixture that drives one call without a network moves to entry/calls.rs.

--- a/crates/core/tests/entry.rs
+++ b/crates/core/tests/entry/main.rs
@@ -1,21 +1,22 @@
 //! The entry's state machine with simulated sides, engines and a faulty network.
 
-#[path = "entry/simulation.rs"]
+mod calls;
 mod simulation;
 
 use std::time::Duration;
 
+use calls::{Calls, claimed, keyed, settled};
 use oriole_core::entry::count::Counter;
-use oriole_core::entry::{Event, Outcome, Request};
+use oriole_core::entry::{Event, Outcome};
 use oriole_core::membership::Listing;
 use oriole_core::message::{
-    Answer, Claimed, Load, Message, Refuse, Reply, Report, Settle, State, Term, Verdict, not_run,
+    Answer, Load, Message, Refuse, Reply, Report, State, Term, Verdict, not_run,
 };
 use oriole_core::request::{Ran, Refusal};
 use oriole_core::time::Instant;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use simulation::{Simulation, TICK_US, expected_text, generate, id};
+use simulation::{Simulation, expected_text, generate, id};
 
 fn settings(cases: u32) -> ProptestConfig {
     ProptestConfig {
@@ -199,71 +200,6 @@
     assert!(sim.machine.is_idle());
 }
 
-fn call(path: &str) -> Request {
-    Request {
-        workspace: "w".into(),
-        service: "s".into(),
-        method: "POST".to_owned(),
-        path: path.to_owned(),
-        content_type: String::new(),
-        body: Vec::new(),
-        key: None,
-        deadline: Some(Duration::from_secs(5)),
-    }
-}
-
-/// Drives one call without a network: the test answers each message itself.
-struct Calls {
-    sim: Simulation,
-    sent: Vec<(oriole_core::name::Host, Message)>,
-}
-
-impl Calls {
-    fn start(path: &str) -> Self {
-        let mut calls = Self { sim: Simulation::new(7), sent: Vec::new() };
-        calls.handle(Event::Call(id(1), call(path)));
-        calls
-    }
-
-    fn handle(&mut self, event: Event) {
-        for effect in self.sim.machine.handle(self.sim.now, event) {
-            match effect {
-                oriole_core::entry::Effect::Send { host, message, .. } => {
-                    self.sent.push((host, message));
-                }
-                oriole_core::entry::Effect::Finish { request, outcome } => {
-                    self.sim.outcomes.entry(request).or_default().push(outcome);
-                }
-                oriole_core::entry::Effect::Deliver { .. } => panic!("calls have no tokens"),
-            }
-        }
-    }
-
-    fn message(&mut self, message: Message) {
-        self.handle(Event::Message { from: "side".into(), message });
-    }
-
-    fn wait(&mut self, ms: u64) {
-        for _ in 0..ms * 1000 / TICK_US {
-            self.sim.now = self.sim.now + Duration::from_micros(TICK_US);
-            self.handle(Event::Tick);
-        }
-    }
-
-    /// Returns the hosts to which the call was sent.
-    fn hosts(&self) -> std::collections::BTreeSet<oriole_core::name::Host> {
-        let calls = self.sent.iter().filter(|(_, m)| matches!(m, Message::Call(_)));
-        calls.map(|(host, _)| host.clone()).collect()
-    }
-
-    fn refused(&self) -> Option<(Refusal, Ran)> {
-        match self.sim.outcomes.get(&id(1)).map(Vec::as_slice) {
-            Some([Outcome::Refused(refused)]) => Some((refused.reason, refused.ran)),
-            _ => None,
-        }
-    }
-}
-
 #[test]
 fn a_non_idempotent_call_moves_only_if_proven_not_run() {
     let mut calls = Calls::start("/once");
@@ -307,33 +243,6 @@
     assert_eq!(calls.sim.outcomes[&id(1)], [Outcome::Answered(answer)]);
 }
 
-/// Starts a call with an idempotency key and returns the claim that was sent.
-fn keyed() -> (Calls, oriole_core::message::Claim) {
-    let mut calls = Calls { sim: Simulation::new(7), sent: Vec::new() };
-    let key = Some(0x0190_0000_0000_7000_8000_0000_0000_0001);
-    calls.handle(Event::Call(id(1), Request { key, ..call("/once") }));
-    let claim = match &calls.sent[..] {
-        [(_, Message::Claim(claim))] => claim.clone(),
-        other => panic!("{other:?}"),
-    };
-    (calls, claim)
-}
-
-fn claimed(calls: &mut Calls, verdict: Verdict) {
-    calls.message(Message::Claimed(Claimed { request: id(1), verdict }));
-}
-
-fn settled(calls: &Calls) -> Vec<&Settle> {
-    calls
-        .sent
-        .iter()
-        .filter_map(|(_, m)| match m {
-            Message::Settle(settle) => Some(settle),
-            _ => None,
-        })
-        .collect()
-}
-
 #[test]
 fn the_home_of_a_key_allows_the_call_and_gets_the_outcome() {
     let answer = Answer { status: 200, content_type: String::new(), body: vec![1] };
