--- a/crates/core/examples/limit_bound.rs
+++ b/crates/core/examples/limit_bound.rs
@@ -18,6 +18,8 @@
 mod contracts;
 #[path = "../tests/limit/model.rs"]
 mod model;
+#[path = "../tests/limit/node.rs"]
+mod node;
 #[path = "../tests/limit/world.rs"]
 mod world;
 
--- a/crates/core/tests/limit/main.rs
+++ b/crates/core/tests/limit/main.rs
@@ -4,5 +4,6 @@
 mod contracts;
 mod message;
 mod model;
+mod node;
 mod share;
 mod world;
--- a/crates/core/tests/limit/world.rs
+++ b/crates/core/tests/limit/world.rs
@@ -9,12 +9,10 @@
 use oriole_core::name::{Host, Workspace};
 use oriole_core::roster::Roster;
 use oriole_core::share::Message;
-use oriole_core::time::Instant;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const US_PER_MS: u64 = 1000;
-const CLOCK_START_US: u64 = 50_000_000;
+use super::node::{Event, Node, Running, US_PER_MS};
 
 /// Fault rates and delays of the simulated network.
 #[derive(Clone, Debug)]
@@ -45,47 +43,6 @@
     pub run_us: u64,
 }
 
-struct Running {
-    node: usize,
-    boot: u32,
-    permit: Option<Permit>,
-    workspace: Workspace,
-    used: u32,
-}
-
-pub struct Node {
-    host: Host,
-    boot: u32,
-    pub limiter: Option<Limiter>,
-    paused: bool,
-    paused_at: u64,
-    drift_ppm: i64,
-    next_tick: u64,
-    revision: usize,
-    deferred: Vec<Event>,
-}
-
-impl Node {
-    /// Returns whether the node is paused for so long that it detects the pause before it admits
-    /// anything.
-    pub fn is_stalled(&self, now: u64, settings: &Settings) -> bool {
-        let stall = u64::from(settings.stall_ms + 50) * US_PER_MS;
-        self.paused && self.paused_at + stall < now
-    }
-
-    pub fn clock(&self, now: u64) -> Instant {
-        let drift = now as i64 * self.drift_ppm / 1_000_000;
-        Instant::from_us(CLOCK_START_US + (now as i64 + drift) as u64)
-    }
-}
-
-enum Event {
-    Deliver(usize, Message),
-    ApplyRoster(usize),
-    ApplyContracts(usize),
-    Settle(Running),
-}
-
 /// Totals over a simulation, and the most concurrent requests by workspace.
 #[derive(Debug, Default)]
 pub struct Figures {
@@ -150,17 +107,7 @@
     fn add(&mut self, node: usize) {
         let max_ppm = i64::from(self.settings.drift_ppm);
         let drift_ppm = self.rng.random_range(-max_ppm..=max_ppm);
-        self.nodes.push(Node {
-            host: host(node),
-            boot: 0,
-            limiter: None,
-            paused: false,
-            paused_at: 0,
-            drift_ppm,
-            next_tick: 0,
-            revision: 0,
-            deferred: Vec::new(),
-        });
+        self.nodes.push(Node::new(host(node), drift_ppm));
         self.start(node);
     }
 
