Join the adapter's copies of the error of a file

settings, documents and the base of ctl each built "reading PATH: ..." themselves, in two types with the same fields. adapter::file holds the error and the three calls; documents::Error and settings::Error::Read give way to file::Error, with the same texts. documents::file becomes documents::path, since it returns one.

--- a/crates/adapter/src/documents.rs
+++ b/crates/adapter/src/documents.rs
@@ -4,10 +4,9 @@
 //! `DIR/contracts/NAME.toml`.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::path::{Path, PathBuf};
 
-use derive_more::{Display, Error};
+use crate::file::{self, Error};
 
 /// Extension of the files that hold documents.
 const EXTENSION: &str = "toml";
@@ -16,29 +15,6 @@
 const CONTRACTS_FOLDER: &str = "contracts";
 const CONTRACT_PREFIX: &str = "contract/";
 
-/// A failure to read or write a file or folder.
-#[derive(Debug, Display, Error)]
-#[display("{action} {}: {source}", path.display())]
-pub struct Error {
-    /// What was being done.
-    pub action: Action,
-    /// The file or folder.
-    pub path: PathBuf,
-    /// The error of the operating system.
-    pub source: io::Error,
-}
-
-/// What was being done with a file.
-#[derive(Clone, Copy, Debug, Display, PartialEq)]
-pub enum Action {
-    /// Reading it.
-    #[display("reading")]
-    Read,
-    /// Writing it.
-    #[display("writing")]
-    Write,
-}
-
 /// Reads all documents of a folder, by name, without parsing them.
 ///
 /// Files whose names start with a dot are skipped.
@@ -57,15 +33,13 @@
     folder: &Path,
     prefix: &str,
 ) -> Result<(), Error> {
-    let fail = |path: &Path, source| Error { action: Action::Read, path: path.to_owned(), source };
-    for entry in std::fs::read_dir(folder).map_err(|e| fail(folder, e))? {
-        let path = entry.map_err(|e| fail(folder, e))?.path();
+    for entry in std::fs::read_dir(folder).map_err(|e| Error::read(folder, e))? {
+        let path = entry.map_err(|e| Error::read(folder, e))?.path();
         let Some(stem) = path.file_stem().and_then(|stem| stem.to_str()) else {
             continue;
         };
         if path.extension().is_some_and(|e| e == EXTENSION) && !stem.starts_with('.') {
-            let text = std::fs::read_to_string(&path).map_err(|e| fail(&path, e))?;
-            documents.insert(format!("{prefix}{stem}"), text);
+            documents.insert(format!("{prefix}{stem}"), file::read_text(&path)?);
         }
     }
     Ok(())
@@ -74,18 +48,16 @@
 /// Writes documents, by name, into a folder. Creates the folder if needed and overwrites files of
 /// the same names.
 pub fn write(folder: &Path, documents: &BTreeMap<String, String>) -> Result<(), Error> {
-    let fail = |path: &Path, source| Error { action: Action::Write, path: path.to_owned(), source };
     let contracts = folder.join(CONTRACTS_FOLDER);
-    std::fs::create_dir_all(&contracts).map_err(|e| fail(&contracts, e))?;
+    std::fs::create_dir_all(&contracts).map_err(|e| Error::write(&contracts, e))?;
     for (name, text) in documents {
-        let path = file(folder, name);
-        std::fs::write(&path, text).map_err(|e| fail(&path, e))?;
+        file::write(&path(folder, name), text)?;
     }
     Ok(())
 }
 
 /// Returns the path of the file that holds the document `name`.
-pub fn file(folder: &Path, name: &str) -> PathBuf {
+pub fn path(folder: &Path, name: &str) -> PathBuf {
     match name.strip_prefix(CONTRACT_PREFIX) {
         Some(workspace) => folder.join(CONTRACTS_FOLDER).join(format!("{workspace}.{EXTENSION}")),
         None => folder.join(format!("{name}.{EXTENSION}")),
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`settings`], [`signal`]: settings files, and the signals that stop or reload a process.
 //! - [`server`]: an HTTP server on an existing listener.
 //! - [`exchange`]: one HTTP request and its response on a connection of its own.
+//! - [`file`]: files that are read and written as a whole.
 //! - [`documents`]: configuration documents stored as files.
 //! - [`kv`], [`hosts`]: clients of the key-value service and of the platform's host list.
 //! - [`engine`], [`service`]: clients of model engines and plain services.
@@ -15,6 +16,7 @@
 pub mod documents;
 pub mod engine;
 pub mod exchange;
+pub mod file;
 pub mod hosts;
 pub mod http;
 pub mod kv;
--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -1,11 +1,12 @@
 //! Loading of settings files and of the shared secret, for all processes.
 
-use std::io;
 use std::path::{Path, PathBuf};
 
 use derive_more::{Display, Error};
 use serde::de::DeserializeOwned;
 
+use crate::file;
+
 /// Shortest secret that is accepted.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -13,13 +14,8 @@
 #[derive(Debug, Display, Error)]
 pub enum Error {
     /// A file cannot be read.
-    #[display("reading {}: {source}", path.display())]
-    Read {
-        /// The file.
-        path: PathBuf,
-        /// The cause.
-        source: io::Error,
-    },
+    #[display("{_0}")]
+    Read(file::Error),
     /// A file does not hold valid settings.
     #[display("parsing the settings in {}: {source}", path.display())]
     Parse {
@@ -43,19 +39,16 @@
 
 /// Reads a TOML file into a settings type.
 pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, Error> {
-    let text = read(path)?;
+    let text = file::read_text(path).map_err(Error::Read)?;
     toml::from_str(&text).map_err(|source| Error::Parse { path: path.to_owned(), source })
 }
 
 /// Reads the secret that all processes of a deployment share, without trailing white space.
 pub fn load_secret(path: &Path) -> Result<Vec<u8>, Error> {
-    let secret = read(path)?.trim_end().as_bytes().to_vec();
+    let text = file::read_text(path).map_err(Error::Read)?;
+    let secret = text.trim_end().as_bytes().to_vec();
     if secret.len() < MIN_SECRET_BYTES {
         return Err(Error::ShortSecret { path: path.to_owned(), found: secret.len() });
     }
     Ok(secret)
 }
-
-fn read(path: &Path) -> Result<String, Error> {
-    std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })
-}
--- a/crates/ctl/src/base.rs
+++ b/crates/ctl/src/base.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
-use oriole_adapter::documents::{self, Action};
+use oriole_adapter::file;
 use oriole_core::revision::{Hash, Head};
 use oriole_macros::data;
 
@@ -41,8 +41,7 @@
     if !path.exists() {
         return Ok(None);
     }
-    let fail = |source| documents::Error { action: Action::Read, path: path.clone(), source };
-    let bytes = std::fs::read(&path).map_err(fail)?;
+    let bytes = file::read(&path)?;
     let base: Option<Base> = serde_json::from_slice(&bytes).ok();
     let valid = base.filter(|base| base.head.check().is_ok());
     valid.map(Some).ok_or(Error::BadBase { path })
@@ -52,6 +51,5 @@
 pub fn write(folder: &Path, base: &Base) -> Result<(), Error> {
     let path = path(folder);
     let bytes = serde_json::to_vec(base).map_err(|_| Error::BadBase { path: path.clone() })?;
-    let fail = |source| documents::Error { action: Action::Write, path: path.clone(), source };
-    Ok(std::fs::write(&path, bytes).map_err(fail)?)
+    Ok(file::write(&path, bytes)?)
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use derive_more::{Display, Error as StdError, From};
-use oriole_adapter::{documents, kv, settings};
+use oriole_adapter::{file, kv, settings};
 use oriole_core::{config, name};
 use oriole_macros::data;
 
@@ -19,7 +19,7 @@
     Settings(settings::Error),
     /// A file cannot be read or written.
     #[display("{_0}")]
-    Files(documents::Error),
+    Files(file::Error),
     /// A log cannot be read.
     #[from(skip)]
     #[display("reading the log {}: {source}", path.display())]
--- a/crates/ctl/tests/ctl/fixture.rs
+++ b/crates/ctl/tests/ctl/fixture.rs
@@ -82,7 +82,7 @@
     }
 
     pub fn edit(&self, folder: &str, name: &str, from: &str, to: &str) {
-        let path = documents::file(folder.as_ref(), name);
+        let path = documents::path(folder.as_ref(), name);
         let text = std::fs::read_to_string(&path).unwrap();
         assert!(text.contains(from), "{name} holds no {from}");
         std::fs::write(path, text.replace(from, to)).unwrap();
--- a/crates/follow/src/source.rs
+++ b/crates/follow/src/source.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use derive_more::{Display, Error, From};
-use oriole_adapter::{documents, kv};
+use oriole_adapter::{documents, file, kv};
 use oriole_core::config::{self, Config};
 use oriole_core::name;
 use serde::{Deserialize, Serialize};
@@ -37,7 +37,7 @@
     )]
     Ambiguous,
     /// The folder cannot be read.
-    Folder(documents::Error),
+    Folder(file::Error),
     /// The documents of the folder are not a valid configuration.
     #[display("loading the configuration: {_0}")]
     Invalid(config::Error),
--- a/crates/load/src/deployment.rs
+++ b/crates/load/src/deployment.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use derive_more::{Display, Error, From};
-use oriole_adapter::documents;
+use oriole_adapter::{documents, file};
 use oriole_core::config::{self, Config};
 
 /// A deployment could not be read.
@@ -11,7 +11,7 @@
 pub enum Error {
     /// A file or directory could not be read.
     #[display("{_0}")]
-    Documents(documents::Error),
+    Documents(file::Error),
     /// The documents are not a valid configuration.
     #[display("{_0}")]
     Config(config::Error),
