Decode JSON responses in one place of the adapter

The clients of engines, the host list and the key-value service each parsed the body, built the error of an unexpected status and named the content type themselves. http::Response does both, http::JSON is the name. Which statuses each client accepts is unchanged, and so are the errors.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -6,16 +6,12 @@
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use oriole_core::engine::{Batch, Cache, CacheEvents, Load, Order, Outcomes, State};
-use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::http::{self, Request, Response};
+use crate::http::{self, JSON, Request, Response, encode};
 
 pub use crate::http::Error;
 
-/// Content type of all request bodies.
-const JSON: &str = "application/json";
-
 /// A client of one engine. Clones share the connection pool.
 #[derive(Clone)]
 pub struct Client {
@@ -95,16 +91,11 @@
     }
 }
 
-fn encode<T: Serialize>(value: &T) -> Result<Bytes, Error> {
-    serde_json::to_vec(value).map(Bytes::from).map_err(|_| Error::Unsendable)
-}
-
 fn decode<T: DeserializeOwned>(response: Response) -> Result<T, Error> {
     check_status(&response)?;
-    serde_json::from_slice(&response.body).map_err(|_| Error::Malformed)
+    response.decode()
 }
 
 fn check_status(response: &Response) -> Result<(), Error> {
-    let status = response.status;
-    if status.is_success() { Ok(()) } else { Err(Error::Status { status: status.as_u16() }) }
+    if response.status.is_success() { Ok(()) } else { Err(response.status_error()) }
 }
--- a/crates/adapter/src/hosts.rs
+++ b/crates/adapter/src/hosts.rs
@@ -43,8 +43,8 @@
         let request = Request { method, path: PATH, content_type: "", body };
         let response = http::send(&self.http, self.address, request, timeout).await?;
         if response.status != StatusCode::OK {
-            return Err(Error::Status { status: response.status.as_u16() });
+            return Err(response.status_error());
         }
-        serde_json::from_slice(&response.body).map_err(|_| Error::Malformed)
+        response.decode()
     }
 }
--- a/crates/adapter/src/http.rs
+++ b/crates/adapter/src/http.rs
@@ -8,8 +8,13 @@
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use derive_more::{Display, Error};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::timeout;
 
+/// Content type of bodies that [`encode`] returns.
+pub(crate) const JSON: &str = "application/json";
+
 /// Largest response body that is read.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -79,6 +84,23 @@
     pub(crate) body: Bytes,
 }
 
+impl Response {
+    /// Decodes the body as JSON, whatever the status is.
+    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        serde_json::from_slice(&self.body).map_err(|_| Error::Malformed)
+    }
+
+    /// Returns the error of a response whose status is not expected.
+    pub(crate) fn status_error(&self) -> Error {
+        Error::Status { status: self.status.as_u16() }
+    }
+}
+
+/// Encodes the body of a request as JSON.
+pub(crate) fn encode<T: Serialize>(value: &T) -> Result<Bytes, Error> {
+    serde_json::to_vec(value).map(Bytes::from).map_err(|_| Error::Unsendable)
+}
+
 /// Creates a client that does not retry and does not follow redirects.
 pub(crate) fn client() -> awc::Client {
     let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(MAX_CONNECTIONS);
--- a/crates/adapter/src/kv/client.rs
+++ b/crates/adapter/src/kv/client.rs
@@ -155,15 +155,15 @@
     ) -> Result<R, Cause> {
         let address = self.address().ok_or(Cause::NoAddress)?;
         let body = serde_json::to_vec(request).map_err(|_| Cause::Unencodable)?;
-        let content_type = "application/json";
-        let request = http::Request { method: Method::POST, path, content_type, body: body.into() };
+        let (method, content_type) = (Method::POST, http::JSON);
+        let request = http::Request { method, path, content_type, body: body.into() };
         let timeout = self.inner.settings.timeout;
         let response = http::send(&self.inner.http, address, request, timeout).await;
         let response = response.map_err(Cause::Http)?;
         if response.status != StatusCode::OK {
             return Err(Cause::from_status(response.status.as_u16()));
         }
-        serde_json::from_slice(&response.body).map_err(|_| Cause::Http(http::Error::Malformed))
+        response.decode().map_err(Cause::Http)
     }
 
     fn address(&self) -> Option<SocketAddr> {
