Split the queue of an engine into priorities, flows and batch budget

The flows of one priority move to queue/level.rs, the remaining capacity of a batch to queue/batch.rs (BatchBudget is batch::Budget). The choice between priorities names its steps by a Head in place of a tuple of level, flow and class. No decision changes.

--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -6,18 +6,24 @@
 //!   A workspace that does not use its share leaves it to the others and gets no credit for later.
 //! - Within a workspace, steps run in order of arrival, those of recovered sequences first.
 //!
+//! [`Queue`] shares between the priorities, and a `Level` between the workspaces of one.
+//!
 //! A batch mixes decode steps and prompt chunks; [`Capacity`] bounds its prompt tokens so that a
 //! burst of prompts does not stall sequences that are being decoded. See
 //! `docs/design/fair-order.md`.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+mod batch;
+mod level;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use oriole_macros::key;
-use slotmap::SlotMap;
 
 use crate::name;
 use crate::request::Id;
 use crate::time::Instant;
+use batch::Budget;
+use level::{FlowKey, Level};
 
 /// Tokens of higher priorities after which one token of a lower priority is due.
 pub const RESERVE_DIVISOR: u64 = 10;
@@ -25,14 +31,6 @@
 /// Number of priorities, 0 (lowest) to 7.
 const PRIORITIES: u8 = 8;
 
-/// Virtual time that one token costs a flow of weight 1.
-const VIRTUAL_TIME_PER_TOKEN: u64 = 1 << 20;
-
-slotmap::new_key_type! {
-    /// Identifies a flow: the steps of one workspace at one priority.
-    struct FlowKey;
-}
-
 /// Kind of a step, by what it needs from the engine.
 #[key]
 pub enum Class {
@@ -91,6 +89,14 @@
     bypassed_tokens: u64,
 }
 
+/// The oldest item of a class in a flow.
+#[derive(Clone, Copy)]
+struct Head {
+    level: u8,
+    flow: FlowKey,
+    class: Class,
+}
+
 /// Where an item is queued.
 #[derive(Clone, Copy)]
 struct Location {
@@ -100,28 +106,6 @@
     deadline: Instant,
 }
 
-/// The flows of one priority.
-#[derive(Default)]
-struct Level {
-    flows: SlotMap<FlowKey, Flow>,
-    names: BTreeMap<name::Workspace, FlowKey>,
-    /// For each class, the flows with queued items of it, by start tag.
-    ready: [BTreeSet<(u64, FlowKey)>; CLASSES.len()],
-    /// Flows without items whose start tag is ahead of the virtual time, so that what they have
-    /// used still counts when their workspace returns.
-    idle: BTreeSet<(u64, FlowKey)>,
-    virtual_time: u64,
-    len: usize,
-}
-
-struct Flow {
-    workspace: name::Workspace,
-    weight: u32,
-    /// Virtual time at which the flow's next item starts.
-    start_tag: u64,
-    items: [VecDeque<Item>; CLASSES.len()],
-}
-
 impl Queue {
     /// Adds a step. The step is dropped if the request already has one in the queue.
     pub fn push(&mut self, item: Item) {
@@ -158,10 +142,9 @@
 
     /// Removes and returns the steps of the next batch.
     pub fn take(&mut self, capacity: Capacity) -> Vec<Item> {
-        let mut budget =
-            BatchBudget { left: capacity, chunks: 0, closed_classes: [false; CLASSES.len()] };
+        let mut budget = Budget::new(capacity);
         let mut batch = Vec::new();
-        while budget.left.steps > 0 {
+        while !budget.is_spent() {
             let Some(item) = self.take_next(&mut budget) else { break };
             budget.add(&item);
             batch.push(item);
@@ -190,210 +173,54 @@
         Some(location)
     }
 
-    fn take_next(&mut self, budget: &mut BatchBudget) -> Option<Item> {
-        let (level, flow, class) = loop {
-            let (level, flow, class) = self.choose(budget)?;
-            let head = self.levels[usize::from(level)].head(flow, class)?;
-            if budget.fits(head) {
-                break (level, flow, class);
+    /// Removes and returns the next step of a batch, or `None` if nothing fits into it.
+    fn take_next(&mut self, budget: &mut Budget) -> Option<Item> {
+        let head = loop {
+            let head = self.choose(budget)?;
+            if budget.fits(self.item(head)?) {
+                break head;
             }
             // Otherwise, smaller chunks would overtake one that must wait for the next batch.
             budget.close_prompts();
         };
-        let item = self.levels[usize::from(level)].pop(flow, class)?;
+        let item = self.levels[usize::from(head.level)].pop(head.flow, head.class)?;
         self.unindex(item.request);
         self.tokens = self.tokens.saturating_sub(u64::from(item.tokens));
         Some(item)
     }
 
-    /// Picks the level, flow and class of the next step, and updates the reserve of lower levels.
-    fn choose(&mut self, budget: &BatchBudget) -> Option<(u8, FlowKey, Class)> {
-        let mut candidates = (0..PRIORITIES).rev().filter_map(|level| {
-            let (flow, class) = self.levels[usize::from(level)].first(budget)?;
-            Some((level, flow, class))
-        });
-        let top = candidates.next()?;
-        let queued_at = |&(level, flow, class): &(u8, FlowKey, Class)| {
-            self.levels[usize::from(level)].head(flow, class).map(|item| item.queued_at)
-        };
-        let cost = |&(level, flow, class): &(u8, FlowKey, Class)| {
-            self.levels[usize::from(level)].head(flow, class).map_or(0, |i| u64::from(i.tokens))
-        };
-        let Some(low) = candidates.min_by_key(queued_at) else {
-            if self.levels[..usize::from(top.0)].iter().all(|level| level.len == 0) {
+    /// Chooses the next step, and updates the reserve of lower levels.
+    fn choose(&mut self, budget: &Budget) -> Option<Head> {
+        let mut heads = (0..PRIORITIES).rev().filter_map(|level| self.first(level, budget));
+        let top = heads.next()?;
+        let Some(oldest) = heads.min_by_key(|head| self.item(*head).map(|item| item.queued_at))
+        else {
+            if self.levels[..usize::from(top.level)].iter().all(Level::is_empty) {
                 self.bypassed_tokens = 0;
             }
             return Some(top);
         };
-        let due = cost(&low) * RESERVE_DIVISOR;
+        let due = self.cost(oldest) * RESERVE_DIVISOR;
         if self.bypassed_tokens >= due {
             self.bypassed_tokens -= due;
-            Some(low)
+            Some(oldest)
         } else {
-            self.bypassed_tokens += cost(&top);
+            self.bypassed_tokens += self.cost(top);
             Some(top)
         }
     }
-}
-
-/// Remaining capacity of a batch that is being assembled.
-struct BatchBudget {
-    left: Capacity,
-    /// Number of prompt chunks in the batch.
-    chunks: u32,
-    closed_classes: [bool; CLASSES.len()],
-}
-
-impl BatchBudget {
-    fn accepts(&self, class: Class) -> bool {
-        let needs_sequence = matches!(class, Class::Resume | Class::Start);
-        !self.closed_classes[class as usize] && (self.left.new_sequences > 0 || !needs_sequence)
-    }
-
-    fn fits(&self, item: &Item) -> bool {
-        item.class == Class::Decode || self.chunks == 0 || item.tokens <= self.left.prompt_tokens
-    }
-
-    fn close_prompts(&mut self) {
-        for class in [Class::Resume, Class::Prompt, Class::Start] {
-            self.closed_classes[class as usize] = true;
-        }
-    }
-
-    fn add(&mut self, item: &Item) {
-        self.left.steps -= 1;
-        if item.class == Class::Decode {
-            return;
-        }
-        self.chunks += 1;
-        self.left.prompt_tokens = self.left.prompt_tokens.saturating_sub(item.tokens);
-        if item.class != Class::Prompt {
-            self.left.new_sequences = self.left.new_sequences.saturating_sub(1);
-        }
-    }
-}
-
-impl Level {
-    fn push(&mut self, item: Item) -> FlowKey {
-        let key = match self.names.get(&item.workspace) {
-            Some(&key) => key,
-            None => self.add_flow(item.workspace.clone()),
-        };
-        self.len += 1;
-        let virtual_time = self.virtual_time;
-        let Some(flow) = self.flows.get_mut(key) else { return key };
-        flow.weight = item.weight.max(1);
-        if flow.is_empty() {
-            self.idle.remove(&(flow.start_tag, key));
-            flow.start_tag = flow.start_tag.max(virtual_time);
-        }
-        let class = item.class as usize;
-        flow.items[class].push_back(item);
-        self.ready[class].insert((flow.start_tag, key));
-        key
-    }
-
-    fn add_flow(&mut self, workspace: name::Workspace) -> FlowKey {
-        let flow = Flow {
-            workspace: workspace.clone(),
-            weight: 1,
-            start_tag: self.virtual_time,
-            items: Default::default(),
-        };
-        let key = self.flows.insert(flow);
-        self.names.insert(workspace, key);
-        key
-    }
-
-    fn head(&self, flow: FlowKey, class: Class) -> Option<&Item> {
-        self.flows.get(flow)?.items[class as usize].front()
-    }
-
-    /// Returns the flow with the lowest start tag among the classes that the batch accepts, and the
-    /// class of its oldest item. Recovered sequences go first.
-    fn first(&self, budget: &BatchBudget) -> Option<(FlowKey, Class)> {
-        if self.len == 0 {
-            return None;
-        }
-        let min_flow = |class: Class| {
-            let first = self.ready[class as usize].first().filter(|_| budget.accepts(class))?;
-            Some((*first, class))
-        };
-        if let Some(((_, flow), class)) = min_flow(Class::Resume) {
-            return Some((flow, class));
-        }
-        let ((_, flow), _) = CLASSES.into_iter().filter_map(min_flow).min()?;
-        let queued_at = |class: &Class| self.head(flow, *class).map(|item| item.queued_at);
-        let oldest = CLASSES
-            .into_iter()
-            .filter(|class| budget.accepts(*class) && queued_at(class).is_some())
-            .min_by_key(queued_at)?;
-        Some((flow, oldest))
-    }
 
-    fn pop(&mut self, key: FlowKey, class: Class) -> Option<Item> {
-        let flow = self.flows.get_mut(key)?;
-        let item = flow.items[class as usize].pop_front()?;
-        let start_tag = flow.start_tag;
-        let cost = u64::from(item.tokens) * VIRTUAL_TIME_PER_TOKEN / u64::from(flow.weight);
-        let tag = start_tag.saturating_add(cost);
-        self.set_start_tag(key, tag);
-        self.len -= 1;
-        // A recovered sequence may start out of turn, so it does not advance the virtual time.
-        if class != Class::Resume {
-            self.virtual_time = self.virtual_time.max(start_tag);
-        }
-        self.remove_idle_flows();
-        Some(item)
-    }
-
-    fn remove(&mut self, location: Location, request: Id) -> Option<Item> {
-        let flow = self.flows.get_mut(location.flow)?;
-        let items = &mut flow.items[location.class as usize];
-        let index = items.iter().position(|item| item.request == request)?;
-        let item = items.remove(index)?;
-        let tag = flow.start_tag;
-        self.set_start_tag(location.flow, tag);
-        self.len -= 1;
-        self.remove_idle_flows();
-        Some(item)
-    }
-
-    /// Sets a flow's start tag and updates the sets that are sorted by it.
-    fn set_start_tag(&mut self, key: FlowKey, tag: u64) {
-        let Some(flow) = self.flows.get_mut(key) else { return };
-        let old = flow.start_tag;
-        flow.start_tag = tag;
-        for (set, items) in self.ready.iter_mut().zip(&flow.items) {
-            set.remove(&(old, key));
-            if !items.is_empty() {
-                set.insert((tag, key));
-            }
-        }
-        if flow.is_empty() {
-            self.idle.insert((tag, key));
-        }
+    /// Returns the step that a level would run next, if the batch accepts one.
+    fn first(&self, level: u8, budget: &Budget) -> Option<Head> {
+        let (flow, class) = self.levels[usize::from(level)].first(budget)?;
+        Some(Head { level, flow, class })
     }
 
-    /// Removes the flows without items that the virtual time has reached, or all in an empty level.
-    fn remove_idle_flows(&mut self) {
-        while let Some(&(tag, key)) = self.idle.first() {
-            if tag > self.virtual_time && self.len > 0 {
-                break;
-            }
-            self.idle.remove(&(tag, key));
-            if let Some(flow) = self.flows.remove(key) {
-                self.names.remove(&flow.workspace);
-            }
-        }
-        if self.len == 0 {
-            self.virtual_time = 0;
-        }
+    fn item(&self, head: Head) -> Option<&Item> {
+        self.levels[usize::from(head.level)].head(head.flow, head.class)
     }
-}
 
-impl Flow {
-    fn is_empty(&self) -> bool {
-        self.items.iter().all(VecDeque::is_empty)
+    fn cost(&self, head: Head) -> u64 {
+        self.item(head).map_or(0, |item| u64::from(item.tokens))
     }
 }
