--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -5,7 +5,8 @@
 //! sampled token from the last one. When a stage fails, it resumes the generation from the last
 //! position that was delivered.
 //!
-//! - `generation`: the normal path of a generation; `inflight`: the state of one.
+//! - `generation`: the normal path of a generation; `attempt`: choice and opening of its chain;
+//!   `inflight`: the state of one generation.
 //! - `recovery`: retransmission, failed stages and lost hosts; `migrate`: slow generations.
 //! - `admission`: admission by contract, with limits that are shared with other entries.
 //! - `call`, `idempotency`: calls of plain services and their idempotency keys; `pending`: the
@@ -14,6 +15,7 @@
 //! - [`count`]: counters for each reason of a refusal or a retry.
 
 mod admission;
+mod attempt;
 mod call;
 pub mod count;
 mod event;
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -1,4 +1,4 @@
-//! The normal path of a generation: open a chain, feed it tokens, deliver the answer.
+//! The normal path of a generation: admit it, feed tokens to its chain, deliver the answer.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -6,19 +6,16 @@
 use crate::answer::{Answer, Verdict};
 use crate::explain::{Fact, Subject};
 use crate::limit::Permit;
-use crate::message::{Message, Open, Opened, Sample, Stage, Term, Token, not_run};
+use crate::message::{Message, Sample, Token, not_run};
 use crate::name;
-use crate::plan::Query;
-use crate::recover::{Replacement, Strategy, Timeouts};
-use crate::request::{Id, Position, Refusal, Refused};
-use crate::retry;
+use crate::recover::Timeouts;
+use crate::request::{Id, Position, Refusal};
 use crate::time::{Instant, as_us};
-use crate::token;
 
 use super::admission::Spec;
 use super::count::Counter;
 use super::inflight::{Generation, Phase};
-use super::{Effect, Generate, Machine, Outcome, remaining_ms, send};
+use super::{Effect, Generate, Machine, Outcome, send};
 
 /// Fraction of `max_tokens` that an answer is expected to use before any answer was seen.
 const INITIAL_LENGTH_RATIO: f64 = 0.5;
@@ -26,15 +23,9 @@
 /// Weight of one answer in the moving average of that fraction.
 const LENGTH_SMOOTHING: f64 = 0.05;
 
-/// Estimated tokens that an answer in progress still needs.
-const REMAINING_TOKENS_ESTIMATE: u32 = 32;
-
 /// The planner observes one token in this many, to bound the processor time.
 const OBSERVE_EVERY_TOKENS: Position = 8;
 
-/// Longest time that a generation in progress waits for a chain that covers the model.
-const MAX_NO_CHAIN_WAIT: Duration = Duration::from_secs(5);
-
 impl Machine {
     pub(super) fn on_generate(
         &mut self,
@@ -103,176 +94,6 @@
         Ok(())
     }
 
-    /// Starts the next attempt, or postpones or refuses the generation if no chain is found.
-    pub(super) fn start_attempt(
-        &mut self,
-        now: Instant,
-        mut generation: Generation,
-        effects: &mut Vec<Effect>,
-    ) {
-        let first = generation.answer.attempt() == 0;
-        let keep = generation.chain.iter().map(|stage| stage.endpoint.clone()).collect();
-        let prefixes = token::prefix_hashes(&generation.spec.prompt);
-        let query = Query {
-            prompt_tokens: generation.answer.length(),
-            answer_tokens: if first {
-                self.expected_tokens(generation.spec.max_tokens, &generation.spec.model)
-            } else {
-                REMAINING_TOKENS_ESTIMATE
-            },
-            // An answer in progress continues even if it is expected to miss its deadline.
-            time_left: if generation.started {
-                Duration::MAX
-            } else {
-                generation.deadline.since(now)
-            },
-            prefixes: &prefixes,
-            avoid: &generation.failed,
-            include: &keep,
-            random: self.rng.next_u64(),
-        };
-        let choice = match self.planner.choose(now, &generation.spec.model, &query) {
-            Ok(choice) => choice,
-            Err(unplanned) => {
-                let refused = unplanned.refused.clone();
-                self.records.add(now, generation.request, Fact::Unplanned(unplanned));
-                self.postpone(now, generation, refused, effects);
-                return;
-            }
-        };
-        let replacement = Replacement {
-            old: &generation.chain,
-            new: &choice.chain,
-            ran: generation.answer.positions_run(),
-            refill_us: choice.first_us,
-            export_rate: None,
-        };
-        let plan = replacement.plan();
-        let attempt = generation.answer.attempt() + 1;
-        let dropped = generation.chain.iter().filter(|stage| !choice.chain.contains(stage));
-        effects.extend(dropped.map(|stage| generation.cancel_message(stage)));
-        generation.resume = plan.resume;
-        generation.chain.clone_from(&choice.chain);
-        generation.token_time = Duration::from_micros(choice.token_us);
-        generation.slow_tokens = 0;
-        let tokens = if plan.strategy == Strategy::Refill { generation.answer.length() } else { 1 };
-        if !first {
-            self.records.add(now, generation.request, Fact::Recovers { attempt, plan });
-        }
-        let degraded = self.degraded(now);
-        self.records.add(now, generation.request, Fact::Planned { attempt, choice, degraded });
-        self.planner.record_dispatch(now, &generation.chain, tokens);
-        generation.answer.restart(attempt, generation.resume);
-        self.open_stages(now, generation, effects);
-    }
-
-    /// Schedules another attempt if the generation is in progress, and refuses it otherwise.
-    fn postpone(
-        &mut self,
-        now: Instant,
-        mut generation: Generation,
-        refused: Refused,
-        effects: &mut Vec<Effect>,
-    ) {
-        let waited = generation.fault_at.map_or(Duration::ZERO, |at| now.since(at));
-        if !generation.started || waited >= MAX_NO_CHAIN_WAIT {
-            self.give_up(now, generation, refused.reason, refused.retry_after_ms, effects);
-            return;
-        }
-        self.counters.add(Counter::Retried(retry::Reason::NoChain), &generation.spec.workspace);
-        generation.retries += 1;
-        let wait = retry::backoff(generation.retries, self.rng.next_u64());
-        generation.phase = Phase::Waiting(now + wait);
-        self.generations.insert(generation.request, generation);
-    }
-
-    /// Opens all stages of the current attempt.
-    pub(super) fn open_stages(
-        &mut self,
-        now: Instant,
-        mut generation: Generation,
-        effects: &mut Vec<Effect>,
-    ) {
-        generation.terms = generation.chain.iter().map(|stage| self.term(stage)).collect();
-        let stages = u16::try_from(generation.chain.len()).unwrap_or(u16::MAX);
-        generation.phase = Phase::Opening((0..stages).collect(), Position::MAX);
-        generation.step_started = now;
-        generation.last_sent = now;
-        generation.timeouts = Timeouts::new(Duration::ZERO);
-        effects.extend(self.open_messages(now, &generation, None));
-        self.generations.insert(generation.request, generation);
-    }
-
-    /// Returns the messages that open the stages on `host`, or all unacknowledged ones if `None`.
-    pub(super) fn open_messages(
-        &self,
-        now: Instant,
-        generation: &Generation,
-        host: Option<&name::Host>,
-    ) -> Vec<Effect> {
-        let contract = self.config.contracts.get(&generation.spec.workspace);
-        let service = contract.map(|contract| contract.service.clone()).unwrap_or_default();
-        let open = |index: u16, term: Term| Open {
-            request: generation.request,
-            attempt: generation.answer.attempt(),
-            stage: index,
-            chain: generation.chain.clone(),
-            model: generation.spec.model.clone(),
-            workspace: generation.spec.workspace.clone(),
-            priority: service.priority,
-            weight: service.weight,
-            deadline_ms: remaining_ms(now, generation.deadline),
-            resume: generation.resume,
-            tokens: generation.spec.max_total_tokens(),
-            seed: generation.request.seq,
-            roster: generation.permit.roster(),
-            term,
-        };
-        let wanted = |index: u16, stage: &Stage| match (host, &generation.phase) {
-            (Some(host), _) => stage.host == *host,
-            (None, Phase::Opening(waiting, _)) => waiting.contains(&index),
-            (None, _) => false,
-        };
-        let stages = generation.chain.iter().zip(&generation.terms).zip(0_u16..);
-        let stages = stages.filter(|((stage, _), index)| wanted(*index, stage));
-        stages
-            .map(|((stage, term), index)| send(stage, Message::Open(open(index, *term))))
-            .collect()
-    }
-
-    pub(super) fn on_opened(&mut self, now: Instant, opened: &Opened, effects: &mut Vec<Effect>) {
-        let Some(generation) = self.generations.get_mut(&opened.request) else { return };
-        if generation.answer.attempt() != opened.attempt {
-            return;
-        }
-        let Phase::Opening(waiting, fewest) = &mut generation.phase else { return };
-        if !waiting.remove(&opened.stage) {
-            return;
-        }
-        *fewest = opened.held.min(*fewest);
-        let (done, fewest) = (waiting.is_empty(), *fewest);
-        if let Some(stage) = generation.chain.get(usize::from(opened.stage)) {
-            self.last_progress.insert(stage.endpoint.clone(), now);
-        }
-        if !done {
-            return;
-        }
-        if fewest < generation.resume {
-            self.reopen_from(now, opened.request, fewest, effects);
-            return;
-        }
-        generation.phase = Phase::Running;
-        self.feed(now, opened.request, effects);
-    }
-
-    /// Opens the same chain with a new attempt that runs from an earlier position.
-    fn reopen_from(&mut self, now: Instant, id: Id, position: Position, effects: &mut Vec<Effect>) {
-        let Some(mut generation) = self.generations.remove(&id) else { return };
-        generation.resume = position;
-        generation.answer.restart(generation.answer.attempt() + 1, position);
-        self.open_stages(now, generation, effects);
-    }
-
     /// Sends the next tokens to the first stage, unless the caller reads too slowly.
     pub(super) fn feed(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(generation) = self.generations.get_mut(&id) else { return };
