Move the failover of calls to a module of its own

What happens to a call that is refused, whose host is lost or of which it is not known whether it ran moves to entry/failover.rs. SUSPECT_PERIOD stood in call.rs and in recovery.rs with the same value and purpose; one is left.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,8 +9,8 @@
 //!   `inflight`: the state of one generation.
 //! - `recovery`: retransmission, failed stages and lost hosts; `migrate`: slow generations.
 //! - `admission`: admission by contract, with limits that are shared with other entries.
-//! - `call`, `idempotency`: calls of plain services and their idempotency keys; `pending`: the
-//!   state of one call.
+//! - `call`, `idempotency`: calls of plain services and their idempotency keys; `failover`: calls
+//!   that fail; `pending`: the state of one call.
 //! - `hosts`: feeds the state of hosts into the choice of endpoints.
 //! - [`count`]: counters for each reason of a refusal or a retry.
 
@@ -19,6 +19,7 @@
 mod call;
 pub mod count;
 mod event;
+mod failover;
 mod generation;
 mod hosts;
 mod idempotency;
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -15,7 +15,7 @@
 use super::{Effect, Machine, send};
 
 /// How long an endpoint that failed is avoided if there is another one.
-const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
+pub(super) const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
 
 /// How long an endpoint is avoided after a temporary refusal that states no time to retry after.
 const BUSY_PERIOD: Duration = Duration::from_millis(250);
