State once which refusals are final and how long the retry budget asks to wait

Calls and generations each listed the reasons after which no other endpoint is tried, and each turned the wait of the retry budget into milliseconds. Both stand in the types now: Refusal::is_final and Budget::retry_after_ms. Which reasons, and the order in which the budget is charged, is unchanged.

--- a/crates/core/src/entry/failover.rs
+++ b/crates/core/src/entry/failover.rs
@@ -7,7 +7,7 @@
 use crate::name;
 use crate::request::{Id, Ran, Refusal, Refused};
 use crate::retry::Reason;
-use crate::time::{Instant, as_us};
+use crate::time::Instant;
 
 use super::count::Counter;
 use super::pending::{MAX_ATTEMPTS, Pending, Step};
@@ -42,8 +42,7 @@
             refused.reason = reason;
         }
         let repeatable = refused.ran == Ran::No || pending.call.idempotent;
-        let last = matches!(refused.reason, Refusal::Deadline | Refusal::Superseded);
-        if last || !repeatable || pending.call.attempt >= MAX_ATTEMPTS {
+        if refused.reason.is_final() || !repeatable || pending.call.attempt >= MAX_ATTEMPTS {
             self.refuse_call(now, pending, refused, effects);
             return;
         }
@@ -70,7 +69,7 @@
             self.assign(now, pending, effects);
             return;
         }
-        let retry_after_ms = Some(as_us(self.retry_budget.wait()) / 1000);
+        let retry_after_ms = Some(self.retry_budget.retry_after_ms());
         let refused = Refused { reason: Refusal::RetryBudget, retry_after_ms, ..refused };
         self.refuse_call(now, pending, refused, effects);
     }
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -59,15 +59,14 @@
         let endpoint = stage.endpoint.clone();
         self.learn_from_refusal(now, &endpoint, &refuse.refused);
         let reason = refuse.refused.reason;
-        let retry_after_ms = refuse.refused.retry_after_ms;
-        let last = matches!(reason, Refusal::Deadline | Refusal::Superseded);
-        if last || !self.retry_budget.take(now) {
+        if reason.is_final() || !self.retry_budget.take(now) {
             let Some(generation) = self.generations.remove(&refuse.request) else { return };
-            let (reason, after) = match last {
-                true => (reason, retry_after_ms),
-                false => (Refusal::RetryBudget, Some(as_us(self.retry_budget.wait()) / 1000)),
+            let (reason, retry_after_ms) = if reason.is_final() {
+                (reason, refuse.refused.retry_after_ms)
+            } else {
+                (Refusal::RetryBudget, Some(self.retry_budget.retry_after_ms()))
             };
-            self.give_up(now, generation, reason, after, effects);
+            self.give_up(now, generation, reason, retry_after_ms, effects);
             return;
         }
         let refused = Some(refuse.refused);
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -152,6 +152,13 @@
     Stopping,
 }
 
+impl Refusal {
+    /// Returns whether an attempt that a side refused for this reason is not retried elsewhere.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Deadline | Self::Superseded)
+    }
+}
+
 /// A refusal, as returned to the caller.
 #[data]
 pub struct Refused {
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -6,7 +6,7 @@
 use oriole_macros::key;
 
 use crate::message::Fault;
-use crate::time::Instant;
+use crate::time::{Instant, as_us};
 
 /// How fast a budget refills, and its size.
 #[derive(Clone, Copy, Debug)]
@@ -122,9 +122,10 @@
         true
     }
 
-    /// Returns the time until the next retry is possible.
-    pub fn wait(&self) -> Duration {
-        Duration::from_secs_f64(((1.0 - self.tokens) / self.rate.per_second).max(0.0))
+    /// Returns the whole milliseconds until the next retry is possible.
+    pub fn retry_after_ms(&self) -> u64 {
+        let wait = Duration::from_secs_f64(((1.0 - self.tokens) / self.rate.per_second).max(0.0));
+        as_us(wait) / 1000
     }
 }
 
