Name the phases and due actions of requests by the field's terms

Phase::Opening held two unnamed fields, which readers called waiting and fewest; they are unacknowledged and held now. Moving a call to another endpoint is a failover. The due actions of calls and generations have a comment each. All names are internal to the entry.

--- a/crates/core/src/entry/attempt.rs
+++ b/crates/core/src/entry/attempt.rs
@@ -109,7 +109,8 @@
     fn open_stages(&mut self, now: Instant, mut generation: Generation, effects: &mut Vec<Effect>) {
         generation.terms = generation.chain.iter().map(|stage| self.term(stage)).collect();
         let stages = u16::try_from(generation.chain.len()).unwrap_or(u16::MAX);
-        generation.phase = Phase::Opening((0..stages).collect(), Position::MAX);
+        let unacknowledged = (0..stages).collect();
+        generation.phase = Phase::Opening { unacknowledged, held: Position::MAX };
         generation.step_started = now;
         generation.last_sent = now;
         generation.timeouts = Timeouts::new(Duration::ZERO);
@@ -144,7 +145,7 @@
         };
         let wanted = |index: u16, stage: &Stage| match (host, &generation.phase) {
             (Some(host), _) => stage.host == *host,
-            (None, Phase::Opening(waiting, _)) => waiting.contains(&index),
+            (None, Phase::Opening { unacknowledged, .. }) => unacknowledged.contains(&index),
             (None, _) => false,
         };
         let stages = generation.chain.iter().zip(&generation.terms).zip(0_u16..);
@@ -160,20 +161,20 @@
         if generation.answer.attempt() != opened.attempt {
             return;
         }
-        let Phase::Opening(waiting, fewest) = &mut generation.phase else { return };
-        if !waiting.remove(&opened.stage) {
+        let Phase::Opening { unacknowledged, held } = &mut generation.phase else { return };
+        if !unacknowledged.remove(&opened.stage) {
             return;
         }
-        *fewest = opened.held.min(*fewest);
-        let (done, fewest) = (waiting.is_empty(), *fewest);
+        *held = opened.held.min(*held);
+        let (all_open, held) = (unacknowledged.is_empty(), *held);
         if let Some(stage) = generation.chain.get(usize::from(opened.stage)) {
             self.last_progress.insert(stage.endpoint.clone(), now);
         }
-        if !done {
+        if !all_open {
             return;
         }
-        if fewest < generation.resume {
-            self.reopen_from(now, opened.request, fewest, effects);
+        if held < generation.resume {
+            self.reopen_from(now, opened.request, held, effects);
             return;
         }
         generation.phase = Phase::Running;
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -174,12 +174,12 @@
                 Due::Resolve(until) => {
                     self.resolve(now, id, Refusal::Deadline, until, effects);
                 }
-                Due::Move if self.retry_budget.take(now) => {
+                Due::FailOver if self.retry_budget.take(now) => {
                     let Some(mut pending) = self.take_call(id) else { continue };
                     self.suspect_endpoint(now, &mut pending, Reason::Silent);
                     self.assign(now, pending, effects);
                 }
-                Due::Move | Due::Resend => {
+                Due::FailOver | Due::Resend => {
                     let Some(pending) = self.calls.get_mut(&id) else { continue };
                     pending.last_sent = now;
                     effects.push(pending.message());
--- a/crates/core/src/entry/failover.rs
+++ b/crates/core/src/entry/failover.rs
@@ -29,8 +29,8 @@
         effects: &mut Vec<Effect>,
     ) {
         let id = refuse.request;
-        let current = |pending: &Pending| pending.call.attempt == refuse.attempt;
-        if !self.calls.get(&id).is_some_and(current) {
+        let is_current = |pending: &Pending| pending.call.attempt == refuse.attempt;
+        if !self.calls.get(&id).is_some_and(is_current) {
             return;
         }
         let Some(mut pending) = self.take_call(id) else { return };
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Moves the idempotent calls at a dead host to other endpoints and resolves the others.
+    /// Fails the idempotent calls at a dead host over to other endpoints and resolves the others.
     pub(super) fn fail_calls(
         &mut self,
         now: Instant,
@@ -123,7 +123,7 @@
         let failed: Vec<Id> = on_host.map(|(id, _)| *id).collect();
         for id in failed {
             if self.calls.get(&id).is_some_and(|pending| pending.call.idempotent) {
-                self.move_call(now, id, effects);
+                self.fail_over(now, id, effects);
             } else {
                 self.resolve(now, id, Refusal::EndpointFailed, now + RESOLVE_TIMEOUT, effects);
             }
@@ -131,7 +131,7 @@
     }
 
     /// Abandons an attempt of an idempotent call and makes another.
-    fn move_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
+    fn fail_over(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(mut pending) = self.take_call(id) else { return };
         self.suspect_endpoint(now, &mut pending, Reason::HostLost);
         let reason = Refusal::EndpointFailed;
--- a/crates/core/src/entry/inflight.rs
+++ b/crates/core/src/entry/inflight.rs
@@ -52,9 +52,13 @@
 pub(super) enum Phase {
     /// The next attempt starts at this time.
     Waiting(Instant),
-    /// The stages that have not acknowledged yet, and the fewest positions that any of the others
-    /// holds.
-    Opening(BTreeSet<u16>, Position),
+    /// Some stages have not acknowledged yet that they are open.
+    Opening {
+        /// Indices of these stages.
+        unacknowledged: BTreeSet<u16>,
+        /// Fewest positions that any of the other stages holds.
+        held: Position,
+    },
     /// All stages are open.
     Running,
 }
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -59,11 +59,17 @@
 
 /// The next action for a call.
 pub(super) enum Due {
+    /// Ask the home of the idempotency key again whether the call may run.
     Claim,
+    /// Make the next attempt.
     Assign,
+    /// Refuse the call with this reason, since it stays unknown whether it ran.
     GiveUp(Refusal),
+    /// Ask the side until the given time whether the call ran.
     Resolve(Instant),
-    Move,
+    /// Make another attempt at another endpoint.
+    FailOver,
+    /// Send the message of the current step again.
     Resend,
 }
 
@@ -82,8 +88,8 @@
             Step::Running if silent < self.timeouts.retransmit.max(RESEND_INTERVAL) => None,
             Step::Running => {
                 let suspect = now.since(self.step_started) >= self.timeouts.suspect;
-                let moves = suspect && self.call.idempotent && self.call.attempt < MAX_ATTEMPTS;
-                Some(if moves { Due::Move } else { Due::Resend })
+                let repeatable = self.call.idempotent && self.call.attempt < MAX_ATTEMPTS;
+                Some(if suspect && repeatable { Due::FailOver } else { Due::Resend })
             }
         }
     }
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -223,7 +223,7 @@
         }
         let stages: Vec<u16> = match &generation.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
-            Phase::Opening(waiting, _) => waiting.iter().copied().collect(),
+            Phase::Opening { unacknowledged, .. } => unacknowledged.iter().copied().collect(),
             Phase::Running if !generation.answer.has_feed_in_flight() => return None,
             Phase::Running => (0_u16..).take(generation.chain.len()).collect(),
         };
@@ -319,9 +319,13 @@
 
 /// The next action for a generation.
 enum Due {
+    /// Refuse it, since its deadline has passed.
     Deadline,
+    /// Start the next attempt.
     Start,
+    /// Send the messages of the current step again.
     Retransmit,
+    /// Replace the stage with this index.
     Suspect(u16),
 }
 
