Move the planner's query and answers to a module of their own

Query, Choice, Candidate and Unplanned, and how they are filled, move to plan/choice.rs and are exported from plan as before. The stage of an endpoint is built in a function in place of the middle of configure.

--- a/crates/core/src/plan.rs
+++ b/crates/core/src/plan.rs
@@ -6,31 +6,33 @@
 //! and link times, and prefix-cache hints. Only a random sample of each layer range's endpoints is
 //! compared, so that many entries with the same stale reports do not all pick the same endpoint.
 //!
+//! - [`Query`], [`Choice`], [`Unplanned`]: what is asked of a [`Planner`], and its answers.
 //! - [`node`]: what is known of one endpoint.
 //! - [`link`]: latency of links between hosts.
 //! - [`search`]: the shortest path over the sampled endpoints.
 
+mod choice;
 pub mod link;
 pub mod node;
 pub mod search;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriole_macros::data;
 use slotmap::SlotMap;
 
-use crate::config::{Config, Kind};
+use crate::config::{Config, Endpoint, Kind};
 use crate::estimate::Rng;
 use crate::membership::Eligibility;
 use crate::message::{Hop, Load, Stage};
 use crate::name;
 use crate::report_interval::Intervals;
-use crate::request::{Refusal, Refused};
 use crate::time::{Instant, as_us};
 use node::{Node, Speed};
-use search::{Graph, Path};
+use search::Graph;
+
+pub use choice::{Candidate, Choice, Query, Unplanned};
 
 slotmap::new_key_type! {
     /// Key of an endpoint within a [`Planner`].
@@ -43,66 +45,6 @@
 /// Time recorded for a link over which nothing came through, in microseconds.
 const FAILED_LINK_US: f64 = 1_000_000.0;
 
-/// The request for which a chain or an endpoint is chosen.
-#[derive(Clone, Debug)]
-pub struct Query<'a> {
-    /// Tokens to prefill before the next one is decoded.
-    pub prompt_tokens: u32,
-    /// Expected length of the answer, in tokens.
-    pub answer_tokens: u32,
-    /// Time left until the deadline.
-    pub time_left: Duration,
-    /// Hashes of the prompt's prefixes with their lengths in tokens, longest first.
-    pub prefixes: &'a [(u64, u32)],
-    /// Endpoints that are used only if there are no others.
-    pub avoid: &'a BTreeSet<name::Endpoint>,
-    /// Endpoints that are always compared, whether sampled or not.
-    pub include: &'a BTreeSet<name::Endpoint>,
-    /// Random number from which the sample is drawn.
-    pub random: u64,
-}
-
-/// A chosen chain, and the endpoints among which it was chosen.
-#[data]
-pub struct Choice {
-    /// The stages in layer order.
-    pub chain: Vec<Stage>,
-    /// Estimated microseconds to the first token.
-    pub first_us: u64,
-    /// Estimated microseconds between tokens.
-    pub token_us: u64,
-    /// The endpoints that were compared.
-    pub candidates: Vec<Candidate>,
-}
-
-/// An endpoint that was compared with others.
-#[data]
-pub struct Candidate {
-    /// The endpoint.
-    pub endpoint: name::Endpoint,
-    /// Estimated microseconds of the whole request there; links included for plain services only.
-    pub cost_us: u64,
-    /// Estimated number of sequences in progress at the endpoint.
-    pub sequences: u32,
-    /// Estimated number of tokens queued at the endpoint.
-    pub queued: u32,
-    /// Tokens of the prompt that are in its prefix cache, according to hints.
-    pub cached: u32,
-    /// Whether it was chosen.
-    pub chosen: bool,
-}
-
-/// Why no chain was chosen.
-#[data]
-pub struct Unplanned {
-    /// The refusal.
-    pub refused: Refused,
-    /// Estimated microseconds of the best chain, or `None` if there was no chain.
-    pub estimate_us: Option<u64>,
-    /// The endpoints that were compared.
-    pub candidates: Vec<Candidate>,
-}
-
 /// What one entry knows of endpoints and links, and chooses from.
 #[derive(Clone, Debug)]
 pub struct Planner {
@@ -147,18 +89,8 @@
         self.services.clear();
         for (name, endpoint) in &config.endpoints {
             let location = self.links.location(&endpoint.host, &endpoint.zone);
-            let (first, end) = match &endpoint.kind {
-                Kind::Engine { first_layer, end_layer, .. } => (*first_layer, *end_layer),
-                Kind::Service { .. } => (0, 0),
-            };
-            let stage = Stage {
-                endpoint: name.clone(),
-                host: endpoint.host.clone(),
-                address: endpoint.side,
-                first,
-                end,
-            };
-            let mut node = Node::new(stage, location, Speed::new(&endpoint.kind));
+            let speed = Speed::new(&endpoint.kind);
+            let mut node = Node::new(stage(name, endpoint), location, speed);
             node.report_ttl = ttl;
             if let Some(old) = old_names.get(name).and_then(|key| old.remove(*key)) {
                 node.inherit(&old);
@@ -167,10 +99,11 @@
             let key = self.nodes.insert(node);
             self.names.insert(name.clone(), key);
             match &endpoint.kind {
-                Kind::Engine { model, .. } => {
+                Kind::Engine { model, first_layer, end_layer, .. } => {
                     let Some(settings) = config.models.get(model) else { continue };
                     let graph = self.graphs.entry(model.clone());
-                    graph.or_insert_with(|| Graph::new(settings)).insert(first, end, key);
+                    let graph = graph.or_insert_with(|| Graph::new(settings));
+                    graph.insert(*first_layer, *end_layer, key);
                 }
                 Kind::Service { service, .. } => {
                     self.services.entry(service.clone()).or_default().push(key);
@@ -186,7 +119,7 @@
         model: &name::Model,
         query: &Query<'_>,
     ) -> Result<Choice, Unplanned> {
-        let graph = self.graphs.get(model).ok_or_else(no_chain)?;
+        let graph = self.graphs.get(model).ok_or_else(Unplanned::no_chain)?;
         let mut rng = Rng::new(query.random);
         let sampled = graph.search(self, now, query, Some(&mut rng));
         let best = match &sampled {
@@ -194,7 +127,7 @@
             // Compares all endpoints before refusing a request.
             _ => graph.search(self, now, query, None),
         };
-        let path = best.ok_or_else(no_chain)?;
+        let path = best.ok_or_else(Unplanned::no_chain)?;
         if !path.meets_deadline(query) {
             return Err(self.deadline_refusal(now, query, &path));
         }
@@ -208,10 +141,10 @@
         service: &name::Service,
         query: &Query<'_>,
     ) -> Result<Choice, Unplanned> {
-        let members = self.services.get(service).ok_or_else(no_chain)?;
+        let members = self.services.get(service).ok_or_else(Unplanned::no_chain)?;
         let mut rng = Rng::new(query.random);
-        let path =
-            search::choose_service(self, now, query, members, &mut rng).ok_or_else(no_chain)?;
+        let path = search::choose_service(self, now, query, members, &mut rng)
+            .ok_or_else(Unplanned::no_chain)?;
         if !path.meets_deadline(query) {
             return Err(self.deadline_refusal(now, query, &path));
         }
@@ -353,47 +286,19 @@
     fn node_mut(&mut self, endpoint: &name::Endpoint) -> Option<&mut Node> {
         self.nodes.get_mut(*self.names.get(endpoint)?)
     }
-
-    fn choice(&self, now: Instant, query: &Query<'_>, path: &Path) -> Choice {
-        Choice {
-            chain: self.stages(&path.keys),
-            first_us: path.first_us as u64,
-            token_us: path.token_us as u64,
-            candidates: self.candidates(now, query, path),
-        }
-    }
-
-    fn deadline_refusal(&self, now: Instant, query: &Query<'_>, path: &Path) -> Unplanned {
-        let over_us = path.total_us(query) - as_us(query.time_left) as f64;
-        let retry_after_ms = Some((over_us / 1000.0).ceil() as u64);
-        Unplanned {
-            refused: crate::message::not_run(Refusal::Deadline, retry_after_ms),
-            estimate_us: Some(path.total_us(query) as u64),
-            candidates: self.candidates(now, query, path),
-        }
-    }
-
-    fn stages(&self, keys: &[Key]) -> Vec<Stage> {
-        keys.iter().filter_map(|key| self.nodes.get(*key)).map(|node| node.stage.clone()).collect()
-    }
-
-    fn candidates(&self, now: Instant, query: &Query<'_>, path: &Path) -> Vec<Candidate> {
-        let candidate = |(key, cost_us): &(Key, f64)| {
-            let node = self.nodes.get(*key)?;
-            Some(Candidate {
-                endpoint: node.name().clone(),
-                cost_us: *cost_us as u64,
-                sequences: node.sequences(now),
-                queued: node.queued(now),
-                cached: node.cached(query.prefixes),
-                chosen: path.keys.contains(key),
-            })
-        };
-        path.candidates.iter().filter_map(candidate).collect()
-    }
 }
 
-fn no_chain() -> Unplanned {
-    let refused = crate::message::not_run(Refusal::NoChain, None);
-    Unplanned { refused, estimate_us: None, candidates: Vec::new() }
+/// Returns the stage that an endpoint can serve; that of a plain service has no layers.
+fn stage(name: &name::Endpoint, endpoint: &Endpoint) -> Stage {
+    let (first, end) = match &endpoint.kind {
+        Kind::Engine { first_layer, end_layer, .. } => (*first_layer, *end_layer),
+        Kind::Service { .. } => (0, 0),
+    };
+    Stage {
+        endpoint: name.clone(),
+        host: endpoint.host.clone(),
+        address: endpoint.side,
+        first,
+        end,
+    }
 }
