--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -15,7 +15,7 @@
 use super::{Effect, Machine, send};
 
 /// How long an endpoint that failed is avoided if there is another one.
-const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
+pub(super) const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
 
 /// How long an endpoint is avoided after a temporary refusal that states no time to retry after.
 const BUSY_PERIOD: Duration = Duration::from_millis(250);
@@ -59,15 +59,14 @@
         let endpoint = stage.endpoint.clone();
         self.learn_from_refusal(now, &endpoint, &refuse.refused);
         let reason = refuse.refused.reason;
-        let retry_after_ms = refuse.refused.retry_after_ms;
-        let last = matches!(reason, Refusal::Deadline | Refusal::Superseded);
-        if last || !self.retry_budget.take(now) {
+        if reason.is_final() || !self.retry_budget.take(now) {
             let Some(generation) = self.generations.remove(&refuse.request) else { return };
-            let (reason, after) = match last {
-                true => (reason, retry_after_ms),
-                false => (Refusal::RetryBudget, Some(as_us(self.retry_budget.wait()) / 1000)),
+            let (reason, retry_after_ms) = if reason.is_final() {
+                (reason, refuse.refused.retry_after_ms)
+            } else {
+                (Refusal::RetryBudget, Some(self.retry_budget.retry_after_ms()))
             };
-            self.give_up(now, generation, reason, after, effects);
+            self.give_up(now, generation, reason, retry_after_ms, effects);
             return;
         }
         let refused = Some(refuse.refused);
@@ -224,7 +223,7 @@
         }
         let stages: Vec<u16> = match &generation.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
-            Phase::Opening(waiting, _) => waiting.iter().copied().collect(),
+            Phase::Opening { unacknowledged, .. } => unacknowledged.iter().copied().collect(),
             Phase::Running if !generation.answer.has_feed_in_flight() => return None,
             Phase::Running => (0_u16..).take(generation.chain.len()).collect(),
         };
@@ -320,9 +319,13 @@
 
 /// The next action for a generation.
 enum Due {
+    /// Refuse it, since its deadline has passed.
     Deadline,
+    /// Start the next attempt.
     Start,
+    /// Send the messages of the current step again.
     Retransmit,
+    /// Replace the stage with this index.
     Suspect(u16),
 }
 
