Quarantine the parts of prompts under which endpoints crash

Cause: nothing remembered what an engine was about to answer when it crashed. Each request with the part was new to its entry, and its retry took it to a second engine.

Change: requests that a crashed endpoint had hardly begun to answer are suspects with those of their shared parts that have not been answered in the last 10 s; entries tell each other. A part that is suspect in three crashes, of two requests or more, is quarantined with the parts that were suspect in all the same crashes; requests with all of them get 503 and the time until the quarantine ends (5 min, doubled at each relapse). Requests with a part that is suspect in two crashes are not attempted again. An answer that goes on for 1 s, at any entry, clears its parts. Quarantines are passed on by gossip, so that entries that start know them.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -3,6 +3,8 @@
 use oriole_macros::{data, key};
 
 use super::Listing;
+use crate::forward::Part;
+use crate::forward::quarantine::{Group, Suspect};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -24,6 +26,7 @@
 
 /// One run of an endpoint, from a start to the next.
 #[data]
+#[derive(Eq, Ord, PartialOrd)]
 pub struct Incarnation {
     /// Identifier of the endpoint.
     pub endpoint: name::Endpoint,
@@ -49,6 +52,9 @@
     /// of the finding in milliseconds.
     #[serde(rename = "doubts")]
     pub unhealthy: Vec<(Incarnation, u64)>,
+    /// Parts of prompts whose requests the sender does not run.
+    #[serde(default)]
+    pub quarantined: Vec<Group>,
 }
 
 /// Data that an entry may request from another entry.
@@ -94,4 +100,8 @@
     Suspicion(Incarnation),
     /// An endpoint that several entries suspected and that has answered the sender since.
     Answered(Incarnation),
+    /// An endpoint that crashed, and requests of the sender that it had hardly begun to answer.
+    Crash(Incarnation, Vec<Suspect>),
+    /// Parts of prompts that the sender has seen answered, although others suspect them.
+    Sound(Vec<Part>),
 }
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -5,6 +5,7 @@
 //! - [`chain`]: chains that are usable now, and the choice among them.
 //! - [`choice`]: the choice among the endpoints of a plain service, which has no chains.
 //! - [`queue`]: the order in which requests wait for capacity.
+//! - [`quarantine`]: parts of prompts that crash endpoints.
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
 //! - [`event`]: splits response streams at event boundaries.
@@ -16,6 +17,7 @@
 pub mod event;
 pub mod in_flight;
 pub mod outcome;
+pub mod quarantine;
 pub mod queue;
 pub mod slowdown;
 pub mod stop;
--- /dev/null
+++ b/crates/core/src/forward/quarantine.rs
@@ -0,0 +1,229 @@
+//! Which parts of prompts crash endpoints, and which requests are therefore not run.
+//!
+//! Load pattern: requests have one part of their prompts in common, and each endpoint that begins to
+//! answer one of them crashes. No two of them are alike otherwise, they come at any entry, and sound
+//! requests share their other parts. Without a memory of what endpoints were about to answer when
+//! they crashed, these requests and their retries end one endpoint after the other.
+//!
+//! Requests that an endpoint had not begun to answer, or had only just begun, are suspects of its
+//! crash with those of their parts that have not been answered lately. A part that is suspect in
+//! several crashes is quarantined, together with the parts that were suspect in all the same
+//! crashes: only requests with all of them are not run, since the others may be sound and show which
+//! part it is.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use oriole_macros::data;
+
+use super::Part;
+use crate::fleet::Incarnation;
+use crate::time::Instant;
+
+/// Number of crashes in which a part must be suspect to be quarantined.
+const MIN_CRASHES: usize = 3;
+
+/// Number of requests that must have been suspects with the part. One request alone may be on
+/// several endpoints by chance, as its attempts follow the crashes.
+const MIN_REQUESTS: usize = 2;
+
+/// Number of crashes from which on a request with a suspect part is not attempted again.
+const MAX_CRASHES_FOR_RETRY: usize = 2;
+
+/// Time for which a crash counts.
+const EVIDENCE_PERIOD: Duration = Duration::from_secs(60);
+
+/// Time for which a part that has been answered is not suspect.
+const SOUND_PERIOD: Duration = Duration::from_secs(10);
+
+/// Length of a first quarantine. Each relapse doubles it.
+const FIRST_PERIOD: Duration = Duration::from_secs(300);
+
+/// Longest quarantine.
+const MAX_PERIOD: Duration = Duration::from_secs(3600);
+
+/// Time after a quarantine within which one crash is a relapse.
+const RELAPSE_PERIOD: Duration = Duration::from_secs(3600);
+
+/// Number of answered parts that are remembered; the oldest go first.
+const MAX_SOUND: usize = 4096;
+
+/// A request that an endpoint had hardly begun to answer when it crashed.
+#[data]
+pub struct Suspect {
+    /// A hash of the request's id.
+    pub request: u64,
+    /// Those of its parts that have not been answered lately.
+    pub parts: Vec<Part>,
+}
+
+/// Parts that crash endpoints, as entries tell each other.
+#[data]
+pub struct Group {
+    /// Requests that have all of these parts are not run.
+    pub parts: Vec<Part>,
+    /// Time until the end of the quarantine, in milliseconds.
+    pub remaining_ms: u64,
+}
+
+/// The suspects of one crash: the requests by part.
+#[derive(Debug)]
+struct Crash {
+    at: Instant,
+    suspects: BTreeMap<Part, BTreeSet<u64>>,
+}
+
+/// A quarantine of parts, or one that has ended.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    until: Instant,
+    length: Duration,
+}
+
+/// What one entry knows of crashes and of the parts that cause them.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    crashes: BTreeMap<Incarnation, Crash>,
+    sound: BTreeMap<Part, Instant>,
+    periods: BTreeMap<BTreeSet<Part>, Period>,
+}
+
+impl Quarantine {
+    /// Returns those of `parts` that have not been answered lately.
+    pub fn unproven(&self, parts: &[Part], now: Instant) -> Vec<Part> {
+        let is_sound =
+            |part: &Part| self.sound.get(part).is_some_and(|at| now.since(*at) < SOUND_PERIOD);
+        parts.iter().copied().filter(|part| !is_sound(part)).collect()
+    }
+
+    /// Records suspects of the crash of an endpoint, and returns whether a quarantine begins.
+    ///
+    /// Several entries may report suspects of the same crash.
+    pub fn record_crash(
+        &mut self,
+        incarnation: &Incarnation,
+        suspects: &[Suspect],
+        now: Instant,
+    ) -> bool {
+        self.crashes.retain(|_, crash| now.since(crash.at) < EVIDENCE_PERIOD);
+        self.periods.retain(|_, period| now.since(period.until) < RELAPSE_PERIOD);
+        let crash = self.crashes.entry(incarnation.clone());
+        let crash = crash.or_insert_with(|| Crash { at: now, suspects: BTreeMap::new() });
+        for suspect in suspects {
+            for part in &suspect.parts {
+                crash.suspects.entry(*part).or_default().insert(suspect.request);
+            }
+        }
+        let parts: BTreeSet<Part> = suspects.iter().flat_map(|s| s.parts.clone()).collect();
+        let relapsed = self.renew(&parts, now);
+        let begun = parts.iter().filter(|part| self.quarantine(**part, now)).count();
+        relapsed || begun > 0
+    }
+
+    /// Renews the quarantines that ended lately and all of whose parts are among `parts`.
+    fn renew(&mut self, parts: &BTreeSet<Part>, now: Instant) -> bool {
+        let mut is_renewed = false;
+        for (group, period) in &mut self.periods {
+            if group.is_subset(parts) && period.until <= now {
+                let length = (period.length * 2).min(MAX_PERIOD);
+                *period = Period { until: now + length, length };
+                is_renewed = true;
+            }
+        }
+        is_renewed
+    }
+
+    /// Quarantines a part if it is suspect in enough crashes, and returns whether that is new.
+    fn quarantine(&mut self, part: Part, now: Instant) -> bool {
+        let of_part: Vec<&Crash> =
+            self.crashes.values().filter(|c| c.suspects.contains_key(&part)).collect();
+        let requests: BTreeSet<u64> =
+            of_part.iter().filter_map(|c| c.suspects.get(&part)).flatten().copied().collect();
+        if of_part.len() < MIN_CRASHES || requests.len() < MIN_REQUESTS {
+            return false;
+        }
+        let is_in_all = |other: &&Part| of_part.iter().all(|c| c.suspects.contains_key(other));
+        let Some(first) = of_part.first() else {
+            return false;
+        };
+        let group: BTreeSet<Part> = first.suspects.keys().filter(is_in_all).copied().collect();
+        let is_known = |known: &BTreeSet<Part>| known.is_subset(&group);
+        if self.periods.iter().any(|(known, period)| period.until > now && is_known(known)) {
+            return false;
+        }
+        self.periods.insert(group, Period { until: now + FIRST_PERIOD, length: FIRST_PERIOD });
+        true
+    }
+
+    /// Records that an endpoint has answered a request with `parts` for a while.
+    ///
+    /// That clears them of earlier crashes. Returns those that were suspect or quarantined.
+    pub fn record_sound(&mut self, parts: &[Part], now: Instant) -> Vec<Part> {
+        for part in parts {
+            self.sound.insert(*part, now);
+        }
+        if self.sound.len() > MAX_SOUND {
+            self.sound.retain(|_, at| now.since(*at) < SOUND_PERIOD);
+        }
+        let cleared = parts.iter().copied().filter(|part| self.clear(*part));
+        cleared.collect()
+    }
+
+    /// Removes a part from all crashes and quarantines, and returns whether it was in one.
+    fn clear(&mut self, part: Part) -> bool {
+        let mut was_suspect = false;
+        for crash in self.crashes.values_mut() {
+            was_suspect |= crash.suspects.remove(&part).is_some();
+        }
+        let groups: Vec<_> = self.periods.keys().filter(|g| g.contains(&part)).cloned().collect();
+        for mut group in groups {
+            was_suspect = true;
+            let period = self.periods.remove(&group);
+            group.remove(&part);
+            if let Some(period) = period.filter(|_| !group.is_empty()) {
+                self.periods.insert(group, period);
+            }
+        }
+        was_suspect
+    }
+
+    /// Returns until when requests with `parts` are not run, or `None` if they are.
+    pub fn blocked_until(&self, parts: &[Part], now: Instant) -> Option<Instant> {
+        let is_whole = |group: &BTreeSet<Part>| group.iter().all(|part| parts.contains(part));
+        let blocking = self.periods.iter().filter(|(group, t)| t.until > now && is_whole(group));
+        blocking.map(|(_, period)| period.until).max()
+    }
+
+    /// Returns whether a request with `parts` may run again after a crash: whether none of them is
+    /// suspect in several.
+    pub fn may_retry(&self, parts: &[Part], now: Instant) -> bool {
+        let fresh = || self.crashes.values().filter(|c| now.since(c.at) < EVIDENCE_PERIOD);
+        let count = |part: &Part| fresh().filter(|c| c.suspects.contains_key(part)).count();
+        parts.iter().all(|part| count(part) < MAX_CRASHES_FOR_RETRY)
+    }
+
+    /// Returns the quarantines in force.
+    pub fn groups(&self, now: Instant) -> Vec<Group> {
+        let in_force = self.periods.iter().filter(|(_, period)| period.until > now);
+        let group = |(group, period): (&BTreeSet<Part>, &Period)| Group {
+            parts: group.iter().copied().collect(),
+            remaining_ms: period.until.since(now).as_millis() as u64,
+        };
+        in_force.map(group).collect()
+    }
+
+    /// Takes over a quarantine from another entry, and returns whether it is new.
+    ///
+    /// None of its parts may have been answered lately; see [`Quarantine::unproven`].
+    pub fn adopt(&mut self, group: &Group, now: Instant) -> bool {
+        let parts: BTreeSet<Part> = group.parts.iter().copied().collect();
+        let known = self.periods.get(&parts);
+        if parts.is_empty() || known.is_some_and(|period| period.until > now) {
+            return false;
+        }
+        let remaining = Duration::from_millis(group.remaining_ms).min(MAX_PERIOD);
+        let length = known.map_or(FIRST_PERIOD, |period| period.length).max(remaining);
+        self.periods.insert(parts, Period { until: now + remaining, length });
+        true
+    }
+}
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -6,6 +6,14 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Initial value and factor of the 64-bit FNV-1a hash.
+const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0100_0000_01b3);
+
+/// Returns a hash of a name, which is the same in all processes.
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(FNV.0, |sum, byte| (sum ^ u64::from(byte)).wrapping_mul(FNV.1))
+}
+
 macro_rules! names {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
         $(#[$doc])*
--- /dev/null
+++ b/crates/core/tests/quarantine.rs
@@ -0,0 +1,121 @@
+//! Tests of which parts of prompts are quarantined after crashes of endpoints.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use oriole_core::fleet::Incarnation;
+use oriole_core::forward::Part;
+use oriole_core::forward::quarantine::{Group, Quarantine, Suspect};
+use oriole_core::time::Instant;
+
+const BAD: Part = Part(0xbad);
+const SHARED: Part = Part(1);
+const OTHER: Part = Part(2);
+
+fn at(seconds: u64) -> Instant {
+    Instant::default() + Duration::from_secs(1_000 + seconds)
+}
+
+/// Records the crash of endpoint `number` with one suspect for each list of parts.
+fn crash(quarantine: &mut Quarantine, number: u64, suspects: &[&[Part]], now: Instant) -> bool {
+    let incarnation = Incarnation { endpoint: "e".into(), born: number };
+    let suspect = |(n, parts): (usize, &&[Part])| Suspect {
+        request: number * 100 + n as u64,
+        parts: quarantine.unproven(parts, now),
+    };
+    let suspects: Vec<Suspect> = suspects.iter().enumerate().map(suspect).collect();
+    quarantine.record_crash(&incarnation, &suspects, now)
+}
+
+#[test]
+fn a_part_that_is_suspect_in_three_crashes_is_quarantined() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        assert_eq!(quarantine.blocked_until(&[SHARED, BAD], at(number)), None);
+        let begins = crash(&mut quarantine, number, &[&[Part(number + 10), BAD]], at(number));
+        assert_eq!(begins, number == 3);
+    }
+    assert!(quarantine.blocked_until(&[SHARED, BAD], at(4)).is_some());
+    assert_eq!(quarantine.blocked_until(&[SHARED, Part(11)], at(4)), None);
+    // More crashes of requests that were under way change nothing.
+    assert!(!crash(&mut quarantine, 4, &[&[Part(14), BAD]], at(4)));
+}
+
+#[test]
+fn a_request_is_not_attempted_again_after_two_crashes_with_one_of_its_parts() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, &[&[SHARED, BAD]], at(1));
+    assert!(quarantine.may_retry(&[OTHER, BAD], at(1)));
+    crash(&mut quarantine, 2, &[&[SHARED, BAD]], at(1));
+    assert!(!quarantine.may_retry(&[OTHER, BAD], at(2)));
+    assert!(quarantine.may_retry(&[OTHER], at(2)));
+}
+
+#[test]
+fn parts_that_are_answered_elsewhere_are_not_quarantined_when_many_endpoints_crash() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_sound(&[SHARED, OTHER], at(0));
+    for number in 1..=6 {
+        crash(&mut quarantine, number, &[&[SHARED], &[SHARED, OTHER], &[OTHER]], at(1));
+    }
+    assert_eq!(quarantine.groups(at(1)), vec![]);
+    assert!(quarantine.may_retry(&[SHARED, OTHER], at(1)));
+}
+
+#[test]
+fn one_request_that_was_on_three_endpoints_when_they_crashed_is_no_evidence() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=4 {
+        let incarnation = Incarnation { endpoint: "e".into(), born: number };
+        let suspect = Suspect { request: 7, parts: vec![BAD] };
+        assert!(!quarantine.record_crash(&incarnation, &[suspect], at(number)));
+    }
+}
+
+/// Until a sound request shows which of two parts it is, only requests with both are held back.
+#[test]
+fn requests_with_only_one_of_the_parts_that_were_in_all_crashes_still_run() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[&[SHARED, BAD]], at(number));
+    }
+    assert!(quarantine.blocked_until(&[SHARED, BAD], at(4)).is_some());
+    assert_eq!(quarantine.blocked_until(&[SHARED, OTHER], at(4)), None);
+    assert_eq!(quarantine.blocked_until(&[OTHER, BAD], at(4)), None);
+    assert_eq!(quarantine.record_sound(&[SHARED, OTHER], at(5)), [SHARED]);
+    assert!(quarantine.blocked_until(&[OTHER, BAD], at(6)).is_some());
+}
+
+#[test]
+fn requests_that_only_shared_the_endpoint_are_not_held_back_without_the_part() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[&[BAD], &[OTHER]], at(number));
+    }
+    assert!(quarantine.blocked_until(&[OTHER, BAD], at(4)).is_some());
+    assert_eq!(quarantine.blocked_until(&[OTHER], at(4)), None);
+}
+
+#[test]
+fn after_a_quarantine_one_crash_begins_one_of_twice_the_length() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        crash(&mut quarantine, number, &[&[BAD]], at(number));
+    }
+    let first = quarantine.blocked_until(&[BAD], at(3)).unwrap().since(at(3));
+    let end = at(3) + first;
+    assert_eq!(quarantine.blocked_until(&[BAD], end), None);
+    assert!(crash(&mut quarantine, 4, &[&[OTHER, BAD]], end));
+    assert_eq!(quarantine.blocked_until(&[BAD], end), Some(end + first * 2));
+}
+
+#[test]
+fn an_entry_that_starts_takes_over_quarantines_and_drops_them_when_the_parts_are_answered() {
+    let mut quarantine = Quarantine::default();
+    let group = Group { parts: vec![BAD], remaining_ms: 60_000 };
+    assert!(quarantine.adopt(&group, at(0)));
+    assert!(!quarantine.adopt(&group, at(1)));
+    assert_eq!(quarantine.blocked_until(&[BAD], at(1)), Some(at(60)));
+    assert_eq!(quarantine.record_sound(&[BAD], at(2)), [BAD]);
+    assert_eq!(quarantine.blocked_until(&[BAD], at(2)), None);
+}
--- a/crates/ctl/src/logs/request.rs
+++ b/crates/ctl/src/logs/request.rs
@@ -75,6 +75,10 @@
                                      see the failures before it"
         }
         ("given up", "Timeout") => "ended at the route's timeout or the caller's deadline",
+        ("given up", "Quarantined") => {
+            "refused: a part of its prompt crashes endpoints; see \
+             `prompt parts quarantined`"
+        }
         ("given up", "Stopping") => "refused: its entry was shutting down",
         ("given up", _) => "ended: its attempts failed; see the lines before it",
         ("rejected", "Unauthorized") => "refused: its key is not in the routing table in force",
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod attempt;
+mod crash;
 mod race;
 mod repath;
 mod timing;
@@ -87,6 +88,10 @@
                 }
             }
         };
+        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
+            drop(slot);
+            return generation.give_up(writer, Reason::Quarantined).await;
+        }
         let sent = state.now();
         generation.first_event_at.set(None);
         // One detour at a time, and none from a response that the request has come back to.
@@ -106,6 +111,7 @@
         let failure = match outcome {
             Outcome::Complete => {
                 generation.log_served(&chain, sent);
+                crash::record_sound(state, request);
                 return Ok(());
             }
             Outcome::CallerLost(error) => return Err(error),
@@ -127,6 +133,9 @@
         };
         drop(slot);
         generation.record_failure(&chain, failure, sent);
+        if failure == Failure::Unknown {
+            crash::examine(state, request, &chain, generation.first_event_at.get()).await;
+        }
         if let Some(earlier) = suspended.take() {
             log::info!(id = request.id(); "going on with the response of an earlier attempt");
             next = Next::Continue(earlier);
@@ -152,6 +161,9 @@
         if !self.attempts.may_retry(&request.route, failure) {
             return Err(Reason::Failed);
         }
+        if !crash::may_retry(state, request) {
+            return Err(Reason::Quarantined);
+        }
         if !state.take_retry(&request.service) {
             return Err(Reason::NoBudget);
         }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -17,7 +17,7 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
-use crate::generation::{Slot, Timing};
+use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
@@ -241,6 +241,7 @@
         }
         silence = EVENT_SILENCE;
         stream.record_event(chain);
+        stream.record_sound();
         if is_first {
             is_first = false;
             let headers = endpoint::end_to_end(head.headers());
@@ -273,11 +274,13 @@
     key: name::Endpoint,
     /// When the previous event arrived.
     last: Option<Instant>,
+    /// Whether [`Stream::record_sound`] has taken effect.
+    is_sound: bool,
 }
 
 impl<'a> Stream<'a> {
     fn new(attempt: Attempt<'a>, chain: &Chain) -> Self {
-        Self { attempt, key: chain.key.clone(), last: None }
+        Self { attempt, key: chain.key.clone(), last: None, is_sound: false }
     }
 
     fn record_event(&mut self, chain: &Chain) {
@@ -299,6 +302,16 @@
         }
         self.last = Some(now);
     }
+
+    /// Records once that the answer has gone on for long enough to show that it crashes no endpoint.
+    fn record_sound(&mut self) {
+        let now = self.attempt.state.now();
+        let first = self.attempt.first_event_at.get();
+        if !self.is_sound && first.is_some_and(|at| now.since(at) >= crash::BEGIN_TIME) {
+            self.is_sound = true;
+            crash::record_sound(self.attempt.state, self.attempt.request);
+        }
+    }
 }
 
 /// Records the time to the first event that the caller gets.
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -47,6 +47,8 @@
     pub moves: Counter,
     /// Findings that an endpoint is unhealthy.
     pub unhealthy: Counter,
+    /// Quarantines of prompt parts that began or were heard of.
+    pub quarantines: Counter,
     /// Orders to endpoints, by answer.
     pub orders: Reasons,
     /// Plans that were adopted.
@@ -89,6 +91,7 @@
             retries: Counter::default(),
             moves: Counter::default(),
             unhealthy: Counter::default(),
+            quarantines: Counter::default(),
             orders: Reasons::default(),
             plans: Counter::default(),
             store_failures: Reasons::default(),
@@ -118,6 +121,7 @@
         r.register("retries", "Attempts after a request's first one", self.retries.clone());
         r.register("moves", "Streams moved around a lost stage", self.moves.clone());
         r.register("doubts", "Endpoints found not to work", self.unhealthy.clone());
+        r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -109,6 +109,7 @@
         ready_in_ms: state.ready_in().as_millis() as u64,
         loads: inner.in_flight.loads(),
         unhealthy: inner.view.unhealthy(state.now()),
+        quarantined: inner.quarantine.groups(state.now()),
     }
 }
 
@@ -140,6 +141,10 @@
                 let age = Duration::from_millis(*age_ms);
                 state.mark_unhealthy(incarnation, Cause::Peer, age, host.as_str());
             }
+            let proven = state.adopt_quarantine(&gossip.quarantined);
+            if !proven.is_empty() {
+                hub.send(&host, None, message::Message::Fleet(Message::Sound(proven)));
+            }
             let mut inner = state.inner.borrow_mut();
             let ready_in = Duration::from_millis(gossip.ready_in_ms);
             inner.liveness.record(host.clone(), ready_in, now);
@@ -175,6 +180,10 @@
             state.suspect(&incarnation, &host);
         }
         Message::Answered(incarnation) => state.record_answer(&incarnation),
+        Message::Crash(incarnation, suspects) => state.record_crash(&incarnation, &suspects),
+        Message::Sound(parts) => {
+            state.record_sound(&parts);
+        }
         Message::Unhealthy(incarnation) => {
             state.mark_unhealthy(&incarnation, Cause::Peer, Duration::ZERO, host.as_str());
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -70,6 +70,8 @@
     Failed,
     /// The route allows another attempt, but the retry budget is used up.
     NoBudget,
+    /// Parts of its prompt crash endpoints.
+    Quarantined,
 }
 
 impl Reason {
@@ -84,6 +86,7 @@
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::NoBudget => "no-budget",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -215,6 +218,10 @@
     if not_run {
         let retry_after = match reason {
             Reason::Stopping => state.retry_after_stop(),
+            Reason::Quarantined => {
+                let until = state.quarantined_until(&request.parameters.shared_parts);
+                until.unwrap_or_default().since(state.now())
+            }
             _ => {
                 let mut inner = state.inner.borrow_mut();
                 let refusals = inner.refusals.entry(request.service.clone()).or_default();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -7,6 +7,7 @@
 mod entries;
 mod health;
 pub mod load;
+pub mod quarantine;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -17,11 +18,12 @@
 use oriole_adapter::clock::Clock;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
-use oriole_core::fleet::{Topic, View};
+use oriole_core::fleet::{Incarnation, Topic, View};
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::choice::Failures;
 use oriole_core::forward::in_flight::Tracker;
+use oriole_core::forward::quarantine::{Quarantine, Suspect};
 use oriole_core::forward::queue::{Queue, Refusals};
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, Range};
@@ -70,6 +72,8 @@
     pub queues: BTreeMap<name::Service, Queue>,
     /// Retry budgets by service.
     pub budgets: BTreeMap<name::Service, Budget>,
+    /// Parts of prompts that crash endpoints.
+    pub quarantine: Quarantine,
     /// Recent failures of endpoints of plain services.
     pub failures: Failures,
     /// When this entry last got an event from a chain, by key of the chain.
@@ -115,6 +119,8 @@
     pub lags: RefCell<BTreeMap<Topic, Lag>>,
     /// When each endpoint was last asked for a report.
     pub report_requested_at: RefCell<BTreeMap<name::Endpoint, Instant>>,
+    /// Suspects of crashes that are about to be told to the other entries.
+    pub untold_suspects: RefCell<BTreeMap<Incarnation, Vec<Suspect>>>,
     /// When the process exits at the latest; `None` until it has been signalled to stop.
     pub exit_deadline: Cell<Option<Instant>>,
     /// When all stages of a chain were last asked for a report, by key of the chain.
@@ -148,6 +154,7 @@
             refusals: BTreeMap::new(),
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
+            quarantine: Quarantine::default(),
             failures: Failures::default(),
             last_event_at: BTreeMap::new(),
             liveness: Liveness::default(),
@@ -172,6 +179,7 @@
             peer_orders: RefCell::default(),
             lags: RefCell::default(),
             report_requested_at: RefCell::default(),
+            untold_suspects: RefCell::default(),
             chain_probed_at: RefCell::default(),
             exit_deadline: Cell::new(None),
             exiting: Cell::new(false),
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -166,6 +166,26 @@
     });
 }
 
+/// Returns whether the endpoint of a hop has crashed since the hop was chosen.
+///
+/// Asks it unless this is known. An endpoint that gives no report in time counts as not crashed.
+pub async fn has_crashed(state: &Shared, hop: &Hop) -> bool {
+    if state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss) {
+        return true;
+    }
+    match endpoint::report(hop.address, REPORT_TIMEOUTS[0]).await {
+        Ok(report) if report.born == hop.born => false,
+        Ok(_) => {
+            mark_unhealthy(state, &hop.incarnation(), Cause::Restarted);
+            true
+        }
+        Err(error) => {
+            record_no_answer(state, &hop.incarnation(), &error);
+            state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss)
+        }
+    }
+}
+
 /// Records that an endpoint did not answer.
 ///
 /// An endpoint that refuses connections is certainly unhealthy. Silence may be caused by this entry
