Do not take a chain for slow because its suspended responses are not read

Found by a reviewer: streams that had left a silent chain still counted among those whose events show its pace, so that it was avoided after it had come back. They count again with their next event.

--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -123,6 +123,7 @@
                 generation.record_failure(&chain, Failure::Doubted, sent);
                 let Detour { chain: other, slot: reserved, left } = *detour;
                 let splitter = splitter.clone();
+                slot.suspend_stream();
                 suspended = left.map(|response| {
                     Box::new(Suspended { chain, slot, response, unread: None, splitter })
                 });
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -61,6 +61,14 @@
         self.work.set(Work { prefill: 0, ..work });
         self.state.capacity_changed.notify_waiters();
     }
+
+    /// Counts the stream no longer among those whose events show the pace of the chain, as its
+    /// response is not read as it comes. The next event counts it again.
+    pub fn suspend_stream(&self) {
+        if self.is_streaming.replace(false) {
+            self.state.inner.borrow_mut().in_flight.finish_stream(&self.key);
+        }
+    }
 }
 
 impl Drop for Slot {
--- a/crates/router/tests/path/silence.rs
+++ b/crates/router/tests/path/silence.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use oriole_core::fleet::{Cause, Incarnation};
+use oriole_core::forward::in_flight::Work;
 use oriole_platform_standin::caller::Answer;
 use oriole_platform_standin::config::KEY;
 use oriole_platform_standin::fleet::{Fault, Fleet};
+use oriole_router::generation::Slot;
 use tokio::time::sleep;
 
 use crate::all_events;
@@ -168,6 +170,24 @@
     assert_ran_once(&cluster, &answer);
 }
 
+/// A chain must not seem slow for the events of responses that are not read.
+#[actix_rt::test]
+async fn a_suspended_stream_does_not_count_as_silent() {
+    let cluster = Cluster::new(1).await;
+    let state = &cluster.entries[0].state;
+    let key = "engine-0".into();
+    let streams = || state.inner.borrow().in_flight.silence(&key, 1, state.now());
+    let slot = Slot::reserve(state, &key, Work { requests: 1, tokens: 10, prefill: 5 });
+    slot.begin_stream();
+    assert!(streams().is_some());
+    slot.suspend_stream();
+    assert!(streams().is_none());
+    slot.begin_stream();
+    assert!(streams().is_some());
+    drop(slot);
+    assert!(streams().is_none());
+}
+
 #[actix_rt::test]
 async fn an_idempotent_call_is_not_given_up_while_its_endpoint_is_silent_and_no_retry_is_left() {
     let cluster = Cluster::new(1).await;
