Take back that requests wait for a stage once it answers after a silence

Found by a reviewer: a silent later stage is mostly found by the stage before it, whose finding lasted 6 s at all entries, replaced the one of silence, and came back by gossip after it had been taken back. Findings of silence now stand apart; an answer takes back all findings but a certain loss, also those that others tell of the time before it.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -202,10 +202,10 @@
         is_agreed && self.mark_unhealthy(incarnation, Cause::Silent, now, now)
     }
 
-    /// Records that an endpoint answered an entry again, and returns whether it was unhealthy for its
-    /// silence.
-    pub fn record_answer(&mut self, incarnation: &Incarnation) -> bool {
-        self.health.answered(incarnation)
+    /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
+    /// it healthy.
+    pub fn record_answer(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
+        self.health.answered(incarnation, now)
     }
 
     /// Returns the silent endpoints that the entry `host`, one of `entries`, is to ask again, with their
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -52,23 +52,48 @@
     cause: Cause,
 }
 
+impl Finding {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.since(self.at) < UNHEALTHY_PERIOD
+    }
+
+    fn incarnation(&self, id: &name::Endpoint) -> Incarnation {
+        Incarnation { endpoint: id.clone(), born: self.born }
+    }
+}
+
 /// Findings and suspicions about endpoints.
 #[derive(Debug, Default)]
 pub struct Health {
+    /// Findings for other causes than silence.
     findings: BTreeMap<name::Endpoint, Finding>,
+    /// Findings of silence.
+    silences: BTreeMap<name::Endpoint, Finding>,
     suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
+    /// Last answers of endpoints that were silent, by incarnation.
+    answers: BTreeMap<name::Endpoint, (u64, Instant)>,
 }
 
 impl Health {
-    /// Records a finding that was made at `seen_at`. Older ones do not replace newer ones, and no
-    /// later one replaces the cause of a certain loss.
+    /// Records a finding that was made at `seen_at`.
+    ///
+    /// Older ones do not replace newer ones, no later one replaces the cause of a certain loss, and an
+    /// endpoint that has answered since is not unhealthy, unless it has lost its work.
     pub fn record(&mut self, incarnation: &Incarnation, cause: Cause, seen_at: Instant) {
-        let known = self.findings.get(&incarnation.endpoint);
+        let id = &incarnation.endpoint;
+        let is_answered = self.answers.get(id).is_some_and(|(born, at)| {
+            *born == incarnation.born && *at >= seen_at && !cause.is_loss()
+        });
+        if is_answered {
+            return;
+        }
+        let findings = if cause == Cause::Silent { &mut self.silences } else { &mut self.findings };
+        let known = findings.get(id);
         let lost = known.filter(|f| f.born == incarnation.born && f.cause.is_loss());
         let cause = lost.map_or(cause, |f| f.cause);
         if known.is_none_or(|f| (f.born, f.at) < (incarnation.born, seen_at)) {
             let finding = Finding { born: incarnation.born, at: seen_at, cause };
-            self.findings.insert(incarnation.endpoint.clone(), finding);
+            findings.insert(id.clone(), finding);
         }
     }
 
@@ -89,21 +114,23 @@
         agreeing >= needed_suspicions(entries)
     }
 
-    /// Records that an endpoint answered an entry again, and returns whether this makes it healthy.
+    /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
+    /// it healthy.
     ///
-    /// That takes back what silence told: the suspicions of all entries, and the finding that follows from
+    /// That takes back what silence told: the suspicions of all entries, and the findings that follow from
     /// them. Entries that still get no answer suspect it anew.
-    pub fn answered(&mut self, incarnation: &Incarnation) -> bool {
+    pub fn answered(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let id = &incarnation.endpoint;
+        let was_unhealthy = self.cause(id, Some(incarnation.born), now).is_some();
+        self.answers.retain(|_, (_, at)| now.since(*at) < UNHEALTHY_PERIOD);
+        self.answers.insert(id.clone(), (incarnation.born, now));
         if let Some(suspicions) = self.suspicions.get_mut(id) {
             suspicions.retain(|_, (born, _)| *born != incarnation.born);
         }
-        let is_silent = |f: &Finding| f.born == incarnation.born && f.cause == Cause::Silent;
-        let is_taken_back = self.findings.get(id).is_some_and(is_silent);
-        if is_taken_back {
-            self.findings.remove(id);
-        }
-        is_taken_back
+        self.silences.retain(|known, f| known != id || f.born != incarnation.born);
+        self.findings
+            .retain(|known, f| known != id || f.born != incarnation.born || f.cause.is_loss());
+        was_unhealthy && self.cause(id, Some(incarnation.born), now).is_none()
     }
 
     /// Returns the endpoints that are silent, and that the entry `host` is to ask again.
@@ -116,19 +143,13 @@
         entries: usize,
         now: Instant,
     ) -> Vec<Incarnation> {
-        let silent = self.findings.iter().filter(|(_, finding)| {
-            finding.cause == Cause::Silent && now.since(finding.at) < UNHEALTHY_PERIOD
-        });
+        let silent = self.silences.iter().filter(|(_, f)| f.is_fresh(now));
         let of_host = silent.filter(|(id, _)| {
             let suspicions = self.suspicions.get(*id);
             let mut hosts = suspicions.into_iter().flat_map(BTreeMap::keys);
             hosts.position(|h| h == host).is_some_and(|rank| rank < needed_suspicions(entries))
         });
-        let incarnation = |(id, f): (&name::Endpoint, &Finding)| Incarnation {
-            endpoint: id.clone(),
-            born: f.born,
-        };
-        of_host.map(incarnation).collect()
+        of_host.map(|(id, finding)| finding.incarnation(id)).collect()
     }
 
     /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
@@ -136,28 +157,24 @@
     /// `born` is the start of its current incarnation if it is listed; requests in progress may ask
     /// about an endpoint that no longer is.
     pub fn cause(&self, id: &name::Endpoint, born: Option<u64>, now: Instant) -> Option<Cause> {
-        let finding = self.findings.get(id)?;
-        let is_same = born.is_none_or(|born| born == finding.born);
-        (is_same && now.since(finding.at) < UNHEALTHY_PERIOD).then_some(finding.cause)
+        let findings = [self.findings.get(id), self.silences.get(id)];
+        let is_same = |f: &&Finding| born.is_none_or(|born| born == f.born) && f.is_fresh(now);
+        findings.into_iter().flatten().find(is_same).map(|f| f.cause)
     }
 
     /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
     ///
     /// Silent ones are left out: each entry hears the suspicions, and when they are taken back.
     pub fn unhealthy(&self, now: Instant) -> Vec<(Incarnation, u64)> {
-        let fresh = self.findings.iter().filter(|(_, finding)| {
-            finding.cause != Cause::Silent && now.since(finding.at) < UNHEALTHY_PERIOD
-        });
-        let reported = fresh.map(|(id, finding)| {
-            let incarnation = Incarnation { endpoint: id.clone(), born: finding.born };
-            (incarnation, now.since(finding.at).as_millis() as u64)
-        });
+        let fresh = self.findings.iter().filter(|(_, f)| f.is_fresh(now));
+        let reported = fresh.map(|(id, f)| (f.incarnation(id), now.since(f.at).as_millis() as u64));
         reported.collect()
     }
 
     /// Returns whether no finding is in force.
     pub fn are_over(&self, now: Instant) -> bool {
-        self.findings.values().all(|f| now.since(f.at) >= UNHEALTHY_PERIOD)
+        let findings = self.findings.values().chain(self.silences.values());
+        findings.into_iter().all(|f| !f.is_fresh(now))
     }
 }
 
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -28,7 +28,7 @@
     let mut view = suspected_by(&["a", "b", "c", "d"]);
     let id: name::Endpoint = "e".into();
     assert_eq!(view.unhealthy_cause(&id, at(1)), Some(Cause::Silent));
-    assert!(view.record_answer(&incarnation()));
+    assert!(view.record_answer(&incarnation(), at(1)));
     assert!(!view.is_unhealthy(&id, at(1)));
     // Suspicions from before the answer do not count with later ones.
     assert!(!view.suspect(&incarnation(), "a".into(), 29, at(2)));
@@ -40,7 +40,7 @@
     let mut view = suspected_by(&["a"]);
     let id: name::Endpoint = "e".into();
     view.mark_unhealthy(&incarnation(), Cause::ConnectionRefused, at(0), at(0));
-    assert!(!view.record_answer(&incarnation()));
+    assert!(!view.record_answer(&incarnation(), at(1)));
     assert!(view.is_unhealthy(&id, at(1)));
 }
 
@@ -57,7 +57,7 @@
 #[test]
 fn an_answer_of_an_earlier_incarnation_does_not_take_back_a_finding() {
     let mut view = suspected_by(&["a", "b", "c", "d"]);
-    assert!(!view.record_answer(&Incarnation { endpoint: "e".into(), born: 0 }));
+    assert!(!view.record_answer(&Incarnation { endpoint: "e".into(), born: 0 }, at(1)));
     assert!(view.is_unhealthy(&"e".into(), at(1)));
 }
 
@@ -67,3 +67,16 @@
     assert!(view.is_unhealthy(&"e".into(), at(1)));
     assert_eq!(view.unhealthy(at(1)), vec![]);
 }
+
+/// The finding that requests wait for a stage comes from the stage before it, which does not answer for
+/// it later.
+#[test]
+fn an_answer_takes_back_that_requests_wait_for_the_endpoint_and_gossip_does_not_bring_it_back() {
+    let mut view = suspected_by(&["a", "b", "c", "d"]);
+    let id: name::Endpoint = "e".into();
+    view.mark_unhealthy(&incarnation(), Cause::Stalled, at(5), at(5));
+    assert!(view.record_answer(&incarnation(), at(1_000)));
+    assert!(!view.mark_unhealthy(&incarnation(), Cause::Peer, at(5), at(1_100)));
+    assert!(!view.is_unhealthy(&id, at(1_100)));
+    assert!(view.mark_unhealthy(&incarnation(), Cause::Peer, at(1_050), at(1_100)));
+}
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -53,7 +53,7 @@
 
     /// Records that an endpoint answered an entry again, which makes it healthy if it was only silent.
     pub fn record_answer(&self, incarnation: &Incarnation) {
-        let is_new = self.inner.borrow_mut().view.record_answer(incarnation);
+        let is_new = self.inner.borrow_mut().view.record_answer(incarnation, self.now());
         if is_new {
             log::info!(endpoint = incarnation.endpoint.as_str(); "endpoint answers again");
             self.refresh();
