Decide on a crash when all entries have reported it, and clear parts only by answers that prove it

Found by a reviewer by reading the quarantine as it stood; no caller saw these. - An entry decided by its own suspects before others had told theirs, and could quarantine a sound part alone. A crash counts 150 ms after its first report (a_crash_counts_only_after_all_entries_have_had_time_to_report_it). - Any complete answer cleared its parts, also an engine's failure and one that ended before the crash. An answer counts after 1 s and six events, a shorter one if its engine is not known to be lost 1 s after its first event (a_few_late_events_do_not_show_that_a_request_is_sound). Parts that have been answered are remembered for 30 s instead of 10. Plain calls heed quarantines. No test: an attempt that was left, a late listener, requests that had not run, plain calls.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -3,8 +3,7 @@
 use oriole_macros::{data, key};
 
 use super::Listing;
-use crate::forward::Part;
-use crate::forward::quarantine::{Group, Suspect};
+use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -103,5 +102,5 @@
     /// An endpoint that crashed, and requests of the sender that it had hardly begun to answer.
     Crash(Incarnation, Vec<Suspect>),
     /// Parts of prompts that the sender has seen answered, although others suspect them.
-    Sound(Vec<Part>),
+    Sound(Vec<Sound>),
 }
--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/quarantine.rs
@@ -34,7 +34,18 @@
 const EVIDENCE_PERIOD: Duration = Duration::from_secs(60);
 
 /// Time for which a part that has been answered is not suspect.
-const SOUND_PERIOD: Duration = Duration::from_secs(10);
+const SOUND_PERIOD: Duration = Duration::from_secs(30);
+
+/// Time after the first report of a crash until it counts, so that entries that tell of it later are
+/// heard.
+pub const REPORT_TIME: Duration = Duration::from_millis(150);
+
+/// Time after its first event from which on an answer crashes no endpoint.
+pub const BEGIN_TIME: Duration = Duration::from_secs(1);
+
+/// Number of events that an answer must have as well. An entry that was paused gets the events of some
+/// moments late.
+const BEGIN_EVENTS: u32 = 6;
 
 /// Length of a first quarantine. Each relapse doubles it.
 const FIRST_PERIOD: Duration = Duration::from_secs(300);
@@ -45,9 +56,34 @@
 /// Time after a quarantine within which one crash is a relapse.
 const RELAPSE_PERIOD: Duration = Duration::from_secs(3600);
 
-/// Number of answered parts that are remembered; the oldest go first.
+/// Number of answered parts above which the older ones are forgotten sooner.
 const MAX_SOUND: usize = 4096;
 
+/// The beginning of an answer, as far as it has come.
+#[derive(Clone, Copy, Debug)]
+pub struct Begin {
+    /// When its first event came.
+    pub first_event_at: Instant,
+    /// Number of events.
+    pub events: u32,
+}
+
+impl Begin {
+    /// Returns whether the answer has gone on for long enough to show that it crashes no endpoint.
+    pub fn is_past(self, now: Instant) -> bool {
+        self.events >= BEGIN_EVENTS && now.since(self.first_event_at) >= BEGIN_TIME
+    }
+}
+
+/// A part that has been answered, as entries tell each other.
+#[data]
+pub struct Sound {
+    /// The part.
+    pub part: Part,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// A request that an endpoint had hardly begun to answer when it crashed.
 #[data]
 pub struct Suspect {
@@ -96,9 +132,10 @@
         parts.iter().copied().filter(|part| !is_sound(part)).collect()
     }
 
-    /// Records suspects of the crash of an endpoint, and returns whether a quarantine begins.
+    /// Records suspects of the crash of an endpoint, and returns whether the crash is new.
     ///
-    /// Several entries may report suspects of the same crash.
+    /// Several entries may report suspects of the same crash. It counts for [`Quarantine::decide`] after
+    /// [`REPORT_TIME`].
     pub fn record_crash(
         &mut self,
         incarnation: &Incarnation,
@@ -107,6 +144,7 @@
     ) -> bool {
         self.crashes.retain(|_, crash| now.since(crash.at) < EVIDENCE_PERIOD);
         self.periods.retain(|_, period| now.since(period.until) < RELAPSE_PERIOD);
+        let is_new = !self.crashes.contains_key(incarnation);
         let crash = self.crashes.entry(incarnation.clone());
         let crash = crash.or_insert_with(|| Crash { at: now, suspects: BTreeMap::new() });
         for suspect in suspects {
@@ -114,17 +152,33 @@
                 crash.suspects.entry(*part).or_default().insert(suspect.request);
             }
         }
-        let parts: BTreeSet<Part> = suspects.iter().flat_map(|s| s.parts.clone()).collect();
-        let relapsed = self.renew(&parts, now);
-        let begun = parts.iter().filter(|part| self.quarantine(**part, now)).count();
-        relapsed || begun > 0
+        is_new
     }
 
-    /// Renews the quarantines that ended lately and all of whose parts are among `parts`.
-    fn renew(&mut self, parts: &BTreeSet<Part>, now: Instant) -> bool {
+    /// Quarantines parts by the crashes that have been reported, and returns whether that is new.
+    pub fn decide(&mut self, now: Instant) -> bool {
+        let is_renewed = self.renew(now);
+        let reported = |c: &&Crash| now.since(c.at) >= REPORT_TIME;
+        let mut counts: BTreeMap<Part, usize> = BTreeMap::new();
+        for part in self.crashes.values().filter(reported).flat_map(|c| c.suspects.keys()) {
+            *counts.entry(*part).or_default() += 1;
+        }
+        let often = counts.into_iter().filter(|(_, count)| *count >= MIN_CRASHES);
+        let parts: Vec<Part> = often.map(|(part, _)| part).collect();
+        let begun = parts.into_iter().filter(|part| self.quarantine(*part, now)).count();
+        is_renewed || begun > 0
+    }
+
+    /// Renews the quarantines that ended lately if an endpoint has crashed since with all of their
+    /// parts suspect.
+    fn renew(&mut self, now: Instant) -> bool {
         let mut is_renewed = false;
         for (group, period) in &mut self.periods {
-            if group.is_subset(parts) && period.until <= now {
+            let is_relapse = |crash: &Crash| {
+                let is_suspect = |part: &Part| crash.suspects.contains_key(part);
+                crash.at >= period.until && group.iter().all(is_suspect)
+            };
+            if period.until <= now && self.crashes.values().any(is_relapse) {
                 let length = (period.length * 2).min(MAX_PERIOD);
                 *period = Period { until: now + length, length };
                 is_renewed = true;
@@ -133,19 +187,20 @@
         is_renewed
     }
 
-    /// Quarantines a part if it is suspect in enough crashes, and returns whether that is new.
+    /// Quarantines a part that is suspect in many crashes, with those that were suspect in all of them.
+    ///
+    /// Returns whether that is new.
     fn quarantine(&mut self, part: Part, now: Instant) -> bool {
-        let of_part: Vec<&Crash> =
-            self.crashes.values().filter(|c| c.suspects.contains_key(&part)).collect();
+        let of_part = || {
+            let reported = self.crashes.values().filter(|c| now.since(c.at) >= REPORT_TIME);
+            reported.filter(|c| c.suspects.contains_key(&part))
+        };
         let requests: BTreeSet<u64> =
-            of_part.iter().filter_map(|c| c.suspects.get(&part)).flatten().copied().collect();
-        if of_part.len() < MIN_CRASHES || requests.len() < MIN_REQUESTS {
-            return false;
-        }
-        let is_in_all = |other: &&Part| of_part.iter().all(|c| c.suspects.contains_key(other));
-        let Some(first) = of_part.first() else {
+            of_part().filter_map(|c| c.suspects.get(&part)).flatten().copied().collect();
+        let Some(first) = of_part().next().filter(|_| requests.len() >= MIN_REQUESTS) else {
             return false;
         };
+        let is_in_all = |other: &&Part| of_part().all(|c| c.suspects.contains_key(other));
         let group: BTreeSet<Part> = first.suspects.keys().filter(is_in_all).copied().collect();
         let is_known = |known: &BTreeSet<Part>| known.is_subset(&group);
         if self.periods.iter().any(|(known, period)| period.until > now && is_known(known)) {
@@ -155,24 +210,27 @@
         true
     }
 
-    /// Records that an endpoint has answered a request with `parts` for a while.
+    /// Records that endpoints have answered requests with `parts` for a while, the last time at `at`.
     ///
-    /// That clears them of earlier crashes. Returns those that were suspect or quarantined.
-    pub fn record_sound(&mut self, parts: &[Part], now: Instant) -> Vec<Part> {
+    /// That clears them of crashes, also of those soon after. Returns those that were suspect or quarantined.
+    pub fn record_sound(&mut self, parts: &[Part], at: Instant, now: Instant) -> Vec<Part> {
         for part in parts {
-            self.sound.insert(*part, now);
+            let last = self.sound.entry(*part).or_insert(at);
+            *last = at.max(*last);
         }
-        if self.sound.len() > MAX_SOUND {
-            self.sound.retain(|_, at| now.since(*at) < SOUND_PERIOD);
+        for period in [SOUND_PERIOD, SOUND_PERIOD / 8] {
+            if self.sound.len() > MAX_SOUND {
+                self.sound.retain(|_, at| now.since(*at) < period);
+            }
         }
-        let cleared = parts.iter().copied().filter(|part| self.clear(*part));
-        cleared.collect()
+        parts.iter().copied().filter(|part| self.clear(*part, at)).collect()
     }
 
-    /// Removes a part from all crashes and quarantines, and returns whether it was in one.
-    fn clear(&mut self, part: Part) -> bool {
+    /// Removes a part that was answered at `at` from the crashes of which that clears it and from all
+    /// quarantines, and returns whether it was in one.
+    fn clear(&mut self, part: Part, at: Instant) -> bool {
         let mut was_suspect = false;
-        for crash in self.crashes.values_mut() {
+        for crash in self.crashes.values_mut().filter(|c| c.at <= at + SOUND_PERIOD) {
             was_suspect |= crash.suspects.remove(&part).is_some();
         }
         let groups: Vec<_> = self.periods.keys().filter(|g| g.contains(&part)).cloned().collect();
@@ -180,13 +238,25 @@
             was_suspect = true;
             let period = self.periods.remove(&group);
             group.remove(&part);
-            if let Some(period) = period.filter(|_| !group.is_empty()) {
-                self.periods.insert(group, period);
-            }
+            let Some(period) = period.filter(|_| !group.is_empty()) else {
+                continue;
+            };
+            let rest = self.periods.entry(group).or_insert(period);
+            rest.until = rest.until.max(period.until);
+            rest.length = rest.length.max(period.length);
         }
         was_suspect
     }
 
+    /// Returns those of `parts` that have been answered lately, with the time since.
+    pub fn proven(&self, parts: &[Part], now: Instant) -> Vec<Sound> {
+        let sound = parts.iter().filter_map(|part| {
+            let age = now.since(*self.sound.get(part)?);
+            (age < SOUND_PERIOD).then_some(Sound { part: *part, age_ms: age.as_millis() as u64 })
+        });
+        sound.collect()
+    }
+
     /// Returns until when requests with `parts` are not run, or `None` if they are.
     pub fn blocked_until(&self, parts: &[Part], now: Instant) -> Option<Instant> {
         let is_whole = |group: &BTreeSet<Part>| group.iter().all(|part| parts.contains(part));
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -5,7 +5,7 @@
 
 use oriole_core::fleet::Incarnation;
 use oriole_core::forward::Part;
-use oriole_core::forward::quarantine::{Group, Quarantine, Suspect};
+use oriole_core::forward::quarantine::{Begin, Group, Quarantine, REPORT_TIME, Suspect};
 use oriole_core::time::Instant;
 
 const BAD: Part = Part(0xbad);
@@ -24,7 +24,8 @@
         parts: quarantine.unproven(parts, now),
     };
     let suspects: Vec<Suspect> = suspects.iter().enumerate().map(suspect).collect();
-    quarantine.record_crash(&incarnation, &suspects, now)
+    quarantine.record_crash(&incarnation, &suspects, now);
+    quarantine.decide(now + REPORT_TIME)
 }
 
 #[test]
@@ -54,7 +55,7 @@
 #[test]
 fn parts_that_are_answered_elsewhere_are_not_quarantined_when_many_endpoints_crash() {
     let mut quarantine = Quarantine::default();
-    quarantine.record_sound(&[SHARED, OTHER], at(0));
+    quarantine.record_sound(&[SHARED, OTHER], at(0), at(0));
     for number in 1..=6 {
         crash(&mut quarantine, number, &[&[SHARED], &[SHARED, OTHER], &[OTHER]], at(1));
     }
@@ -68,7 +69,8 @@
     for number in 1..=4 {
         let incarnation = Incarnation { endpoint: "e".into(), born: number };
         let suspect = Suspect { request: 7, parts: vec![BAD] };
-        assert!(!quarantine.record_crash(&incarnation, &[suspect], at(number)));
+        quarantine.record_crash(&incarnation, &[suspect], at(number));
+        assert!(!quarantine.decide(at(number) + REPORT_TIME));
     }
 }
 
@@ -82,7 +84,7 @@
     assert!(quarantine.blocked_until(&[SHARED, BAD], at(4)).is_some());
     assert_eq!(quarantine.blocked_until(&[SHARED, OTHER], at(4)), None);
     assert_eq!(quarantine.blocked_until(&[OTHER, BAD], at(4)), None);
-    assert_eq!(quarantine.record_sound(&[SHARED, OTHER], at(5)), [SHARED]);
+    assert_eq!(quarantine.record_sound(&[SHARED, OTHER], at(5), at(5)), [SHARED]);
     assert!(quarantine.blocked_until(&[OTHER, BAD], at(6)).is_some());
 }
 
@@ -102,11 +104,12 @@
     for number in 1..=3 {
         crash(&mut quarantine, number, &[&[BAD]], at(number));
     }
-    let first = quarantine.blocked_until(&[BAD], at(3)).unwrap().since(at(3));
-    let end = at(3) + first;
+    let first = quarantine.blocked_until(&[BAD], at(4)).unwrap().since(at(3) + REPORT_TIME);
+    let end = at(3) + REPORT_TIME + first;
     assert_eq!(quarantine.blocked_until(&[BAD], end), None);
     assert!(crash(&mut quarantine, 4, &[&[OTHER, BAD]], end));
-    assert_eq!(quarantine.blocked_until(&[BAD], end), Some(end + first * 2));
+    let decided = end + REPORT_TIME;
+    assert_eq!(quarantine.blocked_until(&[BAD], decided), Some(decided + first * 2));
 }
 
 #[test]
@@ -116,6 +119,41 @@
     assert!(quarantine.adopt(&group, at(0)));
     assert!(!quarantine.adopt(&group, at(1)));
     assert_eq!(quarantine.blocked_until(&[BAD], at(1)), Some(at(60)));
-    assert_eq!(quarantine.record_sound(&[BAD], at(2)), [BAD]);
+    assert_eq!(quarantine.record_sound(&[BAD], at(2), at(2)), [BAD]);
     assert_eq!(quarantine.blocked_until(&[BAD], at(2)), None);
 }
+
+/// The entry that decides first must not know the suspects of its own alone.
+#[test]
+fn a_crash_counts_only_after_all_entries_have_had_time_to_report_it() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, 1, &[&[SHARED, BAD]], at(1));
+    crash(&mut quarantine, 2, &[&[SHARED, BAD]], at(2));
+    let third = Incarnation { endpoint: "e".into(), born: 3 };
+    let suspect = |request, parts: &[Part]| Suspect { request, parts: parts.to_vec() };
+    quarantine.record_crash(&third, &[suspect(1, &[SHARED])], at(3));
+    assert!(!quarantine.decide(at(3)));
+    quarantine.record_crash(&third, &[suspect(2, &[SHARED, BAD])], at(3));
+    assert!(quarantine.decide(at(3) + REPORT_TIME));
+    assert_eq!(quarantine.blocked_until(&[SHARED], at(4)), None);
+    assert!(quarantine.blocked_until(&[SHARED, BAD], at(4)).is_some());
+}
+
+#[test]
+fn a_part_that_is_cleared_leaves_the_longer_quarantine_of_the_others() {
+    let mut quarantine = Quarantine::default();
+    let group = |parts: &[Part], remaining_ms| Group { parts: parts.to_vec(), remaining_ms };
+    quarantine.adopt(&group(&[BAD], 60_000), at(0));
+    quarantine.adopt(&group(&[SHARED, BAD], 1_000), at(0));
+    quarantine.record_sound(&[SHARED], at(1), at(1));
+    assert_eq!(quarantine.blocked_until(&[BAD], at(2)), Some(at(60)));
+}
+
+/// An entry that was paused reads late what the endpoint sent at once.
+#[test]
+fn a_few_late_events_do_not_show_that_a_request_is_sound() {
+    let begin = |events| Begin { first_event_at: at(0), events };
+    assert!(!begin(2).is_past(at(5)));
+    assert!(!begin(20).is_past(at(0)));
+    assert!(begin(20).is_past(at(1)));
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -114,6 +114,9 @@
             None => wait_for_endpoint(state, request, &tried, wait_deadline).await,
         };
         let target = waited.ok_or(Reason::NoRoom)?;
+        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
+            return Err(Reason::Quarantined);
+        }
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
         let outcome = attempt(state, request, &target, attempts, &tried).await;
         drop(slot);
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -20,6 +20,7 @@
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
+use oriole_core::forward::quarantine::Begin;
 use oriole_core::forward::queue;
 use oriole_core::name;
 use oriole_core::time::Instant;
@@ -53,8 +54,8 @@
     request: &'a Request,
     attempts: Attempts,
     timing: Timing,
-    /// When the current attempt had its first event.
-    first_event_at: Cell<Option<Instant>>,
+    /// The beginning of the answer of the current attempt, once it has had an event.
+    begin: Cell<Option<Begin>>,
 }
 
 /// Serves the request, with further attempts on other chains as far as its route allows.
@@ -66,7 +67,7 @@
         request,
         attempts: Attempts::default(),
         timing: Timing::default(),
-        first_event_at: Cell::default(),
+        begin: Cell::default(),
     };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
     let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
@@ -88,17 +89,18 @@
                 }
             }
         };
-        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
+        let is_quarantined = || state.quarantined_until(&request.parameters.shared_parts).is_some();
+        if continued.is_none() && is_quarantined() {
             drop(slot);
             return generation.give_up(writer, Reason::Quarantined).await;
         }
         let sent = state.now();
-        generation.first_event_at.set(None);
+        generation.begin.set(None);
         // One detour at a time, and none from a response that the request has come back to.
         let may_leave = continued.is_none() && suspended.is_none();
         let context = generation.context(&slot, may_leave);
         let attempt = attempt::run(context, &mut chain, continued, &mut splitter, writer);
-        let outcome = match race::run(attempt, &generation.first_event_at, suspended.take()).await {
+        let outcome = match race::run(attempt, &generation.begin, suspended.take()).await {
             Race::Ended(outcome, earlier) => {
                 suspended = earlier;
                 outcome
@@ -111,7 +113,9 @@
         let failure = match outcome {
             Outcome::Complete => {
                 generation.log_served(&chain, sent);
-                crash::record_sound(state, request);
+                if let Some(begin) = generation.begin.get() {
+                    crash::record_complete(state, request, &chain, begin);
+                }
                 return Ok(());
             }
             Outcome::CallerLost(error) => return Err(error),
@@ -121,6 +125,8 @@
             }
             Outcome::Rerouted(detour) => {
                 generation.record_failure(&chain, Failure::Doubted, sent);
+                let begin = generation.begin.get();
+                crash::examine(state, request, &chain, Failure::Doubted, begin).await;
                 let Detour { chain: other, slot: reserved, left } = *detour;
                 let splitter = splitter.clone();
                 slot.suspend_stream();
@@ -134,9 +140,7 @@
         };
         drop(slot);
         generation.record_failure(&chain, failure, sent);
-        if failure == Failure::Unknown {
-            crash::examine(state, request, &chain, generation.first_event_at.get()).await;
-        }
+        crash::examine(state, request, &chain, failure, generation.begin.get()).await;
         if let Some(earlier) = suspended.take() {
             log::info!(id = request.id(); "going on with the response of an earlier attempt");
             next = Next::Continue(earlier);
@@ -152,8 +156,8 @@
 impl Generation<'_> {
     /// Returns the context of the next attempt, for which `slot` is reserved.
     fn context<'a>(&'a self, slot: &'a Slot, may_leave: bool) -> Attempt<'a> {
-        let Self { state, request, attempts, timing, first_event_at } = self;
-        Attempt { state, request, attempts, slot, timing, first_event_at, may_leave }
+        let Self { state, request, attempts, timing, begin } = self;
+        Attempt { state, request, attempts, slot, timing, begin, may_leave }
     }
 
     /// Decides what follows a failed attempt on `chain`, or why nothing does.
@@ -162,7 +166,7 @@
         if !self.attempts.may_retry(&request.route, failure) {
             return Err(Reason::Failed);
         }
-        if !crash::may_retry(state, request) {
+        if !failure.is_not_run() && !crash::may_retry(state, request) {
             return Err(Reason::Quarantined);
         }
         if !state.take_retry(&request.service) {
@@ -181,7 +185,7 @@
         let (id, head) = (self.request.id(), chain.head().as_str());
         let took_ms = self.state.now().since(sent).as_millis() as u64;
         let waited_ms = sent.since(self.request.arrived).as_millis() as u64;
-        let writing = self.first_event_at.get().map(|at| self.state.now().since(at));
+        let writing = self.begin.get().map(|b| self.state.now().since(b.first_event_at));
         let writing_ms = writing.map_or(0, |time| time.as_millis() as u64);
         let parts = self.request.parameters.shared_parts.iter().map(Part::to_string);
         let parts = parts.collect::<Vec<_>>().join(",");
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -12,6 +12,7 @@
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
+use oriole_core::forward::quarantine::Begin;
 use oriole_core::name;
 use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Additions, Classification};
@@ -81,8 +82,8 @@
     pub slot: &'a Slot,
     /// Arrival times of the events over all attempts.
     pub timing: &'a Timing,
-    /// When this attempt had its first event.
-    pub first_event_at: &'a Cell<Option<Instant>>,
+    /// The beginning of the answer of this attempt, once it has had an event.
+    pub begin: &'a Cell<Option<Begin>>,
     /// Whether the request may leave the chain of this attempt for another one.
     pub may_leave: bool,
 }
@@ -296,18 +297,19 @@
             }
             None => {
                 drop(inner);
-                self.attempt.first_event_at.set(Some(now));
                 self.attempt.slot.begin_stream();
             }
         }
         self.last = Some(now);
+        let begin = self.attempt.begin.get();
+        let begin = begin.unwrap_or(Begin { first_event_at: now, events: 0 });
+        self.attempt.begin.set(Some(Begin { events: begin.events + 1, ..begin }));
     }
 
     /// Records once that the answer has gone on for long enough to show that it crashes no endpoint.
     fn record_sound(&mut self) {
         let now = self.attempt.state.now();
-        let first = self.attempt.first_event_at.get();
-        if !self.is_sound && first.is_some_and(|at| now.since(at) >= crash::BEGIN_TIME) {
+        if !self.is_sound && self.attempt.begin.get().is_some_and(|begin| begin.is_past(now)) {
             self.is_sound = true;
             crash::record_sound(self.attempt.state, self.attempt.request);
         }
--- a/crates/router/src/generation/race.rs
+++ b/crates/router/src/generation/race.rs
@@ -9,7 +9,7 @@
 use oriole_adapter::exchange::{Error, Response};
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
-use oriole_core::time::Instant;
+use oriole_core::forward::quarantine::Begin;
 
 use super::Slot;
 use super::attempt::Outcome;
@@ -46,10 +46,10 @@
     Earlier(Result<Option<Bytes>, Error>),
 }
 
-/// Runs `attempt`, which sets `first_event_at` at its first event, beside an earlier response.
+/// Runs `attempt`, which sets `begin` at its first event, beside an earlier response.
 pub async fn run(
     attempt: impl Future<Output = Outcome>,
-    first_event_at: &Cell<Option<Instant>>,
+    begin: &Cell<Option<Begin>>,
     earlier: Option<Box<Suspended>>,
 ) -> Race {
     let mut attempt = pin!(attempt);
@@ -62,7 +62,7 @@
             if let Poll::Ready(outcome) = attempt.as_mut().poll(context) {
                 return Poll::Ready(Step::Ended(outcome));
             }
-            if first_event_at.get().is_some() {
+            if begin.get().is_some() {
                 return Poll::Ready(Step::Begun);
             }
             next.as_mut().poll(context).map(Step::Earlier)
@@ -71,7 +71,7 @@
     };
     match step {
         Step::Ended(outcome) => {
-            let is_kept = first_event_at.get().is_none();
+            let is_kept = begin.get().is_none();
             Race::Ended(outcome, is_kept.then_some(earlier))
         }
         Step::Earlier(Ok(unread)) => {
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::attempt::{Attempt, Detour, EVENT_SILENCE, Outcome};
-use super::{admission, repath};
+use super::{admission, crash, repath};
 use crate::state::Shared;
 use crate::suspect;
 
@@ -122,7 +122,8 @@
     ///
     /// Returns `None` if it may not, no chain has capacity, or the retry budget is used up.
     fn reserve_other_chain(&self, chain: &Chain) -> Option<Detour> {
-        let may_retry = self.attempts.may_retry(&self.request.route, Failure::Doubted);
+        let may_retry = self.attempts.may_retry(&self.request.route, Failure::Doubted)
+            && crash::may_retry(self.state, self.request);
         if !self.may_leave || !may_retry {
             return None;
         }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -20,7 +20,7 @@
 
 use crate::follow;
 use crate::pace;
-use crate::state::Shared;
+use crate::state::{Shared, quarantine};
 
 /// Key of the secret by which entries authenticate to each other.
 const SECRET_KEY: &str = "oriole/secret";
@@ -180,9 +180,12 @@
             state.suspect(&incarnation, &host);
         }
         Message::Answered(incarnation) => state.record_answer(&incarnation),
-        Message::Crash(incarnation, suspects) => state.record_crash(&incarnation, &suspects),
-        Message::Sound(parts) => {
-            state.record_sound(&parts);
+        Message::Crash(incarnation, suspects) => {
+            quarantine::record_crash(state, &incarnation, &suspects);
+        }
+        Message::Sound(sound) => {
+            state.hear_sound(&sound);
+            state.decide_quarantine();
         }
         Message::Unhealthy(incarnation) => {
             state.mark_unhealthy(&incarnation, Cause::Peer, Duration::ZERO, host.as_str());
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -166,24 +166,32 @@
     });
 }
 
+/// Returns whether the endpoint of a hop is known to have lost its work.
+pub fn is_lost(state: &Shared, hop: &Hop) -> bool {
+    state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss)
+}
+
 /// Returns whether the endpoint of a hop has crashed since the hop was chosen.
 ///
 /// Asks it unless this is known. An endpoint that gives no report in time counts as not crashed.
 pub async fn has_crashed(state: &Shared, hop: &Hop) -> bool {
-    if state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss) {
+    if is_lost(state, hop) {
         return true;
     }
     match endpoint::report(hop.address, REPORT_TIMEOUTS[0]).await {
-        Ok(report) if report.born == hop.born => false,
-        Ok(_) => {
-            mark_unhealthy(state, &hop.incarnation(), Cause::Restarted);
-            true
-        }
-        Err(error) => {
-            record_no_answer(state, &hop.incarnation(), &error);
-            state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss)
+        Ok(report) if report.born == hop.born => return false,
+        Ok(_) => mark_unhealthy(state, &hop.incarnation(), Cause::Restarted),
+        Err(error) if is_refusal(&error) => {
+            mark_unhealthy(state, &hop.incarnation(), Cause::ConnectionRefused);
         }
+        Err(_) => return false,
     }
+    true
+}
+
+/// Returns whether an endpoint refused the connection: nothing listens on its address.
+fn is_refusal(error: &Error) -> bool {
+    matches!(error, Error::Connect(e) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
 /// Records that an endpoint did not answer.
@@ -191,7 +199,7 @@
 /// An endpoint that refuses connections is certainly unhealthy. Silence may be caused by this entry
 /// or its link, so the endpoint is marked as unhealthy only once other entries see it as well.
 pub fn record_no_answer(state: &Shared, incarnation: &Incarnation, error: &Error) {
-    if matches!(error, Error::Connect(e) if e.kind() == ErrorKind::ConnectionRefused) {
+    if is_refusal(error) {
         mark_unhealthy(state, incarnation, Cause::ConnectionRefused);
         return;
     }
