--- a/crates/ctl/src/logs/request.rs
+++ b/crates/ctl/src/logs/request.rs
@@ -9,12 +9,14 @@
 
 /// Messages by which an entry logs changes of its state, each with the key of what changed; the
 /// key is empty if there is only one such state in an entry.
-const STATE_MESSAGES: [(&str, &str); 7] = [
+const STATE_MESSAGES: [(&str, &str); 9] = [
     ("routing table in force", ""),
     ("plan in force", ""),
     ("load", "chain"),
     ("endpoint does not work", "endpoint"),
     ("endpoint answers nobody", "endpoint"),
+    ("endpoint answers again", "endpoint"),
+    ("prompt parts quarantined", "parts"),
     ("store lost", "purpose"),
     ("store regained", "purpose"),
 ];
