--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -48,6 +48,13 @@
     Continue(Box<Suspended>),
 }
 
+/// A chain with capacity on which an attempt starts, or goes on with a response.
+struct Start {
+    chain: Chain,
+    slot: Slot,
+    continued: Option<Continued>,
+}
+
 /// A request and its attempts so far.
 struct Generation<'a> {
     state: &'a Shared,
@@ -74,48 +81,25 @@
     let mut next = Next::Wait { failed: None, until };
     let mut suspended: Option<Box<Suspended>> = None;
     loop {
-        let (mut chain, slot, continued) = match next {
-            Next::Run(chain, slot) => (chain, slot, None),
-            Next::Continue(earlier) => {
-                splitter = earlier.splitter;
-                let Suspended { chain, slot, response, unread, .. } = *earlier;
-                (chain, slot, Some(Continued { response, unread }))
-            }
-            Next::Wait { failed, until } => {
-                let ran_at = &generation.attempts.ran_at;
-                match admission::acquire(state, request, ran_at, failed.as_ref(), until).await {
-                    Ok((chain, slot)) => (chain, slot, None),
-                    Err(refusal) => return generation.give_up(writer, refusal.into()).await,
-                }
-            }
+        let started = generation.start(next, &mut splitter).await;
+        let Start { mut chain, slot, continued } = match started {
+            Ok(start) => start,
+            Err(reason) => return generation.give_up(writer, reason).await,
         };
-        let is_quarantined = || state.quarantined_until(&request.parameters.shared_parts).is_some();
-        if continued.is_none() && is_quarantined() {
-            drop(slot);
-            return generation.give_up(writer, Reason::Quarantined).await;
-        }
         let sent = state.now();
         generation.begin.set(None);
         // One detour at a time, and none from a response that the request has come back to.
         let may_leave = continued.is_none() && suspended.is_none();
         let context = generation.context(&slot, may_leave);
         let attempt = attempt::run(context, &mut chain, continued, &mut splitter, writer);
-        let outcome = match race::run(attempt, &generation.begin, suspended.take()).await {
-            Race::Ended(outcome, earlier) => {
-                suspended = earlier;
-                outcome
-            }
-            Race::Earlier(earlier) => {
-                suspended = Some(earlier);
-                Outcome::Failed(Failure::Doubted)
-            }
+        let race = race::run(attempt, &generation.begin, suspended.take()).await;
+        let (outcome, earlier) = match race {
+            Race::Ended(outcome, earlier) => (outcome, earlier),
+            Race::Earlier(earlier) => (Outcome::Failed(Failure::Doubted), Some(earlier)),
         };
         let failure = match outcome {
             Outcome::Complete => {
-                generation.log_served(&chain, sent);
-                if let Some(begin) = generation.begin.get() {
-                    crash::record_complete(state, request, &chain, begin);
-                }
+                generation.finish(&chain, sent);
                 return Ok(());
             }
             Outcome::CallerLost(error) => return Err(error),
@@ -124,36 +108,65 @@
                 return give_up(state, request, writer, Reason::Timeout, false).await;
             }
             Outcome::Rerouted(detour) => {
-                generation.record_failure(&chain, Failure::Doubted, sent);
-                let begin = generation.begin.get();
-                crash::examine(state, request, &chain, Failure::Doubted, begin).await;
-                let Detour { chain: other, slot: reserved, left } = *detour;
-                let splitter = splitter.clone();
-                slot.suspend_stream();
-                suspended = left.map(|response| {
-                    Box::new(Suspended { chain, slot, response, unread: None, splitter })
-                });
-                next = Next::Run(other, reserved);
+                generation.record_failure(&chain, Failure::Doubted, sent).await;
+                (next, suspended) = leave(chain, slot, splitter.clone(), *detour);
                 continue;
             }
             Outcome::Failed(failure) => failure,
         };
         drop(slot);
-        generation.record_failure(&chain, failure, sent);
-        crash::examine(state, request, &chain, failure, generation.begin.get()).await;
-        if let Some(earlier) = suspended.take() {
-            log::info!(id = request.id(); "going on with the response of an earlier attempt");
-            next = Next::Continue(earlier);
-            continue;
-        }
-        next = match generation.after_failure(chain, failure) {
+        generation.record_failure(&chain, failure, sent).await;
+        let decided = match earlier {
+            Some(earlier) => Ok(Next::Continue(earlier)),
+            None => generation.after_failure(chain, failure),
+        };
+        next = match decided {
             Ok(next) => next,
             Err(reason) => return generation.give_up(writer, reason).await,
         };
     }
 }
 
+/// Leaves a chain for another one, and keeps the response of the one that is left if it has a head.
+fn leave(
+    chain: Chain,
+    slot: Slot,
+    splitter: Splitter,
+    detour: Detour,
+) -> (Next, Option<Box<Suspended>>) {
+    slot.suspend_stream();
+    let suspended = detour
+        .left
+        .map(|response| Box::new(Suspended { chain, slot, response, unread: None, splitter }));
+    (Next::Run(detour.chain, detour.slot), suspended)
+}
+
 impl Generation<'_> {
+    /// Gets capacity for what the request does next, or returns why it does nothing.
+    ///
+    /// `splitter` is replaced by that of an earlier response that goes on.
+    async fn start(&self, next: Next, splitter: &mut Splitter) -> Result<Start, Reason> {
+        let (state, request) = (self.state, self.request);
+        let (chain, slot) = match next {
+            Next::Continue(earlier) => {
+                log::info!(id = request.id(); "going on with the response of an earlier attempt");
+                let Suspended { chain, slot, response, unread, splitter: earlier } = *earlier;
+                *splitter = earlier;
+                let continued = Some(Continued { response, unread });
+                return Ok(Start { chain, slot, continued });
+            }
+            Next::Run(chain, slot) => (chain, slot),
+            Next::Wait { failed, until } => {
+                let ran_at = &self.attempts.ran_at;
+                admission::acquire(state, request, ran_at, failed.as_ref(), until).await?
+            }
+        };
+        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
+            return Err(Reason::Quarantined);
+        }
+        Ok(Start { chain, slot, continued: None })
+    }
+
     /// Returns the context of the next attempt, for which `slot` is reserved.
     fn context<'a>(&'a self, slot: &'a Slot, may_leave: bool) -> Attempt<'a> {
         let Self { state, request, attempts, timing, begin } = self;
@@ -180,8 +193,9 @@
         give_up(self.state, self.request, writer, reason, !self.attempts.may_have_run).await
     }
 
-    /// Records, logs and counts a failed attempt that was sent at `sent`.
-    fn record_failure(&mut self, chain: &Chain, failure: Failure, sent: Instant) {
+    /// Records, logs and counts a failed attempt that was sent at `sent`, and examines whether it crashed
+    /// its endpoint.
+    async fn record_failure(&mut self, chain: &Chain, failure: Failure, sent: Instant) {
         let (id, head) = (self.request.id(), chain.head().as_str());
         let took_ms = self.state.now().since(sent).as_millis() as u64;
         let waited_ms = sent.since(self.request.arrived).as_millis() as u64;
@@ -195,11 +209,12 @@
         );
         Metrics::count(&self.state.metrics.failures, failure.as_str());
         self.attempts.record(chain.head(), failure);
+        crash::examine(self.state, self.request, chain, failure, self.begin.get()).await;
     }
 
-    /// Logs and counts a request whose response has been forwarded completely; its last attempt was
-    /// sent at `sent`.
-    fn log_served(&self, chain: &Chain, sent: Instant) {
+    /// Records, logs and counts a request whose response has been forwarded completely; its last attempt
+    /// was sent at `sent`.
+    fn finish(&self, chain: &Chain, sent: Instant) {
         let (now, arrived) = (self.state.now(), self.request.arrived);
         let (id, head) = (self.request.id(), chain.head().as_str());
         let took_ms = now.since(sent).as_millis() as u64;
@@ -209,5 +224,8 @@
         log::info!(id, head, waited_ms, first_ms, pause_ms, took_ms; "served");
         self.state.metrics.served.inc();
         Metrics::time(&self.state.metrics.answer, now.since(arrived));
+        if let Some(begin) = self.begin.get() {
+            crash::record_complete(self.state, self.request, chain, begin);
+        }
     }
 }
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -65,13 +65,10 @@
                     result = &mut work => return Ok(result),
                     () = health_changed => {}
                     () = sleep(wake.saturating_sub(silent)) => if broken.is_none() {
-                        if limit > silence && has_recent_event(state, chain) {
-                            if let Some(detour) = self.reserve_other_chain(chain) {
-                                return Err(Outcome::Rerouted(Box::new(detour)));
-                            }
+                        if let Some(detour) = self.leave_stalled(chain, limit > silence) {
+                            return Err(Outcome::Rerouted(Box::new(detour)));
                         }
                         limit += RECHECK_INTERVAL;
-                        suspect::probe_first_stage(state, chain);
                     },
                 }
                 continue;
@@ -108,6 +105,19 @@
         }
     }
 
+    /// Asks the first stage of a silent stream for a report, unless other streams on the chain have
+    /// events and another chain has capacity. `is_repeated` states that it has been asked before.
+    fn leave_stalled(&self, chain: &Chain, is_repeated: bool) -> Option<Detour> {
+        if is_repeated && has_recent_event(self.state, chain) {
+            let detour = self.reserve_other_chain(chain);
+            if detour.is_some() {
+                return detour;
+            }
+        }
+        suspect::probe_first_stage(self.state, chain);
+        None
+    }
+
     /// Reserves capacity on another chain, unless the request can move to other stages at once and
     /// without more crossings between availability zones.
     fn reserve_unless_movable(&self, chain: &Chain) -> Option<Detour> {
