Let three entries at most ask a silent endpoint again

As many entries as must agree to a suspicion asked it, which at 370 entries are 39, or 97 reports a second for each silent endpoint (arithmetic). Three ask now; while an endpoint is known to be silent one suspicion renews the finding, so that it stays out of use. Test: few_of_many_entries_ask_a_silent_endpoint_again_and_keep_it_out_of_use.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -208,15 +208,9 @@
         self.health.answered(incarnation, now)
     }
 
-    /// Returns the silent endpoints that the entry `host`, one of `entries`, is to ask again, with their
-    /// addresses.
-    pub fn to_ask_again(
-        &self,
-        host: &name::Host,
-        entries: usize,
-        now: Instant,
-    ) -> Vec<(Incarnation, SocketAddr)> {
-        let silent = self.health.to_ask_again(host, entries, now);
+    /// Returns the silent endpoints that the entry `host` is to ask again, with their addresses.
+    pub fn to_ask_again(&self, host: &name::Host, now: Instant) -> Vec<(Incarnation, SocketAddr)> {
+        let silent = self.health.to_ask_again(host, now);
         let listed = silent.into_iter().filter_map(|incarnation| {
             let endpoint = self.get(&incarnation.endpoint)?;
             Some((incarnation, endpoint.address))
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -18,6 +18,9 @@
 /// Two entries must suspect an endpoint, and one more for each this many entries.
 const ENTRIES_PER_EXTRA_SUSPICION: usize = 10;
 
+/// Maximum number of entries that ask a silent endpoint again.
+const MAX_ASKING_ENTRIES: usize = 3;
+
 /// How an endpoint was found to be unhealthy.
 #[key]
 pub enum Cause {
@@ -99,7 +102,8 @@
 
     /// Records that an endpoint did not answer the entry `by`, one of `entries` entries.
     ///
-    /// Returns whether enough entries agree.
+    /// Returns whether enough entries agree. They have agreed already if the endpoint is known to be
+    /// silent; those that ask it again renew that.
     pub fn suspect(
         &mut self,
         incarnation: &Incarnation,
@@ -111,7 +115,9 @@
         suspicions.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
         suspicions.insert(by, (incarnation.born, now));
         let agreeing = suspicions.values().filter(|(born, _)| *born == incarnation.born).count();
-        agreeing >= needed_suspicions(entries)
+        let known = self.silences.get(&incarnation.endpoint);
+        let is_silent = known.is_some_and(|f| f.born == incarnation.born && f.is_fresh(now));
+        is_silent || agreeing >= needed_suspicions(entries)
     }
 
     /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
@@ -135,19 +141,13 @@
 
     /// Returns the endpoints that are silent, and that the entry `host` is to ask again.
     ///
-    /// Of the `entries` entries, as many ask as must agree to a suspicion: those that come first among
-    /// the ones that suspect the endpoint.
-    pub fn to_ask_again(
-        &self,
-        host: &name::Host,
-        entries: usize,
-        now: Instant,
-    ) -> Vec<Incarnation> {
+    /// The first few of those that suspect an endpoint ask it.
+    pub fn to_ask_again(&self, host: &name::Host, now: Instant) -> Vec<Incarnation> {
         let silent = self.silences.iter().filter(|(_, f)| f.is_fresh(now));
         let of_host = silent.filter(|(id, _)| {
             let suspicions = self.suspicions.get(*id);
             let mut hosts = suspicions.into_iter().flat_map(BTreeMap::keys);
-            hosts.position(|h| h == host).is_some_and(|rank| rank < needed_suspicions(entries))
+            hosts.position(|h| h == host).is_some_and(|rank| rank < MAX_ASKING_ENTRIES)
         });
         of_host.map(|(id, finding)| finding.incarnation(id)).collect()
     }
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use oriole_core::fleet::health::Health;
 use oriole_core::fleet::{Cause, Incarnation, View};
 use oriole_core::name;
 use oriole_core::time::Instant;
@@ -80,3 +81,29 @@
     assert!(!view.is_unhealthy(&id, at(1_100)));
     assert!(view.mark_unhealthy(&incarnation(), Cause::Peer, at(1_050), at(1_100)));
 }
+
+#[test]
+fn few_of_many_entries_ask_a_silent_endpoint_again_and_keep_it_out_of_use() {
+    let mut health = Health::default();
+    let hosts: Vec<name::Host> = (10..50).map(|n| format!("h{n}").as_str().into()).collect();
+    for host in &hosts {
+        if health.suspect(&incarnation(), host.clone(), 370, at(0)) {
+            health.record(&incarnation(), Cause::Silent, at(0));
+        }
+    }
+    let asking = |health: &Health, ms| -> Vec<name::Host> {
+        let asks = |host: &&name::Host| !health.to_ask_again(host, at(ms)).is_empty();
+        hosts.iter().filter(asks).cloned().collect()
+    };
+    let first = asking(&health, 400);
+    assert_eq!(first, hosts[..3]);
+    for ms in (400..20_000).step_by(400) {
+        for host in &first {
+            if health.suspect(&incarnation(), host.clone(), 370, at(ms)) {
+                health.record(&incarnation(), Cause::Silent, at(ms));
+            }
+        }
+        assert_eq!(asking(&health, ms), first);
+        assert_eq!(health.cause(&"e".into(), Some(1), at(ms)), Some(Cause::Silent));
+    }
+}
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -37,8 +37,7 @@
 pub async fn run(state: Shared) {
     loop {
         sleep(ASK_AGAIN_INTERVAL).await;
-        let (now, entries) = (state.now(), state.entry_count());
-        let silent = state.inner.borrow().view.to_ask_again(&state.host, entries, now);
+        let silent = state.inner.borrow().view.to_ask_again(&state.host, state.now());
         for (incarnation, address) in silent {
             actix_rt::spawn(ask_again(state.clone(), incarnation, address));
         }
