Leave a silent endpoint of a plain service only for another one with a retry

What callers saw: an idempotent call at a host that was silent for 1.05 s (0.8 s, then a probe of 250 ms), or at an endpoint without an answer for 0.7 s, was refused with retry-budget or no-chain, although the side would have answered within the deadline.

Evidence, on the code before (tests/silent_side.rs): an_idempotent_call_is_not_taken_from_a_silent_host_while_no_retry_is_left failed with "left: (Some((RetryBudget, Unknown)), 1), right: (None, 1)"; ..._while_there_is_no_other_endpoint failed; an_idempotent_call_is_not_refused_because_its_slow_endpoint_takes_no_other_calls failed with "left: Some((NoChain, No)), right: None".

Change: the other endpoint is looked for first, then the retry is taken, and only then the call leaves. Otherwise it stays, is sent again, and looks again at each resend, so it moves once both are in hand; the answer of the side that it left still counts. Hosts whose connections end at once, twice, are certainly lost; their calls leave as before (a_call_does_not_wait_for_a_host_that_is_certainly_lost).

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -9,7 +9,7 @@
 //! - `recovery`: retransmission, failed stages and lost hosts; `migrate`: slow generations.
 //! - `admission`: admission by contract, with limits that are shared with other entries.
 //! - `call`, `idempotency`: calls of plain services and their idempotency keys; `pending`: the
-//!   state of one call.
+//!   state of one call; `lost`: calls at sides that are silent or lost.
 //! - `hosts`: feeds the state of hosts into the choice of endpoints.
 //! - [`count`]: counters for each reason of a refusal or a retry.
 
@@ -21,6 +21,7 @@
 mod hosts;
 mod idempotency;
 mod inflight;
+mod lost;
 mod migrate;
 mod pending;
 mod recovery;
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -9,9 +9,9 @@
 use crate::contract;
 use crate::explain::{Fact, Subject};
 use crate::limit::Permit;
-use crate::message::{Call, Message, Refuse, Reply, Report, Stage, State, Term, not_run};
+use crate::message::{Call, Message, Refuse, Reply, Stage, Term, not_run};
 use crate::name;
-use crate::plan::Query;
+use crate::plan::{Choice, Query, Unplanned};
 use crate::recover::Timeouts;
 use crate::request::{Id, Ran, Refusal, Refused};
 use crate::retry::Reason;
@@ -22,15 +22,9 @@
 use super::pending::{Due, MAX_ATTEMPTS, Pending, Step};
 use super::{Effect, Machine, Request, remaining_ms, send};
 
-/// How long a lost side is asked whether a call ran, before the outcome is reported as unknown.
-const RESOLVE_TIMEOUT: Duration = Duration::from_millis(1500);
-
 /// Wait for a report from a side whose current term is not known.
 const REPORT_WAIT: Duration = Duration::from_millis(40);
 
-/// How long an endpoint that failed a call is avoided.
-const SUSPECT_PERIOD: Duration = Duration::from_secs(5);
-
 impl Machine {
     pub(super) fn on_call(
         &mut self,
@@ -114,26 +108,47 @@
 
     /// Chooses an endpoint and sends it the next attempt, or refuses the call. No earlier attempt
     /// may be in progress.
-    pub(super) fn assign(&mut self, now: Instant, mut pending: Pending, effects: &mut Vec<Effect>) {
-        let id = pending.call.request;
+    pub(super) fn assign(&mut self, now: Instant, pending: Pending, effects: &mut Vec<Effect>) {
+        let random = self.rng.next_u64();
+        match self.find_endpoint(now, &pending, &pending.failed, random) {
+            Ok(choice) => self.dispatch(now, pending, choice, effects),
+            Err(unplanned) => {
+                let refused = unplanned.refused.clone();
+                self.records.add(now, pending.call.request, Fact::Unplanned(unplanned));
+                self.refuse_call(now, pending, refused, effects);
+            }
+        }
+    }
+
+    /// Chooses an endpoint for the next attempt, one of `avoid` only if there is no other.
+    pub(super) fn find_endpoint(
+        &self,
+        now: Instant,
+        pending: &Pending,
+        avoid: &BTreeSet<name::Endpoint>,
+        random: u64,
+    ) -> Result<Choice, Unplanned> {
         let query = Query {
             prompt_tokens: 0,
             answer_tokens: 1,
             time_left: pending.deadline.since(now),
             prefixes: &[],
-            avoid: &pending.failed,
+            avoid,
             include: &BTreeSet::new(),
-            random: self.rng.next_u64(),
-        };
-        let choice = match self.planner.choose_service(now, &pending.spec.service, &query) {
-            Ok(choice) => choice,
-            Err(unplanned) => {
-                let refused = unplanned.refused.clone();
-                self.records.add(now, id, Fact::Unplanned(unplanned));
-                self.refuse_call(now, pending, refused, effects);
-                return;
-            }
+            random,
         };
+        self.planner.choose_service(now, &pending.spec.service, &query)
+    }
+
+    /// Sends the next attempt to the chosen endpoint.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        choice: Choice,
+        effects: &mut Vec<Effect>,
+    ) {
+        let id = pending.call.request;
         let Some(stage) = choice.chain.first().cloned() else { return };
         self.planner.record_dispatch(now, &choice.chain, 0);
         pending.call.attempt += 1;
@@ -203,7 +218,7 @@
     }
 
     /// Makes another attempt of a call that is proven not to have run or is idempotent.
-    fn retry_call(
+    pub(super) fn retry_call(
         &mut self,
         now: Instant,
         pending: Pending,
@@ -219,103 +234,6 @@
         self.refuse_call(now, pending, refused, effects);
     }
 
-    /// Handles the answer of a side that was asked whether a call ran.
-    pub(super) fn on_report(&mut self, now: Instant, report: &Report, effects: &mut Vec<Effect>) {
-        let id = report.request;
-        let Some(pending) = self.calls.get(&id) else { return };
-        if pending.call.attempt != report.attempt {
-            return;
-        }
-        let Step::Resolving(reason, _) = pending.step else { return };
-        self.records.add(now, id, Fact::Resolved(report.state));
-        let ran = match report.state {
-            State::Refused => Ran::No,
-            // The side has restarted: it will never know, and a lost answer cannot arrive.
-            State::Unknown => Ran::Unknown,
-            State::Started | State::Done => return,
-        };
-        let Some(pending) = self.take_call(id) else { return };
-        let refused = Refused { reason, ran, retry_after_ms: None };
-        if ran == Ran::No && reason != Refusal::Deadline {
-            self.record_failure(now, &pending, Reason::HostLost, Some(refused.clone()));
-            self.retry_call(now, pending, refused, effects);
-            return;
-        }
-        self.refuse_call(now, pending, refused, effects);
-    }
-
-    /// Resends the calls whose message may have been lost with the connection to `host`.
-    pub(super) fn resend_calls(
-        &mut self,
-        now: Instant,
-        host: &name::Host,
-        effects: &mut Vec<Effect>,
-    ) {
-        for pending in self.calls.values_mut().filter(|p| p.is_on(host)) {
-            pending.last_sent = now;
-            effects.push(pending.message());
-        }
-    }
-
-    /// Moves the idempotent calls at a dead host to other endpoints and resolves the others.
-    pub(super) fn fail_calls(
-        &mut self,
-        now: Instant,
-        host: &name::Host,
-        effects: &mut Vec<Effect>,
-    ) {
-        let on_host = self.calls.iter().filter(|(_, pending)| pending.is_on(host));
-        let failed: Vec<Id> = on_host.map(|(id, _)| *id).collect();
-        for id in failed {
-            if self.calls.get(&id).is_some_and(|pending| pending.call.idempotent) {
-                self.move_call(now, id, effects);
-            } else {
-                self.resolve(now, id, Refusal::EndpointFailed, now + RESOLVE_TIMEOUT, effects);
-            }
-        }
-    }
-
-    /// Abandons an attempt of an idempotent call and makes another.
-    fn move_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
-        let Some(mut pending) = self.take_call(id) else { return };
-        self.suspect_endpoint(now, &mut pending, Reason::HostLost);
-        let reason = Refusal::EndpointFailed;
-        let refused = Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
-        if pending.call.attempt >= MAX_ATTEMPTS {
-            self.refuse_call(now, pending, refused, effects);
-            return;
-        }
-        self.retry_call(now, pending, refused, effects);
-    }
-
-    /// Avoids the endpoint of a failed attempt, for this call and for a while for others.
-    fn suspect_endpoint(&mut self, now: Instant, pending: &mut Pending, reason: Reason) {
-        let endpoint = pending.stage.endpoint.clone();
-        self.planner.mark_suspected(&endpoint, now + SUSPECT_PERIOD);
-        pending.failed.insert(endpoint);
-        self.record_failure(now, pending, reason, None);
-    }
-
-    /// Asks the side whether a call ran. This also keeps it from running if it has not started.
-    fn resolve(
-        &mut self,
-        now: Instant,
-        id: Id,
-        reason: Refusal,
-        until: Instant,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(pending) = self.calls.get_mut(&id) else { return };
-        let until = until.min(pending.deadline);
-        if !matches!(pending.step, Step::Resolving(..)) {
-            pending.step = Step::Resolving(reason, until);
-            let attempt = pending.call.attempt;
-            self.records.add(now, id, Fact::Resolving { attempt });
-        }
-        pending.last_sent = now;
-        effects.push(pending.message());
-    }
-
     pub(super) fn tick_calls(&mut self, now: Instant, effects: &mut Vec<Effect>) {
         let due: Vec<(Id, Due)> =
             self.calls.iter().filter_map(|(id, p)| Some((*id, p.due(now)?))).collect();
@@ -335,11 +253,7 @@
                 Due::Resolve(until) => {
                     self.resolve(now, id, Refusal::Deadline, until, effects);
                 }
-                Due::Move if self.retry_budget.take(now) => {
-                    let Some(mut pending) = self.take_call(id) else { continue };
-                    self.suspect_endpoint(now, &mut pending, Reason::Silent);
-                    self.assign(now, pending, effects);
-                }
+                Due::Move if self.leave_endpoint(now, id, Reason::Silent, effects) => {}
                 Due::Move | Due::Resend => {
                     let Some(pending) = self.calls.get_mut(&id) else { continue };
                     pending.last_sent = now;
@@ -366,7 +280,7 @@
         self.settle(now, pending.permit, 0, effects);
     }
 
-    fn take_call(&mut self, id: Id) -> Option<Pending> {
+    pub(super) fn take_call(&mut self, id: Id) -> Option<Pending> {
         let pending = self.calls.remove(&id)?;
         if pending.is_assigned() {
             self.planner.record_finish(std::slice::from_ref(&pending.stage));
@@ -374,7 +288,7 @@
         Some(pending)
     }
 
-    fn record_failure(
+    pub(super) fn record_failure(
         &mut self,
         now: Instant,
         pending: &Pending,
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -12,6 +12,7 @@
 
 use super::count::Counter;
 use super::inflight::{Generation, Phase};
+use super::lost::Loss;
 use super::{Effect, Machine, send};
 
 /// How long an endpoint that failed is avoided if there is another one.
@@ -129,7 +130,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if self.probing.contains_key(host) {
-            self.on_host_dead(now, host, effects);
+            self.on_host_dead(now, host, Loss::Certain, effects);
             return;
         }
         if self.dead.contains_key(host) {
@@ -159,7 +160,13 @@
         }
     }
 
-    fn on_host_dead(&mut self, now: Instant, host: &name::Host, effects: &mut Vec<Effect>) {
+    fn on_host_dead(
+        &mut self,
+        now: Instant,
+        host: &name::Host,
+        loss: Loss,
+        effects: &mut Vec<Effect>,
+    ) {
         self.probing.remove(host);
         self.dead.insert(host.clone(), now + DEAD_PERIOD);
         self.directory.on_unreachable(now, host);
@@ -175,7 +182,7 @@
         for (request, endpoint) in failed {
             self.fail(now, request, Failure::new(Reason::HostLost, endpoint), effects);
         }
-        self.fail_calls(now, host, effects);
+        self.fail_calls(now, host, loss, effects);
     }
 
     pub(super) fn tick_hosts(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -183,7 +190,7 @@
         let silent = self.probing.iter().filter(|(_, since)| now.since(**since) >= PROBE_TIMEOUT);
         let silent: Vec<name::Host> = silent.map(|(host, _)| host.clone()).collect();
         for host in silent {
-            self.on_host_dead(now, &host, effects);
+            self.on_host_dead(now, &host, Loss::Silent, effects);
         }
     }
 
--- /dev/null
+++ b/crates/core/tests/silent_side.rs
@@ -0,0 +1,181 @@
+//! Sides that are silent for a while and then go on. Silence alone ends no request: its attempt is
+//! left only if there is a retry and another place for it.
+#![allow(clippy::unwrap_used)] // test helpers panic on failure, as tests do
+
+#[path = "entry/simulation.rs"]
+#[allow(dead_code, reason = "each test file uses a part")]
+mod simulation;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use oriole_core::entry::{Effect, Event, Machine, Outcome, Request};
+use oriole_core::membership::Listing;
+use oriole_core::message::{Answer, Message, Refuse, Reply, not_run};
+use oriole_core::name;
+use oriole_core::request::{Id, Ran, Refusal};
+use simulation::{Simulation, TICK_US, config, generate, id};
+
+/// Requests that only use up retries.
+const DRAINING: std::ops::Range<u64> = 1000..1100;
+
+/// One call to a plain service with `endpoints` endpoints; the test sends each message of the sides.
+struct Calls {
+    sim: Simulation,
+    sent: Vec<(name::Host, Message)>,
+}
+
+impl Calls {
+    fn start(path: &str, endpoints: usize) -> Self {
+        let mut config = config();
+        for index in 90 + endpoints..93 {
+            config.endpoints.remove(&name::Endpoint::from(format!("e{index}").as_str()));
+        }
+        let mut sim = Simulation::new(7);
+        sim.machine = Machine::new(config, 7);
+        let mut calls = Self { sim, sent: Vec::new() };
+        let request = Request {
+            workspace: "w".into(),
+            service: "s".into(),
+            method: "POST".to_owned(),
+            path: path.to_owned(),
+            content_type: String::new(),
+            body: Vec::new(),
+            key: None,
+            deadline: Some(Duration::from_secs(5)),
+        };
+        calls.handle(Event::Call(id(1), request));
+        calls
+    }
+
+    fn handle(&mut self, event: Event) {
+        for effect in self.sim.machine.handle(self.sim.now, event) {
+            match effect {
+                Effect::Send { host, message, .. } => self.sent.push((host, message)),
+                Effect::Finish { request, outcome } => {
+                    self.sim.outcomes.entry(request).or_default().push(outcome);
+                }
+                Effect::Deliver { .. } => panic!("calls have no tokens"),
+            }
+        }
+    }
+
+    fn message(&mut self, message: Message) {
+        self.handle(Event::Message { from: "side".into(), message });
+    }
+
+    fn answer(&mut self, attempt: u32) {
+        let answer = Answer { status: 200, content_type: String::new(), body: vec![1] };
+        self.message(Message::Reply(Reply { request: id(1), attempt, answer }));
+    }
+
+    fn wait(&mut self, ms: u64) {
+        for _ in 0..ms * 1000 / TICK_US {
+            self.sim.now = self.sim.now + Duration::from_micros(TICK_US);
+            self.handle(Event::Tick);
+        }
+    }
+
+    /// Ends the connection to the host of the call, which answers no probe.
+    fn silence(&mut self) {
+        let host = self.sent[0].0.clone();
+        self.handle(Event::Disconnected(host));
+    }
+
+    /// Returns the hosts to which the call was sent.
+    fn hosts(&self) -> BTreeSet<name::Host> {
+        let calls = self.sent.iter().filter(|(_, m)| matches!(m, Message::Call(_)));
+        calls.map(|(host, _)| host.clone()).collect()
+    }
+
+    fn refused(&self) -> Option<(Refusal, Ran)> {
+        match self.sim.outcomes.get(&id(1)).map(Vec::as_slice) {
+            Some([Outcome::Refused(refused)]) => Some((refused.reason, refused.ran)),
+            _ => None,
+        }
+    }
+
+    fn is_answered(&self) -> bool {
+        matches!(self.sim.outcomes.get(&id(1)).map(Vec::as_slice), Some([Outcome::Answered(_)]))
+    }
+}
+
+/// Uses up the retries of the entry: sides refuse new generations until one is refused for good.
+fn use_up_retries(sim: &mut Simulation) {
+    assert!(is_refused_for_want_of_retries(sim));
+    for seq in DRAINING {
+        sim.machine.handle(sim.now, Event::CallerLeft(id(seq)));
+    }
+}
+
+fn is_refused_for_want_of_retries(sim: &mut Simulation) -> bool {
+    for seq in DRAINING {
+        let event = Event::Generate(id(seq), generate(vec![1, 2, 3], 5));
+        let mut effects = sim.machine.handle(sim.now, event);
+        while let Some(effect) = effects.pop() {
+            match effect {
+                Effect::Send { message: Message::Open(open), .. } if open.stage == 0 => {
+                    effects.extend(refuse(sim, open.request, open.attempt));
+                }
+                Effect::Finish { outcome: Outcome::Refused(refused), .. } => {
+                    assert_eq!(refused.reason, Refusal::RetryBudget);
+                    return true;
+                }
+                _ => {}
+            }
+        }
+    }
+    false
+}
+
+/// The first stage of an attempt refuses to open, since its queue is full.
+fn refuse(sim: &mut Simulation, request: Id, attempt: u32) -> Vec<Effect> {
+    let refused = not_run(Refusal::QueueFull, None);
+    let message = Message::Refuse(Refuse { request, attempt, stage: 0, refused });
+    sim.machine.handle(sim.now, Event::Message { from: "side".into(), message })
+}
+
+#[test]
+fn an_idempotent_call_is_not_taken_from_a_silent_host_while_there_is_no_other_endpoint() {
+    let mut calls = Calls::start("/again", 1);
+    calls.silence();
+    calls.wait(1500);
+    assert_eq!(calls.refused(), None);
+    calls.answer(1);
+    assert!(calls.is_answered());
+}
+
+#[test]
+fn an_idempotent_call_is_not_taken_from_a_silent_host_while_no_retry_is_left() {
+    let mut calls = Calls::start("/again", 3);
+    use_up_retries(&mut calls.sim);
+    calls.silence();
+    calls.wait(300);
+    assert_eq!((calls.refused(), calls.hosts().len()), (None, 1));
+    // It moves as soon as there is a retry, and the answer of the first side still counts.
+    calls.wait(1000);
+    assert_eq!((calls.refused(), calls.hosts().len()), (None, 2));
+    calls.answer(1);
+    assert!(calls.is_answered());
+}
+
+/// The endpoint gets no new work, since its host leaves, and the call at it is silent for long.
+#[test]
+fn an_idempotent_call_is_not_refused_because_its_slow_endpoint_takes_no_other_calls() {
+    let mut calls = Calls::start("/again", 1);
+    let host = calls.sent[0].0.clone();
+    calls.handle(Event::HostList([(host, Listing::Leaving)].into()));
+    calls.wait(2500);
+    assert_eq!(calls.refused(), None);
+    calls.answer(1);
+    assert!(calls.is_answered());
+}
+
+/// Two connections in a row that end at once are no silence: what was sent there is lost.
+#[test]
+fn a_call_does_not_wait_for_a_host_that_is_certainly_lost() {
+    let mut calls = Calls::start("/again", 1);
+    calls.silence();
+    calls.silence();
+    assert_eq!(calls.refused().map(|(reason, _)| reason), Some(Refusal::NoChain));
+}
