Do not report a call as not run after an attempt whose outcome is unknown

What callers saw: an idempotent call that had been sent to a host that was lost, or that had left a silent one, was refused with "ran: no" if no other endpoint was found, or if the last side proved that it did not run there. It may have run at the earlier one. With an idempotency key, the home was told "ran: no" too and freed the key.

Cause: the refusal was taken from the last attempt alone. docs/design/at-most-once.md: "not run" is said only of what did not run and never will.

Evidence: a_call_does_not_wait_for_a_host_that_is_certainly_lost, now strict about this, failed with "left: Some((NoChain, No)), right: Some((NoChain, Unknown))"; a_call_that_was_left_at_a_silent_host_is_not_reported_as_not_run failed with "left: Some((Deadline, No)), right: Some((Deadline, Unknown))".

Change: a call remembers that an attempt was given up without proof; its refusal then says "unknown". Calls that are not idempotent are repeated only after a proof, so nothing changes for them.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -84,6 +84,7 @@
             last_sent: now,
             timeouts: Timeouts::new(Duration::ZERO),
             claimed: false,
+            may_have_run: false,
             failed: BTreeSet::new(),
             terms: BTreeMap::new(),
         };
@@ -212,6 +213,7 @@
             self.calls.insert(id, pending);
             return;
         }
+        pending.may_have_run |= refused.ran == Ran::Unknown;
         pending.failed.insert(endpoint.clone());
         self.record_failure(now, &pending, Reason::Refused, Some(refused.clone()));
         self.retry_call(now, pending, refused, effects);
--- a/crates/core/src/entry/idempotency.rs
+++ b/crates/core/src/entry/idempotency.rs
@@ -104,15 +104,19 @@
         self.settle(now, pending.permit, 0, effects);
     }
 
-    /// Ends a call with a refusal. The call must have been removed from `calls`.
+    /// Ends a call with a refusal, which speaks about all attempts. The call must have been removed
+    /// from `calls`.
     pub(super) fn refuse_call(
         &mut self,
         now: Instant,
         pending: Pending,
-        refused: Refused,
+        mut refused: Refused,
         effects: &mut Vec<Effect>,
     ) {
         let id = pending.call.request;
+        if pending.may_have_run {
+            refused.ran = Ran::Unknown;
+        }
         effects.extend(self.settle_message(&pending, Err(refused.clone())));
         let workspace = pending.spec.workspace.clone();
         self.settle(now, pending.permit, 0, effects);
--- a/crates/core/src/entry/lost.rs
+++ b/crates/core/src/entry/lost.rs
@@ -137,11 +137,13 @@
         self.retry_call(now, pending, refused, effects);
     }
 
-    /// Avoids the endpoint of a failed attempt, for this call and for a while for others.
+    /// Avoids the endpoint of an attempt whose outcome is unknown, for this call and for a while for
+    /// others.
     fn suspect_endpoint(&mut self, now: Instant, pending: &mut Pending, reason: Reason) {
         let endpoint = pending.stage.endpoint.clone();
         self.planner.mark_suspected(&endpoint, now + SUSPECT_PERIOD);
         pending.failed.insert(endpoint);
+        pending.may_have_run = true;
         self.record_failure(now, pending, reason, None);
     }
 
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -36,6 +36,8 @@
     pub timeouts: Timeouts,
     /// Whether the home of the idempotency key has allowed the call to run.
     pub claimed: bool,
+    /// Whether an earlier attempt may have run, so that the call is never reported as not run.
+    pub may_have_run: bool,
     /// Endpoints that have failed this call and that later attempts avoid.
     pub failed: BTreeSet<name::Endpoint>,
     /// The term under which the call was first sent to each endpoint. Later attempts keep it, so
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -11,7 +11,7 @@
 
 use oriole_core::entry::{Effect, Event, Machine, Outcome, Request};
 use oriole_core::membership::Listing;
-use oriole_core::message::{Answer, Message, Refuse, Reply, not_run};
+use oriole_core::message::{Answer, Message, Refuse, Reply, Report, State, not_run};
 use oriole_core::name;
 use oriole_core::request::{Id, Ran, Refusal};
 use simulation::{Simulation, TICK_US, config, generate, id};
@@ -69,6 +69,10 @@
         self.message(Message::Reply(Reply { request: id(1), attempt, answer }));
     }
 
+    fn report(&mut self, attempt: u32, state: State) {
+        self.message(Message::Report(Report { request: id(1), attempt, state }));
+    }
+
     fn wait(&mut self, ms: u64) {
         for _ in 0..ms * 1000 / TICK_US {
             self.sim.now = self.sim.now + Duration::from_micros(TICK_US);
@@ -177,5 +181,19 @@
     let mut calls = Calls::start("/again", 1);
     calls.silence();
     calls.silence();
-    assert_eq!(calls.refused().map(|(reason, _)| reason), Some(Refusal::NoChain));
+    assert_eq!(calls.refused(), Some((Refusal::NoChain, Ran::Unknown)));
+}
+
+/// The last side proves that the call did not run there, but it may have run at an earlier one.
+#[test]
+fn a_call_that_was_left_at_a_silent_host_is_not_reported_as_not_run() {
+    let mut calls = Calls::start("/again", 2);
+    calls.silence();
+    calls.wait(4700);
+    assert_eq!((calls.refused(), calls.hosts().len()), (None, 2));
+    let Some((_, Message::Resolve(resolve))) = calls.sent.last() else { panic!("not resolved") };
+    let attempt = resolve.attempt;
+    assert!(attempt > 1);
+    calls.report(attempt, State::Refused);
+    assert_eq!(calls.refused(), Some((Refusal::Deadline, Ran::Unknown)));
 }
