Wait for a non-idempotent call whose side has reported that it runs

What callers saw: a call that is not idempotent, at a host that was silent for 1.05 s, was refused with endpoint-failed, "ran: unknown", 1.5 s later, although the side had come back meanwhile, had reported that the call runs, and would have answered within the deadline.

Cause: RESOLVE_TIMEOUT bounds how long a lost side is asked; the reports Started and Done did not end that time.

Evidence: a_non_idempotent_call_is_not_given_up_after_its_side_has_reported_that_it_runs failed with "left: (Some((EndpointFailed, Unknown)), 1), right: (None, 1)", a_non_idempotent_call_that_runs_is_refused_as_unknown_at_its_deadline_or_after_a_restart with "left: Some((EndpointFailed, Unknown)), right: Some((Deadline, Unknown))".

Change: such a report puts the call back among the running ones. At most once holds: the call is resent only to its own side with its first term, as a running call always is, and is resolved again before its deadline or if the host is lost again. A call that is resolved for its deadline stays so.

--- a/crates/core/src/entry/lost.rs
+++ b/crates/core/src/entry/lost.rs
@@ -44,7 +44,10 @@
             State::Refused => Ran::No,
             // The side has restarted: it will never know, and a lost answer cannot arrive.
             State::Unknown => Ran::Unknown,
-            State::Started | State::Done => return,
+            State::Started | State::Done => {
+                self.keep_running(now, id, reason);
+                return;
+            }
         };
         let Some(pending) = self.take_call(id) else { return };
         let refused = Refused { reason, ran, retry_after_ms: None };
@@ -56,6 +59,18 @@
         self.refuse_call(now, pending, refused, effects);
     }
 
+    /// Waits for the answer of a call that its side, which was taken for lost, has reported to run.
+    ///
+    /// The call is resent as before, which is safe: the side either still has its record or refuses
+    /// it by its term. A call that is resolved because of its deadline stays so.
+    fn keep_running(&mut self, now: Instant, id: Id, reason: Refusal) {
+        let Some(pending) = self.calls.get_mut(&id) else { return };
+        if reason != Refusal::Deadline {
+            pending.step = Step::Running;
+            pending.last_sent = now;
+        }
+    }
+
     /// Resends the calls whose message may have been lost with the connection to `host`.
     pub(super) fn resend_calls(
         &mut self,
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -60,8 +60,10 @@
         }
     }
 
+    /// Handles a message of the side to which the first message was sent.
     fn message(&mut self, message: Message) {
-        self.handle(Event::Message { from: "side".into(), message });
+        let from = self.sent[0].0.clone();
+        self.handle(Event::Message { from, message });
     }
 
     fn answer(&mut self, attempt: u32) {
@@ -197,3 +199,40 @@
     calls.report(attempt, State::Refused);
     assert_eq!(calls.refused(), Some((Refusal::Deadline, Ran::Unknown)));
 }
+
+/// The side has told that the call runs there, and nobody else may run it.
+#[test]
+fn a_non_idempotent_call_is_not_given_up_after_its_side_has_reported_that_it_runs() {
+    for state in [State::Started, State::Done] {
+        let mut calls = Calls::start("/once", 3);
+        calls.silence();
+        calls.wait(300);
+        assert!(matches!(calls.sent.last(), Some((_, Message::Resolve(_)))));
+        calls.report(1, state);
+        calls.wait(2000);
+        assert_eq!((calls.refused(), calls.hosts().len()), (None, 1));
+        calls.answer(1);
+        assert!(calls.is_answered());
+    }
+}
+
+#[test]
+fn a_non_idempotent_call_that_runs_is_refused_as_unknown_at_its_deadline_or_after_a_restart() {
+    let mut calls = Calls::start("/once", 3);
+    calls.silence();
+    calls.wait(300);
+    calls.report(1, State::Started);
+    calls.wait(4800);
+    assert_eq!(calls.refused(), Some((Refusal::Deadline, Ran::Unknown)));
+    assert_eq!(calls.hosts().len(), 1);
+
+    let mut calls = Calls::start("/once", 3);
+    calls.silence();
+    calls.wait(300);
+    calls.report(1, State::Started);
+    calls.silence();
+    calls.silence();
+    calls.report(1, State::Unknown);
+    assert_eq!(calls.refused(), Some((Refusal::EndpointFailed, Ran::Unknown)));
+    assert_eq!(calls.hosts().len(), 1);
+}
