Wait until its deadline for a non-idempotent call whose host is merely silent

What callers saw: a call that is not idempotent was refused with endpoint-failed, "ran: unknown", 2.6 s after its host had fallen silent, long before its deadline, although no other side may run it and this one could still answer.

Cause: RESOLVE_TIMEOUT held for silent hosts as for hosts that refuse connections.

Evidence: a_non_idempotent_call_is_not_given_up_before_its_deadline_while_its_host_is_silent failed with "left: (Some((EndpointFailed, Unknown)), 1), right: (None, 1)".

Change: a silent host is asked until the deadline; the tombstone, the proof "not run" and the retry that follows it stay. If its connections are refused later, the 1.5 s begin then (a_non_idempotent_call_does_not_wait_for_a_silent_host_that_is_certainly_lost_later; the bound is that of before). The existing test of a host that is certainly lost is unchanged. Price: the caller of a host that vanished without a word learns "unknown" at its deadline only.

--- a/crates/core/src/entry/lost.rs
+++ b/crates/core/src/entry/lost.rs
@@ -15,7 +15,8 @@
 use super::pending::{MAX_ATTEMPTS, Pending, Step};
 use super::{Effect, Machine};
 
-/// How long a lost side is asked whether a call ran, before the outcome is reported as unknown.
+/// How long a side that is certainly lost is asked whether a call ran, before the outcome is reported
+/// as unknown.
 const RESOLVE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// How long an endpoint that failed a call is avoided.
@@ -94,18 +95,20 @@
         effects: &mut Vec<Effect>,
     ) {
         let on_host = self.calls.iter().filter(|(_, pending)| pending.is_on(host));
-        let failed: Vec<(Id, bool)> =
-            on_host.map(|(id, pending)| (*id, pending.call.idempotent)).collect();
-        for (id, idempotent) in failed {
+        let failed: Vec<(Id, bool, Instant)> =
+            on_host.map(|(id, pending)| (*id, pending.call.idempotent, pending.deadline)).collect();
+        let reason = Refusal::EndpointFailed;
+        for (id, idempotent, deadline) in failed {
             match (idempotent, loss) {
                 (true, Loss::Certain) => self.move_call(now, id, effects),
                 (true, Loss::Silent) => {
                     self.leave_endpoint(now, id, Reason::HostLost, effects);
                 }
-                (false, _) => {
-                    let until = now + RESOLVE_TIMEOUT;
-                    self.resolve(now, id, Refusal::EndpointFailed, until, effects);
+                (false, Loss::Certain) => {
+                    self.resolve(now, id, reason, now + RESOLVE_TIMEOUT, effects);
                 }
+                // No other side may run it, and this one may still answer.
+                (false, Loss::Silent) => self.resolve(now, id, reason, deadline, effects),
             }
         }
     }
@@ -162,7 +165,8 @@
         self.record_failure(now, pending, reason, None);
     }
 
-    /// Asks the side whether a call ran. This also keeps it from running if it has not started.
+    /// Asks the side until `until` whether a call ran. This also keeps it from running if it has not
+    /// started.
     pub(super) fn resolve(
         &mut self,
         now: Instant,
@@ -173,7 +177,9 @@
     ) {
         let Some(pending) = self.calls.get_mut(&id) else { return };
         let until = until.min(pending.deadline);
-        if !matches!(pending.step, Step::Resolving(..)) {
+        if let Step::Resolving(_, earlier) = &mut pending.step {
+            *earlier = until.min(*earlier);
+        } else {
             pending.step = Step::Resolving(reason, until);
             let attempt = pending.call.attempt;
             self.records.add(now, id, Fact::Resolving { attempt });
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -27,6 +27,10 @@
 
 impl Calls {
     fn start(path: &str, endpoints: usize) -> Self {
+        Self::start_with(path, endpoints, Duration::from_secs(5))
+    }
+
+    fn start_with(path: &str, endpoints: usize, deadline: Duration) -> Self {
         let mut config = config();
         for index in 90 + endpoints..93 {
             config.endpoints.remove(&name::Endpoint::from(format!("e{index}").as_str()));
@@ -42,7 +46,7 @@
             content_type: String::new(),
             body: Vec::new(),
             key: None,
-            deadline: Some(Duration::from_secs(5)),
+            deadline: Some(deadline),
         };
         calls.handle(Event::Call(id(1), request));
         calls
@@ -236,3 +240,28 @@
     assert_eq!(calls.refused(), Some((Refusal::EndpointFailed, Ran::Unknown)));
     assert_eq!(calls.hosts().len(), 1);
 }
+
+/// The side does not even answer whether the call runs, but no connection to it is refused.
+#[test]
+fn a_non_idempotent_call_is_not_given_up_before_its_deadline_while_its_host_is_silent() {
+    let mut calls = Calls::start("/once", 3);
+    calls.silence();
+    calls.wait(3000);
+    assert_eq!((calls.refused(), calls.hosts().len()), (None, 1));
+    calls.answer(1);
+    assert!(calls.is_answered());
+}
+
+/// It is silent first and refuses connections later, when there is nothing left to wait for.
+#[test]
+fn a_non_idempotent_call_does_not_wait_for_a_silent_host_that_is_certainly_lost_later() {
+    let mut calls = Calls::start_with("/once", 3, Duration::from_secs(20));
+    calls.silence();
+    calls.wait(3500);
+    calls.silence();
+    calls.silence();
+    calls.wait(1400);
+    assert_eq!(calls.refused(), None);
+    calls.wait(200);
+    assert_eq!(calls.refused(), Some((Refusal::EndpointFailed, Ran::Unknown)));
+}
