Let an answer in progress wait for a retry instead of ending it

What callers saw: an answer cut in its middle with retry-budget: a stage was lost or silent, the side that was to replace it refused, and no retry was left, although one a second is added and the deadline was far.

Cause: on_refuse treated a generation that had started like a new one. docs/design/recovery.md: a request in progress waits, a new one is refused at once.

Evidence: an_answer_in_progress_is_not_ended_because_a_new_stage_refuses_and_no_retry_is_left failed with "[Refused(Refused { reason: RetryBudget, ran: Unknown, retry_after_ms: Some(400) })]".

Change: a generation that has started gets the phase AwaitingRetry, in which nothing is sent; on each tick the oldest take what the budget has gained, until their deadlines. The load of retries stays that of the budget: answers_that_wait_for_a_retry_do_not_take_more_than_the_budget_gives (20 answers that are always refused for 5 s; it fails if the budget isn't taken). New generations are refused as before. While an answer waits, its other stages keep their state and thus their memory.

--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -356,7 +356,7 @@
 
     /// Cancels the attempt at all stages.
     pub(super) fn release(&mut self, generation: &Generation, effects: &mut Vec<Effect>) {
-        if !matches!(generation.phase, Phase::Waiting(_)) {
+        if !generation.is_waiting() {
             self.planner.record_finish(&generation.chain);
         }
         effects.extend(generation.chain.iter().map(|stage| generation.cancel_message(stage)));
--- a/crates/core/src/entry/inflight.rs
+++ b/crates/core/src/entry/inflight.rs
@@ -52,6 +52,8 @@
 pub(super) enum Phase {
     /// The next attempt starts at this time.
     Waiting(Instant),
+    /// The next attempt starts as soon as the retry budget allows it.
+    AwaitingRetry,
     /// The stages that have not acknowledged yet, and the fewest positions that any of the others
     /// holds.
     Opening(BTreeSet<u16>, Position),
@@ -68,6 +70,11 @@
 }
 
 impl Generation {
+    /// Returns whether there is no attempt in progress.
+    pub(super) fn is_waiting(&self) -> bool {
+        matches!(self.phase, Phase::Waiting(_) | Phase::AwaitingRetry)
+    }
+
     /// Returns the feed in flight, or the next one; `None` if there is nothing to feed.
     pub(super) fn feed(&mut self, chunk: u32) -> Option<Feed> {
         let (request, attempt) = (self.request, self.answer.attempt());
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -51,29 +51,44 @@
     /// Handles the refusal of a side to open a stage. Nothing of this attempt ran there.
     pub(super) fn on_refuse(&mut self, now: Instant, refuse: Refuse, effects: &mut Vec<Effect>) {
         let Some(generation) = self.generations.get(&refuse.request) else { return };
-        if generation.answer.attempt() != refuse.attempt
-            || matches!(generation.phase, Phase::Waiting(_))
-        {
+        if generation.answer.attempt() != refuse.attempt || generation.is_waiting() {
             return;
         }
         let Some(stage) = generation.chain.get(usize::from(refuse.stage)) else { return };
         let endpoint = stage.endpoint.clone();
         self.learn_from_refusal(now, &endpoint, &refuse.refused);
-        let reason = refuse.refused.reason;
-        let retry_after_ms = refuse.refused.retry_after_ms;
-        let last = matches!(reason, Refusal::Deadline | Refusal::Superseded);
-        if last || !self.retry_budget.take(now) {
-            let Some(generation) = self.generations.remove(&refuse.request) else { return };
-            let (reason, after) = match last {
-                true => (reason, retry_after_ms),
-                false => (Refusal::RetryBudget, Some(as_us(self.retry_budget.wait()) / 1000)),
-            };
-            self.give_up(now, generation, reason, after, effects);
+        let (id, refused) = (refuse.request, refuse.refused);
+        if matches!(refused.reason, Refusal::Deadline | Refusal::Superseded) {
+            if let Some(generation) = self.generations.remove(&id) {
+                self.give_up(now, generation, refused.reason, refused.retry_after_ms, effects);
+            }
             return;
         }
-        let refused = Some(refuse.refused);
+        let refused = Some(refused);
         let failure = Failure { reason: Reason::Refused, refused, endpoint: Some(endpoint) };
-        self.fail(now, refuse.request, failure, effects);
+        if self.retry_budget.take(now) {
+            self.fail(now, id, failure, effects);
+        } else {
+            self.await_retry(now, id, failure, effects);
+        }
+    }
+
+    /// Ends an attempt after which there is no retry. An answer in progress waits for one until its
+    /// deadline; a generation that has not started is refused.
+    fn await_retry(&mut self, now: Instant, id: Id, failure: Failure, effects: &mut Vec<Effect>) {
+        let ms = as_us(self.retry_budget.wait()) / 1000;
+        let Some(generation) = self.generations.get(&id) else { return };
+        if !generation.started {
+            if let Some(generation) = self.generations.remove(&id) {
+                self.give_up(now, generation, Refusal::RetryBudget, Some(ms), effects);
+            }
+            return;
+        }
+        if let Some(mut generation) = self.end_attempt(now, id, failure) {
+            self.records.add(now, id, Fact::WaitsForRetry { ms });
+            generation.phase = Phase::AwaitingRetry;
+            self.generations.insert(id, generation);
+        }
     }
 
     /// Updates what is known of an endpoint from its refusal, so that later requests avoid it.
@@ -99,9 +114,7 @@
     /// Handles the report of a stage that the attempt cannot continue.
     pub(super) fn on_broken(&mut self, now: Instant, broken: &Broken, effects: &mut Vec<Effect>) {
         let Some(generation) = self.generations.get(&broken.request) else { return };
-        if generation.answer.attempt() != broken.attempt
-            || matches!(generation.phase, Phase::Waiting(_))
-        {
+        if generation.answer.attempt() != broken.attempt || generation.is_waiting() {
             return;
         }
         let stage = usize::from(broken.stage);
@@ -174,9 +187,7 @@
         let failed: Vec<(Id, Option<name::Endpoint>)> = self
             .generations
             .values()
-            .filter(|generation| {
-                !matches!(generation.phase, Phase::Waiting(_)) && generation.is_on(host)
-            })
+            .filter(|generation| !generation.is_waiting() && generation.is_on(host))
             .map(|generation| (generation.request, generation.endpoint_on(host)))
             .collect();
         for (request, endpoint) in failed {
@@ -207,7 +218,8 @@
                         self.give_up(now, generation, Refusal::Deadline, None, effects);
                     }
                 }
-                Due::Start => {
+                Due::Retry if !self.retry_budget.take(now) => {}
+                Due::Start | Due::Retry => {
                     if let Some(generation) = self.generations.remove(&id) {
                         self.start_attempt(now, generation, effects);
                     }
@@ -226,11 +238,12 @@
             (now.since(generation.step_started), now.since(generation.last_sent));
         let within_timeouts =
             since_sent < generation.timeouts.retransmit && silent < generation.timeouts.suspect;
-        if within_timeouts && !matches!(generation.phase, Phase::Waiting(_)) {
+        if within_timeouts && !generation.is_waiting() {
             return None;
         }
         let stages: Vec<u16> = match &generation.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
+            Phase::AwaitingRetry => return Some(Due::Retry),
             Phase::Opening(waiting, _) => waiting.iter().copied().collect(),
             Phase::Running if !generation.answer.has_feed_in_flight() => return None,
             Phase::Running => (0_u16..).take(generation.chain.len()).collect(),
@@ -289,15 +302,9 @@
         self.fail(now, id, Failure::new(Reason::Silent, endpoint), effects);
     }
 
-    /// Ends an attempt and starts the next one, at once or after a backoff.
-    pub(super) fn fail(
-        &mut self,
-        now: Instant,
-        id: Id,
-        failure: Failure,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(mut generation) = self.generations.remove(&id) else { return };
+    /// Ends an attempt and takes its generation out of `generations`.
+    fn end_attempt(&mut self, now: Instant, id: Id, failure: Failure) -> Option<Generation> {
+        let mut generation = self.generations.remove(&id)?;
         self.planner.record_finish(&generation.chain);
         generation.phase = Phase::Waiting(now);
         generation.retries += 1;
@@ -307,8 +314,20 @@
         generation.failed.extend(failure.endpoint.clone());
         self.counters.add(Counter::Retried(failure.reason), &generation.spec.workspace);
         let Failure { reason, refused, endpoint } = failure;
-        let (attempt, request) = (generation.answer.attempt(), generation.request);
-        self.records.add(now, request, Fact::Failed { attempt, reason, refused, endpoint });
+        let attempt = generation.answer.attempt();
+        self.records.add(now, id, Fact::Failed { attempt, reason, refused, endpoint });
+        Some(generation)
+    }
+
+    /// Ends an attempt and starts the next one, at once or after a backoff.
+    pub(super) fn fail(
+        &mut self,
+        now: Instant,
+        id: Id,
+        failure: Failure,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(mut generation) = self.end_attempt(now, id, failure) else { return };
         if generation.retries > MAX_RETRIES {
             self.give_up(now, generation, Refusal::EndpointFailed, None, effects);
             return;
@@ -319,9 +338,9 @@
         }
         let wait = retry::backoff(generation.retries - IMMEDIATE_RETRIES, self.rng.next_u64());
         let ms = as_us(wait) / 1000;
-        self.records.add(now, request, Fact::WaitsForRetry { ms });
+        self.records.add(now, id, Fact::WaitsForRetry { ms });
         generation.phase = Phase::Waiting(now + wait);
-        self.generations.insert(request, generation);
+        self.generations.insert(id, generation);
     }
 }
 
@@ -329,6 +348,7 @@
 enum Due {
     Deadline,
     Start,
+    Retry,
     Retransmit,
     Suspect(u16),
 }
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -11,10 +11,10 @@
 
 use oriole_core::entry::{Effect, Event, Machine, Outcome, Request};
 use oriole_core::membership::Listing;
-use oriole_core::message::{Answer, Message, Refuse, Reply, Report, State, not_run};
+use oriole_core::message::{Answer, Broken, Fault, Message, Refuse, Reply, Report, State, not_run};
 use oriole_core::name;
 use oriole_core::request::{Id, Ran, Refusal};
-use simulation::{Simulation, TICK_US, config, generate, id};
+use simulation::{Simulation, TICK_US, config, expected_text, generate, id};
 
 /// Requests that only use up retries.
 const DRAINING: std::ops::Range<u64> = 1000..1100;
@@ -125,7 +125,8 @@
         while let Some(effect) = effects.pop() {
             match effect {
                 Effect::Send { message: Message::Open(open), .. } if open.stage == 0 => {
-                    effects.extend(refuse(sim, open.request, open.attempt));
+                    let event = refusal(open.request, open.attempt);
+                    effects.extend(sim.machine.handle(sim.now, event));
                 }
                 Effect::Finish { outcome: Outcome::Refused(refused), .. } => {
                     assert_eq!(refused.reason, Refusal::RetryBudget);
@@ -139,10 +140,10 @@
 }
 
 /// The first stage of an attempt refuses to open, since its queue is full.
-fn refuse(sim: &mut Simulation, request: Id, attempt: u32) -> Vec<Effect> {
+fn refusal(request: Id, attempt: u32) -> Event {
     let refused = not_run(Refusal::QueueFull, None);
     let message = Message::Refuse(Refuse { request, attempt, stage: 0, refused });
-    sim.machine.handle(sim.now, Event::Message { from: "side".into(), message })
+    Event::Message { from: "side".into(), message }
 }
 
 #[test]
@@ -265,3 +266,75 @@
     calls.wait(200);
     assert_eq!(calls.refused(), Some((Refusal::EndpointFailed, Ran::Unknown)));
 }
+
+const PROMPT: [u32; 7] = [11, 22, 33, 44, 55, 66, 77];
+
+/// Starts generations of 40 tokens and runs them until each caller has a part of the answer.
+fn start_generations(sim: &mut Simulation, seqs: std::ops::RangeInclusive<u64>) {
+    for seq in seqs.clone() {
+        sim.handle(Event::Generate(id(seq), generate(PROMPT.to_vec(), 40)));
+    }
+    while seqs.clone().any(|seq| !sim.texts.contains_key(&id(seq))) {
+        sim.step();
+    }
+    assert!(sim.outcomes.is_empty());
+}
+
+/// The engine of the first stage fails, so that a new attempt begins.
+fn engine_failure(request: Id, attempt: u32) -> Event {
+    let broken = Broken { request, attempt, stage: 0, fault: Fault::Engine };
+    Event::Message { from: "side".into(), message: Message::Broken(broken) }
+}
+
+fn run(sim: &mut Simulation, ms: u64) {
+    for _ in 0..ms * 1000 / TICK_US {
+        sim.step();
+    }
+}
+
+fn is_complete(sim: &Simulation, seq: u64) -> bool {
+    let is_whole = sim.texts.get(&id(seq)) == Some(&expected_text(&PROMPT, 40));
+    let outcomes = sim.outcomes.get(&id(seq)).map(Vec::as_slice);
+    is_whole && matches!(outcomes, Some([Outcome::Complete { .. }]))
+}
+
+#[test]
+fn an_answer_in_progress_is_not_ended_because_a_new_stage_refuses_and_no_retry_is_left() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    use_up_retries(&mut sim);
+    sim.handle(engine_failure(id(1), 1));
+    sim.handle(refusal(id(1), 2));
+    run(&mut sim, 100);
+    assert!(!sim.outcomes.contains_key(&id(1)), "{:?}", sim.outcomes[&id(1)]);
+    run(&mut sim, 5_000);
+    assert!(is_complete(&sim, 1), "{:?}", sim.outcomes.get(&id(1)));
+}
+
+/// Sides refuse every attempt for 5 s. One retry a second is added, and less than one was left.
+#[test]
+fn answers_that_wait_for_a_retry_do_not_take_more_than_the_budget_gives() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=20);
+    use_up_retries(&mut sim);
+    let mut attempts = 0;
+    let mut effects = Vec::new();
+    for seq in 1..=20 {
+        effects.extend(sim.machine.handle(sim.now, engine_failure(id(seq), 1)));
+    }
+    for _ in 0..5_000_000 / TICK_US {
+        sim.now = sim.now + Duration::from_micros(TICK_US);
+        effects.extend(sim.machine.handle(sim.now, Event::Tick));
+        while let Some(effect) = effects.pop() {
+            assert!(!matches!(effect, Effect::Finish { .. }), "{effect:?}");
+            let Effect::Send { message: Message::Open(open), .. } = effect else { continue };
+            if open.stage == 0 {
+                attempts += 1;
+                let event = refusal(open.request, open.attempt);
+                effects.extend(sim.machine.handle(sim.now, event));
+            }
+        }
+    }
+    assert!(attempts > 20, "no retry was made");
+    assert!(attempts <= 20 + 6, "{attempts} attempts of 20 answers in 5 s");
+}
