Do not end an answer for attempts that were silent or refused, or for want of a chain

What callers saw: an answer in progress was cut with endpoint-failed after nine attempts without a token, long before its deadline, although no attempt had failed: the sides were silent or refused it, or no chain was found for 2 to 3 s and one attempt failed afterwards.

Cause: one count, limited to 8, held failed attempts, silent ones, refused ones and each search without a chain.

Evidence: an_answer_in_progress_is_not_ended_by_a_number_of_silent_attempts and an_answer_that_had_to_wait_for_a_chain_survives_the_next_failure both failed with "[Refused(Refused { reason: EndpointFailed, ran: Unknown, retry_after_ms: None })]".

Change: the limit counts attempts that failed, since a prompt may be what engines crash at; it stays at 8 (a_generation_ends_after_a_number_of_engine_failures; it fails with a limit of 800). An engine may also hang at a prompt, so at most 8 silent attempts are left; the ninth waits for its sides until the deadline. Refused attempts are bounded by the retry budget. The backoff counts all, as before.

--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -17,7 +17,7 @@
 
 use super::admission::Spec;
 use super::count::Counter;
-use super::inflight::{Generation, Phase};
+use super::inflight::{Generation, Phase, Retries};
 use super::{Effect, Generate, Machine, Outcome, remaining_ms, send};
 
 /// Fraction of `max_tokens` that an answer is expected to use before any answer was seen.
@@ -75,7 +75,7 @@
             timeouts: Timeouts::new(Duration::ZERO),
             resume: 0,
             failed: BTreeSet::new(),
-            retries: 0,
+            retries: Retries::default(),
             token_time: Duration::ZERO,
             slow_tokens: 0,
             fault_at: None,
@@ -180,8 +180,8 @@
             return;
         }
         self.counters.add(Counter::Retried(retry::Reason::NoChain), &generation.spec.workspace);
-        generation.retries += 1;
-        let wait = retry::backoff(generation.retries, self.rng.next_u64());
+        generation.retries.count += 1;
+        let wait = retry::backoff(generation.retries.count, self.rng.next_u64());
         generation.phase = Phase::Waiting(now + wait);
         self.generations.insert(generation.request, generation);
     }
@@ -329,7 +329,7 @@
     /// Delivers a token; returns whether the answer is complete.
     fn deliver(&mut self, id: Id, sample: Sample, effects: &mut Vec<Effect>) -> bool {
         let Some(generation) = self.generations.get_mut(&id) else { return false };
-        generation.retries = 0;
+        generation.retries = Retries::default();
         if !sample.end {
             self.counters.add(Counter::Token, &generation.spec.workspace);
             effects.push(Effect::Deliver { request: id, text: sample.text });
--- a/crates/core/src/entry/inflight.rs
+++ b/crates/core/src/entry/inflight.rs
@@ -9,6 +9,7 @@
 use crate::name;
 use crate::recover::Timeouts;
 use crate::request::{Id, Position, Ran, Refusal, Refused};
+use crate::retry::Reason;
 use crate::time::Instant;
 
 use super::{Effect, Generate, send};
@@ -33,8 +34,8 @@
     pub resume: Position,
     /// Endpoints that have failed this request and that later attempts avoid.
     pub failed: BTreeSet<name::Endpoint>,
-    /// Attempts that have failed since the last token was delivered.
-    pub retries: u32,
+    /// Attempts since the last token was delivered.
+    pub retries: Retries,
     /// Time between tokens that was estimated when the chain was chosen.
     pub token_time: Duration,
     /// Consecutive slow tokens; a very slow one counts as several.
@@ -47,6 +48,29 @@
     pub paused: bool,
 }
 
+/// Attempts without a new token, by how they ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Retries {
+    /// All of them, and searches that found no chain.
+    pub count: u32,
+    /// Those that failed. Silence and refusals, after which a side may go on, are none.
+    pub failed: u32,
+    /// Those that were left because a stage was silent.
+    pub silent: u32,
+}
+
+impl Retries {
+    /// Records the end of an attempt.
+    pub(super) fn record(&mut self, reason: Reason) {
+        self.count += 1;
+        match reason {
+            Reason::Silent => self.silent += 1,
+            Reason::Refused => {}
+            _ => self.failed += 1,
+        }
+    }
+}
+
 /// Phase of an attempt.
 #[derive(Clone, Debug)]
 pub(super) enum Phase {
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -27,10 +27,14 @@
 /// How long nothing is sent to a host that is considered dead.
 const DEAD_PERIOD: Duration = Duration::from_secs(3);
 
-/// Most failed attempts without a new token before a generation is refused.
+/// Most failed attempts without a new token before a generation is refused, since its prompt may be
+/// what engines fail at.
 const MAX_RETRIES: u32 = 8;
 
-/// Failed attempts without a new token that are retried without backoff.
+/// Most attempts without a new token that are left because a stage is silent.
+const MAX_SILENT_RETRIES: u32 = 8;
+
+/// Attempts without a new token that are retried without backoff.
 const IMMEDIATE_RETRIES: u32 = 2;
 
 /// The failure of an attempt.
@@ -282,19 +286,17 @@
         }
     }
 
-    /// Replaces a stage that was silent for too long, if the retry budget allows it.
+    /// Replaces a stage that was silent for too long, if the retry budget allows it. Otherwise the
+    /// attempt goes on, since the stage may do so too.
     fn suspect(&mut self, now: Instant, id: Id, stage: u16, effects: &mut Vec<Effect>) {
-        if !self.retry_budget.take(now) {
-            let due = self
-                .generations
-                .get(&id)
-                .is_some_and(|g| now.since(g.last_sent) >= g.timeouts.retransmit);
-            if due {
+        let Some(generation) = self.generations.get(&id) else { return };
+        let may_leave = generation.retries.silent < MAX_SILENT_RETRIES;
+        if !may_leave || !self.retry_budget.take(now) {
+            if now.since(generation.last_sent) >= generation.timeouts.retransmit {
                 self.retransmit(now, id, effects);
             }
             return;
         }
-        let Some(generation) = self.generations.get(&id) else { return };
         let endpoint = generation.chain.get(usize::from(stage)).map(|stage| stage.endpoint.clone());
         if let Some(endpoint) = &endpoint {
             self.planner.mark_suspected(endpoint, now + SUSPECT_PERIOD);
@@ -307,7 +309,7 @@
         let mut generation = self.generations.remove(&id)?;
         self.planner.record_finish(&generation.chain);
         generation.phase = Phase::Waiting(now);
-        generation.retries += 1;
+        generation.retries.record(failure.reason);
         // A silent stage failed when the step was sent, not when the timeout expired.
         let began = if failure.reason == Reason::Silent { generation.step_started } else { now };
         generation.fault_at.get_or_insert(began);
@@ -328,15 +330,16 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(mut generation) = self.end_attempt(now, id, failure) else { return };
-        if generation.retries > MAX_RETRIES {
+        if generation.retries.failed > MAX_RETRIES {
             self.give_up(now, generation, Refusal::EndpointFailed, None, effects);
             return;
         }
-        if generation.retries <= IMMEDIATE_RETRIES {
+        let retries = generation.retries.count;
+        if retries <= IMMEDIATE_RETRIES {
             self.start_attempt(now, generation, effects);
             return;
         }
-        let wait = retry::backoff(generation.retries - IMMEDIATE_RETRIES, self.rng.next_u64());
+        let wait = retry::backoff(retries - IMMEDIATE_RETRIES, self.rng.next_u64());
         let ms = as_us(wait) / 1000;
         self.records.add(now, id, Fact::WaitsForRetry { ms });
         generation.phase = Phase::Waiting(now + wait);
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -9,11 +9,13 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use oriole_core::entry::count::Counter;
 use oriole_core::entry::{Effect, Event, Machine, Outcome, Request};
 use oriole_core::membership::Listing;
 use oriole_core::message::{Answer, Broken, Fault, Message, Refuse, Reply, Report, State, not_run};
 use oriole_core::name;
 use oriole_core::request::{Id, Ran, Refusal};
+use oriole_core::retry::Reason;
 use simulation::{Simulation, TICK_US, config, expected_text, generate, id};
 
 /// Requests that only use up retries.
@@ -338,3 +340,82 @@
     assert!(attempts > 20, "no retry was made");
     assert!(attempts <= 20 + 6, "{attempts} attempts of 20 answers in 5 s");
 }
+
+/// Nothing comes through for 20 s, while no connection ends; then all sides go on.
+#[test]
+fn an_answer_in_progress_is_not_ended_by_a_number_of_silent_attempts() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    sim.loss_percent = 100;
+    run(&mut sim, 20_000);
+    assert!(!sim.outcomes.contains_key(&id(1)), "{:?}", sim.outcomes[&id(1)]);
+    // Engines that hang at its prompt must not be tried for ever.
+    assert_eq!(sim.machine.counters().sum(Counter::Retried(Reason::Silent)), 8);
+    sim.loss_percent = 0;
+    run(&mut sim, 20_000);
+    assert!(is_complete(&sim, 1), "{:?}", sim.outcomes.get(&id(1)));
+}
+
+/// Lets time pass until the first stage of an attempt is opened, and returns the attempt.
+fn next_attempt(sim: &mut Simulation) -> u32 {
+    for _ in 0..1000 {
+        sim.now = sim.now + Duration::from_micros(TICK_US);
+        for effect in sim.machine.handle(sim.now, Event::Tick) {
+            if let Effect::Send { message: Message::Open(open), .. } = effect {
+                return open.attempt;
+            }
+        }
+    }
+    panic!("no attempt");
+}
+
+/// Waiting for a chain is no failure: after it, one failure more does not end the answer.
+#[test]
+fn an_answer_that_had_to_wait_for_a_chain_survives_the_next_failure() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    let hosts: BTreeSet<name::Host> =
+        sim.machine.config().endpoints.values().map(|endpoint| endpoint.host.clone()).collect();
+    sim.loss_percent = 100;
+    for host in &hosts {
+        sim.handle(Event::Disconnected(host.clone()));
+    }
+    run(&mut sim, 2_500);
+    sim.loss_percent = 0;
+    for host in &hosts {
+        sim.handle(Event::Connected(host.clone()));
+    }
+    let attempt = next_attempt(&mut sim);
+    sim.handle(engine_failure(id(1), attempt));
+    run(&mut sim, 5_000);
+    assert!(is_complete(&sim, 1), "{:?}", sim.outcomes.get(&id(1)));
+}
+
+/// A prompt that crashes every engine must not be tried for ever.
+#[test]
+fn a_generation_ends_after_a_number_of_engine_failures() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    let mut attempts = 0;
+    let mut effects = sim.machine.handle(sim.now, engine_failure(id(1), 1));
+    for _ in 0..20_000_000 / TICK_US {
+        sim.now = sim.now + Duration::from_micros(TICK_US);
+        effects.extend(sim.machine.handle(sim.now, Event::Tick));
+        while let Some(effect) = effects.pop() {
+            if let Effect::Finish { outcome, .. } = effect {
+                assert!(attempts <= 8, "{attempts} attempts");
+                assert!(
+                    matches!(outcome, Outcome::Refused(r) if r.reason == Refusal::EndpointFailed)
+                );
+                return;
+            }
+            let Effect::Send { message: Message::Open(open), .. } = effect else { continue };
+            if open.stage == 0 {
+                attempts += 1;
+                let event = engine_failure(open.request, open.attempt);
+                effects.extend(sim.machine.handle(sim.now, event));
+            }
+        }
+    }
+    panic!("still tried after {attempts} attempts");
+}
