Count the wait for a chain from when there is none

What callers saw: an answer in progress was cut with no-chain at the first moment without a chain, if it had been without a token for 5 s by then, also while its sides were merely silent or it waited for a retry.

Cause: the 5 s (docs/design/recovery.md: a request in progress waits for a chain for up to 5 s) ran from the first fault.

Evidence: an_answer_that_was_silent_for_long_still_waits_for_a_chain failed with "[Refused(Refused { reason: NoChain, ran: Unknown, retry_after_ms: None })]".

Change: they run from the first search since the last token that found none. They don't begin anew when a chain is found that then fails as well, so an answer whose sides are all dead still ends (an_answer_does_not_wait_for_a_chain_for_ever; it fails without the limit).

--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -174,8 +174,8 @@
         refused: Refused,
         effects: &mut Vec<Effect>,
     ) {
-        let waited = generation.fault_at.map_or(Duration::ZERO, |at| now.since(at));
-        if !generation.started || waited >= MAX_NO_CHAIN_WAIT {
+        let since = *generation.retries.no_chain_since.get_or_insert(now);
+        if !generation.started || now.since(since) >= MAX_NO_CHAIN_WAIT {
             self.give_up(now, generation, refused.reason, refused.retry_after_ms, effects);
             return;
         }
--- a/crates/core/src/entry/inflight.rs
+++ b/crates/core/src/entry/inflight.rs
@@ -57,6 +57,8 @@
     pub failed: u32,
     /// Those that were left because a stage was silent.
     pub silent: u32,
+    /// When no chain was found for the first time.
+    pub no_chain_since: Option<Instant>,
 }
 
 impl Retries {
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -419,3 +419,40 @@
     }
     panic!("still tried after {attempts} attempts");
 }
+
+/// The time for which an answer waits for a chain begins when there is none, not with a silence
+/// before.
+#[test]
+fn an_answer_that_was_silent_for_long_still_waits_for_a_chain() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    sim.loss_percent = 100;
+    run(&mut sim, 10_000);
+    let hosts: BTreeSet<name::Host> =
+        sim.machine.config().endpoints.values().map(|endpoint| endpoint.host.clone()).collect();
+    for host in &hosts {
+        sim.handle(Event::Disconnected(host.clone()));
+    }
+    run(&mut sim, 1_000);
+    sim.loss_percent = 0;
+    for host in &hosts {
+        sim.handle(Event::Connected(host.clone()));
+    }
+    run(&mut sim, 10_000);
+    assert!(is_complete(&sim, 1), "{:?}", sim.outcomes.get(&id(1)));
+}
+
+#[test]
+fn an_answer_does_not_wait_for_a_chain_for_ever() {
+    let mut sim = Simulation::new(1);
+    start_generations(&mut sim, 1..=1);
+    let hosts: BTreeSet<name::Host> =
+        sim.machine.config().endpoints.values().map(|endpoint| endpoint.host.clone()).collect();
+    for _ in 0..60 {
+        for host in &hosts {
+            sim.kill(host);
+        }
+        run(&mut sim, 100);
+    }
+    assert!(matches!(sim.outcomes[&id(1)][..], [Outcome::Refused(_)]));
+}
