Return a call to the silent side that it left, if the other side refuses it

What callers saw: an idempotent call left its silent side with a retry, the other side refused it (queue full, leaving), and with no further retry or endpoint it was refused with retry-budget, although the first side would have answered.

Evidence: a_call_returns_to_its_silent_side_if_the_one_that_it_left_for_refuses_it failed with "left: Some((RetryBudget, Unknown)), right: None".

Each leave allows one return (a_call_does_not_return_to_its_silent_side_twice; it fails if the endpoint isn't forgotten), and a host that is certainly lost is forgotten. The explain record shows no plan for such an attempt, since none was made.

--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -85,6 +85,7 @@
             timeouts: Timeouts::new(Duration::ZERO),
             claimed: false,
             may_have_run: false,
+            left: None,
             failed: BTreeSet::new(),
             terms: BTreeMap::new(),
         };
@@ -107,8 +108,8 @@
         Ok(())
     }
 
-    /// Chooses an endpoint and sends it the next attempt, or refuses the call. No earlier attempt
-    /// may be in progress.
+    /// Chooses an endpoint and sends it the next attempt, or refuses the call. No earlier attempt of a
+    /// call that is not idempotent may be in progress.
     pub(super) fn assign(&mut self, now: Instant, pending: Pending, effects: &mut Vec<Effect>) {
         let random = self.rng.next_u64();
         match self.find_endpoint(now, &pending, &pending.failed, random) {
@@ -116,7 +117,7 @@
             Err(unplanned) => {
                 let refused = unplanned.refused.clone();
                 self.records.add(now, pending.call.request, Fact::Unplanned(unplanned));
-                self.refuse_call(now, pending, refused, effects);
+                self.refuse_or_return(now, pending, refused, effects);
             }
         }
     }
@@ -149,9 +150,23 @@
         choice: Choice,
         effects: &mut Vec<Effect>,
     ) {
-        let id = pending.call.request;
         let Some(stage) = choice.chain.first().cloned() else { return };
-        self.planner.record_dispatch(now, &choice.chain, 0);
+        pending.timeouts = Timeouts::new(Duration::from_micros(choice.first_us));
+        let (id, attempt) = (pending.call.request, pending.call.attempt + 1);
+        let degraded = self.degraded(now);
+        self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
+        self.send_attempt(now, pending, stage, effects);
+    }
+
+    /// Sends the next attempt to the endpoint of `stage`.
+    pub(super) fn send_attempt(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        stage: Stage,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.planner.record_dispatch(now, std::slice::from_ref(&stage), 0);
         pending.call.attempt += 1;
         pending.call.endpoint = stage.endpoint.clone();
         pending.call.deadline_ms = remaining_ms(now, pending.deadline);
@@ -160,16 +175,12 @@
             0 => pending.terms.get(&stage.endpoint).copied().unwrap_or_default(),
             _ => *pending.terms.entry(stage.endpoint.clone()).or_insert(latest),
         };
-        pending.timeouts = Timeouts::new(Duration::from_micros(choice.first_us));
         pending.stage = stage;
         pending.step_started = now;
         pending.last_sent = now;
         pending.step = Step::Running;
-        let attempt = pending.call.attempt;
-        let degraded = self.degraded(now);
-        self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
         effects.push(send(&pending.stage, Message::Call(pending.call.clone())));
-        self.calls.insert(id, pending);
+        self.calls.insert(pending.call.request, pending);
     }
 
     pub(super) fn on_reply(&mut self, now: Instant, reply: Reply, effects: &mut Vec<Effect>) {
@@ -204,7 +215,7 @@
         let repeatable = refused.ran == Ran::No || pending.call.idempotent;
         let last = matches!(refused.reason, Refusal::Deadline | Refusal::Superseded);
         if last || !repeatable || pending.call.attempt >= MAX_ATTEMPTS {
-            self.refuse_call(now, pending, refused, effects);
+            self.refuse_or_return(now, pending, refused, effects);
             return;
         }
         if refused.reason == Refusal::Restarted && refused.ran == Ran::No {
@@ -233,7 +244,7 @@
         }
         let retry_after_ms = Some(as_us(self.retry_budget.wait()) / 1000);
         let refused = Refused { reason: Refusal::RetryBudget, retry_after_ms, ..refused };
-        self.refuse_call(now, pending, refused, effects);
+        self.refuse_or_return(now, pending, refused, effects);
     }
 
     pub(super) fn tick_calls(&mut self, now: Instant, effects: &mut Vec<Effect>) {
--- a/crates/core/src/entry/lost.rs
+++ b/crates/core/src/entry/lost.rs
@@ -97,6 +97,11 @@
         let on_host = self.calls.iter().filter(|(_, pending)| pending.is_on(host));
         let failed: Vec<(Id, bool, Instant)> =
             on_host.map(|(id, pending)| (*id, pending.call.idempotent, pending.deadline)).collect();
+        if let Loss::Certain = loss {
+            let has_left =
+                |pending: &Pending| pending.left.as_ref().is_some_and(|s| s.host == *host);
+            self.calls.values_mut().filter(|p| has_left(p)).for_each(|p| p.left = None);
+        }
         let reason = Refusal::EndpointFailed;
         for (id, idempotent, deadline) in failed {
             match (idempotent, loss) {
@@ -138,10 +143,26 @@
         }
         let Some(mut pending) = self.take_call(id) else { return false };
         self.suspect_endpoint(now, &mut pending, reason);
+        pending.left = Some(pending.stage.clone());
         self.dispatch(now, pending, choice, effects);
         true
     }
 
+    /// Refuses a call, unless it has left a silent endpoint, which may still answer: it returns there.
+    pub(super) fn refuse_or_return(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        refused: Refused,
+        effects: &mut Vec<Effect>,
+    ) {
+        let left = pending.left.take().filter(|stage| stage.endpoint != pending.stage.endpoint);
+        match left {
+            Some(stage) => self.send_attempt(now, pending, stage, effects),
+            None => self.refuse_call(now, pending, refused, effects),
+        }
+    }
+
     /// Abandons an attempt of an idempotent call that is certainly lost and makes another.
     fn move_call(&mut self, now: Instant, id: Id, effects: &mut Vec<Effect>) {
         let Some(mut pending) = self.take_call(id) else { return };
@@ -149,7 +170,7 @@
         let reason = Refusal::EndpointFailed;
         let refused = Refused { reason, ran: Ran::Unknown, retry_after_ms: None };
         if pending.call.attempt >= MAX_ATTEMPTS {
-            self.refuse_call(now, pending, refused, effects);
+            self.refuse_or_return(now, pending, refused, effects);
             return;
         }
         self.retry_call(now, pending, refused, effects);
--- a/crates/core/src/entry/pending.rs
+++ b/crates/core/src/entry/pending.rs
@@ -38,6 +38,8 @@
     pub claimed: bool,
     /// Whether an earlier attempt may have run, so that the call is never reported as not run.
     pub may_have_run: bool,
+    /// The endpoint that an idempotent call left because it was silent, and that may still answer.
+    pub left: Option<Stage>,
     /// Endpoints that have failed this call and that later attempts avoid.
     pub failed: BTreeSet<name::Endpoint>,
     /// The term under which the call was first sent to each endpoint. Later attempts keep it, so
--- a/crates/core/tests/silent_side.rs
+++ b/crates/core/tests/silent_side.rs
@@ -172,6 +172,35 @@
     assert!(calls.is_answered());
 }
 
+#[test]
+fn a_call_returns_to_its_silent_side_if_the_one_that_it_left_for_refuses_it() {
+    let mut calls = Calls::start("/again", 2);
+    calls.silence();
+    calls.wait(300);
+    assert_eq!(calls.hosts().len(), 2);
+    use_up_retries(&mut calls.sim);
+    calls.handle(refusal(id(1), 2));
+    assert_eq!(calls.refused(), None);
+    let first = calls.sent[0].0.clone();
+    let Some((host, Message::Call(call))) = calls.sent.last() else { panic!("not sent again") };
+    assert_eq!((host, &call.endpoint, call.attempt), (&first, &"e90".into(), 3));
+    calls.wait(300);
+    calls.answer(1);
+    assert!(calls.is_answered());
+}
+
+/// Both sides have refused the call, so there is nothing to return to.
+#[test]
+fn a_call_does_not_return_to_its_silent_side_twice() {
+    let mut calls = Calls::start("/again", 2);
+    calls.silence();
+    calls.wait(300);
+    use_up_retries(&mut calls.sim);
+    calls.handle(refusal(id(1), 2));
+    calls.handle(refusal(id(1), 3));
+    assert_eq!(calls.refused(), Some((Refusal::RetryBudget, Ran::Unknown)));
+}
+
 /// The endpoint gets no new work, since its host leaves, and the call at it is silent for long.
 #[test]
 fn an_idempotent_call_is_not_refused_because_its_slow_endpoint_takes_no_other_calls() {
