--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -10,7 +10,8 @@
 //! - `recovery`: retransmission, failed stages and lost hosts; `migrate`: slow generations.
 //! - `admission`: admission by contract, with limits that are shared with other entries.
 //! - `call`, `idempotency`: calls of plain services and their idempotency keys; `failover`: calls
-//!   that fail; `pending`: the state of one call.
+//!   that are refused; `lost`: calls at sides that are silent or lost; `pending`: the state of one
+//!   call.
 //! - `hosts`: feeds the state of hosts into the choice of endpoints.
 //! - [`count`]: counters for each reason of a refusal or a retry.
 
@@ -24,6 +25,7 @@
 mod hosts;
 mod idempotency;
 mod inflight;
+mod lost;
 mod migrate;
 mod pending;
 mod recovery;
--- a/crates/core/src/entry/call.rs
+++ b/crates/core/src/entry/call.rs
@@ -10,7 +10,8 @@
 use crate::explain::{Fact, Subject};
 use crate::limit::Permit;
 use crate::message::{Call, Message, Reply, Stage, Term, not_run};
-use crate::plan::Query;
+use crate::name;
+use crate::plan::{Choice, Query, Unplanned};
 use crate::recover::Timeouts;
 use crate::request::{Id, Ran, Refusal, Refused};
 use crate::retry::Reason;
@@ -80,6 +81,8 @@
             last_sent: now,
             timeouts: Timeouts::new(Duration::ZERO),
             claimed: false,
+            may_have_run: false,
+            left: None,
             failed: BTreeSet::new(),
             terms: BTreeMap::new(),
         };
@@ -102,30 +105,65 @@
         Ok(())
     }
 
-    /// Chooses an endpoint and sends it the next attempt, or refuses the call. No earlier attempt
-    /// may be in progress.
-    pub(super) fn assign(&mut self, now: Instant, mut pending: Pending, effects: &mut Vec<Effect>) {
-        let id = pending.call.request;
+    /// Chooses an endpoint and sends it the next attempt, or refuses the call. No earlier attempt of a
+    /// call that is not idempotent may be in progress.
+    pub(super) fn assign(&mut self, now: Instant, pending: Pending, effects: &mut Vec<Effect>) {
+        let random = self.rng.next_u64();
+        match self.find_endpoint(now, &pending, &pending.failed, random) {
+            Ok(choice) => self.dispatch(now, pending, choice, effects),
+            Err(unplanned) => {
+                let refused = unplanned.refused.clone();
+                self.records.add(now, pending.call.request, Fact::Unplanned(unplanned));
+                self.refuse_or_return(now, pending, refused, effects);
+            }
+        }
+    }
+
+    /// Chooses an endpoint for the next attempt, one of `avoid` only if there is no other.
+    pub(super) fn find_endpoint(
+        &self,
+        now: Instant,
+        pending: &Pending,
+        avoid: &BTreeSet<name::Endpoint>,
+        random: u64,
+    ) -> Result<Choice, Unplanned> {
         let query = Query {
             prompt_tokens: 0,
             answer_tokens: 1,
             time_left: pending.deadline.since(now),
             prefixes: &[],
-            avoid: &pending.failed,
+            avoid,
             include: &BTreeSet::new(),
-            random: self.rng.next_u64(),
-        };
-        let choice = match self.planner.choose_service(now, &pending.spec.service, &query) {
-            Ok(choice) => choice,
-            Err(unplanned) => {
-                let refused = unplanned.refused.clone();
-                self.records.add(now, id, Fact::Unplanned(unplanned));
-                self.refuse_call(now, pending, refused, effects);
-                return;
-            }
+            random,
         };
+        self.planner.choose_service(now, &pending.spec.service, &query)
+    }
+
+    /// Sends the next attempt to the chosen endpoint.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        choice: Choice,
+        effects: &mut Vec<Effect>,
+    ) {
         let Some(stage) = choice.chain.first().cloned() else { return };
-        self.planner.record_dispatch(now, &choice.chain, 0);
+        pending.timeouts = Timeouts::new(Duration::from_micros(choice.first_us));
+        let (id, attempt) = (pending.call.request, pending.call.attempt + 1);
+        let degraded = self.degraded(now);
+        self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
+        self.send_attempt(now, pending, stage, effects);
+    }
+
+    /// Sends the next attempt to the endpoint of `stage`.
+    pub(super) fn send_attempt(
+        &mut self,
+        now: Instant,
+        mut pending: Pending,
+        stage: Stage,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.planner.record_dispatch(now, std::slice::from_ref(&stage), 0);
         pending.call.attempt += 1;
         pending.call.endpoint = stage.endpoint.clone();
         pending.call.deadline_ms = remaining_ms(now, pending.deadline);
@@ -134,16 +172,12 @@
             0 => pending.terms.get(&stage.endpoint).copied().unwrap_or_default(),
             _ => *pending.terms.entry(stage.endpoint.clone()).or_insert(latest),
         };
-        pending.timeouts = Timeouts::new(Duration::from_micros(choice.first_us));
         pending.stage = stage;
         pending.step_started = now;
         pending.last_sent = now;
         pending.step = Step::Running;
-        let attempt = pending.call.attempt;
-        let degraded = self.degraded(now);
-        self.records.add(now, id, Fact::Planned { attempt, choice, degraded });
         effects.push(send(&pending.stage, Message::Call(pending.call.clone())));
-        self.calls.insert(id, pending);
+        self.calls.insert(pending.call.request, pending);
     }
 
     pub(super) fn on_reply(&mut self, now: Instant, reply: Reply, effects: &mut Vec<Effect>) {
@@ -174,11 +208,7 @@
                 Due::Resolve(until) => {
                     self.resolve(now, id, Refusal::Deadline, until, effects);
                 }
-                Due::FailOver if self.retry_budget.take(now) => {
-                    let Some(mut pending) = self.take_call(id) else { continue };
-                    self.suspect_endpoint(now, &mut pending, Reason::Silent);
-                    self.assign(now, pending, effects);
-                }
+                Due::FailOver if self.leave_endpoint(now, id, Reason::Silent, effects) => {}
                 Due::FailOver | Due::Resend => {
                     let Some(pending) = self.calls.get_mut(&id) else { continue };
                     pending.last_sent = now;
--- a/crates/core/src/entry/generation.rs
+++ b/crates/core/src/entry/generation.rs
@@ -14,7 +14,7 @@
 
 use super::admission::Spec;
 use super::count::Counter;
-use super::inflight::{Generation, Phase};
+use super::inflight::{Generation, Phase, Retries};
 use super::{Effect, Generate, Machine, Outcome, send};
 
 /// Fraction of `max_tokens` that an answer is expected to use before any answer was seen.
@@ -66,7 +66,7 @@
             timeouts: Timeouts::new(Duration::ZERO),
             resume: 0,
             failed: BTreeSet::new(),
-            retries: 0,
+            retries: Retries::default(),
             token_time: Duration::ZERO,
             slow_tokens: 0,
             fault_at: None,
@@ -150,7 +150,7 @@
     /// Delivers a token; returns whether the answer is complete.
     fn deliver(&mut self, id: Id, sample: Sample, effects: &mut Vec<Effect>) -> bool {
         let Some(generation) = self.generations.get_mut(&id) else { return false };
-        generation.retries = 0;
+        generation.retries = Retries::default();
         if !sample.end {
             self.counters.add(Counter::Token, &generation.spec.workspace);
             effects.push(Effect::Deliver { request: id, text: sample.text });
@@ -177,7 +177,7 @@
 
     /// Cancels the attempt at all stages.
     pub(super) fn release(&mut self, generation: &Generation, effects: &mut Vec<Effect>) {
-        if !matches!(generation.phase, Phase::Waiting(_)) {
+        if !generation.is_waiting() {
             self.planner.record_finish(&generation.chain);
         }
         effects.extend(generation.chain.iter().map(|stage| generation.cancel_message(stage)));
--- a/crates/core/src/entry/inflight.rs
+++ b/crates/core/src/entry/inflight.rs
@@ -9,6 +9,7 @@
 use crate::name;
 use crate::recover::Timeouts;
 use crate::request::{Id, Position, Ran, Refusal, Refused};
+use crate::retry::Reason;
 use crate::time::Instant;
 
 use super::{Effect, Generate, send};
@@ -33,8 +34,8 @@
     pub resume: Position,
     /// Endpoints that have failed this request and that later attempts avoid.
     pub failed: BTreeSet<name::Endpoint>,
-    /// Attempts that have failed since the last token was delivered.
-    pub retries: u32,
+    /// Attempts since the last token was delivered.
+    pub retries: Retries,
     /// Time between tokens that was estimated when the chain was chosen.
     pub token_time: Duration,
     /// Consecutive slow tokens; a very slow one counts as several.
@@ -47,11 +48,38 @@
     pub paused: bool,
 }
 
+/// Attempts without a new token, by how they ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Retries {
+    /// All of them, and searches that found no chain.
+    pub count: u32,
+    /// Those that failed. Silence and refusals, after which a side may go on, are none.
+    pub failed: u32,
+    /// Those that were left because a stage was silent.
+    pub silent: u32,
+    /// When no chain was found for the first time.
+    pub no_chain_since: Option<Instant>,
+}
+
+impl Retries {
+    /// Records the end of an attempt.
+    pub(super) fn record(&mut self, reason: Reason) {
+        self.count += 1;
+        match reason {
+            Reason::Silent => self.silent += 1,
+            Reason::Refused => {}
+            _ => self.failed += 1,
+        }
+    }
+}
+
 /// Phase of an attempt.
 #[derive(Clone, Debug)]
 pub(super) enum Phase {
     /// The next attempt starts at this time.
     Waiting(Instant),
+    /// The next attempt starts as soon as the retry budget allows it.
+    AwaitingRetry,
     /// Some stages have not acknowledged yet that they are open.
     Opening {
         /// Indices of these stages.
@@ -72,6 +100,11 @@
 }
 
 impl Generation {
+    /// Returns whether there is no attempt in progress.
+    pub(super) fn is_waiting(&self) -> bool {
+        matches!(self.phase, Phase::Waiting(_) | Phase::AwaitingRetry)
+    }
+
     /// Returns the feed in flight, or the next one; `None` if there is nothing to feed.
     pub(super) fn feed(&mut self, chunk: u32) -> Option<Feed> {
         let (request, attempt) = (self.request, self.answer.attempt());
--- a/crates/core/src/entry/recovery.rs
+++ b/crates/core/src/entry/recovery.rs
@@ -12,6 +12,7 @@
 
 use super::count::Counter;
 use super::inflight::{Generation, Phase};
+use super::lost::Loss;
 use super::{Effect, Machine, send};
 
 /// How long an endpoint that failed is avoided if there is another one.
@@ -26,10 +27,14 @@
 /// How long nothing is sent to a host that is considered dead.
 const DEAD_PERIOD: Duration = Duration::from_secs(3);
 
-/// Most failed attempts without a new token before a generation is refused.
+/// Most failed attempts without a new token before a generation is refused, since its prompt may be
+/// what engines fail at.
 const MAX_RETRIES: u32 = 8;
 
-/// Failed attempts without a new token that are retried without backoff.
+/// Most attempts without a new token that are left because a stage is silent.
+const MAX_SILENT_RETRIES: u32 = 8;
+
+/// Attempts without a new token that are retried without backoff.
 const IMMEDIATE_RETRIES: u32 = 2;
 
 /// The failure of an attempt.
@@ -50,28 +55,44 @@
     /// Handles the refusal of a side to open a stage. Nothing of this attempt ran there.
     pub(super) fn on_refuse(&mut self, now: Instant, refuse: Refuse, effects: &mut Vec<Effect>) {
         let Some(generation) = self.generations.get(&refuse.request) else { return };
-        if generation.answer.attempt() != refuse.attempt
-            || matches!(generation.phase, Phase::Waiting(_))
-        {
+        if generation.answer.attempt() != refuse.attempt || generation.is_waiting() {
             return;
         }
         let Some(stage) = generation.chain.get(usize::from(refuse.stage)) else { return };
         let endpoint = stage.endpoint.clone();
         self.learn_from_refusal(now, &endpoint, &refuse.refused);
-        let reason = refuse.refused.reason;
-        if reason.is_final() || !self.retry_budget.take(now) {
-            let Some(generation) = self.generations.remove(&refuse.request) else { return };
-            let (reason, retry_after_ms) = if reason.is_final() {
-                (reason, refuse.refused.retry_after_ms)
-            } else {
-                (Refusal::RetryBudget, Some(self.retry_budget.retry_after_ms()))
-            };
-            self.give_up(now, generation, reason, retry_after_ms, effects);
+        let (id, refused) = (refuse.request, refuse.refused);
+        if refused.reason.is_final() {
+            if let Some(generation) = self.generations.remove(&id) {
+                self.give_up(now, generation, refused.reason, refused.retry_after_ms, effects);
+            }
             return;
         }
-        let refused = Some(refuse.refused);
+        let refused = Some(refused);
         let failure = Failure { reason: Reason::Refused, refused, endpoint: Some(endpoint) };
-        self.fail(now, refuse.request, failure, effects);
+        if self.retry_budget.take(now) {
+            self.fail(now, id, failure, effects);
+        } else {
+            self.await_retry(now, id, failure, effects);
+        }
+    }
+
+    /// Ends an attempt after which there is no retry. An answer in progress waits for one until its
+    /// deadline; a generation that has not started is refused.
+    fn await_retry(&mut self, now: Instant, id: Id, failure: Failure, effects: &mut Vec<Effect>) {
+        let ms = self.retry_budget.retry_after_ms();
+        let Some(generation) = self.generations.get(&id) else { return };
+        if !generation.started {
+            if let Some(generation) = self.generations.remove(&id) {
+                self.give_up(now, generation, Refusal::RetryBudget, Some(ms), effects);
+            }
+            return;
+        }
+        if let Some(mut generation) = self.end_attempt(now, id, failure) {
+            self.records.add(now, id, Fact::WaitsForRetry { ms });
+            generation.phase = Phase::AwaitingRetry;
+            self.generations.insert(id, generation);
+        }
     }
 
     /// Updates what is known of an endpoint from its refusal, so that later requests avoid it.
@@ -97,9 +118,7 @@
     /// Handles the report of a stage that the attempt cannot continue.
     pub(super) fn on_broken(&mut self, now: Instant, broken: &Broken, effects: &mut Vec<Effect>) {
         let Some(generation) = self.generations.get(&broken.request) else { return };
-        if generation.answer.attempt() != broken.attempt
-            || matches!(generation.phase, Phase::Waiting(_))
-        {
+        if generation.answer.attempt() != broken.attempt || generation.is_waiting() {
             return;
         }
         let stage = usize::from(broken.stage);
@@ -128,7 +147,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if self.probing.contains_key(host) {
-            self.on_host_dead(now, host, effects);
+            self.on_host_dead(now, host, Loss::Certain, effects);
             return;
         }
         if self.dead.contains_key(host) {
@@ -158,7 +177,13 @@
         }
     }
 
-    fn on_host_dead(&mut self, now: Instant, host: &name::Host, effects: &mut Vec<Effect>) {
+    fn on_host_dead(
+        &mut self,
+        now: Instant,
+        host: &name::Host,
+        loss: Loss,
+        effects: &mut Vec<Effect>,
+    ) {
         self.probing.remove(host);
         self.dead.insert(host.clone(), now + DEAD_PERIOD);
         self.directory.on_unreachable(now, host);
@@ -166,15 +191,13 @@
         let failed: Vec<(Id, Option<name::Endpoint>)> = self
             .generations
             .values()
-            .filter(|generation| {
-                !matches!(generation.phase, Phase::Waiting(_)) && generation.is_on(host)
-            })
+            .filter(|generation| !generation.is_waiting() && generation.is_on(host))
             .map(|generation| (generation.request, generation.endpoint_on(host)))
             .collect();
         for (request, endpoint) in failed {
             self.fail(now, request, Failure::new(Reason::HostLost, endpoint), effects);
         }
-        self.fail_calls(now, host, effects);
+        self.fail_calls(now, host, loss, effects);
     }
 
     pub(super) fn tick_hosts(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -182,7 +205,7 @@
         let silent = self.probing.iter().filter(|(_, since)| now.since(**since) >= PROBE_TIMEOUT);
         let silent: Vec<name::Host> = silent.map(|(host, _)| host.clone()).collect();
         for host in silent {
-            self.on_host_dead(now, &host, effects);
+            self.on_host_dead(now, &host, Loss::Silent, effects);
         }
     }
 
@@ -199,7 +222,8 @@
                         self.give_up(now, generation, Refusal::Deadline, None, effects);
                     }
                 }
-                Due::Start => {
+                Due::Retry if !self.retry_budget.take(now) => {}
+                Due::Start | Due::Retry => {
                     if let Some(generation) = self.generations.remove(&id) {
                         self.start_attempt(now, generation, effects);
                     }
@@ -218,11 +242,12 @@
             (now.since(generation.step_started), now.since(generation.last_sent));
         let within_timeouts =
             since_sent < generation.timeouts.retransmit && silent < generation.timeouts.suspect;
-        if within_timeouts && !matches!(generation.phase, Phase::Waiting(_)) {
+        if within_timeouts && !generation.is_waiting() {
             return None;
         }
         let stages: Vec<u16> = match &generation.phase {
             Phase::Waiting(until) => return (*until <= now).then_some(Due::Start),
+            Phase::AwaitingRetry => return Some(Due::Retry),
             Phase::Opening { unacknowledged, .. } => unacknowledged.iter().copied().collect(),
             Phase::Running if !generation.answer.has_feed_in_flight() => return None,
             Phase::Running => (0_u16..).take(generation.chain.len()).collect(),
@@ -261,19 +286,17 @@
         }
     }
 
-    /// Replaces a stage that was silent for too long, if the retry budget allows it.
+    /// Replaces a stage that was silent for too long, if the retry budget allows it. Otherwise the
+    /// attempt goes on, since the stage may do so too.
     fn suspect(&mut self, now: Instant, id: Id, stage: u16, effects: &mut Vec<Effect>) {
-        if !self.retry_budget.take(now) {
-            let due = self
-                .generations
-                .get(&id)
-                .is_some_and(|g| now.since(g.last_sent) >= g.timeouts.retransmit);
-            if due {
+        let Some(generation) = self.generations.get(&id) else { return };
+        let may_leave = generation.retries.silent < MAX_SILENT_RETRIES;
+        if !may_leave || !self.retry_budget.take(now) {
+            if now.since(generation.last_sent) >= generation.timeouts.retransmit {
                 self.retransmit(now, id, effects);
             }
             return;
         }
-        let Some(generation) = self.generations.get(&id) else { return };
         let endpoint = generation.chain.get(usize::from(stage)).map(|stage| stage.endpoint.clone());
         if let Some(endpoint) = &endpoint {
             self.planner.mark_suspected(endpoint, now + SUSPECT_PERIOD);
@@ -281,39 +304,46 @@
         self.fail(now, id, Failure::new(Reason::Silent, endpoint), effects);
     }
 
-    /// Ends an attempt and starts the next one, at once or after a backoff.
-    pub(super) fn fail(
-        &mut self,
-        now: Instant,
-        id: Id,
-        failure: Failure,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(mut generation) = self.generations.remove(&id) else { return };
+    /// Ends an attempt and takes its generation out of `generations`.
+    fn end_attempt(&mut self, now: Instant, id: Id, failure: Failure) -> Option<Generation> {
+        let mut generation = self.generations.remove(&id)?;
         self.planner.record_finish(&generation.chain);
         generation.phase = Phase::Waiting(now);
-        generation.retries += 1;
+        generation.retries.record(failure.reason);
         // A silent stage failed when the step was sent, not when the timeout expired.
         let began = if failure.reason == Reason::Silent { generation.step_started } else { now };
         generation.fault_at.get_or_insert(began);
         generation.failed.extend(failure.endpoint.clone());
         self.counters.add(Counter::Retried(failure.reason), &generation.spec.workspace);
         let Failure { reason, refused, endpoint } = failure;
-        let (attempt, request) = (generation.answer.attempt(), generation.request);
-        self.records.add(now, request, Fact::Failed { attempt, reason, refused, endpoint });
-        if generation.retries > MAX_RETRIES {
+        let attempt = generation.answer.attempt();
+        self.records.add(now, id, Fact::Failed { attempt, reason, refused, endpoint });
+        Some(generation)
+    }
+
+    /// Ends an attempt and starts the next one, at once or after a backoff.
+    pub(super) fn fail(
+        &mut self,
+        now: Instant,
+        id: Id,
+        failure: Failure,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(mut generation) = self.end_attempt(now, id, failure) else { return };
+        if generation.retries.failed > MAX_RETRIES {
             self.give_up(now, generation, Refusal::EndpointFailed, None, effects);
             return;
         }
-        if generation.retries <= IMMEDIATE_RETRIES {
+        let retries = generation.retries.count;
+        if retries <= IMMEDIATE_RETRIES {
             self.start_attempt(now, generation, effects);
             return;
         }
-        let wait = retry::backoff(generation.retries - IMMEDIATE_RETRIES, self.rng.next_u64());
+        let wait = retry::backoff(retries - IMMEDIATE_RETRIES, self.rng.next_u64());
         let ms = as_us(wait) / 1000;
-        self.records.add(now, request, Fact::WaitsForRetry { ms });
+        self.records.add(now, id, Fact::WaitsForRetry { ms });
         generation.phase = Phase::Waiting(now + wait);
-        self.generations.insert(request, generation);
+        self.generations.insert(id, generation);
     }
 }
 
@@ -323,6 +353,8 @@
     Deadline,
     /// Start the next attempt.
     Start,
+    /// Start the next attempt if the retry budget allows it.
+    Retry,
     /// Send the messages of the current step again.
     Retransmit,
     /// Replace the stage with this index.
