Count an endpoint as draining from the listing before the one that says so

Cause: an entry counted 0.4 of the drain time from when it read that the endpoint drains. With 68 entries most hear of that from others, more than 2 s later, and went on for 1.6 s.

Change: the time counts from the listing before, after which the endpoint may have begun to drain; 0.7 of the drain time may then be used, which is about as long as before where listings come every 0.3 of it.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -90,6 +90,7 @@
     unregistered: BTreeSet<name::Endpoint>,
     reports: BTreeMap<name::Endpoint, Report>,
     health: health::Health,
+    /// Endpoints that are draining, and the latest time at which they were not known to.
     draining: BTreeMap<name::Endpoint, Instant>,
     pauses: refusal::Pauses,
     paces: pace::Paces,
@@ -119,6 +120,8 @@
         if self.listed_at.is_some_and(|at| read_at.since(at) > OUTAGE_GAP) {
             self.recovering_until = Some(read_at + REREGISTRATION_PERIOD);
         }
+        // An endpoint that is seen draining now may have begun right after the listing before.
+        let previous = self.listed_at.unwrap_or_default();
         if self.listed_at.is_none_or(|at| at < read_at) {
             self.listed_at = Some(read_at);
         }
@@ -139,7 +142,7 @@
         self.draining.retain(|id, _| endpoints.contains_key(id));
         self.pauses.retain(|id| endpoints.contains_key(id));
         for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
-            self.draining.entry(endpoint.id.clone()).or_insert(read_at);
+            self.draining.entry(endpoint.id.clone()).or_insert(previous.min(read_at));
         }
         let changed = self.listing.endpoints != listing.endpoints;
         self.listing = listing;
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -170,6 +170,23 @@
     assert!(!fixture.view.is_ready(&id, at_ms(0)));
 }
 
+/// Entries that learn late that an endpoint leaves must not send work to it after its drain time.
+#[test]
+fn an_endpoint_counts_as_draining_from_the_listing_before_the_one_that_says_so() {
+    let mut fixture = Fixture::new();
+    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
+    let mut listing = fixture.view.listing().clone();
+    for (revision, ms) in [(1, 1_000), (2, 1_700), (3, 3_700)] {
+        listing.revision += revision;
+        if ms == 3_700 {
+            listing.endpoints.get_mut(&id).unwrap().state = State::Draining;
+        }
+        fixture.view.update_listing(listing.clone(), at_ms(ms));
+    }
+    assert!(!fixture.view.is_usable(&id, GRACE, at_ms(3_700)));
+    assert!(fixture.view.is_usable(&id, GRACE * 3, at_ms(4_000)));
+}
+
 #[test]
 fn a_listing_of_an_earlier_revision_is_ignored() {
     let mut fixture = Fixture::new();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -38,7 +38,7 @@
 const MAX_KEPT_PLANS: usize = 3;
 
 /// Fraction of the drain time during which a draining endpoint still gets work.
-const DRAIN_GRACE_FRACTION: f64 = 0.4;
+const DRAIN_GRACE_FRACTION: f64 = 0.7;
 
 /// Safety factor on the estimated duration of work that must end before the process exits.
 const EXIT_TIME_FACTOR: f64 = 1.25;
