Take single endpoints that are missing from a late listing for gone

Cause: two listings more than 2 s apart count as an outage of the store, after which endpoints that are missing are used for 2.3 s more, since they may register again. Among 68 entries listings come that far apart at any time, each of them began the time anew, and an endpoint that left without a word was used for over 4 s.

Change: after a gap of 2 to 4 s endpoints may register again only if more than one in six is missing, as after an outage with expired leases; after a longer one as before.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -103,6 +103,13 @@
 /// Time between two listings above which leases may have expired in between.
 const OUTAGE_GAP: Duration = Duration::from_secs(2);
 
+/// Time between two listings that no entry sees without an outage.
+const LONG_OUTAGE_GAP: Duration = Duration::from_secs(4);
+
+/// After a shorter gap leases have expired if at least one of so many endpoints is missing. Among many
+/// entries listings come that late also without an outage, and endpoints that left are missing.
+const ENDPOINTS_PER_EXPIRED_LEASE: usize = 6;
+
 /// Time after an outage of the store within which endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2300);
 
@@ -117,7 +124,8 @@
             return false;
         }
         self.first_listed_at.get_or_insert(read_at);
-        if self.listed_at.is_some_and(|at| read_at.since(at) > OUTAGE_GAP) {
+        let gap = self.listed_at.map_or(Duration::ZERO, |at| read_at.since(at));
+        if gap > LONG_OUTAGE_GAP || gap > OUTAGE_GAP && self.has_lost_many(&listing) {
             self.recovering_until = Some(read_at + REREGISTRATION_PERIOD);
         }
         // An endpoint that is seen draining now may have begun right after the listing before.
@@ -149,6 +157,13 @@
         changed
     }
 
+    /// Returns whether so many known endpoints are missing from a listing that leases have expired.
+    fn has_lost_many(&self, listing: &Listing) -> bool {
+        let known = &self.listing.endpoints;
+        let missing = known.keys().filter(|id| !listing.endpoints.contains_key(*id)).count();
+        missing * ENDPOINTS_PER_EXPIRED_LEASE > known.len()
+    }
+
     /// Records layers that an endpoint reported directly, and the number of orders that it had
     /// accepted.
     ///
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -86,3 +86,34 @@
     peer.update_listing(view.registered(), at(6_500));
     assert!(peer.get(&gone).is_none());
 }
+
+/// Among many entries listings come more than 2 s apart; an endpoint that left must not be used on.
+#[test]
+fn single_endpoints_that_are_missing_from_a_late_listing_have_left() {
+    let endpoints = fleet_fixture::site();
+    let all = fleet_fixture::listing(&endpoints, &Plan::default());
+    let mut view = View::default();
+    let gone = endpoints[3].endpoint.clone();
+    for (revision, ms) in [(1, 0), (2, 2_200), (3, 4_400), (4, 6_600)] {
+        let mut listing = all.clone();
+        listing.revision = revision;
+        if revision > 1 {
+            listing.endpoints.remove(&gone);
+        }
+        view.update_listing(listing, at(10_000 + ms));
+        assert_eq!(view.get(&gone).is_some(), revision == 1, "listing {revision}");
+    }
+}
+
+#[test]
+fn many_endpoints_that_are_missing_from_a_late_listing_may_register_again() {
+    let endpoints = fleet_fixture::site();
+    let all = fleet_fixture::listing(&endpoints, &Plan::default());
+    let mut view = View::default();
+    view.update_listing(all.clone(), at(10_000));
+    let mut rest = all.clone();
+    rest.revision += 1;
+    rest.endpoints.retain(|id, _| *id == endpoints[0].endpoint);
+    view.update_listing(rest, at(12_500));
+    assert_eq!(view.listing().endpoints.len(), all.endpoints.len());
+}
