Try parts again one request after the other when their quarantine ends

Found when the change was read once more: a quarantine ended at all entries at the same moment, so that every request with the part ran until the next crash was reported, and it could not end sooner than after 5 min, although engines that crash for another reason make the parts of their requests suspects, too: where all requests of a route share a part, nothing could clear it.

Change: a quarantine lasts 60 s at first. Then its parts are on trial: the first entry lets one request through and awaits the outcome for 5 s; the others take their turns after it. An answer clears the parts, a crash begins the next quarantine, of twice the length. The number of answered parts that are remembered now has a bound also while all are fresh.

--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/quarantine.rs
@@ -10,6 +10,9 @@
 //! several crashes is quarantined, together with the parts that were suspect in all the same
 //! crashes: only requests with all of them are not run, since the others may be sound and show which
 //! part it is.
+//!
+//! After a quarantine its parts are on trial: entries let one request through after the other, until
+//! an answer clears the parts or a crash begins the next quarantine.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -48,15 +51,18 @@
 const BEGIN_EVENTS: u32 = 6;
 
 /// Length of a first quarantine. Each relapse doubles it.
-const FIRST_PERIOD: Duration = Duration::from_secs(300);
+const FIRST_PERIOD: Duration = Duration::from_secs(60);
 
 /// Longest quarantine.
 const MAX_PERIOD: Duration = Duration::from_secs(3600);
 
-/// Time after a quarantine within which one crash is a relapse.
-const RELAPSE_PERIOD: Duration = Duration::from_secs(3600);
+/// Time after a quarantine within which its parts are on trial: one crash is a relapse.
+const TRIAL_PERIOD: Duration = Duration::from_secs(3600);
+
+/// Time for the outcome of a trial, before the next request with the parts may run.
+const TRIAL_TIME: Duration = Duration::from_secs(5);
 
-/// Number of answered parts above which the older ones are forgotten sooner.
+/// Number of answered parts above which the older half is forgotten.
 const MAX_SOUND: usize = 4096;
 
 /// The beginning of an answer, as far as it has come.
@@ -98,7 +104,7 @@
 pub struct Group {
     /// Requests that have all of these parts are not run.
     pub parts: Vec<Part>,
-    /// Time until the end of the quarantine, in milliseconds.
+    /// Time until the end of the quarantine, in milliseconds; 0 if the parts are on trial.
     pub remaining_ms: u64,
 }
 
@@ -109,11 +115,27 @@
     suspects: BTreeMap<Part, BTreeSet<u64>>,
 }
 
-/// A quarantine of parts, or one that has ended.
+/// A quarantine of parts, and the trial after it.
 #[derive(Clone, Copy, Debug)]
 struct Period {
     until: Instant,
     length: Duration,
+    /// When this entry last let a request through for trial.
+    tried_at: Option<Instant>,
+}
+
+impl Period {
+    fn new(until: Instant, length: Duration) -> Self {
+        Self { until, length, tried_at: None }
+    }
+
+    /// Returns until when requests are not run at an entry before which `rank` others take their
+    /// turn, or `None` if one may run.
+    fn blocked_until(&self, rank: usize, now: Instant) -> Option<Instant> {
+        let turn = self.until + TRIAL_TIME * u32::try_from(rank).unwrap_or(u32::MAX);
+        let next = self.tried_at.map_or(turn, |at| turn.max(at + TRIAL_TIME));
+        (now < next).then_some(next)
+    }
 }
 
 /// What one entry knows of crashes and of the parts that cause them.
@@ -143,7 +165,7 @@
         now: Instant,
     ) -> bool {
         self.crashes.retain(|_, crash| now.since(crash.at) < EVIDENCE_PERIOD);
-        self.periods.retain(|_, period| now.since(period.until) < RELAPSE_PERIOD);
+        self.periods.retain(|_, period| now.since(period.until) < TRIAL_PERIOD);
         let is_new = !self.crashes.contains_key(incarnation);
         let crash = self.crashes.entry(incarnation.clone());
         let crash = crash.or_insert_with(|| Crash { at: now, suspects: BTreeMap::new() });
@@ -180,7 +202,7 @@
             };
             if period.until <= now && self.crashes.values().any(is_relapse) {
                 let length = (period.length * 2).min(MAX_PERIOD);
-                *period = Period { until: now + length, length };
+                *period = Period::new(now + length, length);
                 is_renewed = true;
             }
         }
@@ -203,29 +225,37 @@
         let is_in_all = |other: &&Part| of_part().all(|c| c.suspects.contains_key(other));
         let group: BTreeSet<Part> = first.suspects.keys().filter(is_in_all).copied().collect();
         let is_known = |known: &BTreeSet<Part>| known.is_subset(&group);
-        if self.periods.iter().any(|(known, period)| period.until > now && is_known(known)) {
+        if self.periods.keys().any(is_known) {
             return false;
         }
-        self.periods.insert(group, Period { until: now + FIRST_PERIOD, length: FIRST_PERIOD });
+        self.periods.insert(group, Period::new(now + FIRST_PERIOD, FIRST_PERIOD));
         true
     }
 
     /// Records that endpoints have answered requests with `parts` for a while, the last time at `at`.
     ///
     /// That clears them of crashes, also of those soon after. Returns those that were suspect or quarantined.
-    pub fn record_sound(&mut self, parts: &[Part], at: Instant, now: Instant) -> Vec<Part> {
+    pub fn record_sound(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
         for part in parts {
             let last = self.sound.entry(*part).or_insert(at);
             *last = at.max(*last);
         }
-        for period in [SOUND_PERIOD, SOUND_PERIOD / 8] {
-            if self.sound.len() > MAX_SOUND {
-                self.sound.retain(|_, at| now.since(*at) < period);
-            }
-        }
+        self.forget_oldest_sound();
         parts.iter().copied().filter(|part| self.clear(*part, at)).collect()
     }
 
+    /// Forgets the older half of the answered parts if there are too many.
+    fn forget_oldest_sound(&mut self) {
+        if self.sound.len() <= MAX_SOUND {
+            return;
+        }
+        let mut times: Vec<Instant> = self.sound.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.sound.retain(|_, at| *at > median);
+    }
+
     /// Removes a part that was answered at `at` from the crashes of which that clears it and from all
     /// quarantines, and returns whether it was in one.
     fn clear(&mut self, part: Part, at: Instant) -> bool {
@@ -257,11 +287,22 @@
         sound.collect()
     }
 
-    /// Returns until when requests with `parts` are not run, or `None` if they are.
-    pub fn blocked_until(&self, parts: &[Part], now: Instant) -> Option<Instant> {
-        let is_whole = |group: &BTreeSet<Part>| group.iter().all(|part| parts.contains(part));
-        let blocking = self.periods.iter().filter(|(group, t)| t.until > now && is_whole(group));
-        blocking.map(|(_, period)| period.until).max()
+    /// Returns until when requests with `parts` are not run at an entry before which `rank` others take
+    /// their turn in trials, or `None` if they are.
+    pub fn blocked_until(&self, parts: &[Part], rank: usize, now: Instant) -> Option<Instant> {
+        let of_request = self.periods.iter().filter(|(group, _)| is_whole(group, parts));
+        of_request.filter_map(|(_, period)| period.blocked_until(rank, now)).max()
+    }
+
+    /// Returns whether no parts are quarantined or on trial.
+    pub fn is_empty(&self) -> bool {
+        self.periods.is_empty()
+    }
+
+    /// Records that a request with `parts` runs now, which is a trial if they were quarantined.
+    pub fn record_run(&mut self, parts: &[Part], now: Instant) {
+        let of_request = self.periods.iter_mut().filter(|(group, _)| is_whole(group, parts));
+        of_request.for_each(|(_, period)| period.tried_at = Some(now));
     }
 
     /// Returns whether a request with `parts` may run again after a crash: whether none of them is
@@ -272,14 +313,14 @@
         parts.iter().all(|part| count(part) < MAX_CRASHES_FOR_RETRY)
     }
 
-    /// Returns the quarantines in force.
+    /// Returns the quarantines and those whose parts are on trial.
     pub fn groups(&self, now: Instant) -> Vec<Group> {
-        let in_force = self.periods.iter().filter(|(_, period)| period.until > now);
+        let known = self.periods.iter().filter(|(_, period)| now < period.until + TRIAL_PERIOD);
         let group = |(group, period): (&BTreeSet<Part>, &Period)| Group {
             parts: group.iter().copied().collect(),
             remaining_ms: period.until.since(now).as_millis() as u64,
         };
-        in_force.map(group).collect()
+        known.map(group).collect()
     }
 
     /// Takes over a quarantine from another entry, and returns whether it is new.
@@ -287,13 +328,19 @@
     /// None of its parts may have been answered lately; see [`Quarantine::unproven`].
     pub fn adopt(&mut self, group: &Group, now: Instant) -> bool {
         let parts: BTreeSet<Part> = group.parts.iter().copied().collect();
+        let remaining = Duration::from_millis(group.remaining_ms).min(MAX_PERIOD);
         let known = self.periods.get(&parts);
-        if parts.is_empty() || known.is_some_and(|period| period.until > now) {
+        let is_later = known.is_none_or(|p| now + remaining > p.until.max(now) + TRIAL_TIME);
+        if parts.is_empty() || !is_later {
             return false;
         }
-        let remaining = Duration::from_millis(group.remaining_ms).min(MAX_PERIOD);
         let length = known.map_or(FIRST_PERIOD, |period| period.length).max(remaining);
-        self.periods.insert(parts, Period { until: now + remaining, length });
+        self.periods.insert(parts, Period::new(now + remaining, length));
         true
     }
 }
+
+/// Returns whether a request with `parts` has all parts of a group.
+fn is_whole(group: &BTreeSet<Part>, parts: &[Part]) -> bool {
+    group.iter().all(|part| parts.contains(part))
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -117,6 +117,7 @@
         if state.quarantined_until(&request.parameters.shared_parts).is_some() {
             return Err(Reason::Quarantined);
         }
+        state.record_run(&request.parameters.shared_parts);
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
         let outcome = attempt(state, request, &target, attempts, &tried).await;
         drop(slot);
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -164,6 +164,7 @@
         if state.quarantined_until(&request.parameters.shared_parts).is_some() {
             return Err(Reason::Quarantined);
         }
+        state.record_run(&request.parameters.shared_parts);
         Ok(Start { chain, slot, continued: None })
     }
 
--- a/crates/router/src/state/quarantine.rs
+++ b/crates/router/src/state/quarantine.rs
@@ -20,7 +20,17 @@
 impl State {
     /// Returns until when requests with `parts` are not run, or `None` if they are.
     pub fn quarantined_until(&self, parts: &[Part]) -> Option<Instant> {
-        self.inner.borrow().quarantine.blocked_until(parts, self.now())
+        if self.inner.borrow().quarantine.is_empty() {
+            return None;
+        }
+        let rank = self.rank(|host| *host < self.host);
+        self.inner.borrow().quarantine.blocked_until(parts, rank, self.now())
+    }
+
+    /// Records that a request with `parts` is sent to an endpoint.
+    pub fn record_run(&self, parts: &[Part]) {
+        let now = self.now();
+        self.inner.borrow_mut().quarantine.record_run(parts, now);
     }
 
     /// Records suspects of the crash of an endpoint.
@@ -50,7 +60,7 @@
     pub fn record_sound(&self, parts: &[Part]) -> Vec<Sound> {
         let now = self.now();
         let quarantine = &mut self.inner.borrow_mut().quarantine;
-        let cleared = quarantine.record_sound(parts, now, now);
+        let cleared = quarantine.record_sound(parts, now);
         quarantine.proven(&cleared, now)
     }
 
@@ -59,7 +69,7 @@
         let now = self.now();
         let quarantine = &mut self.inner.borrow_mut().quarantine;
         for Sound { part, age_ms } in sound {
-            quarantine.record_sound(&[*part], now - Duration::from_millis(*age_ms), now);
+            quarantine.record_sound(&[*part], now - Duration::from_millis(*age_ms));
         }
     }
 
