Keep quarantines in the store

Found when the change was read once more: quarantines stood only in the entries' memory and gossip. If all entries are killed or lose power, each starts without them, and requests with a part that crashes engines reach engines again.

Change: the entries write quarantines under one key by compare-and-swap, the first live one at once, the others if that does not happen; they learn them with the plan, before they can use a chain. An entry that has seen a part answered since tells the others and takes it out. Test: entries_that_start_when_no_other_runs_know_a_quarantined_part_from_the_store; before, nothing was stored.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::metrics::Metrics;
+use crate::quarantine;
 use crate::state::{Peer, Shared};
 
 /// Prefix of all keys that entries write.
@@ -262,6 +263,8 @@
             let peer = Peer { address: registration.address };
             state.inner.borrow_mut().peers.insert(host.into(), peer);
         }
+    } else if item.key == quarantine::KEY {
+        quarantine::apply(state, item);
     } else if item.key == PLAN_KEY {
         match serde_json::from_slice::<Plan>(&item.value) {
             Ok(mut plan) => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
 //! - [`reply`]: writes responses to callers.
+//! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
 //! - [`metrics`]: counters and histograms.
@@ -32,6 +33,7 @@
 pub mod peers;
 pub mod planner;
 pub mod process;
+pub mod quarantine;
 pub mod reply;
 pub mod serve;
 pub mod settings;
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -14,7 +14,7 @@
 
 use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State, load};
-use crate::{follow, listen, orders, pace, peers, planner, suspect};
+use crate::{follow, listen, orders, pace, peers, planner, quarantine, suspect};
 
 /// Timeout of calls to the store, except watches.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -123,6 +123,7 @@
     actix_rt::spawn(listen::metrics(state.clone(), sockets.metrics));
     actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
+    actix_rt::spawn(quarantine::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
     actix_rt::spawn(load::run(state.clone()));
     actix_rt::spawn(pace::run(state.clone()));
--- /dev/null
+++ b/crates/router/src/quarantine.rs
@@ -0,0 +1,134 @@
+//! Keeps the quarantines of prompt parts in the store.
+//!
+//! Entries tell each other of quarantines; the store keeps them for entries that start when no other one
+//! runs. An entry writes them if none before it does so.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriole_core::fleet::Message;
+use oriole_core::forward::Part;
+use oriole_core::forward::quarantine::Group;
+use oriole_macros::data;
+use oriole_platform::store::{Client, Commit, Item, Write};
+use tokio::time::sleep;
+
+use crate::peers;
+use crate::state::Shared;
+
+/// Key of the quarantines.
+pub const KEY: &str = "oriole/quarantine";
+
+/// Time for which an entry waits for each live one whose name comes before its own.
+const DELAY_PER_RANK: Duration = Duration::from_millis(300);
+
+/// Pause after a failed write.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Difference in the end of a quarantine that is worth a write.
+const MIN_GAIN: Duration = Duration::from_secs(5);
+
+/// One quarantine, as stored.
+#[data]
+struct Stored {
+    parts: Vec<Part>,
+    /// Unix time of its end in milliseconds.
+    until_ms: u64,
+}
+
+/// The quarantines that the store holds, as this entry knows them.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Revision of their key; 0 if there is none.
+    revision: u64,
+    /// Ends as Unix times in milliseconds, by parts.
+    until_ms: BTreeMap<Vec<Part>, u64>,
+}
+
+/// Takes over the quarantines that are stored under [`KEY`].
+pub fn apply(state: &Shared, item: &Item) {
+    let stored = match serde_json::from_slice::<Vec<Stored>>(&item.value) {
+        Ok(stored) => stored,
+        Err(error) => {
+            log::error!(revision = item.revision, error:%; "quarantines cannot be decoded");
+            return;
+        }
+    };
+    let now_ms = unix_ms();
+    let group = |stored: &Stored| Group {
+        parts: stored.parts.clone(),
+        remaining_ms: stored.until_ms.saturating_sub(now_ms),
+    };
+    let groups: Vec<Group> = stored.iter().map(group).collect();
+    let until_ms = stored.into_iter().map(|s| (s.parts, s.until_ms)).collect();
+    *state.stored_quarantine.borrow_mut() = Known { revision: item.revision, until_ms };
+    let proven = state.adopt_quarantine(&groups);
+    if !proven.is_empty() {
+        peers::broadcast(state, &Message::Sound(proven));
+        state.quarantine_changed.notify_one();
+    }
+}
+
+/// Writes the quarantines to the store whenever they have changed. Runs until the process exits.
+pub async fn run(state: Shared, store: Client) {
+    loop {
+        state.quarantine_changed.notified().await;
+        let rank = state.rank(|host| *host < state.host);
+        sleep(DELAY_PER_RANK * u32::try_from(rank).unwrap_or(u32::MAX)).await;
+        while let Some(stored) = to_store(&state) {
+            if !write(&state, &store, &stored).await {
+                sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+/// Returns the quarantines to store, or `None` if the store holds them.
+fn to_store(state: &Shared) -> Option<Vec<Stored>> {
+    let now_ms = unix_ms();
+    let groups = state.inner.borrow().quarantine.groups(state.now());
+    let known = state.stored_quarantine.borrow();
+    let until = |group: &Group| match known.until_ms.get(&group.parts) {
+        Some(known) => (*known).max(now_ms + group.remaining_ms),
+        None => now_ms + group.remaining_ms,
+    };
+    let is_stored = |group: &Group| {
+        let gain_ms = MIN_GAIN.as_millis() as u64;
+        // Of parts on trial only the quarantine before is known, which has ended.
+        let known = known.until_ms.get(&group.parts);
+        known.is_some_and(|k| group.remaining_ms == 0 || now_ms + group.remaining_ms < k + gain_ms)
+    };
+    if groups.len() == known.until_ms.len() && groups.iter().all(is_stored) {
+        return None;
+    }
+    let stored = groups.iter().map(|g| Stored { parts: g.parts.clone(), until_ms: until(g) });
+    Some(stored.collect())
+}
+
+/// Writes the quarantines unless another entry has changed them, and returns whether the store answered.
+async fn write(state: &Shared, store: &Client, stored: &[Stored]) -> bool {
+    let Ok(value) = serde_json::to_vec(stored) else {
+        log::error!("encoding the quarantines failed");
+        return false;
+    };
+    let revision = state.stored_quarantine.borrow().revision;
+    let write = Write { key: KEY, value: &value, lease: 0, expected_revision: Some(revision) };
+    match store.write(&write).await {
+        Ok(Commit::Written(revision)) => {
+            let until_ms = stored.iter().map(|s| (s.parts.clone(), s.until_ms)).collect();
+            *state.stored_quarantine.borrow_mut() = Known { revision, until_ms };
+        }
+        Ok(Commit::Conflict(Some(item))) => apply(state, &item),
+        Ok(Commit::Conflict(None)) => *state.stored_quarantine.borrow_mut() = Known::default(),
+        Err(error) => {
+            log::warn!(error:%; "writing the quarantines failed");
+            return false;
+        }
+    }
+    true
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -121,6 +121,10 @@
     pub report_requested_at: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Suspects of crashes that are about to be told to the other entries.
     pub untold_suspects: RefCell<BTreeMap<Incarnation, Vec<Suspect>>>,
+    /// The quarantines that the store holds.
+    pub stored_quarantine: RefCell<crate::quarantine::Known>,
+    /// Wakes the task that stores quarantines when they have changed.
+    pub quarantine_changed: Notify,
     /// When the process exits at the latest; `None` until it has been signalled to stop.
     pub exit_deadline: Cell<Option<Instant>>,
     /// When all stages of a chain were last asked for a report, by key of the chain.
@@ -180,6 +184,8 @@
             lags: RefCell::default(),
             report_requested_at: RefCell::default(),
             untold_suspects: RefCell::default(),
+            stored_quarantine: RefCell::default(),
+            quarantine_changed: Notify::new(),
             chain_probed_at: RefCell::default(),
             exit_deadline: Cell::new(None),
             exiting: Cell::new(false),
--- a/crates/router/src/state/quarantine.rs
+++ b/crates/router/src/state/quarantine.rs
@@ -53,6 +53,7 @@
         let mut inner = self.inner.borrow_mut();
         if inner.quarantine.decide(now) {
             self.log_quarantine(&inner.quarantine.groups(now));
+            self.quarantine_changed.notify_one();
         }
     }
 
@@ -61,6 +62,9 @@
         let now = self.now();
         let quarantine = &mut self.inner.borrow_mut().quarantine;
         let cleared = quarantine.record_sound(parts, now);
+        if !cleared.is_empty() {
+            self.quarantine_changed.notify_one();
+        }
         quarantine.proven(&cleared, now)
     }
 
@@ -71,6 +75,7 @@
         for Sound { part, age_ms } in sound {
             quarantine.record_sound(&[*part], now - Duration::from_millis(*age_ms));
         }
+        self.quarantine_changed.notify_one();
     }
 
     /// Takes over quarantines of another entry. Returns those of their parts that this entry has
@@ -83,6 +88,7 @@
             let proven = quarantine.proven(&group.parts, now);
             if proven.is_empty() && quarantine.adopt(group, now) {
                 self.log_quarantine(std::slice::from_ref(group));
+                self.quarantine_changed.notify_one();
             }
             all_proven.extend(proven);
         }
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -38,7 +38,17 @@
 
     /// Like [`Cluster::new`], with the engines in `zones` zones.
     pub async fn with_zones(entries: usize, zones: usize) -> Self {
+        Self::start(entries, zones, Store::start().await.unwrap()).await
+    }
+
+    /// Like [`Cluster::new`], with a value that entries wrote to the store before.
+    pub async fn with_stored(entries: usize, key: &str, value: &serde_json::Value) -> Self {
         let store = Store::start().await.unwrap();
+        store.put(key, value);
+        Self::start(entries, 2, store).await
+    }
+
+    async fn start(entries: usize, zones: usize, store: Store) -> Self {
         store.put("op/config", &config(1, &[KEY]));
         let fleet = Fleet::new(&store);
         for n in 0..8 {
--- a/crates/router/tests/path/prompt_part.rs
+++ b/crates/router/tests/path/prompt_part.rs
@@ -41,6 +41,28 @@
     assert!(cluster.fleet.crashes() <= 5 + 3, "{} crashes", cluster.fleet.crashes());
 }
 
+/// Entries that all start again have nobody to hear of the part from.
+#[actix_rt::test]
+async fn entries_that_start_when_no_other_runs_know_a_quarantined_part_from_the_store() {
+    let cluster = Cluster::new(2).await;
+    cluster.fleet.set_crashing_part(Some(BAD));
+    for number in 0..16 {
+        wait_for_chains(&cluster).await;
+        call(&cluster, number, &[SHARED, &format!("{number:x}"), BAD]).await;
+    }
+    cluster.wait(|c| c.store.get("oriole/quarantine").is_some()).await;
+    let stored = cluster.store.get("oriole/quarantine").unwrap();
+
+    let restarted = Cluster::with_stored(1, "oriole/quarantine", &stored).await;
+    restarted.fleet.set_crashing_part(Some(BAD));
+    let answer = call(&restarted, 0, &[SHARED, BAD]).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.unwrap() > 1.0, "{answer:?}");
+    assert_eq!(restarted.fleet.crashes(), 0);
+    let sound = call(&restarted, 1, &[SHARED]).await;
+    assert_eq!((sound.status, sound.body), (200, all_events()));
+}
+
 #[actix_rt::test]
 async fn a_request_with_a_part_that_crashes_engines_is_refused_and_sound_ones_are_served() {
     let cluster = Cluster::new(2).await;
