Forget findings about endpoints that are gone

Found when the change was read once more: findings, silences and suspicions stayed under each endpoint's identifier for ever, and endpoints get a new one with most starts (the map of findings did so before).

--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -111,8 +111,8 @@
         entries: usize,
         now: Instant,
     ) -> bool {
+        self.forget_old(now);
         let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
-        suspicions.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
         suspicions.insert(by, (incarnation.born, now));
         let agreeing = suspicions.values().filter(|(born, _)| *born == incarnation.born).count();
         let known = self.silences.get(&incarnation.endpoint);
@@ -120,6 +120,28 @@
         is_silent || agreeing >= needed_suspicions(entries)
     }
 
+    /// Forgets what no longer counts. Endpoints get a new identifier with most starts.
+    fn forget_old(&mut self, now: Instant) {
+        self.findings.retain(|_, f| f.is_fresh(now));
+        self.silences.retain(|_, f| f.is_fresh(now));
+        self.answers.retain(|_, (_, at)| now.since(*at) < UNHEALTHY_PERIOD);
+        self.suspicions.retain(|_, by| {
+            by.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
+            !by.is_empty()
+        });
+    }
+
+    /// Returns the number of endpoints about which something is known.
+    pub fn len(&self) -> usize {
+        let maps = [self.findings.len(), self.silences.len(), self.answers.len()];
+        maps.into_iter().sum::<usize>() + self.suspicions.len()
+    }
+
+    /// Returns whether nothing is known about any endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
     /// it healthy.
     ///
@@ -128,7 +150,7 @@
     pub fn answered(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let id = &incarnation.endpoint;
         let was_unhealthy = self.cause(id, Some(incarnation.born), now).is_some();
-        self.answers.retain(|_, (_, at)| now.since(*at) < UNHEALTHY_PERIOD);
+        self.forget_old(now);
         self.answers.insert(id.clone(), (incarnation.born, now));
         if let Some(suspicions) = self.suspicions.get_mut(id) {
             suspicions.retain(|_, (born, _)| *born != incarnation.born);
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -107,3 +107,21 @@
         assert_eq!(health.cause(&"e".into(), Some(1), at(ms)), Some(Cause::Silent));
     }
 }
+
+/// Endpoints get a new identifier with most starts, so that what is known of earlier ones must go.
+#[test]
+fn what_is_known_of_endpoints_that_are_gone_does_not_pile_up() {
+    let mut health = Health::default();
+    for number in 0..1_000 {
+        let id = format!("e{number}");
+        let incarnation = Incarnation { endpoint: id.as_str().into(), born: 1 };
+        let now = at(number * 1_000);
+        for host in ["a", "b"] {
+            health.suspect(&incarnation, host.into(), 4, now);
+        }
+        health.record(&incarnation, Cause::Silent, now);
+        health.record(&incarnation, Cause::ConnectionRefused, now);
+        health.answered(&incarnation, now);
+    }
+    assert!(health.len() < 40, "{}", health.len());
+}
