--- a/crates/router/tests/path/prompt_part.rs
+++ b/crates/router/tests/path/prompt_part.rs
@@ -1,6 +1,6 @@
 //! Tests of a part of prompts under which engines crash.
 
-use oriole_platform_standin::caller::{self, Answer};
+use oriole_platform_standin::caller::{Answer, Call};
 use oriole_platform_standin::config::KEY;
 
 use crate::all_events;
@@ -19,8 +19,8 @@
     let mut list: Vec<String> = parts.iter().map(|part| format!("{part}:40")).collect();
     list.push(format!("{:x}:760", 0xabc_000 + number));
     let list = list.join(",");
-    let call = caller::call_with_parts(entry.callers, "/draft/a", &id, KEY, &list, |_| {});
-    call.await.unwrap()
+    let call = Call::new("/draft/a", &id, KEY).parts(&list);
+    call.send(entry.callers, |_| {}).await.unwrap()
 }
 
 async fn wait_for_chains(cluster: &Cluster) {
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -3,13 +3,10 @@
 //! Whatever breaks off, by a reset or by its end inside an event, must not reach a caller as a
 //! complete answer.
 
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{Method, RequestHead};
-use bytes::Bytes;
-use oriole_adapter::exchange;
+use actix_http::Method;
 use oriole_platform::endpoint::{self, Acceptance};
-use oriole_platform_standin::caller::Answer;
-use oriole_platform_standin::config::{HOST, KEY, MODEL_SERVICE, PLAIN_SERVICE, config};
+use oriole_platform_standin::caller::{Answer, Call};
+use oriole_platform_standin::config::{KEY, MODEL_SERVICE, PLAIN_SERVICE, config};
 use oriole_platform_standin::engine::STREAM_OF_PLAIN;
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
@@ -68,32 +65,11 @@
     cluster.entries[0].call(path, "r1", KEY).await
 }
 
-/// Sends request `r1` with a method and the last event that its caller has got. Returns the status
-/// and the body of its complete answer.
-async fn call_with(
-    cluster: &Cluster,
-    method: Method,
-    path: &str,
-    last_event: Option<&'static str>,
-) -> (u16, Bytes) {
-    let mut head = RequestHead::default();
-    head.method = method;
-    head.uri = path.parse().unwrap();
-    let headers = [
-        ("host", HOST),
-        ("oriolelanding-request-id", "r1"),
-        ("oriolelanding-deadline-ms", "20000"),
-        ("oriolelanding-token-usage", "800,160"),
-        ("api-key", KEY),
-    ];
-    let last = last_event.map(|id| ("last-event-id", id));
-    for (name, value) in headers.into_iter().chain(last) {
-        head.headers.insert(HeaderName::from_static(name), HeaderValue::from_static(value));
-    }
-    let entry = cluster.entries[0].callers;
-    let answer = exchange::call(entry, head, Bytes::new(), 1024, WAIT_TIMEOUT).await;
-    let (head, body) = answer.unwrap();
-    (head.status.as_u16(), body)
+/// Sends request `r1` as `call` states it. Returns the status and the body of its complete answer.
+async fn answer_to(cluster: &Cluster, call: Call<'_>) -> (u16, String) {
+    let answer = call.send(cluster.entries[0].callers, |_| {}).await.unwrap();
+    assert!(answer.is_complete);
+    (answer.status, answer.body)
 }
 
 #[actix_rt::test]
@@ -195,8 +171,8 @@
 async fn the_head_of_a_stream_is_complete_without_an_event() {
     let cluster = cluster().await;
     for path in ["/strict/a", "/feed/strict/a"] {
-        let answer = call_with(&cluster, Method::HEAD, path, None).await;
-        assert_eq!(answer, (200, Bytes::new()), "{path}");
+        let answer = answer_to(&cluster, Call::new(path, "r1", KEY).method(Method::HEAD)).await;
+        assert_eq!(answer, (200, String::new()), "{path}");
     }
     assert_eq!(cluster.fleet.runs("r1").len(), 2);
 }
@@ -205,8 +181,8 @@
 #[actix_rt::test]
 async fn a_stream_that_resumes_after_its_last_event_is_complete_without_a_further_one() {
     let cluster = cluster().await;
-    let answer = call_with(&cluster, Method::POST, "/draft/a", Some("40")).await;
-    assert_eq!(answer, (200, Bytes::new()));
+    let answer = answer_to(&cluster, Call::new("/draft/a", "r1", KEY).last_event("40")).await;
+    assert_eq!(answer, (200, String::new()));
     assert_eq!(cluster.fleet.runs("r1").len(), 1);
 }
 
