Reproduce a version that waits for a silent watch

What callers would see: requests refused as the version before says, seconds after the bound. The test fails on this code, as it must: the watch is given up first.

--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as the tests do
 
 mod cluster;
+mod late_version;
 mod prompt_part;
 mod silence;
 mod unframed;
