Log who sent a routing table

The hypotheses about late versions differ in whether an entry has a version from the store or from another entry; the logs could not tell. No change of behaviour.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -51,6 +51,9 @@
 /// Time to live of an entry's registration unless it is renewed.
 const REGISTRATION_TTL: Duration = Duration::from_secs(5);
 
+/// Source of what the store tells, in logs.
+const STORE: &str = "store";
+
 /// Registration of an entry, as stored.
 #[data]
 struct Registration {
@@ -171,7 +174,7 @@
     }
     match state.timed("configuration", || config::decode(&item.value)) {
         Ok(table) => {
-            state.adopt_table(table);
+            state.adopt_table(table, STORE);
         }
         Err(e) => log::error!(
             revision = item.revision, error:% = e;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -154,7 +154,7 @@
         }
         Message::Want(topic) => send_requested(state, hub, &host, topic),
         Message::Table(table) => {
-            state.adopt_table(*table);
+            state.adopt_table(*table, host.as_str());
         }
         Message::Plan(plan) => {
             state.adopt_plan(plan);
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -279,14 +279,15 @@
         self.drain_time().mul_f64(DRAIN_GRACE_FRACTION)
     }
 
-    /// Puts a routing table in force if it is newer, and returns whether it is.
-    pub fn adopt_table(&self, table: Table) -> bool {
+    /// Puts a routing table in force if it is newer, and returns whether it is. `source` names the store
+    /// or the entry that sent it.
+    pub fn adopt_table(&self, table: Table, source: &str) -> bool {
         let mut inner = self.inner.borrow_mut();
         if inner.table.as_ref().is_some_and(|t| t.version >= table.version) {
             return false;
         }
         log::info!(
-            version = table.version, services = table.services.len();
+            version = table.version, services = table.services.len(), source;
             "routing table in force"
         );
         self.metrics.table_version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
