Read the configuration when nobody has told the newest version for too long

What callers saw (CONFIG): requests refused as an older version says, longer after the acknowledgement than the bound. The report itself has not been reproduced; this is the fault that a test shows.

Cause: a version reached an entry by its watch or by a peer alone. With 20 entries or more a watch whose connection has gone silent lasts up to 7.2 s, and nothing bounds when a peer tells; the bounds are 2 to 4 s. The class is a wait that is bounded by what saves calls, in place of what it serves.

Change: an entry counts the time since the store told it, or a peer that had no newer version, which version is the newest (gossip carries that age), and reads the configuration at 0.45 (the three entries that read for all) or 0.6 of the time within which it must be in force.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,6 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
+pub mod freshness;
 pub mod health;
 pub mod lag;
 pub mod liveness;
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -40,6 +40,10 @@
     pub table: u64,
     /// Revision of the sender's plan, 0 if it has none.
     pub plan: u64,
+    /// Time since the store told the sender that its routing table is the newest, in milliseconds;
+    /// `None` if it has not.
+    #[serde(default)]
+    pub table_age_ms: Option<u64>,
     /// Age of the sender's listing in milliseconds.
     pub listing_age_ms: u64,
     /// Time after which the sender gets new connections, in milliseconds; 0 if it does already.
--- a/crates/core/src/fleet/polling.rs
+++ b/crates/core/src/fleet/polling.rs
@@ -9,6 +9,13 @@
 /// Number of entries that read the registrations for all.
 const READERS: usize = 3;
 
+/// Time since the newest routing table was known at which a reader reads it, as a fraction of the time
+/// within which it must be in force.
+const TABLE_READ_FRACTION: f64 = 0.45;
+
+/// The same for entries that are not readers.
+const MAX_TABLE_AGE_FRACTION: f64 = 0.6;
+
 /// Interval between two reads of the registrations by a reader, as a fraction of the time within
 /// which a draining endpoint must stop getting requests.
 const READ_INTERVAL_FRACTION: f64 = 0.3;
@@ -36,6 +43,15 @@
     drain.mul_f64(if is_reader { READ_INTERVAL_FRACTION } else { MAX_LISTING_AGE_FRACTION })
 }
 
+/// Returns the time since the newest routing table was known at which an entry of `rank`, as for
+/// [`listing_age_limit`], reads it from the store.
+///
+/// `apply` is the time within which a new one must be in force.
+pub fn table_age_limit(rank: usize, apply: Duration) -> Duration {
+    let is_reader = rank < READERS;
+    apply.mul_f64(if is_reader { TABLE_READ_FRACTION } else { MAX_TABLE_AGE_FRACTION })
+}
+
 /// Returns the age of its listing from which an entry requests a peer's, if that one is fresher by
 /// [`min_listing_gain`].
 pub fn listing_request_age(drain: Duration) -> Duration {
--- a/crates/core/tests/polling.rs
+++ b/crates/core/tests/polling.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use oriole_core::fleet::freshness::Freshness;
 use oriole_core::fleet::polling;
+use oriole_core::time::Instant;
 
 /// Share of the drain time for which a listed endpoint still gets work after it began to drain.
 const GRACE_FRACTION: f64 = 0.4;
@@ -55,3 +57,35 @@
     }
     assert!(polling::spread(shortest, 27, 0) < polling::spread(shortest, 27, u64::MAX));
 }
+
+/// Bounds of deployments: time without disturbance, time for a configuration, drain time.
+const BOUNDS: [[u64; 3]; 4] = [[2, 1, 1], [3, 2, 2], [4, 3, 3], [5, 4, 4]];
+
+#[test]
+fn an_entry_that_hears_nobody_reads_a_new_table_in_time() {
+    for [contact, apply, _] in BOUNDS.map(|b| b.map(Duration::from_secs)) {
+        for rank in [0, 2, 3, 26, 369] {
+            let limit = polling::table_age_limit(rank, apply);
+            assert!(limit + apply / 10 < apply, "rank {rank}");
+            // An answer that was held up until the end of a disturbance looks as if it were new.
+            assert!(limit + contact / 10 < contact, "rank {rank}");
+        }
+    }
+}
+
+#[test]
+fn what_a_peer_knows_counts_unless_it_has_a_newer_version() {
+    let at = |ms| Instant::default() + Duration::from_millis(ms);
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.age(at(0)), None);
+    freshness.confirm(at(100));
+    freshness.hear(4, 4, at(900));
+    assert_eq!(freshness.age(at(1000)), Some(Duration::from_millis(100)));
+    assert_eq!(freshness.store_age(at(1000)), Some(Duration::from_millis(900)));
+    freshness.hear(5, 4, at(1500));
+    assert_eq!(freshness.age(at(2000)), Some(Duration::from_millis(1100)));
+    freshness.hear(3, 4, at(1600));
+    assert_eq!(freshness.age(at(2000)), Some(Duration::from_millis(400)));
+    freshness.confirm(at(500));
+    assert_eq!(freshness.store_age(at(2000)), Some(Duration::from_millis(1500)));
+}
--- a/crates/load/src/platform.rs
+++ b/crates/load/src/platform.rs
@@ -106,6 +106,8 @@
                 grace_ms: 8000,
                 heartbeat_ms: 100,
                 stall_ms: 2500,
+                apply_ms: 2000,
+                contact_ms: 3000,
             },
             retries: settings::Retries { ratio: 0.2, fixed: 200.0, window_ms: 10_000 },
         };
--- /dev/null
+++ b/crates/router/src/follow/entries.rs
@@ -0,0 +1,120 @@
+//! Follows the keys that entries write, such as the plan, and registers this entry among them.
+
+use std::time::Duration;
+
+use oriole_core::name;
+use oriole_core::placement::Plan;
+use oriole_macros::data;
+use oriole_platform::store::{Change, Client, Error, Item, Write};
+use tokio::time::sleep;
+
+use super::watch::{Monitor, Update, watch};
+use crate::quarantine;
+use crate::state::{Peer, Shared};
+
+/// Prefix of all keys that entries write.
+const KEY_PREFIX: &str = "oriole/";
+
+/// Prefix of the keys under which entries register, followed by the name of the host.
+const HOST_PREFIX: &str = "oriole/hosts/";
+
+/// Key of the plan.
+pub const PLAN_KEY: &str = "oriole/plan";
+
+/// Shortest time after which the store answers a watch of these keys even without changes.
+const WATCH_WAIT: Duration = Duration::from_millis(2500);
+
+/// Time to live of an entry's registration unless it is renewed.
+const REGISTRATION_TTL: Duration = Duration::from_secs(5);
+
+/// Registration of an entry, as stored.
+#[data]
+struct Registration {
+    /// Address on which it listens for other entries.
+    address: std::net::SocketAddr,
+}
+
+/// Watches the keys that entries write until the process ends.
+pub async fn run(state: Shared, store: Client) {
+    let apply = |update, changes: Vec<Change>| {
+        if update == Update::Snapshot {
+            state.inner.borrow_mut().peers.clear();
+        }
+        for change in changes {
+            match change {
+                Change::Written(item) => apply_entry_key(&state, &item),
+                Change::Removed(key) => {
+                    if let Some(host) = key.strip_prefix(HOST_PREFIX) {
+                        state.inner.borrow_mut().peers.remove(&name::Host::from(host));
+                        log::info!(host; "registration of an entry removed");
+                    }
+                }
+            }
+        }
+    };
+    watch(&state, store, KEY_PREFIX, WATCH_WAIT, "plan", apply).await;
+}
+
+fn apply_entry_key(state: &Shared, item: &Item) {
+    if let Some(host) = item.key.strip_prefix(HOST_PREFIX) {
+        let Ok(registration) = serde_json::from_slice::<Registration>(&item.value) else {
+            log::warn!(key = item.key.as_str(); "skipped the undecodable registration of an entry");
+            return;
+        };
+        if host != state.settings.name {
+            let peer = Peer { address: registration.address };
+            state.inner.borrow_mut().peers.insert(host.into(), peer);
+        }
+    } else if item.key == quarantine::KEY {
+        quarantine::apply(state, item);
+    } else if item.key == PLAN_KEY {
+        match serde_json::from_slice::<Plan>(&item.value) {
+            Ok(mut plan) => {
+                plan.revision = item.revision;
+                state.adopt_plan(plan);
+            }
+            Err(e) => log::error!(
+                revision = item.revision, error:% = e;
+                "plan cannot be decoded; keeping the previous plan"
+            ),
+        }
+    }
+}
+
+/// Keeps this entry registered until the process ends.
+pub async fn register(state: Shared, store: Client) {
+    let ttl = REGISTRATION_TTL.max(Duration::from_millis(state.settings.store.min_lease_ms));
+    let key = format!("{HOST_PREFIX}{}", state.settings.name);
+    let registration = Registration { address: state.settings.listen.peers };
+    let value = serde_json::to_vec(&registration).unwrap_or_default();
+    let mut monitor = Monitor::new(&state, "registration");
+    let mut lease = None;
+    loop {
+        let result = match lease {
+            Some(number) => store.renew_lease(number).await.map(|()| number),
+            None => register_with_new_lease(&store, ttl, &key, &value).await,
+        };
+        monitor.record(&result);
+        match result {
+            Ok(number) => lease = Some(number),
+            Err(Error::Missing) => {
+                lease = None;
+                continue;
+            }
+            Err(_) => {}
+        }
+        sleep(ttl / 3).await;
+    }
+}
+
+/// Writes the entry's registration under a new lease. Returns the number of the lease.
+async fn register_with_new_lease(
+    store: &Client,
+    ttl: Duration,
+    key: &str,
+    value: &[u8],
+) -> Result<u64, Error> {
+    let lease = store.grant_lease(ttl).await?;
+    store.write(&Write { key, value, lease, expected_revision: None }).await?;
+    Ok(lease)
+}
--- /dev/null
+++ b/crates/router/src/follow/listing.rs
@@ -0,0 +1,73 @@
+//! Follows the registrations of endpoints.
+//!
+//! They change with each heartbeat, and the store counts each answered watch as a call, so they are
+//! read at an interval instead.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_core::fleet::{Listing, polling};
+use oriole_core::time::Instant;
+use oriole_platform::registry;
+use oriole_platform::store::{Client, Item, Read};
+use tokio::time::sleep;
+
+use super::watch::Monitor;
+use crate::metrics::Metrics;
+use crate::state::Shared;
+
+/// Interval at which an entry checks whether to read the registrations.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Reads the registrations whenever the listing is too old, until the process ends.
+pub async fn run(state: Shared, store: Client) {
+    let mut monitor = Monitor::new(&state, "endpoints");
+    loop {
+        let limit = polling::listing_age_limit(state.rank_by_name(), state.drain_time());
+        let age = state.inner.borrow().view.age(state.now());
+        if age.is_some_and(|age| age < limit) {
+            sleep(CHECK_INTERVAL).await;
+            continue;
+        }
+        let began = state.now();
+        let read = store.range(registry::PREFIX).await;
+        monitor.record(&read);
+        Metrics::time(&state.metrics.store_call, state.now().since(began));
+        match read {
+            Ok(read) => {
+                let listing = state.timed("listing", || decode_listing(&state, &read));
+                apply_listing(&state, listing, began);
+            }
+            Err(_) => monitor.pause().await,
+        }
+    }
+}
+
+fn decode_listing(state: &Shared, read: &Read<Item>) -> Listing {
+    let mut listing = Listing { revision: read.revision, endpoints: BTreeMap::new() };
+    for item in &read.found {
+        match registry::decode(&item.key, &item.value) {
+            Some(endpoint) => {
+                listing.endpoints.insert(endpoint.id.clone(), endpoint);
+            }
+            None => {
+                state.metrics.skipped_registrations.inc();
+                log::debug!(key = item.key.as_str(); "skipped an undecodable registration");
+            }
+        }
+    }
+    listing
+}
+
+/// Replaces the listing by one that was read at `read_at`, unless it is older.
+pub fn apply_listing(state: &Shared, listing: Listing, read_at: Instant) {
+    let count = listing.endpoints.len();
+    let before = state.inner.borrow().view.listing().endpoints.len();
+    let changed = state.inner.borrow_mut().view.update_listing(listing, read_at);
+    if count != before {
+        log::info!(count, before; "number of endpoints changed");
+    }
+    if changed {
+        state.refresh();
+    }
+}
--- /dev/null
+++ b/crates/router/src/follow/watch.rs
@@ -0,0 +1,111 @@
+//! Watches a prefix of the store, and monitors failed calls.
+
+use std::time::Duration;
+
+use oriole_core::fleet::polling;
+use oriole_platform::store::{Change, Client, Error, Read};
+use tokio::time::sleep;
+
+use crate::metrics::Metrics;
+use crate::state::Shared;
+
+/// Shortest pause after changes were reported, so that changes in quick succession come with one
+/// answer.
+const CHANGES_PAUSE: Duration = Duration::from_millis(200);
+
+/// Shortest pause after a failed call. Every call loads the store, including those that it refuses.
+const RETRY_DELAY: Duration = Duration::from_millis(600);
+
+/// Counts failed calls to the store for one purpose, and logs when they start to fail and when they
+/// succeed again.
+pub(super) struct Monitor {
+    state: Shared,
+    purpose: &'static str,
+    is_lost: bool,
+}
+
+impl Monitor {
+    pub(super) fn new(state: &Shared, purpose: &'static str) -> Self {
+        Self { state: state.clone(), purpose, is_lost: false }
+    }
+
+    pub(super) fn record<T>(&mut self, result: &Result<T, Error>) {
+        let purpose = self.purpose;
+        if result.is_err() {
+            Metrics::count(&self.state.metrics.store_failures, purpose);
+        }
+        match result {
+            Err(error) if !self.is_lost => {
+                self.is_lost = true;
+                log::warn!(purpose, error:% = error; "store lost");
+            }
+            Ok(_) if self.is_lost => {
+                self.is_lost = false;
+                log::info!(purpose; "store regained");
+            }
+            _ => {}
+        }
+    }
+
+    /// Waits before a call that follows a failed one.
+    pub(super) async fn pause(&self) {
+        sleep(spread(&self.state, RETRY_DELAY)).await;
+    }
+}
+
+/// Whether changes are the full contents of a prefix or those since the last update.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Update {
+    Snapshot,
+    Delta,
+}
+
+/// Reads all items under `prefix`, then watches it. Passes the items and each later answer of the
+/// store to `apply`, also one without changes.
+///
+/// Reads all items again after a failure, and when the store no longer has the history. `wait` is the
+/// shortest time after which the store answers a watch even without changes.
+pub(super) async fn watch(
+    state: &Shared,
+    store: Client,
+    prefix: &str,
+    wait: Duration,
+    purpose: &'static str,
+    mut apply: impl FnMut(Update, Vec<Change>),
+) {
+    let mut monitor = Monitor::new(state, purpose);
+    loop {
+        let read = store.range(prefix).await;
+        monitor.record(&read);
+        let Ok(read) = read else {
+            monitor.pause().await;
+            continue;
+        };
+        let mut revision = read.revision;
+        apply(Update::Snapshot, read.found.into_iter().map(Change::Written).collect());
+        loop {
+            let changes = store.watch(prefix, revision, spread(state, wait)).await;
+            monitor.record(&changes);
+            match changes {
+                Ok(Read { found, revision: seen }) => {
+                    revision = revision.max(seen);
+                    let has_changes = !found.is_empty();
+                    apply(Update::Delta, found);
+                    if has_changes {
+                        sleep(spread(state, CHANGES_PAUSE)).await;
+                    }
+                }
+                Err(Error::Compacted) => break,
+                Err(_) => {
+                    monitor.pause().await;
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Lengthens a wait or a pause by the number of entries, and spreads it.
+fn spread(state: &Shared, shortest: Duration) -> Duration {
+    polling::spread(shortest, state.entry_count(), rand::random())
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -102,8 +102,10 @@
 fn gossip(state: &Shared) -> Gossip {
     let inner = state.inner.borrow();
     let age = inner.view.age(state.now());
+    let table_age = inner.freshness.store_age(state.now());
     Gossip {
         table: inner.table.as_ref().map_or(0, |t| t.version),
+        table_age_ms: table_age.map(|age| age.as_millis() as u64),
         plan: inner.plans.first().map_or(0, |p| p.revision),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         ready_in_ms: state.ready_in().as_millis() as u64,
@@ -146,6 +148,10 @@
                 hub.send(&host, None, message::Message::Fleet(Message::Sound(proven)));
             }
             let mut inner = state.inner.borrow_mut();
+            if let (Some(table), Some(age_ms)) = (&inner.table, gossip.table_age_ms) {
+                let (own, at) = (table.version, now - Duration::from_millis(age_ms));
+                inner.freshness.hear(gossip.table, own, at);
+            }
             let ready_in = Duration::from_millis(gossip.ready_in_ms);
             inner.liveness.record(host.clone(), ready_in, now);
             inner.in_flight.update_peer(host, gossip.loads, now);
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -64,7 +64,7 @@
         };
         proposal = Some(Proposal { chains: revised, since });
         let delay = proposal_delay(&state, now);
-        if now.since(since) < delay + DELAY_PER_RANK * rank(&state) {
+        if now.since(since) < delay + DELAY_PER_RANK * state.rank_by_name() as u32 {
             continue;
         }
         if let Some(Proposal { chains, since }) = proposal.take() {
@@ -100,11 +100,6 @@
     !state.inner.borrow().plans.is_empty()
 }
 
-/// Returns the number of live entries whose names come before this one's.
-fn rank(state: &Shared) -> u32 {
-    state.rank(|host| *host < state.host) as u32
-}
-
 /// Returns the revised chains of all services, or `None` if they equal the current plan, too little
 /// is known, or the process is stopping.
 fn revised_chains(state: &Shared, now: Instant) -> Option<Vec<(name::Service, Vec<Chain>)>> {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -104,7 +104,9 @@
         Ok(request) => request,
         Err((reason, id)) => {
             let (table, _) = state.versions();
-            log::info!(id = id.as_str(), reason:?, table; "rejected");
+            let age = state.inner.borrow().freshness.age(state.now());
+            let table_age_ms = age.map(|age| age.as_millis() as u64);
+            log::info!(id = id.as_str(), reason:?, table, table_age_ms:?; "rejected");
             Metrics::count(&state.metrics.refused, reason.as_str());
             return reject(writer, reason).await;
         }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -76,6 +76,20 @@
     pub heartbeat_ms: u64,
     /// Time after which engines abort requests that wait for a lost stage. Not used yet.
     pub stall_ms: u64,
+    /// Time after the acknowledgement of a configuration within which it must be in force.
+    #[serde(default = "default_apply_ms")]
+    pub apply_ms: u64,
+    /// Time without disturbance after which this process must keep all bounds again.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
+}
+
+fn default_apply_ms() -> u64 {
+    2000
+}
+
+fn default_contact_ms() -> u64 {
+    3000
 }
 
 /// Limit on the retries of each service, summed over all entries, in a sliding window.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::Clock;
+use oriole_core::fleet::freshness::Freshness;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
 use oriole_core::fleet::{Incarnation, Topic, View};
@@ -58,6 +59,8 @@
 pub struct Inner {
     /// The routing table in force; `None` until one is known.
     pub table: Option<Rc<Table>>,
+    /// When it was last known to be the newest.
+    pub freshness: Freshness,
     /// Endpoints and their health.
     pub view: View,
     /// The plan in force, followed by earlier ones.
@@ -151,6 +154,7 @@
     pub fn new(settings: Settings) -> Shared {
         let inner = Inner {
             table: None,
+            freshness: Freshness::default(),
             view: View::default(),
             plans: vec![],
             chains: BTreeMap::new(),
@@ -274,6 +278,16 @@
         Duration::from_millis(self.tunables.borrow().times.drain_ms)
     }
 
+    /// Returns the time within which an acknowledged configuration must be in force.
+    pub fn apply_time(&self) -> Duration {
+        Duration::from_millis(self.tunables.borrow().times.apply_ms)
+    }
+
+    /// Returns the time without disturbance after which this entry must keep all bounds again.
+    pub fn contact_time(&self) -> Duration {
+        Duration::from_millis(self.tunables.borrow().times.contact_ms)
+    }
+
     /// Returns how long a draining endpoint still gets work.
     pub fn drain_grace(&self) -> Duration {
         self.drain_time().mul_f64(DRAIN_GRACE_FRACTION)
--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -37,6 +37,11 @@
         inner.liveness.rank(inner.peers.keys(), is_before, self.now())
     }
 
+    /// Returns the [`State::rank`] of this entry by the names of the hosts.
+    pub fn rank_by_name(&self) -> usize {
+        self.rank(|host| *host < self.host)
+    }
+
     /// Returns the [`State::rank`] of this entry for work on an endpoint.
     ///
     /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
--- a/crates/router/src/state/quarantine.rs
+++ b/crates/router/src/state/quarantine.rs
@@ -23,7 +23,7 @@
         if self.inner.borrow().quarantine.is_empty() {
             return None;
         }
-        let rank = self.rank(|host| *host < self.host);
+        let rank = self.rank_by_name();
         self.inner.borrow().quarantine.blocked_until(parts, rank, self.now())
     }
 
