Tell entries whose registrations have lapsed of changes while they are connected

What callers would see (CONFIG, DRAIN): an entry that the store turns away for longer than the 5 s of its registration learns of no version, plan or leaving endpoint any more, from nobody, though its connections to the others work.

Cause: gossip went to the registered entries only, and the others drop an entry whose registration lapses. The class is a fallback that rests on what it is to replace: peers stand in for the store, but the store said who they are.

Change: gossip goes to connected entries as well; connections end by their own heartbeats. entries_whose_registrations_have_lapsed_still_tell_each_other_of_versions failed before (no version within 30 s) and passes in 1.4 s.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,6 +1,6 @@
 //! Exchanges state and work in progress between entries.
 //!
-//! Each entry sends gossip to all others at an interval. Gossip says which versions of the routing
+//! Each entry sends gossip to all that are registered or connected at an interval. Gossip says which versions of the routing
 //! table and the plan the sender has, and how old its listing is. An entry that is behind requests
 //! the newer data from the sender, which does not need the store.
 
@@ -84,6 +84,10 @@
 fn send_gossip(state: &Shared, hub: &Hub) {
     let gossip = message::Message::Fleet(Message::Gossip(gossip(state)));
     let peers = state.inner.borrow().peers.clone();
+    // A connection outlives the registration of an entry that the store turns away.
+    for host in hub.hosts().into_iter().filter(|host| !peers.contains_key(host)) {
+        hub.send(&host, None, gossip.clone());
+    }
     for (host, peer) in peers {
         hub.send(&host, Some(peer.address), gossip.clone());
     }
