Drop endpoints that left while one entry was cut off when a peer saw the store

Cause: after a gap of over 4 s between its listings an entry uses missing endpoints for 2.3 s more, since the store may have been away and they may register again. An entry that was cut off by itself sees the same gap, and the endpoints have left: with a lost call before the first listing that is over 3 s after the end of the cut. The class is one observation with two causes, of which the entry took the kinder one.

Change: gossip tells for how long the sender's listings have come without a gap. If that covers the gap, the store was there, and missing endpoints are dropped at once. Without such a peer it is as before. an_endpoint_that_left_while_this_entry_was_cut_off_is_dropped_when_a_peer_saw_the_store covers both sides; before, nothing ended the time.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,6 +7,7 @@
 pub mod message;
 pub mod pace;
 pub mod polling;
+pub mod recovery;
 pub mod refusal;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -95,25 +96,13 @@
     draining: BTreeMap<name::Endpoint, Instant>,
     pauses: refusal::Pauses,
     paces: pace::Paces,
-    /// Time until which endpoints that are missing from a listing may still register again.
-    recovering_until: Option<Instant>,
-    /// Time of the first listing, before which there may have been an outage of the store, too.
-    first_listed_at: Option<Instant>,
+    recovery: recovery::Recovery,
 }
 
-/// Time between two listings above which leases may have expired in between.
-const OUTAGE_GAP: Duration = Duration::from_secs(2);
-
-/// Time between two listings that no entry sees without an outage.
-const LONG_OUTAGE_GAP: Duration = Duration::from_secs(4);
-
-/// After a shorter gap leases have expired if at least one of so many endpoints is missing. Among many
+/// After a short gap between listings leases have expired if at least one of so many endpoints is missing. Among many
 /// entries listings come that late also without an outage, and endpoints that left are missing.
 const ENDPOINTS_PER_EXPIRED_LEASE: usize = 6;
 
-/// Time after an outage of the store within which endpoints register again.
-const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2300);
-
 impl View {
     /// Replaces the listing by one that was read at `read_at`.
     ///
@@ -124,18 +113,15 @@
         if listing.revision < self.listing.revision {
             return false;
         }
-        self.first_listed_at.get_or_insert(read_at);
-        let gap = self.listed_at.map_or(Duration::ZERO, |at| read_at.since(at));
-        if gap > LONG_OUTAGE_GAP || gap > OUTAGE_GAP && self.has_lost_many(&listing) {
-            self.recovering_until = Some(read_at + REREGISTRATION_PERIOD);
-        }
+        let has_lost_many = self.has_lost_many(&listing);
+        self.recovery.record(self.listed_at, read_at, has_lost_many);
         // An endpoint that is seen draining now may have begun right after the listing before.
         let previous = self.listed_at.unwrap_or_default();
         if self.listed_at.is_none_or(|at| at < read_at) {
             self.listed_at = Some(read_at);
         }
         self.unregistered.clear();
-        if self.recovering_until.is_some_and(|until| read_at < until) {
+        if self.recovery.keeps_missing(read_at) {
             for (id, endpoint) in &self.listing.endpoints {
                 if !listing.endpoints.contains_key(id) {
                     listing.endpoints.insert(id.clone(), endpoint.clone());
@@ -158,6 +144,27 @@
         changed
     }
 
+    /// Records that another entry has had listings for `unbroken` without a gap.
+    ///
+    /// If the store was there in the last gap between this entry's listings, endpoints that have been
+    /// missing since have left. Returns whether there are any.
+    pub fn hear_unbroken(&mut self, unbroken: Duration, now: Instant) -> bool {
+        if !self.recovery.hear(unbroken, now) || self.unregistered.is_empty() {
+            return false;
+        }
+        for id in std::mem::take(&mut self.unregistered) {
+            self.listing.endpoints.remove(&id);
+            self.reports.remove(&id);
+            self.draining.remove(&id);
+        }
+        true
+    }
+
+    /// Returns for how long listings have come without a gap in which the store may have been away.
+    pub fn unbroken(&self, now: Instant) -> Duration {
+        self.recovery.unbroken(self.listed_at, now)
+    }
+
     /// Returns whether so many known endpoints are missing from a listing that leases have expired.
     fn has_lost_many(&self, listing: &Listing) -> bool {
         let known = &self.listing.endpoints;
@@ -332,8 +339,7 @@
     /// Returns whether endpoints that are not listed may still register again after an outage of
     /// the store.
     pub fn is_recovering(&self, now: Instant) -> bool {
-        let first = self.first_listed_at.map(|at| at + REREGISTRATION_PERIOD);
-        self.recovering_until.max(first).is_some_and(|until| now < until)
+        self.recovery.is_running(now)
     }
 
     /// Returns whether `plan` has a stage that is not listed but may still register again.
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -46,6 +46,9 @@
     pub table_age_ms: Option<u64>,
     /// Age of the sender's listing in milliseconds.
     pub listing_age_ms: u64,
+    /// Time for which the sender's listings have come without a gap, in milliseconds.
+    #[serde(default)]
+    pub unbroken_ms: u64,
     /// Time after which the sender gets new connections, in milliseconds; 0 if it does already.
     #[serde(default)]
     pub ready_in_ms: u64,
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -117,3 +117,50 @@
     view.update_listing(rest, at(12_500));
     assert_eq!(view.listing().endpoints.len(), all.endpoints.len());
 }
+
+/// Guards against work for an endpoint that left while this entry alone was cut off from the store.
+#[test]
+fn an_endpoint_that_left_while_this_entry_was_cut_off_is_dropped_when_a_peer_saw_the_store() {
+    let endpoints = fleet_fixture::site();
+    let all = fleet_fixture::listing(&endpoints, &Plan::default());
+    let gone = endpoints[3].endpoint.clone();
+    let mut rest = all.clone();
+    rest.revision += 1;
+    rest.endpoints.remove(&gone);
+    let mut peer = View::default();
+    let mut view = View::default();
+    view.update_listing(all.clone(), at(10_000));
+    for n in 0..=7 {
+        let listing = if n < 3 { &all } else { &rest };
+        peer.update_listing(listing.clone(), at(9_000 + n * 900));
+    }
+    view.update_listing(rest.clone(), at(15_500));
+    assert!(view.get(&gone).is_some(), "the store may have been away");
+    // A peer that knows the store for a shorter time than the gap says nothing about it.
+    assert!(!view.hear_unbroken(Duration::from_millis(5000), at(15_600)));
+    assert!(view.get(&gone).is_some());
+    assert!(view.hear_unbroken(peer.unbroken(at(15_600)), at(15_600)));
+    assert!(view.get(&gone).is_none());
+    // The next listings do not bring it back.
+    rest.revision += 1;
+    view.update_listing(rest, at(16_400));
+    assert!(view.get(&gone).is_none());
+}
+
+#[test]
+fn peers_that_missed_the_store_in_the_same_gap_do_not_end_the_time_to_register_again() {
+    let endpoints = fleet_fixture::site();
+    let all = fleet_fixture::listing(&endpoints, &Plan::default());
+    let mut few = all.clone();
+    few.revision += 1;
+    few.endpoints.retain(|id, _| *id == endpoints[0].endpoint);
+    let [mut view, mut peer] = [View::default(), View::default()];
+    view.update_listing(all.clone(), at(10_000));
+    peer.update_listing(all.clone(), at(10_300));
+    view.update_listing(few, at(18_000));
+    // Before the peer's first listing after the outage, and after it.
+    assert!(!view.hear_unbroken(peer.unbroken(at(18_100)), at(18_100)));
+    peer.update_listing(all.clone(), at(18_200));
+    assert!(!view.hear_unbroken(peer.unbroken(at(18_300)), at(18_300)));
+    assert_eq!(view.listing().endpoints.len(), all.endpoints.len());
+}
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -112,6 +112,7 @@
         table_age_ms: table_age.map(|age| age.as_millis() as u64),
         plan: inner.plans.first().map_or(0, |p| p.revision),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
+        unbroken_ms: inner.view.unbroken(state.now()).as_millis() as u64,
         ready_in_ms: state.ready_in().as_millis() as u64,
         loads: inner.in_flight.loads(),
         unhealthy: inner.view.unhealthy(state.now()),
@@ -156,10 +157,15 @@
                 let (own, at) = (table.version, now - Duration::from_millis(age_ms));
                 inner.freshness.hear(gossip.table, own, at);
             }
+            let unbroken = Duration::from_millis(gossip.unbroken_ms);
+            let has_gone = inner.view.hear_unbroken(unbroken, now);
             let ready_in = Duration::from_millis(gossip.ready_in_ms);
             inner.liveness.record(host.clone(), ready_in, now);
             inner.in_flight.update_peer(host, gossip.loads, now);
             drop(inner);
+            if has_gone {
+                state.refresh();
+            }
             state.capacity_changed.notify_waiters();
         }
         Message::Want(topic) => send_requested(state, hub, &host, topic),
