--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod late_version;
+mod limit;
 mod prompt_part;
 mod silence;
 mod unframed;
