Hold the limits that endpoints name over all entries

Cause: the header was not read.

Change: an answer tells its endpoint's limit, or that there is none any more (only if the request was sent after the last answer that named one); values that cannot be read change nothing, of several the lowest counts. Entries tell each other at once and by gossip, new connections first, so that entries that start know it as well. For each limited endpoint one entry, which follows from the names of those that run, grants permits at the limit's rate; each request, retry, resumption and trial needs one before it is sent, a permit lasts 0.5 s, and an entry that reaches nobody sends nothing there. Reports are asked for at a quarter of the limit by all together. What is above goes to other chains and endpoints, else it is refused as `limited` within the wait of the queue. Ruled out: a share for each entry (1.6 a second over 27 entries starves or overruns).

--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -1,6 +1,6 @@
 //! Which other entries are running, and when they get new connections, by their gossip.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::name;
@@ -33,27 +33,32 @@
         self.heard.get(host).is_some_and(|heard| is_recent(heard, now))
     }
 
-    /// Returns the number of `hosts` for which `is_before` holds, and which act before this entry
-    /// where one of them suffices.
+    /// Returns the entries among which work is shared: the registered ones in `hosts` and those that sent
+    /// gossip recently.
     ///
     /// Entries that stopped to send gossip do not count, so that nobody waits for them. An entry that
     /// hears of only a minority may itself be cut off and counts them all: what it knows may be old.
+    pub fn acting<'a>(
+        &'a self,
+        hosts: impl Iterator<Item = &'a name::Host>,
+        now: Instant,
+    ) -> Vec<&'a name::Host> {
+        let heard = self.heard.iter().filter(|(_, heard)| is_recent(heard, now));
+        let all: BTreeSet<_> = hosts.chain(heard.map(|(host, _)| host)).collect();
+        let live = all.iter().filter(|host| self.is_live(host, now)).count();
+        let is_cut_off = live * 2 < all.len();
+        all.into_iter().filter(|host| is_cut_off || self.is_live(host, now)).collect()
+    }
+
+    /// Returns the number of [`Liveness::acting`] entries for which `is_before` holds, and which act before
+    /// this one where one of them suffices.
     pub fn rank<'a>(
-        &self,
+        &'a self,
         hosts: impl Iterator<Item = &'a name::Host>,
         is_before: impl Fn(&name::Host) -> bool,
         now: Instant,
     ) -> usize {
-        let (mut all, mut live, mut before, mut live_before) = (0, 0, 0, 0);
-        for host in hosts {
-            let (is_live, is_before) = (self.is_live(host, now), is_before(host));
-            all += 1;
-            live += usize::from(is_live);
-            before += usize::from(is_before);
-            live_before += usize::from(is_live && is_before);
-        }
-        let is_cut_off = live * 2 < all;
-        if is_cut_off { before } else { live_before }
+        self.acting(hosts, now).into_iter().filter(|host| is_before(host)).count()
     }
 
     /// Returns the time after which the first of the other entries gets new connections, or `None`
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -4,6 +4,7 @@
 
 use super::Listing;
 use crate::forward::quarantine::{Group, Sound, Suspect};
+use crate::forward::rate::{Notice, Reply};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -61,6 +62,9 @@
     /// Parts of prompts whose requests the sender does not run.
     #[serde(default)]
     pub quarantined: Vec<Group>,
+    /// Limits that endpoints name.
+    #[serde(default)]
+    pub limits: Vec<Notice>,
 }
 
 /// Data that an entry may request from another entry.
@@ -110,4 +114,10 @@
     Crash(Incarnation, Vec<Suspect>),
     /// Parts of prompts that the sender has seen answered, although others suspect them.
     Sound(Vec<Sound>),
+    /// A limit that an endpoint names, or names no more.
+    Limit(Notice),
+    /// Request for a permit to send one request to an endpoint, with the limit that the sender knows.
+    PermitRequest(Notice),
+    /// Answer to the receiver's request for a permit.
+    Permit(Incarnation, Reply),
 }
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -6,6 +6,7 @@
 //! - [`choice`]: the choice among the endpoints of a plain service, which has no chains.
 //! - [`queue`]: the order in which requests wait for capacity.
 //! - [`quarantine`]: parts of prompts that crash endpoints.
+//! - [`rate`]: limits on the rate of requests that endpoints name.
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
 //! - [`event`]: splits response streams at event boundaries.
@@ -19,6 +20,7 @@
 pub mod outcome;
 pub mod quarantine;
 pub mod queue;
+pub mod rate;
 pub mod slowdown;
 pub mod stop;
 
--- a/crates/core/src/forward/chain/select.rs
+++ b/crates/core/src/forward/chain/select.rs
@@ -47,6 +47,8 @@
     pub ran_at: &'a [name::Endpoint],
     /// Key of a chain that must not be chosen.
     pub avoid: Option<&'a name::Endpoint>,
+    /// First endpoints to which no request may be sent now, since they limit their rate.
+    pub closed: &'a [name::Endpoint],
     /// Whether an answer that begins late is accepted, since the request cannot wait any longer.
     pub accepts_late: bool,
 }
@@ -62,7 +64,7 @@
     fn allows(&self, chain: &Chain) -> bool {
         let attempts = self.route.max_attempts as usize;
         let is_allowed = self.ran_at.len() < attempts || self.ran_at.contains(chain.head());
-        is_allowed && self.avoid != Some(&chain.key)
+        is_allowed && self.avoid != Some(&chain.key) && !self.closed.contains(chain.head())
     }
 }
 
--- a/crates/core/tests/chain_loss.rs
+++ b/crates/core/tests/chain_loss.rs
@@ -62,6 +62,7 @@
         zone: &chain.zone,
         ran_at: &[],
         avoid: None,
+        closed: &[],
         accepts_late: false,
     };
     chain::choose(model, std::slice::from_ref(chain), in_flight, &query, now).is_some()
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -58,6 +58,7 @@
             zone: &zone,
             ran_at,
             avoid: None,
+            closed: &[],
             accepts_late: false,
         };
         chain::choose(&self.model, chains, in_flight, &query, at_ms(0)).cloned()
@@ -72,8 +73,15 @@
         now: Instant,
     ) -> Option<Chain> {
         let (route, zone) = (route(), "zone-0".into());
-        let query =
-            Query { route: &route, work, zone: &zone, ran_at: &[], avoid: None, accepts_late };
+        let query = Query {
+            route: &route,
+            work,
+            zone: &zone,
+            ran_at: &[],
+            avoid: None,
+            closed: &[],
+            accepts_late,
+        };
         chain::choose(&self.model, chains, in_flight, &query, now).cloned()
     }
 
--- a/crates/ctl/src/logs/request.rs
+++ b/crates/ctl/src/logs/request.rs
@@ -72,6 +72,9 @@
     let text = match (line.message.as_str(), line.get("reason")) {
         ("served", _) => "answered completely",
         ("given up", "NoRoom") => "refused: no chain or endpoint had room; see the load lines",
+        ("given up", "Limited") => {
+            "refused: only endpoints had room whose own limit was reached; see `limit of an endpoint`"
+        }
         ("given up", "NoBudget") => {
             "ended: its attempt failed and the retry budget was used up; \
                                      see the failures before it"
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -24,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::reply::Writer;
 use crate::serve::{Reason, Request, give_up};
-use crate::state::Shared;
+use crate::state::{Shared, limit};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -109,11 +109,10 @@
         queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
     let mut found = None;
     loop {
-        let waited = match found.take() {
-            Some(target) => Some(target),
-            None => wait_for_endpoint(state, request, &tried, wait_deadline).await,
+        let target = match found.take() {
+            Some(target) => target,
+            None => wait_for_endpoint(state, request, &tried, wait_deadline).await?,
         };
-        let target = waited.ok_or(Reason::NoRoom)?;
         if state.quarantined_until(&request.parameters.shared_parts).is_some() {
             return Err(Reason::Quarantined);
         }
@@ -153,29 +152,44 @@
 
 /// Waits until `wait_deadline` for an endpoint with capacity.
 ///
-/// Returns the one with the least work, or `None` if there is none in time. Endpoints in `tried`
-/// are chosen only if there is no other.
+/// Returns the one with the least work, for which a permit is used if it needs one, or why there is none
+/// in time. Endpoints in `tried` are chosen only if there is no other.
 async fn wait_for_endpoint(
     state: &Shared,
     request: &Request,
     tried: &[name::Endpoint],
     wait_deadline: Instant,
-) -> Option<Endpoint> {
+) -> Result<Endpoint, Reason> {
     loop {
-        let found = choose(state, request, tried);
-        if found.is_some() || state.now() >= wait_deadline {
-            return found;
+        let closed = state.closed_endpoints();
+        if let Some(found) = choose(state, request, tried, &closed) {
+            state.take_permit(&found.id);
+            return Ok(found);
+        }
+        let limited = choose(state, request, tried, &[]).filter(|_| !closed.is_empty());
+        if let Some(limited) = &limited {
+            state.request_permit(&limited.id);
+        }
+        if state.now() >= wait_deadline {
+            return Err(if limited.is_some() { Reason::Limited } else { Reason::NoRoom });
         }
         sleep(CAPACITY_POLL_INTERVAL).await;
     }
 }
 
-/// Returns the usable endpoint with the least work, one of `tried` only if there is no other.
-fn choose(state: &Shared, request: &Request, tried: &[name::Endpoint]) -> Option<Endpoint> {
+/// Returns the usable endpoint with the least work that is not in `closed`, one of `tried` only if there
+/// is no other.
+fn choose(
+    state: &Shared,
+    request: &Request,
+    tried: &[name::Endpoint],
+    closed: &[name::Endpoint],
+) -> Option<Endpoint> {
     let (now, grace) = (state.now(), state.drain_grace());
     let inner = state.inner.borrow();
     let endpoints = inner.view.of_service(&request.service);
-    let usable = endpoints.filter(|e| inner.view.is_usable(&e.id, grace, now));
+    let open = endpoints.filter(|e| !closed.contains(&e.id));
+    let usable = open.filter(|e| inner.view.is_usable(&e.id, grace, now));
     choice::choose(usable, &inner.in_flight, &inner.failures, &state.zone, tried, now).cloned()
 }
 
@@ -194,8 +208,7 @@
                 id = request.id(), endpoint = target.id.as_str(), error:%;
                 "connection to endpoint failed, request not sent"
             );
-            let incarnation = Incarnation { endpoint: target.id.clone(), born: target.born };
-            suspect::record_no_answer(state, &incarnation, &error);
+            suspect::record_no_answer(state, &incarnation(target), &error);
             return Outcome::Failed(Failure::NotSent);
         }
     };
@@ -208,8 +221,9 @@
     };
     let head = endpoint::request(&request.head, &additions);
     let exchange = async {
+        let sent = state.now();
         let answer = exchange::send(stream, head, request.body.clone()).await;
-        read_response(request, target, answer).await
+        read_response(state, request, target, answer, sent).await
     };
     let leaving = leave(state, request, target, attempts, tried);
     tokio::select! {
@@ -219,6 +233,10 @@
     }
 }
 
+fn incarnation(target: &Endpoint) -> Incarnation {
+    Incarnation { endpoint: target.id.clone(), born: target.born }
+}
+
 /// Waits until the request should leave `target` for another endpoint, and returns that one.
 ///
 /// Silence alone is no reason to leave: an endpoint that is slow is waited for unless the route, the
@@ -238,19 +256,23 @@
     }
     sleep(request.route.objective.mul_f64(ATTEMPT_TIMEOUT_FACTOR)).await;
     loop {
-        let other = choose(state, request, &tried).filter(|other| !tried.contains(&other.id));
+        let other = choose(state, request, &tried, &state.closed_endpoints());
+        let other = other.filter(|other| !tried.contains(&other.id));
         if let Some(other) = other.filter(|_| state.take_retry(&request.service)) {
+            state.take_permit(&other.id);
             return other;
         }
         sleep(LEAVE_RECHECK_INTERVAL).await;
     }
 }
 
-/// Checks that the response belongs to the request, and reads its body.
+/// Checks that the response to a request that was sent at `sent` belongs to it, and reads its body.
 async fn read_response(
+    state: &Shared,
     request: &Request,
     target: &Endpoint,
     answer: Result<exchange::Response, exchange::Error>,
+    sent: Instant,
 ) -> Result<Response, Failure> {
     let exchange::Response { head, mut body } = answer.map_err(|error| {
         log::info!(
@@ -259,7 +281,11 @@
         );
         Failure::Unknown
     })?;
-    match endpoint::classify(&head, request.parameters.request_id.as_deref()) {
+    let class = endpoint::classify(&head, request.parameters.request_id.as_deref());
+    if class.is_of_target(head.status) {
+        limit::record(state, &incarnation(target), endpoint::rate_limit(&head), sent);
+    }
+    match class {
         Classification::Answer => {}
         Classification::NotExecuted(_) => return Err(Failure::NotExecuted),
         Classification::Foreign => return Err(Failure::Unknown),
--- a/crates/router/src/follow/listing.rs
+++ b/crates/router/src/follow/listing.rs
@@ -68,6 +68,7 @@
         log::info!(count, before; "number of endpoints changed");
     }
     if changed {
+        state.forget_gone_endpoints();
         state.refresh();
     }
 }
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -18,6 +18,8 @@
 pub enum Refusal {
     /// No chain had capacity in time, or the queue is full.
     NoRoom,
+    /// Only endpoints had capacity whose own limit is reached.
+    Limited,
     /// The response might not be complete before the process exits.
     Stopping,
 }
@@ -26,6 +28,7 @@
     fn from(refusal: Refusal) -> Self {
         match refusal {
             Refusal::NoRoom => Self::NoRoom,
+            Refusal::Limited => Self::Limited,
             Refusal::Stopping => Self::Stopping,
         }
     }
@@ -114,36 +117,46 @@
     until: Instant,
 ) -> Result<(Chain, Slot), Refusal> {
     let mut waiter: Option<Waiter> = None;
+    let mut refusal = Refusal::NoRoom;
     loop {
         let mut capacity_changed = pin!(state.capacity_changed.notified());
         capacity_changed.as_mut().enable();
         let left = until.since(state.now());
-        let query = |avoid| Query {
+        let closed = state.closed_endpoints();
+        let query = |avoid, closed| Query {
             route: &request.route,
             work: Work::of(&request.parameters.need),
             zone: &state.zone,
             ran_at,
             avoid,
+            closed,
             accepts_late: left.is_zero(),
         };
         if is_next(state, request, waiter.as_ref()) || left.is_zero() {
-            let other = choose(state, request, &query(failed));
-            if let Some(chain) = other.or_else(|| choose(state, request, &query(None))) {
+            let other = choose(state, request, &query(failed, &closed));
+            if let Some(chain) = other.or_else(|| choose(state, request, &query(None, &closed))) {
                 if let Some(waiter) = &mut waiter {
                     waiter.is_admitted = true;
                 }
                 if !finishes_before_exit(state, request, &chain) {
                     return Err(Refusal::Stopping);
                 }
-                let slot = Slot::reserve(state, &chain.key, Work::of(&request.parameters.need));
-                return Ok((chain, slot));
+                return Ok(reserve(state, request, chain));
+            }
+            let limited = match closed.is_empty() {
+                true => None,
+                false => choose(state, request, &query(None, &[])),
+            };
+            refusal = if limited.is_some() { Refusal::Limited } else { Refusal::NoRoom };
+            if let Some(chain) = limited {
+                state.request_permit(chain.head());
             }
         }
         if waiter.is_none() {
             waiter = Some(enqueue(state, request).ok_or(Refusal::NoRoom)?);
         }
         if left.is_zero() {
-            return Err(Refusal::NoRoom);
+            return Err(refusal);
         }
         tokio::select! {
             () = capacity_changed => {}
@@ -180,14 +193,21 @@
         zone: &state.zone,
         ran_at,
         avoid: Some(avoid),
+        closed: &state.closed_endpoints(),
         accepts_late: true,
     };
     let chain = choose(state, request, &query)?;
     if !state.take_retry(&request.service) {
         return None;
     }
+    Some(reserve(state, request, chain))
+}
+
+/// Reserves capacity on a chain, and uses the permit for its first endpoint if that needs one.
+fn reserve(state: &Shared, request: &Request, chain: Chain) -> (Chain, Slot) {
+    state.take_permit(chain.head());
     let slot = Slot::reserve(state, &chain.key, Work::of(&request.parameters.need));
-    Some((chain, slot))
+    (chain, slot)
 }
 
 /// Returns the best chain with capacity for `query`, if any.
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::serve::Request;
-use crate::state::Shared;
+use crate::state::{Shared, limit};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -143,6 +143,7 @@
         hops: &chain.hops,
     };
     let head = endpoint::request(&request.head, &additions);
+    let sent = state.now();
     let sending = exchange::send(stream, head, request.body.clone());
     let answer = match attempt.watch(chain, FIRST_EVENT_SILENCE, sending).await? {
         Ok(answer) => answer,
@@ -152,7 +153,11 @@
             return Err(Outcome::Failed(Failure::Unknown));
         }
     };
-    match endpoint::classify(&answer.head, request.parameters.request_id.as_deref()) {
+    let class = endpoint::classify(&answer.head, request.parameters.request_id.as_deref());
+    if class.is_of_target(answer.head.status) {
+        limit::record(state, &hop.incarnation(), endpoint::rate_limit(&answer.head), sent);
+    }
+    match class {
         Classification::Answer => Ok(answer),
         Classification::NotExecuted(at_fault) => {
             let status = answer.head.status.as_u16();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
+//! - [`state::limit`]: permits to send requests to endpoints that limit their rate.
 //! - [`metrics`]: counters and histograms.
 //! - [`log_output`]: writes log lines without blocking the process.
 //!
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -49,6 +49,8 @@
     pub unhealthy: Counter,
     /// Quarantines of prompt parts that began or were heard of.
     pub quarantines: Counter,
+    /// Permits to send a request to an endpoint that limits its rate, by reply.
+    pub permits: Reasons,
     /// Orders to endpoints, by answer.
     pub orders: Reasons,
     /// Plans that were adopted.
@@ -92,6 +94,7 @@
             moves: Counter::default(),
             unhealthy: Counter::default(),
             quarantines: Counter::default(),
+            permits: Reasons::default(),
             orders: Reasons::default(),
             plans: Counter::default(),
             store_failures: Reasons::default(),
@@ -122,6 +125,7 @@
         r.register("moves", "Streams moved around a lost stage", self.moves.clone());
         r.register("doubts", "Endpoints found not to work", self.unhealthy.clone());
         r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
+        r.register("permits", "Permits for endpoints with a limit", self.permits.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
         r.register("store_failures", "Failed calls to the store", self.store_failures.clone());
--- a/crates/router/src/pace.rs
+++ b/crates/router/src/pace.rs
@@ -36,7 +36,8 @@
                 continue;
             }
             asked_at.insert(chain.key.clone(), now);
-            for hop in chain.hops {
+            let hops = chain.hops.into_iter();
+            for hop in hops.filter(|hop| suspect::may_ask(&state, &hop.incarnation())) {
                 actix_rt::spawn(ask(state.clone(), hop));
             }
         }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -117,13 +117,19 @@
         loads: inner.in_flight.loads(),
         unhealthy: inner.view.unhealthy(state.now()),
         quarantined: inner.quarantine.groups(state.now()),
+        limits: inner.limits.notices(state.now()),
     }
 }
 
 async fn receive(state: Shared, hub: Hub, mut events: mpsc::Receiver<Event>) {
     while let Some(Event { host, kind }) = events.recv().await {
         match kind {
-            Kind::Up => log::info!(host = host.as_str(); "connected to entry"),
+            Kind::Up => {
+                log::info!(host = host.as_str(); "connected to entry");
+                // What others know binds an entry that has just started, too.
+                let gossip = message::Message::Fleet(Message::Gossip(gossip(&state)));
+                hub.send(&host, None, gossip);
+            }
             Kind::Lost(e) => log::info!(
                 host = host.as_str(), reason:% = e;
                 "lost the connection to an entry"
@@ -152,6 +158,9 @@
             if !proven.is_empty() {
                 hub.send(&host, None, message::Message::Fleet(Message::Sound(proven)));
             }
+            for notice in &gossip.limits {
+                state.hear_limit(notice, &host);
+            }
             let mut inner = state.inner.borrow_mut();
             if let (Some(table), Some(age_ms)) = (&inner.table, gossip.table_age_ms) {
                 let (own, at) = (table.version, now - Duration::from_millis(age_ms));
@@ -203,6 +212,14 @@
             state.hear_sound(&sound);
             state.decide_quarantine();
         }
+        Message::Limit(notice) => state.hear_limit(&notice, &host),
+        Message::PermitRequest(notice) => {
+            state.hear_limit(&notice, &host);
+            let reply = state.grant_permit(&notice);
+            let reply = Message::Permit(notice.incarnation, reply);
+            hub.send(&host, None, message::Message::Fleet(reply));
+        }
+        Message::Permit(incarnation, reply) => state.receive_permit(&incarnation.endpoint, reply),
         Message::Unhealthy(incarnation) => {
             state.mark_unhealthy(&incarnation, Cause::Peer, Duration::ZERO, host.as_str());
         }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -64,6 +64,8 @@
     Unauthorized,
     /// No chain or endpoint that could run it has capacity.
     NoRoom,
+    /// Only endpoints had capacity whose own limit on requests is reached.
+    Limited,
     /// Its deadline or the route's timeout has passed.
     Timeout,
     /// Attempts failed and the route allows no further one.
@@ -83,6 +85,7 @@
             Self::NoRoute => "no-route",
             Self::Unauthorized => "unauthorized",
             Self::NoRoom => "no-room",
+            Self::Limited => "limited",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::NoBudget => "no-budget",
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -6,6 +6,7 @@
 mod chains;
 mod entries;
 mod health;
+pub mod limit;
 pub mod load;
 pub mod quarantine;
 
@@ -26,6 +27,7 @@
 use oriole_core::forward::in_flight::Tracker;
 use oriole_core::forward::quarantine::{Quarantine, Suspect};
 use oriole_core::forward::queue::{Queue, Refusals};
+use oriole_core::forward::rate;
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, Range};
 use oriole_core::route::Table;
@@ -77,6 +79,10 @@
     pub budgets: BTreeMap<name::Service, Budget>,
     /// Parts of prompts that crash endpoints.
     pub quarantine: Quarantine,
+    /// Limits on the rate of requests that endpoints name.
+    pub limits: rate::Limits,
+    /// Permits to send requests to endpoints with a limit.
+    pub permits: rate::Permits,
     /// Recent failures of endpoints of plain services.
     pub failures: Failures,
     /// When this entry last got an event from a chain, by key of the chain.
@@ -163,6 +169,8 @@
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            limits: rate::Limits::default(),
+            permits: rate::Permits::default(),
             failures: Failures::default(),
             last_event_at: BTreeMap::new(),
             liveness: Liveness::default(),
--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -46,12 +46,17 @@
     ///
     /// Ranks by a hash of the host and the endpoint, which spreads the endpoints over the entries.
     pub fn rank_for(&self, endpoint: &name::Endpoint) -> usize {
-        let hash = |host: &name::Host| {
-            let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
-            bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-        };
-        let own = hash(&self.host);
-        self.rank(|host| hash(host) < own)
+        let own = hash(&self.host, endpoint);
+        self.rank(|host| hash(host, endpoint) < own)
+    }
+
+    /// Returns the entry that acts for all on an endpoint: the one whose [`State::rank_for`] is 0.
+    pub fn first_for(&self, endpoint: &name::Endpoint) -> name::Host {
+        let inner = self.inner.borrow();
+        let others = inner.liveness.acting(inner.peers.keys(), self.now());
+        let all = others.into_iter().chain([&self.host]);
+        let first = all.min_by_key(|host| hash(host, endpoint));
+        first.unwrap_or(&self.host).clone()
     }
 
     /// Takes a retry out of this entry's share of the service's retry budget.
@@ -81,3 +86,8 @@
         budget.record_request(now);
     }
 }
+
+fn hash(host: &name::Host, endpoint: &name::Endpoint) -> u64 {
+    let bytes = host.as_str().bytes().chain(endpoint.as_str().bytes());
+    bytes.fold(0_u64, |sum, b| (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -39,6 +39,9 @@
         sleep(ASK_AGAIN_INTERVAL).await;
         let silent = state.inner.borrow().view.to_ask_again(&state.host, state.now());
         for (incarnation, address) in silent {
+            if !may_ask(&state, &incarnation) {
+                continue;
+            }
             actix_rt::spawn(ask_again(state.clone(), incarnation, address));
         }
     }
@@ -55,6 +58,26 @@
     }
 }
 
+/// Returns whether an endpoint may be asked for a report now.
+///
+/// An endpoint that limits its rate is asked rarely, since reports are requests, too.
+pub fn may_ask(state: &Shared, incarnation: &Incarnation) -> bool {
+    let interval = state.limited_probe_interval(incarnation);
+    interval.is_none_or(|interval| is_report_due(state, incarnation, interval))
+}
+
+/// Returns whether an endpoint was not asked for a report for `interval`, and records that it is now.
+fn is_report_due(state: &Shared, incarnation: &Incarnation, interval: Duration) -> bool {
+    let now = state.now();
+    let mut requested_at = state.report_requested_at.borrow_mut();
+    let last = requested_at.get(&incarnation.endpoint);
+    let is_due = last.is_none_or(|at| now.since(*at) >= interval);
+    if is_due {
+        requested_at.insert(incarnation.endpoint.clone(), now);
+    }
+    is_due
+}
+
 /// Requests a report, and once more if the first request times out.
 pub async fn request_report(address: SocketAddr) -> Result<Report, Error> {
     match endpoint::report(address, REPORT_TIMEOUTS[0]).await {
@@ -113,7 +136,7 @@
         probed_at.insert(chain.key.clone(), now);
     }
     log::info!(chain = chain.key.as_str(); "all streams of a chain are silent, probing its stages");
-    for hop in &chain.hops {
+    for hop in chain.hops.iter().filter(|hop| may_ask(state, &hop.incarnation())) {
         let (state, hop) = (state.clone(), hop.clone());
         actix_rt::spawn(async move {
             match request_report(hop.address).await {
@@ -177,6 +200,9 @@
     if is_lost(state, hop) {
         return true;
     }
+    if !may_ask(state, &hop.incarnation()) {
+        return false;
+    }
     match endpoint::report(hop.address, REPORT_TIMEOUTS[0]).await {
         Ok(report) if report.born == hop.born => return false,
         Ok(_) => mark_unhealthy(state, &hop.incarnation(), Cause::Restarted),
@@ -215,13 +241,10 @@
 
 /// Records that an endpoint is being asked for a report, and returns its incarnation.
 ///
-/// Returns `None` if it was asked less than [`MIN_REPORT_INTERVAL`] ago.
+/// Returns `None` if it was asked less than [`MIN_REPORT_INTERVAL`] ago, or limits its rate and was
+/// asked lately.
 fn start_probe(state: &Shared, hop: &Hop) -> Option<Incarnation> {
-    let now = state.now();
-    let mut requested_at = state.report_requested_at.borrow_mut();
-    if requested_at.get(&hop.endpoint).is_some_and(|at| now.since(*at) < MIN_REPORT_INTERVAL) {
-        return None;
-    }
-    requested_at.insert(hop.endpoint.clone(), now);
-    Some(hop.incarnation())
+    let incarnation = hop.incarnation();
+    let interval = state.limited_probe_interval(&incarnation).unwrap_or(MIN_REPORT_INTERVAL);
+    is_report_due(state, &incarnation, interval).then_some(incarnation)
 }
