Bound what an endpoint can send without end

What callers would see: an endpoint that sends interim heads, a line between chunks or a body without end kept their requests until the deadline (504 after 5 s), and many bodies at the same time, up to 16 MB each, would end a process with 160 MB.

Cause: heads, and bodies one by one, had bounds; interim heads, framing lines and all bodies together had none.

Change: 16 interim heads, 64 kB without a part of the body, and 32 MB for all bodies that are kept until they are complete; then the attempt fails and its connection closes. Endpoints that name limits that change from answer to answer are told at once only where the limit begins, ends or falls by a fifth. an_answer_without_end_is_closed_and_the_caller_gets_a_failure (504 in place of 502 for interim heads) and many_answers_without_end_share_one_bound_on_memory (no such bound) failed before.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -24,6 +24,12 @@
 /// Sent data may stay unacknowledged for this long before the kernel closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Interim (1xx) responses before a final one above which the peer is taken not to send any.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
+/// Bytes that may arrive without a part of the body, such as the lines between chunks.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// Free space in the read buffer before each read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -57,8 +63,8 @@
     /// The request cannot be encoded, or the response body cannot be decoded.
     #[display("the request cannot be encoded, or the response cannot be decoded")]
     Malformed,
-    /// The response body is larger than the caller allows.
-    #[display("the response body exceeds the size limit")]
+    /// The response or its body is larger than allowed.
+    #[display("the response exceeds the size limit")]
     TooLong,
     /// The response was not complete within the limit.
     #[display("no complete response within the time limit")]
@@ -122,7 +128,7 @@
     let is_head = head.method == Method::HEAD;
     encode(&mut codec, head, body, &mut outgoing)?;
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    let mut is_reset = false;
+    let (mut is_reset, mut interim) = (false, 0);
     loop {
         tokio::select! {
             written = write.write_buf(&mut outgoing), if outgoing.has_remaining() => {
@@ -134,7 +140,7 @@
             }
             count = read.read_buf(&mut buffer) => {
                 let count = count?;
-                if let Some(head) = decode(&mut codec, &mut buffer)? {
+                if let Some(head) = decode(&mut codec, &mut buffer, &mut interim)? {
                     let framing = match is_head {
                         true => Framing::Complete,
                         false => framing(&head, codec, is_reset),
@@ -185,6 +191,7 @@
     ///
     /// A connection reset is always an error, even where closing the connection ends the body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        let mut framing_bytes = 0;
         loop {
             match &mut self.framing {
                 Framing::Complete => return Ok(None),
@@ -202,7 +209,12 @@
                 },
             }
             self.buffer.reserve(READ_BUFFER_BYTES);
-            if self.read.read_buf(&mut self.buffer).await? == 0 {
+            let count = self.read.read_buf(&mut self.buffer).await?;
+            framing_bytes += count;
+            if framing_bytes > MAX_FRAMING_BYTES && matches!(self.framing, Framing::Codec(_)) {
+                return Err(Error::TooLong);
+            }
+            if count == 0 {
                 let Framing::UntilClose { is_reset: false } = self.framing else {
                     return Err(Error::Closed);
                 };
@@ -236,14 +248,22 @@
     Ok(())
 }
 
-/// Decodes the head of the final response and discards interim (1xx) ones; `None` if more bytes
-/// are needed.
-fn decode(codec: &mut ClientCodec, buffer: &mut BytesMut) -> Result<Option<ResponseHead>, Error> {
+/// Decodes the head of the final response and discards interim (1xx) ones, which are counted in
+/// `interim`; `None` if more bytes are needed.
+fn decode(
+    codec: &mut ClientCodec,
+    buffer: &mut BytesMut,
+    interim: &mut usize,
+) -> Result<Option<ResponseHead>, Error> {
     while let Some(head) = codec.decode(buffer)? {
-        let interim = head.status.is_informational();
-        if !interim || head.status == StatusCode::SWITCHING_PROTOCOLS {
+        let is_interim = head.status.is_informational();
+        if !is_interim || head.status == StatusCode::SWITCHING_PROTOCOLS {
             return Ok(Some(head));
         }
+        *interim += 1;
+        if *interim > MAX_INTERIM_RESPONSES {
+            return Err(Error::TooLong);
+        }
         *codec = new_codec();
     }
     Ok(None)
--- a/crates/core/src/forward/rate.rs
+++ b/crates/core/src/forward/rate.rs
@@ -25,6 +25,9 @@
 /// Time for which entries tell each other that a limit has ended.
 const END_LIFETIME: Duration = Duration::from_secs(10);
 
+/// Fraction of the limit before below which a new one is told at once; gossip tells of others.
+const URGENT_FRACTION: f64 = 0.8;
+
 /// Fraction of a limit that all entries together may spend on probes.
 const PROBE_FRACTION: f64 = 0.25;
 
@@ -67,7 +70,7 @@
 impl Limits {
     /// Records what an answer states that arrived `now`, to a request that was sent at `sent`.
     ///
-    /// Returns whether the limit has changed.
+    /// Returns whether to tell the other entries at once.
     pub fn record(
         &mut self,
         incarnation: &Incarnation,
@@ -85,7 +88,7 @@
         }
     }
 
-    /// Records what another entry tells. Returns whether the limit has changed.
+    /// Records what another entry tells. Returns whether a limit has begun, ended, or become much lower.
     pub fn hear(&mut self, notice: &Notice, now: Instant) -> bool {
         let is_valid = notice.rate.is_none_or(|rate| rate.is_finite() && rate >= 0.0);
         let stated_at = now - Duration::from_millis(notice.age_ms);
@@ -103,7 +106,10 @@
         let before = self.limit(incarnation);
         let known = Known { born: *born, rate, stated_at };
         self.by_endpoint.insert(endpoint.clone(), known);
-        before != rate
+        match (before, rate) {
+            (Some(before), Some(rate)) => rate < before * URGENT_FRACTION,
+            (before, rate) => before.is_some() != rate.is_some(),
+        }
     }
 
     /// Returns the requests per second that an endpoint takes, or `None` if it names no limit.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use actix_http::{Method, ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use oriole_adapter::exchange;
 use oriole_core::fleet::{Endpoint, Incarnation};
 use oriole_core::forward::event::Splitter;
@@ -290,17 +290,17 @@
         Classification::NotExecuted(_) => return Err(Failure::NotExecuted),
         Classification::Foreign => return Err(Failure::Unknown),
     }
-    let mut content = BytesMut::new();
-    loop {
-        match body.next().await {
-            Ok(Some(bytes)) if content.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
-                content.extend_from_slice(&bytes);
-            }
-            Ok(None) if is_cut_off(request, &head, &content) => return Err(Failure::Unknown),
-            Ok(None) => return Ok(Response { head, body: content.freeze() }),
-            Ok(Some(_)) | Err(_) => return Err(Failure::Unknown),
+    let mut content = state.body_memory.begin(MAX_RESPONSE_BYTES);
+    while let Some(bytes) = body.next().await.map_err(|_| Failure::Unknown)? {
+        if !content.push(&bytes) {
+            log::warn!(id = request.id(), endpoint = target.id.as_str(); "body too large");
+            return Err(Failure::Unknown);
         }
     }
+    if is_cut_off(request, &head, content.content()) {
+        return Err(Failure::Unknown);
+    }
+    Ok(Response { head, body: content.finish() })
 }
 
 /// Returns whether the body is a stream that was broken off, although its framing is complete.
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -195,7 +195,7 @@
         if status.is_server_error() && request.route.may_repeat() {
             return Outcome::Failed(Failure::Unknown);
         }
-        return forward_unstreamed(&answer.head, answer.body, writer).await;
+        return forward_unstreamed(attempt.state, &answer.head, answer.body, writer).await;
     }
     // After a stream that broke off, a mere close before any event may be another break.
     let is_first = writer.progress() == Progress::NotStarted;
@@ -334,6 +334,7 @@
 /// The body is buffered, so that an attempt that breaks can be repeated. Fails if a part of a
 /// stream has been sent to the caller already.
 async fn forward_unstreamed(
+    state: &Shared,
     head: &actix_http::ResponseHead,
     mut body: Body,
     writer: &mut Writer,
@@ -341,18 +342,16 @@
     if writer.progress() != Progress::NotStarted {
         return Outcome::Failed(Failure::Unknown);
     }
-    let mut content = bytes::BytesMut::new();
+    let mut content = state.body_memory.begin(MAX_RESPONSE_BYTES);
     loop {
         match body.next().await {
-            Ok(Some(bytes)) if content.len() + bytes.len() <= MAX_RESPONSE_BYTES => {
-                content.extend_from_slice(&bytes);
-            }
+            Ok(Some(bytes)) if content.push(&bytes) => {}
             Ok(None) => break,
             Ok(Some(_)) | Err(_) => return Outcome::Failed(Failure::Unknown),
         }
     }
     let headers = endpoint::end_to_end(head.headers());
-    match writer.respond(head.status, headers, content.freeze()).await {
+    match writer.respond(head.status, headers, content.finish()).await {
         Ok(()) => Outcome::Complete,
         Err(e) => Outcome::CallerLost(e),
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`orders`]: orders endpoints to load the layers that the plan assigns to them.
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
+//! - [`body_memory`]: one bound on the memory of response bodies.
 //! - [`reply`]: writes responses to callers.
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
@@ -22,6 +23,7 @@
 //! All tasks run on one thread. The decisions are in `oriole_core`, the platform's names, formats
 //! and calls in `oriole_platform`.
 
+pub mod body_memory;
 pub mod call;
 pub mod cmd;
 pub mod follow;
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -34,6 +34,7 @@
 use oriole_core::time::Instant;
 use tokio::sync::Notify;
 
+use crate::body_memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::settings::{Settings, Tunables};
 
@@ -108,6 +109,8 @@
     was_stable: Cell<bool>,
     /// When the process started.
     pub started: Instant,
+    /// Memory of response bodies that are kept until they are complete.
+    pub body_memory: BodyMemory,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Clock that all tasks use.
@@ -185,6 +188,7 @@
             zone: settings.zone.as_str().into(),
             tunables: RefCell::new(Tunables::of(&settings)),
             settings,
+            body_memory: BodyMemory::default(),
             metrics: Metrics::default(),
             clock,
             inner: RefCell::new(inner),
--- /dev/null
+++ b/crates/router/tests/path/endless.rs
@@ -0,0 +1,47 @@
+//! Endpoints that send bytes without end: they are read up to a bound, the connection is closed, and the
+//! caller gets a failure.
+
+use futures_util::future::join_all;
+use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::unframed::Ending;
+
+use crate::unframed::cluster;
+
+/// Route of calls that may run once only, and of generations that may not resume.
+const PATHS: [&str; 2] = ["/once/a", "/strict/a"];
+
+const ENDINGS: [Ending; 4] =
+    [Ending::EndlessHead, Ending::EndlessInterim, Ending::EndlessBody, Ending::EndlessChunkLine];
+
+#[actix_rt::test]
+async fn an_answer_without_end_is_closed_and_the_caller_gets_a_failure() {
+    let cluster = cluster().await;
+    let mut sent = 0;
+    for ending in ENDINGS {
+        cluster.fleet.set_ending(ending);
+        for path in PATHS {
+            let answer = cluster.entries[0].call(path, &format!("r{sent}"), KEY).await;
+            // 504 would mean that the bytes were read until the deadline.
+            assert_eq!((answer.status, answer.is_complete), (502, true), "{ending:?} {path}");
+            sent += 1;
+            cluster.wait(|c| c.fleet.ended_by_caller() == sent).await;
+        }
+    }
+}
+
+/// One endless body fits into memory, many at the same time would not.
+#[actix_rt::test]
+async fn many_answers_without_end_share_one_bound_on_memory() {
+    let cluster = cluster().await;
+    cluster.fleet.set_ending(Ending::EndlessBody);
+    let state = cluster.entries[0].state.clone();
+    let calls = (0..24).map(|n| {
+        let cluster = &cluster;
+        async move { cluster.entries[0].call("/once/a", &format!("r{n}"), KEY).await }
+    });
+    let answers = join_all(calls).await;
+    assert!(answers.iter().all(|a| a.status >= 500 && a.is_complete));
+    let most = state.body_memory.peak();
+    assert!(most > 0 && most <= 32 * 1024 * 1024, "{most} bytes");
+    assert_eq!(state.body_memory.used(), 0);
+}
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -20,7 +20,7 @@
 ///
 /// Besides the usual routes there are a stream that may not resume (`/strict/`), and streams of the
 /// plain service that may (`/feed/`) and may not (`/feed/strict/`).
-async fn cluster() -> Cluster {
+pub async fn cluster() -> Cluster {
     let store = Store::start().await.unwrap();
     let mut operator = config(1, &[KEY]);
     let routes = operator["routes"].as_array_mut().unwrap();
