Let a silent endpoint keep its place in the plan for 1.3 s

Layers move between endpoints that still work, which load for seconds and come back to the old plan a second later; up to half of the requests were refused.

Cause: the planner took every endpoint that answers nobody for lost. Most go on after a second or so, with their layers and their work.

Change: an endpoint whose only finding is silence keeps its layers in plans for 1.3 s from the first such finding; it gets no others and no requests, as before. Certain losses count at once. an_endpoint_keeps_its_place_for_a_short_silence_only.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -308,6 +308,14 @@
         is_ready && !self.is_unhealthy(id, now)
     }
 
+    /// Returns whether an endpoint keeps its place in the plan: it is ready, or would be but for a brief
+    /// silence.
+    pub fn keeps_place(&self, id: &name::Endpoint, now: Instant) -> bool {
+        let listed = self.get(id).filter(|e| e.state == State::Ready);
+        let is_silent = |e: &Endpoint| self.health.is_briefly_silent(id, e.born, now);
+        listed.is_some_and(|e| self.is_ready(id, now) || is_silent(e))
+    }
+
     /// Returns whether the set of usable endpoints stays the same until the next update.
     ///
     /// This is so if all unhealthy, paused and draining periods are over.
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -12,6 +12,10 @@
 /// Time for which an endpoint is treated as unhealthy after the last such finding.
 pub const UNHEALTHY_PERIOD: Duration = Duration::from_secs(6);
 
+/// Time for which a silent endpoint keeps its place in the plan: most go on after a second or so, and
+/// another place costs seconds of loading.
+const BRIEF_SILENCE: Duration = Duration::from_millis(1300);
+
 /// Window within which suspicions of several entries are counted together.
 const SUSPICION_PERIOD: Duration = Duration::from_secs(2);
 
@@ -52,6 +56,8 @@
 struct Finding {
     born: u64,
     at: Instant,
+    /// When the first of the findings was made that renewed each other.
+    since: Instant,
     cause: Cause,
 }
 
@@ -95,7 +101,9 @@
         let lost = known.filter(|f| f.born == incarnation.born && f.cause.is_loss());
         let cause = lost.map_or(cause, |f| f.cause);
         if known.is_none_or(|f| (f.born, f.at) < (incarnation.born, seen_at)) {
-            let finding = Finding { born: incarnation.born, at: seen_at, cause };
+            let renewed = known.filter(|f| f.born == incarnation.born && f.is_fresh(seen_at));
+            let since = renewed.map_or(seen_at, |f| f.since);
+            let finding = Finding { born: incarnation.born, at: seen_at, since, cause };
             findings.insert(id.clone(), finding);
         }
     }
@@ -184,6 +192,15 @@
         findings.into_iter().flatten().find(is_same).map(|f| f.cause)
     }
 
+    /// Returns whether an endpoint started at `born` is unhealthy only because it has been silent for a
+    /// short time, after which most go on.
+    pub fn is_briefly_silent(&self, id: &name::Endpoint, born: u64, now: Instant) -> bool {
+        let is_in_force = |f: &&Finding| f.born == born && f.is_fresh(now);
+        let silence = self.silences.get(id).filter(is_in_force);
+        self.findings.get(id).filter(is_in_force).is_none()
+            && silence.is_some_and(|f| now.since(f.since) < BRIEF_SILENCE)
+    }
+
     /// Returns the unhealthy endpoints, with the age of the findings in milliseconds.
     ///
     /// Silent ones are left out: each entry hears the suspicions, and when they are taken back.
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -1,10 +1,13 @@
 //! Tests of findings about endpoints that do not answer.
 
+mod fleet_fixture;
+
 use std::time::Duration;
 
 use oriole_core::fleet::health::Health;
 use oriole_core::fleet::{Cause, Incarnation, View};
 use oriole_core::name;
+use oriole_core::placement::Plan;
 use oriole_core::time::Instant;
 
 fn at(ms: u64) -> Instant {
@@ -125,3 +128,30 @@
     }
     assert!(health.len() < 40, "{}", health.len());
 }
+
+/// Guards against a new plan, and seconds of loading, for an endpoint that goes on after a second.
+#[test]
+fn an_endpoint_keeps_its_place_for_a_short_silence_only() {
+    let site = fleet_fixture::site();
+    let all = fleet_fixture::listing(&site, &Plan::default());
+    let id = site[0].endpoint.clone();
+    let silent = Incarnation { endpoint: id.clone(), born: 1 };
+    let suspect = |view: &mut View, ms| {
+        for host in ["a", "b", "c", "d"] {
+            view.suspect(&silent, host.into(), 29, at(ms));
+        }
+    };
+    let mut view = View::default();
+    view.update_listing(all.clone(), at(0));
+    suspect(&mut view, 100);
+    assert!(!view.is_ready(&id, at(1100)) && view.keeps_place(&id, at(1100)));
+    // Those that ask it again renew the finding, not its beginning.
+    suspect(&mut view, 1000);
+    assert!(!view.keeps_place(&id, at(1500)));
+    view.record_answer(&silent, at(1600));
+    assert!(view.keeps_place(&id, at(1600)));
+    // What is certain counts at once.
+    suspect(&mut view, 2000);
+    view.mark_unhealthy(&silent, Cause::ConnectionRefused, at(2100), at(2100));
+    assert!(!view.keeps_place(&id, at(2100)));
+}
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -92,7 +92,7 @@
     let chains = inner.plans.first().into_iter().flat_map(|p| p.services.values().flatten());
     let mut stages = chains.flat_map(|c| &c.stages);
     let is_impaired =
-        |id: &name::Endpoint| !inner.view.is_ready(id, now) || inner.view.is_slow(id, now);
+        |id: &name::Endpoint| !inner.view.keeps_place(id, now) || inner.view.is_slow(id, now);
     stages.any(|s| is_impaired(&s.endpoint))
 }
 
@@ -140,7 +140,8 @@
 
 /// Returns the endpoints on which layers may be placed.
 ///
-/// Endpoints that may still register again keep their layers, but get no others.
+/// Endpoints that may still register again, or that are silent for a short time, keep their layers, but
+/// get no others.
 fn candidates(
     model: &Model,
     view: &View,
@@ -149,8 +150,9 @@
     now: Instant,
 ) -> Vec<Candidate> {
     let is_planned = |id| plan.is_some_and(|plan| plan.layers_of(id).is_some());
-    let ready = view.of_service(service).filter(|e| view.is_ready(&e.id, now));
-    let able = ready.filter(|e| view.is_registered(&e.id) || is_planned(&e.id));
+    let ready = view.of_service(service).filter(|e| view.keeps_place(&e.id, now));
+    let is_free = |e: &fleet::Endpoint| view.is_registered(&e.id) && view.is_ready(&e.id, now);
+    let able = ready.filter(|e| is_free(e) || is_planned(&e.id));
     able.filter_map(|e| candidate(model, e, view.is_slow(&e.id, now))).collect()
 }
 
