Be ready for callers only once another entry has told what it knows

What callers would see: an entry that starts sends more to endpoints than their limits allow, and requests with quarantined parts, until the first gossip comes.

Evidence: beside load (18 on 8 cores) an_entry_that_starts_holds_the_limits_that_others_know failed once, with 48 requests for two engines of 4 a second: the entry had its chains and the others' registrations, and no word of them. Cause: readiness asked for the routing table and the endpoints only.

Change: an entry is ready when it has heard any other one, when none is registered, or after contact-ms, from when on it must keep all bounds anyway. The test now waits for readiness, as the balancer does, in place of a count of registrations; its bound is the same.

--- a/crates/core/src/fleet/liveness.rs
+++ b/crates/core/src/fleet/liveness.rs
@@ -28,6 +28,11 @@
         self.heard.insert(host, Heard { at: now, ready_at: now + ready_in });
     }
 
+    /// Returns whether any entry has sent gossip.
+    pub fn has_heard(&self) -> bool {
+        !self.heard.is_empty()
+    }
+
     /// Returns whether an entry sent gossip recently.
     pub fn is_live(&self, host: &name::Host, now: Instant) -> bool {
         self.heard.get(host).is_some_and(|heard| is_recent(heard, now))
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -40,6 +40,7 @@
         if update == Update::Snapshot {
             state.inner.borrow_mut().peers.clear();
         }
+        state.inner.borrow_mut().knows_peers = true;
         for change in changes {
             match change {
                 Change::Written(item) => apply_entry_key(&state, &item),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -92,6 +92,8 @@
     pub liveness: Liveness,
     /// Other entries registered in the store, by host.
     pub peers: BTreeMap<name::Host, Peer>,
+    /// Whether the registrations of entries have been read.
+    pub knows_peers: bool,
 }
 
 /// State that tasks share.
@@ -178,6 +180,7 @@
             last_event_at: BTreeMap::new(),
             liveness: Liveness::default(),
             peers: BTreeMap::new(),
+            knows_peers: false,
         };
         let clock = Clock::start();
         Rc::new(Self {
@@ -255,10 +258,20 @@
 
     /// Returns whether the entry is ready for new connections.
     ///
-    /// It needs a routing table and a listing of the endpoints, and must not be stopping.
+    /// It needs a routing table, a listing of the endpoints and the word of another entry, and must not
+    /// be stopping.
     pub fn is_ready(&self) -> bool {
         let inner = self.inner.borrow();
-        inner.table.is_some() && inner.view.age(self.now()).is_some() && !self.stopping.get()
+        let knows_store = inner.table.is_some() && inner.view.age(self.now()).is_some();
+        knows_store && self.has_heard(&inner) && !self.stopping.get()
+    }
+
+    /// Returns whether another entry has told what it knows, such as the limits of endpoints, or none is
+    /// there to tell. An entry waits for that no longer than until it must keep all bounds.
+    fn has_heard(&self, inner: &Inner) -> bool {
+        let is_alone = inner.knows_peers && inner.peers.is_empty();
+        let is_late = self.now().since(self.started) >= self.contact_time();
+        is_alone || is_late || inner.liveness.has_heard()
     }
 
     /// Returns whether work that takes at most `longest` ends before the process exits.
--- a/crates/router/tests/path/limit.rs
+++ b/crates/router/tests/path/limit.rs
@@ -89,7 +89,7 @@
     send_all(&cluster, "/draft/a", "first-", 16).await;
     let started = cluster.entry(2).await;
     cluster.entries = vec![started];
-    cluster.wait(|c| c.entries[0].chains() >= 2 && c.entries[0].state.entry_count() == 3).await;
+    cluster.wait(|c| c.entries[0].chains() >= 2 && c.entries[0].state.is_ready()).await;
     let arrivals = |c: &Cluster| engines().iter().map(|e| c.fleet.arrivals(e)).sum::<usize>();
     let (before, began) = (arrivals(&cluster), Instant::now());
     send_all(&cluster, "/draft/a", "second-", 48).await;
