Watch an order until its layers are reported

Cause: the entry that orders layers asks for reports until one is idle. The layers in a report may be older than the rest of it: the first one read idle, one order accepted, and the layers from before, and the watch ended. The entry had told the others of those layers, and they went before the registration until the endpoint wrote its registration twice more; two stages of a chain counted as empty meanwhile.

Change: the watch ends when the reported layers are those ordered, or after five idle reports in a row; an order that has not begun is settled by one, as before. an_order_is_watched_until_its_layers_are_reported_although_the_endpoint_is_idle; before, the rule could not tell the two reports apart.

--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -298,3 +298,17 @@
         }
     }
 }
+
+/// Guards against a watch that ends at a report whose layers lag behind, so that nobody tells the
+/// other entries of the new ones.
+#[test]
+fn an_order_is_watched_until_its_layers_are_reported_although_the_endpoint_is_idle() {
+    let ordered = Range { first: 50, end: 55 };
+    let mut watch = order::Watch::new(ordered);
+    assert!(!watch.record(Range::default(), false));
+    assert!(!watch.record(Range::default(), true), "idle, and its layers are from before");
+    assert!(watch.record(ordered, true));
+    // An order that comes to nothing is not watched for long.
+    let mut watch = order::Watch::new(ordered);
+    assert_eq!((0..9).position(|_| watch.record(Range::default(), true)), Some(4));
+}
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -155,8 +155,8 @@
 
 /// Sends an order and monitors the endpoint by its reports.
 ///
-/// Stops when a report shows that the order is resolved and nothing is loading, or that the
-/// endpoint has restarted, when a report fails, or when the time for monitoring is over.
+/// Stops when reports show that the order is settled ([`order::Watch`]), or that the endpoint has
+/// restarted, when a report fails, or when the time for monitoring is over.
 async fn place_layers(state: Shared, busy: Busy, order: Order) {
     let began = state.now();
     let answer = endpoint::place(
@@ -183,12 +183,15 @@
         sleep(order.load_time.mul_f64(0.3)).await;
     }
     let limit = order.load_time * 4 + MONITOR_MARGIN;
+    let mut watch = order::Watch::new(order.layers);
     while state.now().since(began) < limit {
         match endpoint::report(order.address, ANSWER_TIMEOUT).await {
             Ok(report) => {
                 apply_report(&state, &order.incarnation, &report);
-                let is_resolved = report.orders > order.accepted_orders || is_not_begun(&answer);
-                if (is_resolved && !report.busy) || report.born != order.incarnation.born {
+                let is_resolved = report.orders > order.accepted_orders;
+                let is_settled = watch.record(report.layers, is_resolved && !report.busy);
+                let is_void = is_not_begun(&answer) && !report.busy;
+                if is_settled || is_void || report.born != order.incarnation.born {
                     break;
                 }
             }
