Tell the other entries of a report that differs from the last one

Cause: an entry tells the others of reported layers only if they change its own view. It had told them of a report with the layers from before, then read the new ones in a registration, and the next report changed nothing for it. The others went by the first report, which goes before registrations until the endpoint has written two more, for 16 s.

Change: a report counts as changed if it differs from the view or from the last report. a_report_that_differs_from_the_last_one_is_told_although_the_registration_says_the_same failed before.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -175,8 +175,8 @@
     /// Records layers that an endpoint reported directly, and the number of orders that it had
     /// accepted.
     ///
-    /// Ignores reports of another incarnation or from before a known order. Returns whether
-    /// anything changed.
+    /// Ignores reports of another incarnation or from before a known order. Returns whether anything
+    /// changed, also since the last report: other entries that were told of that one still go by it.
     pub fn record_layers(
         &mut self,
         incarnation: &Incarnation,
@@ -189,7 +189,9 @@
         if endpoint.born != incarnation.born || orders < endpoint.orders {
             return false;
         }
-        let changed = endpoint.layers != layers || endpoint.orders != orders;
+        let last = self.reports.get(&incarnation.endpoint).filter(|r| r.born == incarnation.born);
+        let differs = last.is_some_and(|r| r.layers != layers || r.orders != orders);
+        let changed = differs || endpoint.layers != layers || endpoint.orders != orders;
         endpoint.layers = layers;
         endpoint.orders = orders;
         let heartbeat = endpoint.heartbeat;
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,9 +6,9 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::View;
 use oriole_core::fleet::lag::Lag;
-use oriole_core::placement::{Plan, revise};
+use oriole_core::fleet::{Incarnation, View};
+use oriole_core::placement::{Plan, Range, revise};
 use oriole_core::time::Instant;
 
 fn at(ms: u64) -> Instant {
@@ -164,3 +164,23 @@
     assert!(!view.hear_unbroken(peer.unbroken(at(18_300)), at(18_300)));
     assert_eq!(view.listing().endpoints.len(), all.endpoints.len());
 }
+
+/// Guards against layers that are told to nobody, since the registration was read before the report.
+#[test]
+fn a_report_that_differs_from_the_last_one_is_told_although_the_registration_says_the_same() {
+    let endpoints = fleet_fixture::site();
+    let mut listing = fleet_fixture::listing(&endpoints, &Plan::default());
+    let id = endpoints[3].endpoint.clone();
+    let incarnation = Incarnation { endpoint: id.clone(), born: 1 };
+    let (empty, loaded) = (Range::default(), Range { first: 50, end: 55 });
+    let mut view = View::default();
+    view.update_listing(listing.clone(), at(0));
+    assert!(view.record_layers(&incarnation, empty, 1), "the order is new");
+    listing.revision += 1;
+    let registration = listing.endpoints.get_mut(&id).unwrap();
+    (registration.layers, registration.heartbeat) = (loaded, 3);
+    view.update_listing(listing, at(100));
+    assert_eq!(view.get(&id).unwrap().layers, loaded);
+    assert!(view.record_layers(&incarnation, loaded, 1), "others still go by the first report");
+    assert!(!view.record_layers(&incarnation, loaded, 1));
+}
