--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -99,8 +99,9 @@
     recovery: recovery::Recovery,
 }
 
-/// After a short gap between listings leases have expired if at least one of so many endpoints is missing. Among many
-/// entries listings come that late also without an outage, and endpoints that left are missing.
+/// After a short gap between listings leases have expired if at least one of so many endpoints is
+/// missing. Among many entries listings come that late also without an outage, and endpoints that left
+/// are missing.
 const ENDPOINTS_PER_EXPIRED_LEASE: usize = 6;
 
 impl View {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,8 +1,8 @@
 //! Exchanges state and work in progress between entries.
 //!
-//! Each entry sends gossip to all that are registered or connected at an interval. Gossip says which versions of the routing
-//! table and the plan the sender has, and how old its listing is. An entry that is behind requests
-//! the newer data from the sender, which does not need the store.
+//! Each entry sends gossip to all that are registered or connected at an interval. Gossip says which
+//! versions of the routing table and the plan the sender has, and how old its listing is. An entry that
+//! is behind requests the newer data from the sender, which does not need the store.
 
 use std::time::Duration;
 
