--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Identifies what a caller asks for: equal for a request and its repeats, whichever entry they come to.
+#[key]
+pub struct Fingerprint(pub [u64; 2]);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.0[0], self.0[1])
+    }
+}
+
 /// Fraction of the expected answer to reserve: sequences in progress are on average half done.
 const RESERVED_ANSWER_FRACTION: f64 = 0.6;
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -132,7 +132,11 @@
                 Failure::Unknown
             }
         };
-        log::info!(id = request.id(), endpoint = target.id.as_str(), failure:?; "attempt failed");
+        log::info!(
+            id = request.id(), fingerprint:% = request.fingerprint, endpoint = target.id.as_str(),
+            failure:?;
+            "attempt failed"
+        );
         Metrics::count(&state.metrics.failures, failure.as_str());
         state.inner.borrow_mut().failures.add(&target.id, state.clock.now());
         attempts.record(&target.id, failure);
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -205,7 +205,8 @@
         let parts = self.request.parameters.shared_parts.iter().map(Part::to_string);
         let parts = parts.collect::<Vec<_>>().join(",");
         log::info!(
-            id, head, waited_ms, took_ms, failure:?, writing_ms, parts = parts.as_str();
+            id, fingerprint:% = self.request.fingerprint, head, waited_ms, took_ms, failure:?, writing_ms,
+            parts = parts.as_str();
             "attempt failed"
         );
         Metrics::count(&self.state.metrics.failures, failure.as_str());
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -9,6 +9,7 @@
 
 use actix_http::{RequestHead, StatusCode, header as http};
 use bytes::Bytes;
+use oriole_core::forward::Fingerprint;
 use oriole_core::route::{Denial, Kind, Route, Workspace};
 use oriole_core::time::Instant;
 use oriole_core::{forward, name};
@@ -30,6 +31,8 @@
     pub body: Bytes,
     /// Values of the platform's own headers, as received from the caller.
     pub parameters: ingress::Parameters,
+    /// What it asks for; equal for its repeats.
+    pub fingerprint: Fingerprint,
     /// The route that matches the request.
     pub route: Route,
     /// The service that the route selected.
@@ -171,7 +174,9 @@
         return Err((Reason::NoRoute, id()));
     };
     let time_limit = parameters.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let fingerprint = ingress::fingerprint(&head, &body, workspace.map(|w| &w.name));
     Ok(Request {
+        fingerprint,
         priority: forward::priority(route, workspace),
         service: service.clone(),
         workspace: workspace.cloned(),
@@ -212,7 +217,8 @@
     let (table, plan) = state.versions();
     let cut = writer.progress() != Progress::NotStarted;
     log::info!(
-        id = request.id(), route, reason:?, not_run, cut, waited_ms, table, plan;
+        id = request.id(), fingerprint:% = request.fingerprint, route, reason:?, not_run, cut, waited_ms,
+        table, plan;
         "given up"
     );
     Metrics::count(&state.metrics.refused, reason.as_str());
