--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as the tests do
 
 mod cluster;
+mod crashing_request;
 mod endless;
 mod late_version;
 mod limit;
