Hold requests under which endpoints crash

Cause: nothing remembered a request as such. Quarantines know shared parts of prompts, so that plain calls and generations without such parts were new to each entry at each repeat. The class is a poison message, known by one of its attributes only.

Change: forward::runs knows what runs at an endpoint or broke off there in the last 2 s, also when it was left or its caller went away. When an entry finds a loss (refused connections, a restart; plain endpoints are asked by opening a connection), these requests are suspects at all entries (forward::hold). The third crash at another moment holds a request, the second ends its retries, and an answer clears it. What is suspect twice, held or released is in the store, which also counts trials by compare-and-swap: two in all, and none while the store is away. Entries tell one that connects all that they know before their first gossip, on which its readiness waits.

--- a/crates/adapter/src/clock.rs
+++ b/crates/adapter/src/clock.rs
@@ -1,6 +1,12 @@
 //! The process's monotonic clock.
 
-use oriole_core::time::{self, as_us};
+use std::time::Duration;
+
+use oriole_core::time;
+
+/// Time that a clock shows at its start, so that times before it can be represented: other processes
+/// tell of events by their age.
+const OFFSET: Duration = Duration::from_secs(2 * 24 * 3600);
 
 /// A monotonic clock that starts when it is created. Copies show the same time.
 #[derive(Clone, Copy, Debug)]
@@ -9,14 +15,13 @@
 }
 
 impl Clock {
-    /// Starts a clock, which then shows one second.
+    /// Starts a clock, which then shows [`OFFSET`].
     pub fn start() -> Self {
         Self { start: std::time::Instant::now() }
     }
 
     /// Returns the present time.
     pub fn now(&self) -> time::Instant {
-        // Not zero, so that times shortly before the start can be represented.
-        time::Instant::from_us(as_us(self.start.elapsed()).saturating_add(1_000_000))
+        time::Instant::default() + OFFSET + self.start.elapsed()
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -311,6 +311,12 @@
         is_ready && !self.is_unhealthy(id, now)
     }
 
+    /// Returns whether an endpoint is listed as ready, so that it is not expected to end.
+    pub fn is_expected_to_run(&self, incarnation: &Incarnation) -> bool {
+        let listed = self.get(&incarnation.endpoint).filter(|e| e.born == incarnation.born);
+        listed.is_some_and(|e| e.state == State::Ready)
+    }
+
     /// Returns whether an endpoint keeps its place in the plan: it is ready, or would be but for a brief
     /// silence.
     pub fn keeps_place(&self, id: &name::Endpoint, now: Instant) -> bool {
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -5,6 +5,7 @@
 use super::Listing;
 use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::forward::rate::{Notice, Reply};
+use crate::forward::{Fingerprint, hold};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -114,6 +115,12 @@
     Crash(Incarnation, Vec<Suspect>),
     /// Parts of prompts that the sender has seen answered, although others suspect them.
     Sound(Vec<Sound>),
+    /// An endpoint that crashed, and requests that it was running for the sender.
+    Crashed(hold::Crash, Vec<Fingerprint>),
+    /// Requests that the sender has seen answered, although others suspect or hold them.
+    Released(Vec<hold::Release>),
+    /// Requests that the sender suspects, holds and has released.
+    Holds(hold::Summary),
     /// A limit that an endpoint names, or names no more.
     Limit(Notice),
     /// Request for a permit to send one request to an endpoint, with the limit that the sender knows.
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -6,6 +6,8 @@
 //! - [`choice`]: the choice among the endpoints of a plain service, which has no chains.
 //! - [`queue`]: the order in which requests wait for capacity.
 //! - [`quarantine`]: parts of prompts that crash endpoints.
+//! - [`runs`]: which requests run at which endpoint, and which may have crashed it.
+//! - [`hold`]: requests that crash endpoints and are not run.
 //! - [`rate`]: limits on the rate of requests that endpoints name.
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
@@ -16,11 +18,13 @@
 pub mod chain;
 pub mod choice;
 pub mod event;
+pub mod hold;
 pub mod in_flight;
 pub mod outcome;
 pub mod quarantine;
 pub mod queue;
 pub mod rate;
+pub mod runs;
 pub mod slowdown;
 pub mod stop;
 
--- /dev/null
+++ b/crates/core/src/forward/hold.rs
@@ -0,0 +1,309 @@
+//! Which requests crash endpoints, and are therefore held: not run when they come again.
+//!
+//! Load pattern: one request crashes each endpoint that begins to run it, and comes again at any entry.
+//! Each endpoint is back after some seconds, without a memory of it.
+//!
+//! A request that was running at an endpoint when it crashed is a suspect of this crash. An answer clears
+//! it. Suspects of several crashes are held for as long as they come, but for a few trials: endpoints
+//! may have crashed for another reason, such as a request that ran beside it each time. The store counts the
+//! trials, so that entries together make no more of them.
+
+mod summary;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use oriole_macros::key;
+
+use super::Fingerprint;
+use crate::fleet::Incarnation;
+use crate::time::Instant;
+
+pub use summary::{Crash, Hold, Release, Summary, Suspect};
+
+/// Number of crashes of which a request must be suspect to be held.
+const MIN_CRASHES: usize = 3;
+
+/// Number of crashes from which on a request is not attempted again, and the store knows it.
+const MAX_CRASHES_FOR_RETRY: usize = 2;
+
+/// Crashes that lie less apart count as one: hosts that fail together take down several endpoints.
+const SAME_MOMENT: Duration = Duration::from_millis(50);
+
+/// Time for which a crash counts. Only an answer clears a request sooner, however rarely it comes.
+const EVIDENCE_PERIOD: Duration = Duration::from_secs(3600);
+
+/// Time for which a request that has been answered is not suspect.
+const SOUND_PERIOD: Duration = Duration::from_secs(30);
+
+/// Time for which a hold is remembered after the request last came, and a release after it.
+const MEMORY_PERIOD: Duration = Duration::from_secs(24 * 3600);
+
+/// Time after the last crash until a hold is decided, so that other entries' suspects are known.
+pub const REPORT_TIME: Duration = Duration::from_millis(150);
+
+/// Time until the first trial of a request that others were suspect with in all of its crashes.
+const TIED_TRIAL_DELAY: Duration = Duration::from_secs(10);
+
+/// Time until the first trial of a request that was the only suspect of all of its crashes.
+const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(15 * 60);
+
+/// Time from one trial to the next.
+const NEXT_TRIAL_DELAY: Duration = Duration::from_secs(3600);
+
+/// Number of trials that all entries together make of one held request.
+const MAX_TRIALS: u32 = 2;
+
+/// `retry-after` of a held request that has no trial ahead.
+const NO_TRIAL_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Number of crashes that are kept for one suspect.
+const MAX_KEPT_CRASHES: usize = 8;
+
+/// Maximum numbers of suspects, of held requests and of releases.
+const MAX_ENTRIES: usize = 4096;
+
+/// Number of answered requests above which the older half is forgotten.
+const MAX_SOUND: usize = 8192;
+
+/// Whether a request may run.
+#[key]
+pub enum Gate {
+    /// It may.
+    Open,
+    /// It may once this entry has taken a trial from the store.
+    Trial,
+    /// It may not before the given time has passed.
+    Closed(Duration),
+}
+
+/// A held request.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    since: Instant,
+    is_tied: bool,
+    trials: u32,
+    tried_at: Instant,
+    seen_at: Instant,
+}
+
+impl Held {
+    /// Returns when the next trial is due, or `None` if there have been all.
+    fn next_trial(&self) -> Option<Instant> {
+        match self.trials {
+            0 if self.is_tied => Some(self.since + TIED_TRIAL_DELAY),
+            0 => Some(self.since + FIRST_TRIAL_DELAY),
+            trials if trials < MAX_TRIALS => Some(self.tried_at + NEXT_TRIAL_DELAY),
+            _ => None,
+        }
+    }
+}
+
+/// The crashes of which a request is suspect, with their times.
+type Crashes = BTreeMap<Incarnation, Instant>;
+
+/// What one entry knows of crashes and of the requests that cause them.
+#[derive(Debug, Default)]
+pub struct Holds {
+    suspects: BTreeMap<Fingerprint, Crashes>,
+    held: BTreeMap<Fingerprint, Held>,
+    /// Requests that have been answered lately, with the last time.
+    sound: BTreeMap<Fingerprint, Instant>,
+    /// Requests that were suspect or held and have been answered since.
+    released: BTreeMap<Fingerprint, Instant>,
+}
+
+impl Holds {
+    /// Records suspects of the crash of an endpoint at `at`.
+    ///
+    /// Returns those that have been answered lately, and are none.
+    pub fn record_crash(
+        &mut self,
+        incarnation: &Incarnation,
+        suspects: &[Fingerprint],
+        at: Instant,
+        now: Instant,
+    ) -> Vec<Release> {
+        self.forget_old(now);
+        let mut releases = vec![];
+        for fingerprint in suspects {
+            match self.sound.get(fingerprint) {
+                Some(sound_at) if at <= *sound_at + SOUND_PERIOD => {
+                    releases.push(Release::new(*fingerprint, *sound_at, now));
+                }
+                _ => self.suspect(*fingerprint, incarnation, at),
+            }
+        }
+        releases
+    }
+
+    fn suspect(&mut self, fingerprint: Fingerprint, incarnation: &Incarnation, at: Instant) {
+        let crashes = self.suspects.entry(fingerprint).or_default();
+        if crashes.len() < MAX_KEPT_CRASHES {
+            crashes.entry(incarnation.clone()).or_insert(at);
+        }
+        if self.suspects.len() > MAX_ENTRIES {
+            let weakest = self.suspects.iter().min_by_key(|(_, c)| (count(c), c.values().max()));
+            let weakest = weakest.map(|(fingerprint, _)| *fingerprint);
+            weakest.map(|fingerprint| self.suspects.remove(&fingerprint));
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.suspects.retain(|_, crashes| {
+            crashes.retain(|_, at| now.since(*at) < EVIDENCE_PERIOD);
+            !crashes.is_empty()
+        });
+        self.held.retain(|_, held| now.since(held.seen_at) < MEMORY_PERIOD);
+        self.released.retain(|_, at| now.since(*at) < MEMORY_PERIOD);
+    }
+
+    /// Holds the suspects of enough crashes, and returns those that are held now.
+    pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
+        let is_due = |(fingerprint, crashes): &(&Fingerprint, &Crashes)| {
+            let is_reported = crashes.values().all(|at| now.since(*at) >= REPORT_TIME);
+            is_reported && count(crashes) >= MIN_CRASHES && !self.held.contains_key(fingerprint)
+        };
+        let due: Vec<Fingerprint> = self.suspects.iter().filter(is_due).map(|(f, _)| *f).collect();
+        let ties: Vec<bool> = due.iter().map(|fingerprint| self.is_tied(fingerprint)).collect();
+        for (fingerprint, is_tied) in due.iter().zip(ties) {
+            let held = Held { since: now, is_tied, trials: 0, tried_at: now, seen_at: now };
+            self.hold(*fingerprint, held);
+        }
+        due
+    }
+
+    /// Returns whether another request is suspect of all crashes of which this one is.
+    fn is_tied(&self, fingerprint: &Fingerprint) -> bool {
+        let Some(crashes) = self.suspects.get(fingerprint) else {
+            return false;
+        };
+        let has_all = |other: &Crashes| crashes.keys().all(|crash| other.contains_key(crash));
+        self.suspects.iter().any(|(other, of_other)| other != fingerprint && has_all(of_other))
+    }
+
+    fn hold(&mut self, fingerprint: Fingerprint, held: Held) {
+        self.held.insert(fingerprint, held);
+        self.released.remove(&fingerprint);
+        if self.held.len() > MAX_ENTRIES {
+            let oldest = self.held.iter().min_by_key(|(_, held)| held.seen_at).map(|(f, _)| *f);
+            oldest.map(|fingerprint| self.held.remove(&fingerprint));
+        }
+    }
+
+    /// Records that a request was answered at `at`, which clears it of earlier crashes. Returns whether it
+    /// was suspect or held.
+    pub fn record_sound(&mut self, fingerprint: Fingerprint, at: Instant) -> bool {
+        let last = self.sound.entry(fingerprint).or_insert(at);
+        *last = at.max(*last);
+        self.forget_oldest_sound();
+        let is_told = !self.may_retry(fingerprint);
+        let was_suspect = self.clear_crashes(&fingerprint, at);
+        let was_held = self.held.get(&fingerprint).is_some_and(|held| held.since <= at);
+        if was_held {
+            self.held.remove(&fingerprint);
+        }
+        if is_told && (was_suspect || was_held) {
+            self.release(fingerprint, at);
+        }
+        was_suspect || was_held
+    }
+
+    /// Remembers that a request that was suspect or held was answered at `at`.
+    fn release(&mut self, fingerprint: Fingerprint, at: Instant) {
+        let last = self.released.entry(fingerprint).or_insert(at);
+        *last = at.max(*last);
+        if self.released.len() > MAX_ENTRIES {
+            let oldest = self.released.iter().min_by_key(|(_, at)| **at).map(|(f, _)| *f);
+            oldest.map(|fingerprint| self.released.remove(&fingerprint));
+        }
+    }
+
+    /// Removes the crashes of which an answer at `at` clears a request, and returns whether there were any.
+    fn clear_crashes(&mut self, fingerprint: &Fingerprint, at: Instant) -> bool {
+        let Some(crashes) = self.suspects.get_mut(fingerprint) else {
+            return false;
+        };
+        let before = crashes.len();
+        crashes.retain(|_, crashed_at| *crashed_at > at + SOUND_PERIOD);
+        let is_cleared = crashes.len() < before;
+        if crashes.is_empty() {
+            self.suspects.remove(fingerprint);
+        }
+        is_cleared
+    }
+
+    /// Forgets the older half of the answered requests if there are too many.
+    fn forget_oldest_sound(&mut self) {
+        if self.sound.len() <= MAX_SOUND {
+            return;
+        }
+        let mut times: Vec<Instant> = self.sound.values().copied().collect();
+        let middle = times.len() / 2;
+        let (_, median, _) = times.select_nth_unstable(middle);
+        let median = *median;
+        self.sound.retain(|_, at| *at > median);
+    }
+
+    /// Returns whether a request may run.
+    pub fn gate(&mut self, fingerprint: Fingerprint, now: Instant) -> Gate {
+        let Some(held) = self.held.get_mut(&fingerprint) else {
+            let crashes = self.suspects.get(&fingerprint);
+            let is_undecided = crashes.is_some_and(|crashes| count(crashes) >= MIN_CRASHES);
+            return if is_undecided { Gate::Closed(REPORT_TIME) } else { Gate::Open };
+        };
+        held.seen_at = now;
+        match held.next_trial() {
+            Some(trial) if trial <= now => Gate::Trial,
+            Some(trial) => Gate::Closed(trial.since(now)),
+            None => Gate::Closed(NO_TRIAL_RETRY_AFTER),
+        }
+    }
+
+    /// Returns whether a request may run again after a crash: whether it is not suspect of several.
+    pub fn may_retry(&self, fingerprint: Fingerprint) -> bool {
+        let crashes = self.suspects.get(&fingerprint).map_or(0, count);
+        crashes < MAX_CRASHES_FOR_RETRY && !self.held.contains_key(&fingerprint)
+    }
+
+    /// Returns a held request with one trial more, to be written to the store before it begins.
+    pub fn with_trial(&self, fingerprint: Fingerprint, now: Instant) -> Option<Hold> {
+        let held = self.held.get(&fingerprint)?;
+        let tried = Held { trials: held.trials + 1, tried_at: now, ..*held };
+        Some(tried.told(fingerprint, now))
+    }
+
+    /// Takes over what another entry or the store tells of a held request, and returns whether it is new.
+    pub fn adopt(&mut self, hold: &Hold, now: Instant) -> bool {
+        let ago = |ms| now - Duration::from_millis(ms);
+        let since = ago(hold.age_ms);
+        let is_released = self.released.get(&hold.fingerprint).is_some_and(|at| *at >= since);
+        let known = self.held.get(&hold.fingerprint);
+        if is_released || known.is_some_and(|held| held.trials >= hold.trials) {
+            return false;
+        }
+        let since = known.map_or(since, |held| held.since.min(since));
+        let is_tied = hold.is_tied || known.is_some_and(|held| held.is_tied);
+        let (trials, tried_at) = (hold.trials, ago(hold.trial_age_ms));
+        self.hold(hold.fingerprint, Held { since, is_tied, trials, tried_at, seen_at: now });
+        true
+    }
+
+    /// Returns the number of requests about which something is known, but for those that were answered.
+    pub fn len(&self) -> usize {
+        self.suspects.len() + self.held.len() + self.released.len()
+    }
+
+    /// Returns whether no request is suspect, held or released.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Returns the number of crashes, those at the same moment as one.
+fn count(crashes: &Crashes) -> usize {
+    let mut times: Vec<Instant> = crashes.values().copied().collect();
+    times.sort_unstable();
+    let gaps = times.windows(2).filter(|pair| pair[1].since(pair[0]) >= SAME_MOMENT).count();
+    if times.is_empty() { 0 } else { gaps + 1 }
+}
--- /dev/null
+++ b/crates/core/src/forward/runs.rs
@@ -0,0 +1,92 @@
+//! Which requests of this entry run at each endpoint, or have just stopped to without an answer.
+//!
+//! When an endpoint is found to have crashed, these are the requests that may have crashed it.
+
+use std::time::Duration;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::Fingerprint;
+use crate::fleet::Incarnation;
+use crate::time::Instant;
+
+/// Time for which a run that broke off may be the cause of a crash that is found later.
+const SUSPECT_PERIOD: Duration = Duration::from_secs(2);
+
+new_key_type! {
+    /// Identifies one run of a request.
+    pub struct Key;
+}
+
+/// One run of a request.
+#[derive(Debug)]
+struct Run {
+    incarnation: Incarnation,
+    fingerprint: Fingerprint,
+    /// When it broke off, or its caller or this entry left it; `None` while it runs.
+    broke_at: Option<Instant>,
+}
+
+impl Run {
+    fn is_over(&self, now: Instant) -> bool {
+        self.broke_at.is_some_and(|at| now.since(at) >= SUSPECT_PERIOD)
+    }
+}
+
+/// The runs of one entry.
+#[derive(Debug, Default)]
+pub struct Runs {
+    runs: SlotMap<Key, Run>,
+}
+
+impl Runs {
+    /// Records that a request is sent to an endpoint.
+    pub fn begin(&mut self, incarnation: Incarnation, fingerprint: Fingerprint) -> Key {
+        self.runs.insert(Run { incarnation, fingerprint, broke_at: None })
+    }
+
+    /// Records that a request has not run, or has been answered for long enough to have crashed no endpoint.
+    pub fn finish(&mut self, key: Key) {
+        self.runs.remove(key);
+    }
+
+    /// Records that a run ended without an answer at an endpoint that was not expected to leave.
+    pub fn break_off(&mut self, key: Key, now: Instant) {
+        if let Some(run) = self.runs.get_mut(key) {
+            run.broke_at.get_or_insert(now);
+        }
+        self.runs.retain(|_, run| !run.is_over(now));
+    }
+
+    /// Removes and returns the requests that may have crashed an endpoint: those that broke off lately, and
+    /// those that run there if it was not expected to leave.
+    pub fn take_suspects(
+        &mut self,
+        incarnation: &Incarnation,
+        is_expected: bool,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
+        let mut suspects = vec![];
+        self.runs.retain(|_, run| {
+            let is_possible = run.broke_at.is_some() || is_expected;
+            let is_suspect = run.incarnation == *incarnation && is_possible && !run.is_over(now);
+            if is_suspect {
+                suspects.push(run.fingerprint);
+            }
+            !is_suspect
+        });
+        suspects.sort_unstable();
+        suspects.dedup();
+        suspects
+    }
+
+    /// Returns the number of runs that are kept.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns whether no runs are kept.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -23,7 +23,8 @@
 use crate::generation::Slot;
 use crate::metrics::Metrics;
 use crate::reply::Writer;
-use crate::serve::{Reason, Request, give_up};
+use crate::run::{Run, Target};
+use crate::serve::{Reason, Request, check_crashes, give_up};
 use crate::state::{Shared, limit};
 use crate::suspect;
 
@@ -113,9 +114,7 @@
             Some(target) => target,
             None => wait_for_endpoint(state, request, &tried, wait_deadline).await?,
         };
-        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
-            return Err(Reason::Quarantined);
-        }
+        check_crashes(state, request)?;
         state.record_run(&request.parameters.shared_parts);
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
         let outcome = attempt(state, request, &target, attempts, &tried).await;
@@ -145,6 +144,9 @@
             continue;
         }
         let may_retry = attempts.may_retry(&request.route, failure);
+        if !failure.is_not_run() && !state.may_run_again(request.fingerprint) {
+            return Err(Reason::Failed);
+        }
         if !may_retry || !attempts.may_run_elsewhere(&request.route) {
             return Err(Reason::Failed);
         }
@@ -224,16 +226,31 @@
         hops: &[],
     };
     let head = endpoint::request(&request.head, &additions);
+    let run_target =
+        Target { incarnation: incarnation(target), address: target.address, has_reports: false };
+    let run = Run::begin(state, request, run_target);
     let exchange = async {
         let sent = state.now();
         let answer = exchange::send(stream, head, request.body.clone()).await;
         read_response(state, request, target, answer, sent).await
     };
     let leaving = leave(state, request, target, attempts, tried);
-    tokio::select! {
+    let result = tokio::select! {
         biased;
-        result = exchange => result.map_or_else(Outcome::Failed, Outcome::Response),
-        other = leaving => Outcome::Left(other),
+        result = exchange => result,
+        other = leaving => return Outcome::Left(other),
+    };
+    record_end(run, &result).await;
+    result.map_or_else(Outcome::Failed, Outcome::Response)
+}
+
+/// Records what the end of an attempt tells of the request and its endpoint.
+async fn record_end(run: Run, result: &Result<Response, Failure>) {
+    match result {
+        Ok(response) if response.head.status.is_server_error() => run.finish(),
+        Ok(_) => run.record_sound(),
+        Err(failure) if failure.is_not_run() => run.finish(),
+        Err(_) => run.examine(|_| {}).await,
     }
 }
 
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use super::watch::{Monitor, Update, watch};
-use crate::quarantine;
 use crate::state::{Peer, Shared};
+use crate::{hold, quarantine};
 
 /// Prefix of all keys that entries write.
 const KEY_PREFIX: &str = "oriole/";
@@ -66,6 +66,8 @@
             let peer = Peer { address: registration.address };
             state.inner.borrow_mut().peers.insert(host.into(), peer);
         }
+    } else if item.key == hold::KEY {
+        hold::apply(state, item);
     } else if item.key == quarantine::KEY {
         quarantine::apply(state, item);
     } else if item.key == PLAN_KEY {
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -27,7 +27,8 @@
 
 use crate::metrics::Metrics;
 use crate::reply::Writer;
-use crate::serve::{Reason, Request, give_up};
+use crate::run::Run;
+use crate::serve::{Reason, Request, check_crashes, give_up};
 use crate::state::Shared;
 
 pub use admission::{Refusal, Slot};
@@ -63,6 +64,8 @@
     timing: Timing,
     /// The beginning of the answer of the current attempt, once it has had an event.
     begin: Cell<Option<Begin>>,
+    /// The run of the current attempt, until it is known whether it may crash its endpoint.
+    run: Cell<Option<Run>>,
 }
 
 /// Serves the request, with further attempts on other chains as far as its route allows.
@@ -75,6 +78,7 @@
         attempts: Attempts::default(),
         timing: Timing::default(),
         begin: Cell::default(),
+        run: Cell::default(),
     };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
     let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
@@ -161,17 +165,15 @@
                 admission::acquire(state, request, ran_at, failed.as_ref(), until).await?
             }
         };
-        if state.quarantined_until(&request.parameters.shared_parts).is_some() {
-            return Err(Reason::Quarantined);
-        }
+        check_crashes(state, request)?;
         state.record_run(&request.parameters.shared_parts);
         Ok(Start { chain, slot, continued: None })
     }
 
     /// Returns the context of the next attempt, for which `slot` is reserved.
     fn context<'a>(&'a self, slot: &'a Slot, may_leave: bool) -> Attempt<'a> {
-        let Self { state, request, attempts, timing, begin } = self;
-        Attempt { state, request, attempts, slot, timing, begin, may_leave }
+        let Self { state, request, attempts, timing, begin, run } = self;
+        Attempt { state, request, attempts, slot, timing, begin, run, may_leave }
     }
 
     /// Decides what follows a failed attempt on `chain`, or why nothing does.
@@ -211,7 +213,8 @@
         );
         Metrics::count(&self.state.metrics.failures, failure.as_str());
         self.attempts.record(chain.head(), failure);
-        crash::examine(self.state, self.request, chain, failure, self.begin.get()).await;
+        let run = self.run.take();
+        crash::examine(self.state, self.request, run, failure, self.begin.get()).await;
     }
 
     /// Records, logs and counts a request whose response has been forwarded completely; its last attempt
@@ -227,7 +230,7 @@
         self.state.metrics.served.inc();
         Metrics::time(&self.state.metrics.answer, now.since(arrived));
         if let Some(begin) = self.begin.get() {
-            crash::record_complete(self.state, self.request, chain, begin);
+            crash::record_complete(self.state, self.request, self.run.take(), chain, begin);
         }
     }
 }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -21,6 +21,7 @@
 use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
+use crate::run::{Run, Target};
 use crate::serve::Request;
 use crate::state::{Shared, limit};
 use crate::suspect;
@@ -84,6 +85,8 @@
     pub timing: &'a Timing,
     /// The beginning of the answer of this attempt, once it has had an event.
     pub begin: &'a Cell<Option<Begin>>,
+    /// The run of this attempt, until it is known whether it may crash its endpoint.
+    pub run: &'a Cell<Option<Run>>,
     /// Whether the request may leave the chain of this attempt for another one.
     pub may_leave: bool,
 }
@@ -143,6 +146,8 @@
         hops: &chain.hops,
     };
     let head = endpoint::request(&request.head, &additions);
+    let target = Target { incarnation: hop.incarnation(), address: hop.address, has_reports: true };
+    attempt.run.set(Some(Run::begin(state, request, target)));
     let sent = state.now();
     let sending = exchange::send(stream, head, request.body.clone());
     let answer = match attempt.watch(chain, FIRST_EVENT_SILENCE, sending).await? {
@@ -316,7 +321,8 @@
         let now = self.attempt.state.now();
         if !self.is_sound && self.attempt.begin.get().is_some_and(|begin| begin.is_past(now)) {
             self.is_sound = true;
-            crash::record_sound(self.attempt.state, self.attempt.request);
+            let run = self.attempt.run.take();
+            crash::record_sound(self.attempt.state, self.attempt.request, run);
         }
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`body_memory`]: one bound on the memory of response bodies.
 //! - [`reply`]: writes responses to callers.
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
+//! - [`run`]: at which endpoint each request runs, and whether that crashes.
+//! - [`hold`]: holds requests back that crash endpoints, and keeps them in the store.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
 //! - [`state::limit`]: permits to send requests to endpoints that limit their rate.
@@ -28,6 +30,7 @@
 pub mod cmd;
 pub mod follow;
 pub mod generation;
+pub mod hold;
 pub mod listen;
 pub mod log_output;
 pub mod metrics;
@@ -38,6 +41,7 @@
 pub mod process;
 pub mod quarantine;
 pub mod reply;
+pub mod run;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -49,6 +49,8 @@
     pub unhealthy: Counter,
     /// Quarantines of prompt parts that began or were heard of.
     pub quarantines: Counter,
+    /// Requests that are held, as they were found or heard of.
+    pub holds: Counter,
     /// Permits to send a request to an endpoint that limits its rate, by reply.
     pub permits: Reasons,
     /// Orders to endpoints, by answer.
@@ -94,6 +96,7 @@
             moves: Counter::default(),
             unhealthy: Counter::default(),
             quarantines: Counter::default(),
+            holds: Counter::default(),
             permits: Reasons::default(),
             orders: Reasons::default(),
             plans: Counter::default(),
@@ -125,6 +128,7 @@
         r.register("moves", "Streams moved around a lost stage", self.moves.clone());
         r.register("doubts", "Endpoints found not to work", self.unhealthy.clone());
         r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
+        r.register("holds", "Requests held that crash endpoints", self.holds.clone());
         r.register("permits", "Permits for endpoints with a limit", self.permits.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::{Cause, Gossip, Message, Topic, polling};
+use oriole_core::forward::hold::Summary;
 use oriole_core::forward::in_flight;
 use oriole_core::message;
 use oriole_core::name;
@@ -20,7 +21,7 @@
 
 use crate::follow;
 use crate::pace;
-use crate::state::{Shared, quarantine};
+use crate::state::{Shared, hold, quarantine};
 
 /// Key of the secret by which entries authenticate to each other.
 const SECRET_KEY: &str = "oriole/secret";
@@ -126,7 +127,10 @@
         match kind {
             Kind::Up => {
                 log::info!(host = host.as_str(); "connected to entry");
-                // What others know binds an entry that has just started, too.
+                // What others know binds an entry that has just started, too. Gossip comes last, since
+                // an entry that has heard it counts as told.
+                let holds = Message::Holds(state.summary_of_holds());
+                hub.send(&host, None, message::Message::Fleet(holds));
                 let gossip = message::Message::Fleet(Message::Gossip(gossip(&state)));
                 hub.send(&host, None, gossip);
             }
@@ -212,6 +216,12 @@
             state.hear_sound(&sound);
             state.decide_quarantine();
         }
+        Message::Crashed(crash, suspects) => hold::hear_crash(state, &crash, &suspects),
+        Message::Released(releases) => {
+            let summary = Summary { releases, ..Summary::default() };
+            hold::hear_summary(state, &summary, host.as_str());
+        }
+        Message::Holds(summary) => hold::hear_summary(state, &summary, host.as_str()),
         Message::Limit(notice) => state.hear_limit(&notice, &host),
         Message::PermitRequest(notice) => {
             state.hear_limit(&notice, &host);
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -10,15 +10,17 @@
 use actix_http::{RequestHead, StatusCode, header as http};
 use bytes::Bytes;
 use oriole_core::forward::Fingerprint;
+use oriole_core::forward::hold::Gate;
 use oriole_core::route::{Denial, Kind, Route, Workspace};
 use oriole_core::time::Instant;
 use oriole_core::{forward, name};
 use oriole_platform::{header, ingress};
 
+use crate::hold::Admission;
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::state::Shared;
-use crate::{call, generation};
+use crate::{call, generation, hold};
 
 /// `retry-after` of an entry that has no routing table yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -33,6 +35,8 @@
     pub parameters: ingress::Parameters,
     /// What it asks for; equal for its repeats.
     pub fingerprint: Fingerprint,
+    /// Whether it runs as a trial, although endpoints have crashed under it.
+    pub is_trial: bool,
     /// The route that matches the request.
     pub route: Route,
     /// The service that the route selected.
@@ -77,6 +81,8 @@
     NoBudget,
     /// Parts of its prompt crash endpoints.
     Quarantined,
+    /// Endpoints crash under it. It may come again after the given time.
+    Held(Duration),
 }
 
 impl Reason {
@@ -93,6 +99,7 @@
             Self::Failed => "failed",
             Self::NoBudget => "no-budget",
             Self::Quarantined => "quarantined",
+            Self::Held(_) => "held",
         }
     }
 }
@@ -106,7 +113,7 @@
 ) -> io::Result<()> {
     let arrived = state.now();
     let parameters = ingress::parameters(&head.headers);
-    let request = match authorize(state, head, body, parameters, arrived) {
+    let mut request = match authorize(state, head, body, parameters, arrived) {
         Ok(request) => request,
         Err((reason, id)) => {
             let (table, _) = state.versions();
@@ -118,6 +125,13 @@
         }
     };
     state.count_request(&request.service);
+    match hold::admit(state, request.fingerprint).await {
+        Admission::Run => {}
+        Admission::Trial => request.is_trial = true,
+        Admission::Held(wait) => {
+            return give_up(state, &request, writer, Reason::Held(wait), true).await;
+        }
+    }
     let mut pending = Pending { state, request: &request, is_answered: false };
     let has_model = state.model(&request.service).is_some();
     let result = if has_model && request.route.kind == Kind::Streaming {
@@ -150,6 +164,19 @@
     }
 }
 
+/// Returns why an attempt may not begin, if it may not: endpoints may have crashed under the request, or
+/// under others with parts of its prompt, since it came.
+pub fn check_crashes(state: &Shared, request: &Request) -> Result<(), Reason> {
+    if state.quarantined_until(&request.parameters.shared_parts).is_some() {
+        return Err(Reason::Quarantined);
+    }
+    match state.gate(request.fingerprint) {
+        Gate::Closed(wait) if !request.is_trial => Err(Reason::Held(wait)),
+        Gate::Trial if !request.is_trial => Err(Reason::Held(Duration::ZERO)),
+        _ => Ok(()),
+    }
+}
+
 /// Matches a request to a route and checks its key.
 ///
 /// Returns the reason and the id of the request if it is rejected.
@@ -177,6 +204,7 @@
     let fingerprint = ingress::fingerprint(&head, &body, workspace.map(|w| &w.name));
     Ok(Request {
         fingerprint,
+        is_trial: false,
         priority: forward::priority(route, workspace),
         service: service.clone(),
         workspace: workspace.cloned(),
@@ -233,6 +261,7 @@
                 let until = state.quarantined_until(&request.parameters.shared_parts);
                 until.unwrap_or_default().since(state.now())
             }
+            Reason::Held(wait) => wait,
             _ => {
                 let mut inner = state.inner.borrow_mut();
                 let refusals = inner.refusals.entry(request.service.clone()).or_default();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -6,6 +6,7 @@
 mod chains;
 mod entries;
 mod health;
+pub mod hold;
 pub mod limit;
 pub mod load;
 pub mod quarantine;
@@ -24,10 +25,12 @@
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::choice::Failures;
+use oriole_core::forward::hold::Holds;
 use oriole_core::forward::in_flight::Tracker;
 use oriole_core::forward::quarantine::{Quarantine, Suspect};
 use oriole_core::forward::queue::{Queue, Refusals};
 use oriole_core::forward::rate;
+use oriole_core::forward::runs::Runs;
 use oriole_core::name;
 use oriole_core::placement::{Model, Plan, Range};
 use oriole_core::route::Table;
@@ -80,6 +83,10 @@
     pub budgets: BTreeMap<name::Service, Budget>,
     /// Parts of prompts that crash endpoints.
     pub quarantine: Quarantine,
+    /// Which requests of this entry run at which endpoint.
+    pub runs: Runs,
+    /// Requests that crash endpoints.
+    pub holds: Holds,
     /// Limits on the rate of requests that endpoints name.
     pub limits: rate::Limits,
     /// Permits to send requests to endpoints with a limit.
@@ -137,6 +144,10 @@
     pub untold_suspects: RefCell<BTreeMap<Incarnation, Vec<Suspect>>>,
     /// The quarantines that the store holds.
     pub stored_quarantine: RefCell<crate::quarantine::Known>,
+    /// The requests that crash endpoints, as the store holds them.
+    pub stored_holds: RefCell<crate::hold::Known>,
+    /// Wakes the task that stores them when they have changed.
+    pub holds_changed: Notify,
     /// Wakes the task that stores quarantines when they have changed.
     pub quarantine_changed: Notify,
     /// When the process exits at the latest; `None` until it has been signalled to stop.
@@ -174,6 +185,8 @@
             queues: BTreeMap::new(),
             budgets: BTreeMap::new(),
             quarantine: Quarantine::default(),
+            runs: Runs::default(),
+            holds: Holds::default(),
             limits: rate::Limits::default(),
             permits: rate::Permits::default(),
             failures: Failures::default(),
@@ -204,6 +217,8 @@
             report_requested_at: RefCell::default(),
             untold_suspects: RefCell::default(),
             stored_quarantine: RefCell::default(),
+            stored_holds: RefCell::default(),
+            holds_changed: Notify::new(),
             quarantine_changed: Notify::new(),
             chain_probed_at: RefCell::default(),
             exit_deadline: Cell::new(None),
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -6,14 +6,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriole_adapter::exchange::Error;
+use oriole_adapter::exchange::{self, Error};
 use oriole_core::fleet::{Cause, Incarnation, Message};
 use oriole_core::forward::chain::{Chain, Hop};
+use oriole_core::name;
 use oriole_platform::endpoint::{self, Report};
 use tokio::time::sleep;
 
 use crate::peers;
-use crate::state::Shared;
+use crate::run::Target;
+use crate::state::{Shared, hold};
 
 /// Timeouts of the first and second request for a report. There are two, so that a lost packet
 /// alone does not count as silence.
@@ -190,24 +192,35 @@
 
 /// Returns whether the endpoint of a hop is known to have lost its work.
 pub fn is_lost(state: &Shared, hop: &Hop) -> bool {
-    state.unhealthy_cause(&hop.endpoint).is_some_and(Cause::is_loss)
+    is_known_lost(state, &hop.endpoint)
 }
 
-/// Returns whether the endpoint of a hop has crashed since the hop was chosen.
+/// Returns whether an endpoint is known to have lost its work.
+pub fn is_known_lost(state: &Shared, endpoint: &name::Endpoint) -> bool {
+    state.unhealthy_cause(endpoint).is_some_and(Cause::is_loss)
+}
+
+/// Returns whether an endpoint has crashed since it was chosen.
 ///
-/// Asks it unless this is known. An endpoint that gives no report in time counts as not crashed.
-pub async fn has_crashed(state: &Shared, hop: &Hop) -> bool {
-    if is_lost(state, hop) {
+/// Asks it unless this is known. One that does not answer in time counts as not crashed.
+pub async fn has_crashed(state: &Shared, target: &Target) -> bool {
+    let Target { incarnation, address, has_reports } = target;
+    if is_known_lost(state, &incarnation.endpoint) {
         return true;
     }
-    if !may_ask(state, &hop.incarnation()) {
-        return false;
-    }
-    match endpoint::report(hop.address, REPORT_TIMEOUTS[0]).await {
-        Ok(report) if report.born == hop.born => return false,
-        Ok(_) => mark_unhealthy(state, &hop.incarnation(), Cause::Restarted),
+    let asked = if *has_reports {
+        if !may_ask(state, incarnation) {
+            return false;
+        }
+        endpoint::report(*address, REPORT_TIMEOUTS[0]).await.map(|r| r.born == incarnation.born)
+    } else {
+        exchange::connect(*address, REPORT_TIMEOUTS[0]).await.map(|_| true)
+    };
+    match asked {
+        Ok(true) => return false,
+        Ok(false) => mark_unhealthy(state, incarnation, Cause::Restarted),
         Err(error) if is_refusal(&error) => {
-            mark_unhealthy(state, &hop.incarnation(), Cause::ConnectionRefused);
+            mark_unhealthy(state, incarnation, Cause::ConnectionRefused);
         }
         Err(_) => return false,
     }
@@ -234,9 +247,13 @@
 
 /// Marks an endpoint as unhealthy and tells the other entries.
 fn mark_unhealthy(state: &Shared, incarnation: &Incarnation, cause: Cause) {
-    if state.mark_unhealthy(incarnation, cause, Duration::ZERO, state.host.as_str()) {
+    let is_new = state.mark_unhealthy(incarnation, cause, Duration::ZERO, state.host.as_str());
+    if is_new {
         peers::broadcast(state, &Message::Unhealthy(incarnation.clone()));
     }
+    if cause.is_loss() {
+        hold::record_loss(state, incarnation, is_new);
+    }
 }
 
 /// Records that an endpoint is being asked for a report, and returns its incarnation.
