--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -6,10 +6,12 @@
 mod crashing_request;
 mod endless;
 mod late_version;
+mod leaving;
 mod limit;
 mod prompt_part;
 mod silence;
 mod unframed;
+mod wait;
 
 use std::cell::Cell;
 
