Heed what endpoints say: that they leave, and for how long they want nothing

Callers saw: requests were sent to endpoints that had said they leave until these were gone, and endpoints in need that had named a time were asked again at once, by a report for each refusal, too.

Cause: Server-Leaving and the Retry-After of an endpoint were not decoded, so that the listing alone said who leaves, and a refusal paused an endpoint for 0.4 s and asked it for a report.

Change: platform::endpoint decodes both once. fleet::leaving takes the place of the list of draining endpoints: it is kept for one run of an endpoint (so that the next one under the same name gets work) and outlives listings. fleet::wait holds everything back until the time has passed, reports, orders and moves of streams included, and then lets 1, 2, 4 requests be in progress. If all endpoints of a service wait, a request is refused at once with the first end, spread. Entries tell each other who leaves; waits are not told, since they hold for the entry that was refused. Values that cannot be read count as none and are logged once for each run of an endpoint.

Tests: a leaving test called only one of the two endpoints that it meant to be told of; it calls both now.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -3,12 +3,15 @@
 pub mod freshness;
 pub mod health;
 pub mod lag;
+pub mod leaving;
 pub mod liveness;
 pub mod message;
 pub mod pace;
 pub mod polling;
 pub mod recovery;
 pub mod refusal;
+mod usability;
+pub mod wait;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -59,6 +62,13 @@
     pub layers: placement::Range,
 }
 
+impl Endpoint {
+    /// Returns the run of the endpoint that the registration is of.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { endpoint: self.id.clone(), born: self.born }
+    }
+}
+
 /// All registered endpoints at one revision of the platform's store.
 #[data]
 #[derive(Default)]
@@ -92,9 +102,9 @@
     unregistered: BTreeSet<name::Endpoint>,
     reports: BTreeMap<name::Endpoint, Report>,
     health: health::Health,
-    /// Endpoints that are draining, and the latest time at which they were not known to.
-    draining: BTreeMap<name::Endpoint, Instant>,
+    leaving: leaving::Leaving,
     pauses: refusal::Pauses,
+    waits: wait::Waits,
     paces: pace::Paces,
     recovery: recovery::Recovery,
 }
@@ -135,10 +145,9 @@
         }
         let endpoints = &listing.endpoints;
         self.reports.retain(|id, _| endpoints.contains_key(id));
-        self.draining.retain(|id, _| endpoints.contains_key(id));
         self.pauses.retain(|id| endpoints.contains_key(id));
         for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
-            self.draining.entry(endpoint.id.clone()).or_insert(previous.min(read_at));
+            self.leaving.record(&endpoint.incarnation(), false, previous.min(read_at));
         }
         let changed = self.listing.endpoints != listing.endpoints;
         self.listing = listing;
@@ -156,7 +165,6 @@
         for id in std::mem::take(&mut self.unregistered) {
             self.listing.endpoints.remove(&id);
             self.reports.remove(&id);
-            self.draining.remove(&id);
         }
         true
     }
@@ -295,46 +303,6 @@
         self.listing.endpoints.values().filter(move |e| e.service == *service)
     }
 
-    /// Returns whether new work may be sent to an endpoint.
-    ///
-    /// It must be listed, neither unhealthy nor paused, and have been draining for less than
-    /// `grace`.
-    pub fn is_usable(&self, id: &name::Endpoint, grace: Duration, now: Instant) -> bool {
-        let drained = self.draining.get(id).is_some_and(|since| now.since(*since) >= grace);
-        let unavailable = self.is_unhealthy(id, now) || self.pauses.is_paused(id, now);
-        self.get(id).is_some() && !drained && !unavailable
-    }
-
-    /// Returns whether an endpoint is ready, not draining, and not unhealthy.
-    pub fn is_ready(&self, id: &name::Endpoint, now: Instant) -> bool {
-        let is_ready = self.get(id).is_some_and(|e| e.state == State::Ready);
-        is_ready && !self.is_unhealthy(id, now)
-    }
-
-    /// Returns whether an endpoint is listed as ready, so that it is not expected to end.
-    pub fn is_expected_to_run(&self, incarnation: &Incarnation) -> bool {
-        let listed = self.get(&incarnation.endpoint).filter(|e| e.born == incarnation.born);
-        listed.is_some_and(|e| e.state == State::Ready)
-    }
-
-    /// Returns whether an endpoint keeps its place in the plan: it is ready, or would be but for a brief
-    /// silence.
-    pub fn keeps_place(&self, id: &name::Endpoint, now: Instant) -> bool {
-        let listed = self.get(id).filter(|e| e.state == State::Ready);
-        let is_silent = |e: &Endpoint| self.health.is_briefly_silent(id, e.born, now);
-        listed.is_some_and(|e| self.is_ready(id, now) || is_silent(e))
-    }
-
-    /// Returns whether the set of usable endpoints stays the same until the next update.
-    ///
-    /// This is so if all unhealthy, paused and draining periods are over.
-    pub fn has_no_pending_expiry(&self, grace: Duration, now: Instant) -> bool {
-        let is_over = |at: &Instant, period: Duration| now.since(*at) >= period;
-        self.health.are_over(now)
-            && self.pauses.are_over(now)
-            && self.draining.values().all(|at| is_over(at, grace))
-    }
-
     /// Returns the known endpoints, including those that may still register again.
     pub fn listing(&self) -> &Listing {
         &self.listing
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -60,6 +60,9 @@
     /// of the finding in milliseconds.
     #[serde(rename = "doubts")]
     pub unhealthy: Vec<(Incarnation, u64)>,
+    /// Endpoints that said that they are leaving, with the time since in milliseconds.
+    #[serde(default)]
+    pub leaving: Vec<(Incarnation, u64)>,
     /// Parts of prompts whose requests the sender does not run.
     #[serde(default)]
     pub quarantined: Vec<Group>,
@@ -111,6 +114,8 @@
     Suspicion(Incarnation),
     /// An endpoint that several entries suspected and that has answered the sender since.
     Answered(Incarnation),
+    /// An endpoint that said to the sender that it is leaving.
+    Leaving(Incarnation),
     /// An endpoint that crashed, and requests of the sender that it had hardly begun to answer.
     Crash(Incarnation, Vec<Suspect>),
     /// Parts of prompts that the sender has seen answered, although others suspect them.
--- a/crates/core/src/forward/in_flight.rs
+++ b/crates/core/src/forward/in_flight.rs
@@ -170,6 +170,11 @@
         }
     }
 
+    /// Returns the work in progress of this entry.
+    pub fn own(&self, key: &name::Endpoint) -> Sum {
+        self.own.get(key).copied().unwrap_or_default()
+    }
+
     /// Returns the work in progress of all entries, with peers as they last reported.
     pub fn sum(&self, key: &name::Endpoint, now: Instant) -> Sum {
         let mut sum = self.own.get(key).copied().unwrap_or_default();
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,7 +9,7 @@
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
 use oriole_adapter::exchange;
-use oriole_core::fleet::{Endpoint, Incarnation};
+use oriole_core::fleet::Endpoint;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::in_flight::Work;
 use oriole_core::forward::outcome::{Attempts, Failure};
@@ -25,7 +25,7 @@
 use crate::reply::Writer;
 use crate::run::{Run, Target};
 use crate::serve::{Reason, Request, check_crashes, give_up};
-use crate::state::{Shared, limit};
+use crate::state::{Shared, statement};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -167,6 +167,9 @@
     wait_deadline: Instant,
 ) -> Result<Endpoint, Reason> {
     loop {
+        if let Some(wait) = state.wait_of_all(&request.service) {
+            return Err(Reason::Waiting(wait));
+        }
         let closed = state.closed_endpoints();
         if let Some(found) = choose(state, request, tried, &closed) {
             state.take_permit(&found.id);
@@ -214,7 +217,7 @@
                 id = request.id(), endpoint = target.id.as_str(), error:%;
                 "connection to endpoint failed, request not sent"
             );
-            suspect::record_no_answer(state, &incarnation(target), &error);
+            suspect::record_no_answer(state, &target.incarnation(), &error);
             return Outcome::Failed(Failure::NotSent);
         }
     };
@@ -227,7 +230,7 @@
     };
     let head = endpoint::request(&request.head, &additions);
     let run_target =
-        Target { incarnation: incarnation(target), address: target.address, has_reports: false };
+        Target { incarnation: target.incarnation(), address: target.address, has_reports: false };
     let run = Run::begin(state, request, run_target);
     let exchange = async {
         let sent = state.now();
@@ -254,10 +257,6 @@
     }
 }
 
-fn incarnation(target: &Endpoint) -> Incarnation {
-    Incarnation { endpoint: target.id.clone(), born: target.born }
-}
-
 /// Waits until the request should leave `target` for another endpoint, and returns that one.
 ///
 /// Silence alone is no reason to leave: an endpoint that is slow is waited for unless the route, the
@@ -304,7 +303,7 @@
     })?;
     let class = endpoint::classify(&head, request.parameters.request_id.as_deref());
     if class.is_of_target(head.status) {
-        limit::record(state, &incarnation(target), endpoint::rate_limit(&head), sent);
+        statement::record(state, &target.incarnation(), &head, sent);
     }
     match class {
         Classification::Answer => {}
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of a request to a chain: waits in the queue and reserves capacity.
 
 use std::cell::Cell;
+use std::time::Duration;
 
 use oriole_core::forward::chain::{self, Chain, Query};
 use oriole_core::forward::in_flight::Work;
@@ -20,6 +21,8 @@
     NoRoom,
     /// Only endpoints had capacity whose own limit is reached.
     Limited,
+    /// All endpoints want nothing for a while. Contains the time after which the request may come again.
+    Waiting(Duration),
     /// The response might not be complete before the process exits.
     Stopping,
 }
@@ -29,6 +32,7 @@
         match refusal {
             Refusal::NoRoom => Self::NoRoom,
             Refusal::Limited => Self::Limited,
+            Refusal::Waiting(wait) => Self::Waiting(wait),
             Refusal::Stopping => Self::Stopping,
         }
     }
@@ -121,6 +125,9 @@
     loop {
         let mut capacity_changed = pin!(state.capacity_changed.notified());
         capacity_changed.as_mut().enable();
+        if let Some(wait) = wait_of_chains(state, request) {
+            return Err(Refusal::Waiting(wait));
+        }
         let left = until.since(state.now());
         let closed = state.closed_endpoints();
         let query = |avoid, closed| Query {
@@ -165,6 +172,14 @@
     }
 }
 
+/// Returns the time after which a caller may come back if the service has no chain now and all of its
+/// endpoints that could form one want nothing.
+fn wait_of_chains(state: &Shared, request: &Request) -> Option<Duration> {
+    let has_chains =
+        state.inner.borrow().chains.get(&request.service).is_some_and(|chains| !chains.is_empty());
+    if has_chains { None } else { state.wait_of_all(&request.service) }
+}
+
 /// Returns whether the request may be admitted now: it is first in the queue, or would be.
 fn is_next(state: &Shared, request: &Request, waiter: Option<&Waiter>) -> bool {
     let inner = state.inner.borrow();
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -23,7 +23,7 @@
 use crate::reply::{Progress, Writer};
 use crate::run::{Run, Target};
 use crate::serve::Request;
-use crate::state::{Shared, limit};
+use crate::state::{Shared, statement};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -160,7 +160,7 @@
     };
     let class = endpoint::classify(&answer.head, request.parameters.request_id.as_deref());
     if class.is_of_target(answer.head.status) {
-        limit::record(state, &hop.incarnation(), endpoint::rate_limit(&answer.head), sent);
+        statement::record(state, &hop.incarnation(), &answer.head, sent);
     }
     match class {
         Classification::Answer => Ok(answer),
@@ -170,7 +170,8 @@
                 id = request.id(), status, at_fault:?;
                 "endpoint did not execute the request"
             );
-            suspect::check_refusal(state, chain, at_fault);
+            let wait = endpoint::wait(&answer.head);
+            suspect::check_refusal(state, chain, at_fault, wait);
             Err(Outcome::Failed(Failure::NotExecuted))
         }
         Classification::Foreign => {
--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -29,7 +29,7 @@
 
 /// Moves the request to another chain with the same first stage, once there is one.
 ///
-/// Returns the new chain, or `None` if the request has no id, its first stage is unhealthy, or no
+/// Returns the new chain, or `None` if the request has no id, its first stage is unhealthy or wants nothing, or no
 /// move succeeds in time.
 pub async fn run(state: &Shared, request: &Request, chain: &Chain) -> Option<Chain> {
     let id = request.parameters.request_id.as_deref()?;
@@ -37,7 +37,8 @@
     loop {
         let mut chains_changed = pin!(state.chains_changed.notified());
         chains_changed.as_mut().enable();
-        if state.is_unhealthy(chain.head()) {
+        let wants_nothing = state.inner.borrow().view.is_waiting(chain.head(), state.now());
+        if wants_nothing || state.is_unhealthy(chain.head()) {
             return None;
         }
         let waited = state.now().since(began);
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -51,6 +51,8 @@
     pub quarantines: Counter,
     /// Requests that are held, as they were found or heard of.
     pub holds: Counter,
+    /// What endpoints state about themselves, but for limits, by kind.
+    pub statements: Reasons,
     /// Permits to send a request to an endpoint that limits its rate, by reply.
     pub permits: Reasons,
     /// Orders to endpoints, by answer.
@@ -97,6 +99,7 @@
             unhealthy: Counter::default(),
             quarantines: Counter::default(),
             holds: Counter::default(),
+            statements: Reasons::default(),
             permits: Reasons::default(),
             orders: Reasons::default(),
             plans: Counter::default(),
@@ -129,6 +132,7 @@
         r.register("doubts", "Endpoints found not to work", self.unhealthy.clone());
         r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
         r.register("holds", "Requests held that crash endpoints", self.holds.clone());
+        r.register("statements", "Statements of endpoints by kind", self.statements.clone());
         r.register("permits", "Permits for endpoints with a limit", self.permits.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::state::Shared;
+use crate::suspect;
 
 /// Interval at which the layers of the endpoints are compared with the plan.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -107,7 +108,7 @@
             let Some(accelerator) = accelerator else {
                 continue;
             };
-            if inner.view.is_unhealthy(&e.id, now) {
+            if inner.view.is_unhealthy(&e.id, now) || inner.view.is_waiting(&e.id, now) {
                 continue;
             }
             let next = order::next(model, accelerator.memory, e.layers, stage.layers);
@@ -185,6 +186,10 @@
     let limit = order.load_time * 4 + MONITOR_MARGIN;
     let mut watch = order::Watch::new(order.layers);
     while state.now().since(began) < limit {
+        if !suspect::may_ask(&state, &order.incarnation) {
+            sleep(REPORT_INTERVAL).await;
+            continue;
+        }
         match endpoint::report(order.address, ANSWER_TIMEOUT).await {
             Ok(report) => {
                 apply_report(&state, &order.incarnation, &report);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -117,6 +117,7 @@
         ready_in_ms: state.ready_in().as_millis() as u64,
         loads: inner.in_flight.loads(),
         unhealthy: inner.view.unhealthy(state.now()),
+        leaving: inner.view.said_to_leave(state.now()),
         quarantined: inner.quarantine.groups(state.now()),
         limits: inner.limits.notices(state.now()),
     }
@@ -158,6 +159,10 @@
                 let age = Duration::from_millis(*age_ms);
                 state.mark_unhealthy(incarnation, Cause::Peer, age, host.as_str());
             }
+            for (incarnation, age_ms) in &gossip.leaving {
+                let age = Duration::from_millis(*age_ms);
+                state.record_leaving(incarnation, age, host.as_str());
+            }
             let proven = state.adopt_quarantine(&gossip.quarantined);
             if !proven.is_empty() {
                 hub.send(&host, None, message::Message::Fleet(Message::Sound(proven)));
@@ -216,6 +221,9 @@
             state.hear_sound(&sound);
             state.decide_quarantine();
         }
+        Message::Leaving(incarnation) => {
+            state.record_leaving(&incarnation, Duration::ZERO, host.as_str());
+        }
         Message::Crashed(crash, suspects) => hold::hear_crash(state, &crash, &suspects),
         Message::Released(releases) => {
             let summary = Summary { releases, ..Summary::default() };
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -81,6 +81,8 @@
     NoBudget,
     /// Parts of its prompt crash endpoints.
     Quarantined,
+    /// All endpoints that could run it want nothing for a while. It may come again after the given time.
+    Waiting(Duration),
     /// Endpoints crash under it. It may come again after the given time.
     Held(Duration),
 }
@@ -99,6 +101,7 @@
             Self::Failed => "failed",
             Self::NoBudget => "no-budget",
             Self::Quarantined => "quarantined",
+            Self::Waiting(_) => "waiting",
             Self::Held(_) => "held",
         }
     }
@@ -261,7 +264,7 @@
                 let until = state.quarantined_until(&request.parameters.shared_parts);
                 until.unwrap_or_default().since(state.now())
             }
-            Reason::Held(wait) => wait,
+            Reason::Held(wait) | Reason::Waiting(wait) => wait,
             _ => {
                 let mut inner = state.inner.borrow_mut();
                 let refusals = inner.refusals.entry(request.service.clone()).or_default();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,9 +10,10 @@
 pub mod limit;
 pub mod load;
 pub mod quarantine;
+pub mod statement;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -150,6 +151,8 @@
     pub holds_changed: Notify,
     /// Wakes the task that stores quarantines when they have changed.
     pub quarantine_changed: Notify,
+    /// Endpoints of which a warning has been logged that they state something unreadable, and what.
+    pub unreadable_statements: RefCell<BTreeSet<(Incarnation, &'static str)>>,
     /// When the process exits at the latest; `None` until it has been signalled to stop.
     pub exit_deadline: Cell<Option<Instant>>,
     /// When all stages of a chain were last asked for a report, by key of the chain.
@@ -220,6 +223,7 @@
             stored_holds: RefCell::default(),
             holds_changed: Notify::new(),
             quarantine_changed: Notify::new(),
+            unreadable_statements: RefCell::default(),
             chain_probed_at: RefCell::default(),
             exit_deadline: Cell::new(None),
             exiting: Cell::new(false),
--- a/crates/router/src/state/limit.rs
+++ b/crates/router/src/state/limit.rs
@@ -19,7 +19,8 @@
 const UNSETTLED_WAIT_MS: u64 = 200;
 
 impl State {
-    /// Returns the endpoints to which this entry may send no request now, for want of a permit.
+    /// Returns the endpoints to which this entry may send no request now: for want of a permit, or since
+    /// they want few after a wait and have these.
     pub fn closed_endpoints(&self) -> Vec<name::Endpoint> {
         let now = self.now();
         let inner = self.inner.borrow();
@@ -27,7 +28,10 @@
             inner.view.get(&limited.endpoint).is_some_and(|e| e.born == limited.born)
         };
         let limited = inner.limits.limited().filter(is_running).map(|limited| limited.endpoint);
-        limited.filter(|endpoint| !inner.permits.has(endpoint, now)).collect()
+        let without_permit = limited.filter(|endpoint| !inner.permits.has(endpoint, now));
+        let bounded = inner.view.bounded_by_waits(now);
+        let full = bounded.filter(|(id, most)| inner.in_flight.own(&id.endpoint).requests >= *most);
+        without_permit.chain(full.map(|(id, _)| id.endpoint.clone())).collect()
     }
 
     /// Uses the permit for a request to an endpoint, if it limits its rate.
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_adapter::exchange::{self, Error};
-use oriole_core::fleet::{Cause, Incarnation, Message};
+use oriole_core::fleet::{Cause, Incarnation, Message, wait};
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_core::name;
 use oriole_platform::endpoint::{self, Report};
@@ -62,12 +62,20 @@
 
 /// Returns whether an endpoint may be asked for a report now.
 ///
-/// An endpoint that limits its rate is asked rarely, since reports are requests, too.
+/// One that limits its rate is asked rarely, and one that wants nothing for a while is not, since reports
+/// are requests, too.
 pub fn may_ask(state: &Shared, incarnation: &Incarnation) -> bool {
+    if is_waiting(state, incarnation) {
+        return false;
+    }
     let interval = state.limited_probe_interval(incarnation);
     interval.is_none_or(|interval| is_report_due(state, incarnation, interval))
 }
 
+fn is_waiting(state: &Shared, incarnation: &Incarnation) -> bool {
+    state.inner.borrow().view.is_waiting(&incarnation.endpoint, state.now())
+}
+
 /// Returns whether an endpoint was not asked for a report for `interval`, and records that it is now.
 fn is_report_due(state: &Shared, incarnation: &Incarnation, interval: Duration) -> bool {
     let now = state.now();
@@ -154,9 +162,21 @@
 ///
 /// Pauses new work to the endpoint and asks it for a report in the background. The report shows
 /// whether it has restarted or holds other layers than known.
-pub fn check_refusal(state: &Shared, chain: &Chain, at_fault: Option<SocketAddr>) {
+///
+/// If the refusal names a wait, nothing goes to the endpoint that refused or through the one at fault until
+/// then, reports included.
+pub fn check_refusal(
+    state: &Shared,
+    chain: &Chain,
+    at_fault: Option<SocketAddr>,
+    wait: wait::Statement,
+) {
     let named = chain.hops.iter().find(|h| Some(h.address) == at_fault);
     let hop = named.unwrap_or(&chain.hops[0]);
+    if let wait::Statement::For(wait) = wait {
+        state.record_wait(&hop.incarnation(), wait);
+        return;
+    }
     state.pause(&hop.endpoint);
     let Some(incarnation) = start_probe(state, hop) else {
         return;
@@ -258,10 +278,13 @@
 
 /// Records that an endpoint is being asked for a report, and returns its incarnation.
 ///
-/// Returns `None` if it was asked less than [`MIN_REPORT_INTERVAL`] ago, or limits its rate and was
-/// asked lately.
+/// Returns `None` if it was asked less than [`MIN_REPORT_INTERVAL`] ago, limits its rate and was
+/// asked lately, or wants nothing for a while.
 fn start_probe(state: &Shared, hop: &Hop) -> Option<Incarnation> {
     let incarnation = hop.incarnation();
+    if is_waiting(state, &incarnation) {
+        return None;
+    }
     let interval = state.limited_probe_interval(&incarnation).unwrap_or(MIN_REPORT_INTERVAL);
     is_report_due(state, &incarnation, interval).then_some(incarnation)
 }
--- a/crates/router/tests/path/leaving.rs
+++ b/crates/router/tests/path/leaving.rs
@@ -105,7 +105,10 @@
 #[actix_rt::test]
 async fn calls_are_refused_at_once_when_all_endpoints_say_they_leave() {
     let cluster = Cluster::new(1).await;
-    leave(&cluster, "/once/a", &["plain-0", "plain-1"], &[("server-leaving", "1")]).await;
+    // The second one is used, and says so, only once the first one is not.
+    for _ in 0..2 {
+        leave(&cluster, "/once/a", &["plain-0", "plain-1"], &[("server-leaving", "1")]).await;
+    }
     let before = cluster.fleet.arrivals("plain-0") + cluster.fleet.arrivals("plain-1");
     assert!(send(&cluster, "/once/a").await.iter().all(|status| *status == 503));
     assert_eq!(cluster.fleet.arrivals("plain-0") + cluster.fleet.arrivals("plain-1"), before);
