Answer requests that arrive while an entry stops

Callers saw: a kept connection on which a request had begun to arrive was closed as idle, and one that was read whole after the last answer was closed without a word. Of the latter a caller cannot know whether it ran, so that a call that may not be repeated was lost.

Cause: a connection counted as idle until its request was read whole, and such requests did not keep the process from its exit.

Change: a connection is idle until the first byte of a request; from then on the request counts as in progress. Once the process is about to exit, requests get 503 and the time to come back.

--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
-use crate::metrics;
+use crate::metrics::{self, Metrics};
 use crate::reply::{Progress, Writer};
 use crate::serve;
 use crate::state::Shared;
@@ -117,12 +117,18 @@
     // A new connection is about to carry its first request and does not count as idle.
     let mut is_new = true;
     loop {
-        let request = tokio::select! {
+        // A connection on which a request has begun to arrive is not idle.
+        let begun = tokio::select! {
             biased;
-            request = reader.request(&state, &mut writer) => request,
+            begun = reader.begin(&state) => begun,
             () = idle_close(&state), if !is_new => Err(Failure::Closed),
         };
         is_new = false;
+        let _active = Active::new(&state);
+        let request = match begun {
+            Ok(()) => reader.request(&state, &mut writer).await,
+            Err(failure) => Err(failure),
+        };
         let (head, body) = match request {
             Ok(request) => request,
             Err(Failure::Closed) => break,
@@ -135,12 +141,11 @@
             }
         };
         if state.exiting.get() {
-            // The process exits soon, which might cut an answer short. Without any answer, the
-            // caller knows that the request was not processed.
-            return;
+            // The process exits soon, which might cut an answer of an endpoint short.
+            refuse_at_exit(&state, &mut writer).await;
+            break;
         }
         writer.close = state.stopping.get();
-        let _active = Active::new(&state);
         tokio::select! {
             // Polled first, so that a request is not forwarded if its caller has already left.
             biased;
@@ -163,6 +168,16 @@
     writer.shut_down().await;
 }
 
+/// Refuses a request that has arrived after the last answer of a stopping process.
+async fn refuse_at_exit(state: &Shared, writer: &mut Writer) {
+    log::info!("request refused at the exit");
+    Metrics::count(&state.metrics.refused, "exiting");
+    writer.close = true;
+    let retry_after = Some(state.retry_after_stop());
+    // Ignores the error, since the caller may have closed the connection already.
+    let _ = writer.respond_empty(StatusCode::SERVICE_UNAVAILABLE, retry_after).await;
+}
+
 /// Waits until idle connections are to be closed.
 async fn idle_close(state: &Shared) {
     while !state.closing.get() {
@@ -174,7 +189,10 @@
     let (read, write) = stream.into_split();
     let mut reader = Reader { read, buffer: BytesMut::with_capacity(MIN_READ_BYTES) };
     let mut writer = Writer::new(write, codec);
-    while let Ok((head, _)) = reader.request(&state, &mut writer).await {
+    while reader.begin(&state).await.is_ok() {
+        let Ok((head, _)) = reader.request(&state, &mut writer).await else {
+            break;
+        };
         let (status, text) = answer(&state, head.uri.path());
         let written = match text {
             Some(text) => writer.respond(status, metrics::headers(), text.into()).await,
@@ -187,6 +205,17 @@
 }
 
 impl Reader {
+    /// Waits until a request begins to arrive, for as long as a connection may be idle.
+    async fn begin(&mut self, state: &Shared) -> Result<(), Failure> {
+        if !self.buffer.is_empty() {
+            return Ok(());
+        }
+        let table = state.inner.borrow().table.clone();
+        let idle = table.map_or(DEFAULT_TIMEOUT, |table| table.limits.idle_timeout);
+        let filled = timeout(idle, self.fill()).await;
+        filled.map_err(|_| Failure::Closed)?.map_err(|_| Failure::Closed)
+    }
+
     /// Reads one request with its complete body.
     async fn request(
         &mut self,
@@ -194,14 +223,9 @@
         writer: &mut Writer,
     ) -> Result<(RequestHead, Bytes), Failure> {
         let limits = state.inner.borrow().table.as_ref().map(|t| t.limits.clone());
-        let idle = limits.as_ref().map_or(DEFAULT_TIMEOUT, |l| l.idle_timeout);
         let head_timeout = limits.as_ref().map_or(DEFAULT_TIMEOUT, |l| l.head_timeout);
         let head_bytes = limits.as_ref().map_or(MAX_READ_AHEAD_BYTES, |l| l.head_bytes);
         let body_bytes = limits.as_ref().map_or(MAX_READ_AHEAD_BYTES, |l| l.body_bytes);
-        if self.buffer.is_empty() {
-            let filled = timeout(idle, self.fill()).await;
-            filled.map_err(|_| Failure::Closed)?.map_err(|_| Failure::Closed)?;
-        }
         let head = timeout(head_timeout, self.head(writer, head_bytes)).await;
         let head = head.map_err(|_| Failure::Reject(StatusCode::REQUEST_TIMEOUT))??;
         writer.start_response();
@@ -280,7 +304,7 @@
     }
 }
 
-/// Counts a request as in progress until it is dropped.
+/// Counts a request as in progress, from when it begins to arrive, until it is dropped.
 struct Active(Shared);
 
 impl Active {
