Take no late second copy of an answer for the answer to the next call

It cannot happen on the users' platform, where each connection to an endpoint carries one request (adapter::exchange). It could on our own interface.

Callers would have seen the answer of another caller's call, or tokens of another sequence: sides called services and engines on pooled connections, and a second copy that arrives after the next request was sent was read as its answer.

Change: each request to a service or an engine has a connection of its own (both are on the side's host).

Calls to the key-value service and the host list are still pooled.

--- a/crates/adapter/src/engine.rs
+++ b/crates/adapter/src/engine.rs
@@ -12,7 +12,7 @@
 
 pub use crate::http::Error;
 
-/// A client of one engine. Clones share the connection pool.
+/// A client of one engine. Each request has a connection of its own.
 #[derive(Clone)]
 pub struct Client {
     http: awc::Client,
@@ -86,7 +86,7 @@
         timeout: Duration,
     ) -> Result<Response, Error> {
         let content_type = if body.is_empty() { "" } else { JSON };
-        let request = Request { method, path, content_type, body };
+        let request = Request { method, path, content_type, body, is_alone: true };
         http::send(&self.http, self.address, request, timeout).await
     }
 }
--- a/crates/adapter/src/hosts.rs
+++ b/crates/adapter/src/hosts.rs
@@ -40,7 +40,7 @@
     /// Reads the list; any status other than 200 is an error.
     pub async fn list(&self, timeout: Duration) -> Result<List, Error> {
         let (method, body) = (Method::GET, Bytes::new());
-        let request = Request { method, path: PATH, content_type: "", body };
+        let request = Request { method, path: PATH, content_type: "", body, is_alone: false };
         let response = http::send(&self.http, self.address, request, timeout).await?;
         if response.status != StatusCode::OK {
             return Err(response.status_error());
--- a/crates/adapter/src/http.rs
+++ b/crates/adapter/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP calls on pooled connections, shared by the clients of engines, plain services, the host
+//! HTTP calls, on pooled connections or each on its own, shared by the clients of engines, plain services, the host
 //! list and the key-value service.
 
 use std::net::SocketAddr;
@@ -75,6 +75,9 @@
     pub(crate) path: &'a str,
     pub(crate) content_type: &'a str,
     pub(crate) body: Bytes,
+    /// Whether its connection carries no other request. A server may send a second copy of a response
+    /// late, which nothing tells from the response to the next request.
+    pub(crate) is_alone: bool,
 }
 
 /// A complete response. `content_type` is empty if the header is absent or not text.
@@ -132,6 +135,9 @@
     if !request.content_type.is_empty() {
         client_request = client_request.insert_header(("content-type", request.content_type));
     }
+    if request.is_alone {
+        client_request = client_request.force_close();
+    }
     let mut response = client_request.send_body(request.body).await.map_err(send_error)?;
     let body = response.body().limit(MAX_RESPONSE_BYTES).await.map_err(|e| match e {
         PayloadError::Overflow => Error::Malformed,
--- a/crates/adapter/src/kv/client.rs
+++ b/crates/adapter/src/kv/client.rs
@@ -156,7 +156,8 @@
         let address = self.address().ok_or(Cause::NoAddress)?;
         let body = serde_json::to_vec(request).map_err(|_| Cause::Unencodable)?;
         let (method, content_type) = (Method::POST, http::JSON);
-        let request = http::Request { method, path, content_type, body: body.into() };
+        let request =
+            http::Request { method, path, content_type, body: body.into(), is_alone: false };
         let timeout = self.inner.settings.timeout;
         let response = http::send(&self.inner.http, address, request, timeout).await;
         let response = response.map_err(Cause::Http)?;
--- a/crates/adapter/src/service.rs
+++ b/crates/adapter/src/service.rs
@@ -11,7 +11,7 @@
 
 pub use crate::http::Error;
 
-/// A client of one plain service. Clones share the connection pool.
+/// A client of one plain service. Each call has a connection of its own.
 #[derive(Clone)]
 pub struct Client {
     http: awc::Client,
@@ -37,6 +37,7 @@
             path: &call.path,
             content_type: &call.content_type,
             body: Bytes::copy_from_slice(&call.body),
+            is_alone: true,
         };
         let response = http::send(&self.http, self.address, request, timeout).await?;
         Ok(Answer {
