Leave stalled streams that send a byte or a comment now and then

Slow but sound streams are not cut (tests/path/silence.rs); stalled ones ended at their deadline only.

Callers saw: a stream whose endpoint stopped, but sent a byte or a comment now and then, waited until the route's timeout, although another chain had room. Its caller leaves well before.

Cause: each read began the wait for an event anew, and a comment counted as an event. In the race with another chain any byte of the chain that was left won.

Change: generation::watch::Silence lasts from one event to the next, over reads that bring none; comments are passed on and are no events; the race goes by events, too.

--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -24,12 +24,12 @@
     }
 }
 
-/// Complete events, concatenated.
+/// Complete events and comments, concatenated.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
     /// The bytes of the events, unchanged.
     pub bytes: Vec<u8>,
-    /// Number of events.
+    /// Number of events. Comments, by which a stream shows that its connection is open, are none.
     pub count: usize,
 }
 
@@ -72,9 +72,11 @@
             if let Some(id) = id(&self.partial[end..end + length]) {
                 self.last_id = Some(id);
             }
+            if has_field(&self.partial[end..end + length]) {
+                count += 1;
+                self.is_event_due = false;
+            }
             end += length;
-            count += 1;
-            self.is_event_due = false;
         }
         if self.partial.len() - end > MAX_EVENT_BYTES {
             return None;
@@ -103,6 +105,12 @@
     None
 }
 
+/// Returns whether a block of lines has any that is neither empty nor a comment.
+fn has_field(block: &[u8]) -> bool {
+    let lines = block.split(|b| *b == b'\n').map(<[u8]>::trim_ascii_end);
+    lines.into_iter().any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the value of an event's `id` field.
 fn id(event: &[u8]) -> Option<String> {
     let lines = event.split(|b| *b == b'\n');
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -220,3 +220,13 @@
     println!("refused twice: {soon} with a short retry-after, {later} with one that grows");
     assert!(later * 4 < soon * 3, "{later} of {soon}");
 }
+
+#[test]
+fn comments_are_passed_on_and_are_no_events() {
+    let mut splitter = Splitter::default();
+    let batch = splitter.push(b": still here\n\n:\r\n\r\n").unwrap();
+    assert_eq!((batch.bytes.len(), batch.count), (19, 0));
+    assert!(splitter.is_cut_off());
+    assert_eq!(splitter.push(b": next\ndata: d\n\n").unwrap().count, 1);
+    assert!(!splitter.is_cut_off());
+}
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -18,6 +18,7 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
+use crate::generation::watch::Silence;
 use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
@@ -150,7 +151,8 @@
     attempt.run.set(Some(Run::begin(state, request, target)));
     let sent = state.now();
     let sending = exchange::send(stream, head, request.body.clone());
-    let answer = match attempt.watch(chain, FIRST_EVENT_SILENCE, sending).await? {
+    let mut silence = Silence::begin(FIRST_EVENT_SILENCE, sent);
+    let answer = match attempt.watch(chain, &mut silence, sending).await? {
         Ok(answer) => answer,
         Err(e) => {
             log::info!(id = request.id(), error:% = e; "no valid response head from the endpoint");
@@ -221,7 +223,7 @@
     let Attempt { state, request, .. } = attempt;
     let Continued { response: Response { head, mut body }, mut unread } = continued;
     let mut is_first = writer.progress() == Progress::NotStarted;
-    let mut silence = FIRST_EVENT_SILENCE;
+    let mut silence = Silence::begin(FIRST_EVENT_SILENCE, state.now());
     let mut stream = Stream::new(attempt, chain);
     loop {
         let next = async {
@@ -230,7 +232,7 @@
                 None => body.next().await,
             }
         };
-        let bytes = match attempt.watch(chain, silence, next).await {
+        let bytes = match attempt.watch(chain, &mut silence, next).await {
             Err(Outcome::Rerouted(detour)) => {
                 let left = Some(Response { head, body });
                 return Outcome::Rerouted(Box::new(Detour { left, ..*detour }));
@@ -251,9 +253,11 @@
         if events.bytes.is_empty() {
             continue;
         }
-        silence = EVENT_SILENCE;
-        stream.record_event(chain);
-        stream.record_sound();
+        if events.count > 0 {
+            silence = Silence::begin(EVENT_SILENCE, state.now());
+            stream.record_event(chain);
+            stream.record_sound();
+        }
         if is_first {
             is_first = false;
             let headers = endpoint::end_to_end(head.headers());
--- a/crates/router/src/generation/race.rs
+++ b/crates/router/src/generation/race.rs
@@ -5,7 +5,7 @@
 use std::pin::pin;
 use std::task::Poll;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use oriole_adapter::exchange::{Error, Response};
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
@@ -56,31 +56,49 @@
     let Some(mut earlier) = earlier else {
         return Race::Ended(attempt.await, None);
     };
-    let step = {
-        let mut next = pin!(earlier.response.body.next());
-        poll_fn(|context| {
-            if let Poll::Ready(outcome) = attempt.as_mut().poll(context) {
-                return Poll::Ready(Step::Ended(outcome));
+    loop {
+        let step = {
+            let mut next = pin!(earlier.response.body.next());
+            poll_fn(|context| {
+                if let Poll::Ready(outcome) = attempt.as_mut().poll(context) {
+                    return Poll::Ready(Step::Ended(outcome));
+                }
+                if begin.get().is_some() {
+                    return Poll::Ready(Step::Begun);
+                }
+                next.as_mut().poll(context).map(Step::Earlier)
+            })
+            .await
+        };
+        match step {
+            Step::Ended(outcome) => {
+                let is_kept = begin.get().is_none();
+                return Race::Ended(outcome, is_kept.then_some(earlier));
             }
-            if begin.get().is_some() {
-                return Poll::Ready(Step::Begun);
+            Step::Earlier(Ok(Some(bytes))) if !earlier.has_event(&bytes) => {}
+            Step::Earlier(Ok(Some(_))) => return Race::Earlier(earlier),
+            Step::Earlier(Ok(None)) => {
+                // What was read before its end is yet to be forwarded; the body tells of its end again.
+                earlier.unread.get_or_insert(None);
+                return Race::Earlier(earlier);
+            }
+            Step::Begun | Step::Earlier(Err(_)) => {
+                drop(earlier);
+                return Race::Ended(attempt.await, None);
             }
-            next.as_mut().poll(context).map(Step::Earlier)
-        })
-        .await
-    };
-    match step {
-        Step::Ended(outcome) => {
-            let is_kept = begin.get().is_none();
-            Race::Ended(outcome, is_kept.then_some(earlier))
-        }
-        Step::Earlier(Ok(unread)) => {
-            earlier.unread = Some(unread);
-            Race::Earlier(earlier)
-        }
-        Step::Begun | Step::Earlier(Err(_)) => {
-            drop(earlier);
-            Race::Ended(attempt.await, None)
         }
     }
 }
+
+impl Suspended {
+    /// Keeps bytes that have been read, and returns whether there is an event in all that is kept, or what
+    /// cannot become one.
+    fn has_event(&mut self, bytes: &[u8]) -> bool {
+        let mut kept = BytesMut::from(self.unread.take().flatten().unwrap_or_default());
+        kept.extend_from_slice(bytes);
+        let kept = kept.freeze();
+        let events = self.splitter.clone().push(&kept);
+        self.unread = Some(Some(kept));
+        events.is_none_or(|events| events.count > 0)
+    }
+}
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -8,6 +8,7 @@
 use oriole_core::fleet::Cause;
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_core::forward::outcome::Failure;
+use oriole_core::time::Instant;
 use tokio::time::sleep;
 
 use super::attempt::{Attempt, Detour, EVENT_SILENCE, Outcome};
@@ -25,10 +26,31 @@
 /// Interval at which a stream on a chain with a silent stage looks for another chain.
 const BROKEN_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The time since the last event of an attempt, and what has been done about it.
+///
+/// It lasts over reads that bring no whole event.
+pub(super) struct Silence {
+    began: Instant,
+    /// Silence after which the first stage is asked for a report.
+    first: Duration,
+    /// Silence at which the stream is looked at next.
+    limit: Duration,
+    is_logged: bool,
+    /// Whether a move to other stages has not been tried since something changed.
+    may_move: bool,
+}
+
+impl Silence {
+    /// Begins at an event, or when the request is sent; the first stage is asked after `first`.
+    pub(super) fn begin(first: Duration, now: Instant) -> Self {
+        Self { began: now, first, limit: first, is_logged: false, may_move: true }
+    }
+}
+
 impl Attempt<'_> {
     /// Waits for `work`, and leaves or changes the chain if that helps.
     ///
-    /// After `silence`, the first stage is asked for a report. While a stage is unhealthy and nothing
+    /// After [`Silence::first`], the first stage is asked for a report. While a stage is unhealthy and nothing
     /// arrives, the request moves to a chain with the same first stage, as soon as there is one. The
     /// attempt ends
     ///
@@ -44,36 +66,32 @@
     pub(super) async fn watch<T>(
         &self,
         chain: &mut Chain,
-        silence: Duration,
+        silence: &mut Silence,
         work: impl Future<Output = T>,
     ) -> Result<T, Outcome> {
         let state = self.state;
-        let began = state.now();
         let mut work = pin!(work);
-        let mut limit = silence;
-        let mut is_logged = false;
-        let mut may_move = true;
         loop {
             let mut health_changed = pin!(state.health_changed.notified());
             health_changed.as_mut().enable();
             let broken = broken_stage(state, chain);
-            let silent = state.now().since(began);
+            let silent = state.now().since(silence.began);
             let Some((stage, cause)) = broken.filter(|_| silent >= BROKEN_SILENCE) else {
-                let wake = if broken.is_some() { BROKEN_SILENCE } else { limit };
+                let wake = if broken.is_some() { BROKEN_SILENCE } else { silence.limit };
                 tokio::select! {
                     biased;
                     result = &mut work => return Ok(result),
                     () = health_changed => {}
                     () = sleep(wake.saturating_sub(silent)) => if broken.is_none() {
-                        if let Some(detour) = self.leave_stalled(chain, limit > silence) {
+                        if let Some(detour) = self.leave_stalled(chain, silence) {
                             return Err(Outcome::Rerouted(Box::new(detour)));
                         }
-                        limit += RECHECK_INTERVAL;
+                        silence.limit += RECHECK_INTERVAL;
                     },
                 }
                 continue;
             };
-            if !std::mem::replace(&mut is_logged, true) {
+            if !std::mem::replace(&mut silence.is_logged, true) {
                 log::info!(
                     id = self.request.id(), endpoint = stage.endpoint.as_str(), cause:?;
                     "a stage of the chain does not work"
@@ -82,7 +100,7 @@
             if let Some(detour) = self.reserve_unless_movable(chain) {
                 return Err(Outcome::Rerouted(Box::new(detour)));
             }
-            if std::mem::replace(&mut may_move, false) {
+            if std::mem::replace(&mut silence.may_move, false) {
                 // The response may still complete if all its tokens have been generated.
                 tokio::select! {
                     biased;
@@ -99,15 +117,16 @@
             tokio::select! {
                 biased;
                 result = &mut work => return Ok(result),
-                () = health_changed => may_move = true,
+                () = health_changed => silence.may_move = true,
                 () = sleep(BROKEN_RECHECK_INTERVAL) => {}
             }
         }
     }
 
     /// Asks the first stage of a silent stream for a report, unless other streams on the chain have
-    /// events and another chain has capacity. `is_repeated` states that it has been asked before.
-    fn leave_stalled(&self, chain: &Chain, is_repeated: bool) -> Option<Detour> {
+    /// events, it has been asked before, and another chain has capacity.
+    fn leave_stalled(&self, chain: &Chain, silence: &Silence) -> Option<Detour> {
+        let is_repeated = silence.limit > silence.first;
         if is_repeated && has_recent_event(self.state, chain) {
             let detour = self.reserve_other_chain(chain);
             if detour.is_some() {
--- a/crates/router/tests/path/silence.rs
+++ b/crates/router/tests/path/silence.rs
@@ -197,3 +197,50 @@
     assert_eq!((answer.status, answer.body.as_str()), (200, "the whole page"));
     assert_eq!(cluster.fleet.runs("r1").len(), 1);
 }
+
+/// Sends a request that stalls at its first chain, which sends a byte or a comment now and then, and at no
+/// other one.
+async fn call_dripping(cluster: &Cluster, request: &str) -> Answer {
+    let state = &cluster.entries[0].state;
+    for n in 0..8 {
+        cluster.fleet.set_fault(&format!("engine-{n}"), Fault::Drip);
+    }
+    // Stands for other streams on the same chain, each event of which is recorded here.
+    let others = async {
+        loop {
+            sleep(Duration::from_millis(100)).await;
+            let Some(first) = cluster.fleet.runs(request).first().cloned() else {
+                continue;
+            };
+            state.inner.borrow_mut().last_event_at.insert(first.as_str().into(), state.now());
+            for n in 0..8 {
+                let id = format!("engine-{n}");
+                if id != first {
+                    cluster.fleet.set_fault(&id, Fault::None);
+                }
+            }
+        }
+    };
+    tokio::select! {
+        answer = cluster.entries[0].call("/draft/a", request, KEY) => answer,
+        () = others => panic!("the loop of other streams ended"),
+    }
+}
+
+/// A byte now and then is no event: the stream leaves its chain as a silent one does.
+#[actix_rt::test]
+async fn a_stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere() {
+    let cluster = Cluster::new(1).await;
+    let answer = call_dripping(&cluster, "slow").await;
+    assert_eq!((answer.is_complete, answer.body), (true, all_events()));
+    assert_eq!(cluster.fleet.runs("slow").len(), 2);
+}
+
+#[actix_rt::test]
+async fn a_stalled_stream_that_sends_comments_goes_on_elsewhere() {
+    let cluster = Cluster::new(1).await;
+    let answer = call_dripping(&cluster, "slow-comments").await;
+    let events = answer.body.replace(": still here\n\n", "");
+    assert_eq!((answer.is_complete, events), (true, all_events()));
+    assert_eq!(cluster.fleet.runs("slow-comments").len(), 2);
+}
