End answers that their callers hardly read soon after the deadline

Cause: writing an answer that was read whole from its endpoint had no bound of its own. A caller that reads a little now and then held its connection and up to 16 MB of the entry's memory, of which all answers share 32 MB, for as long as it liked.

Change: serving a request ends 2 s after its deadline, and the connection with it, so that the answer shows as cut off.

--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -15,6 +15,7 @@
 use oriole_core::time::Instant;
 use oriole_core::{forward, name};
 use oriole_platform::{header, ingress};
+use tokio::time::timeout;
 
 use crate::hold::Admission;
 use crate::metrics::Metrics;
@@ -25,6 +26,9 @@
 /// `retry-after` of an entry that has no routing table yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after the deadline of a request within which its caller must have read its answer.
+const WRITE_TIME: Duration = Duration::from_secs(2);
+
 /// A request that the routing table allows, with its route, workspace and deadline.
 pub struct Request {
     /// The head, as received from the caller.
@@ -137,11 +141,18 @@
     }
     let mut pending = Pending { state, request: &request, is_answered: false };
     let has_model = state.model(&request.service).is_some();
-    let result = if has_model && request.route.kind == Kind::Streaming {
-        generation::run(state, &request, writer).await
-    } else {
-        call::run(state, &request, writer).await
+    let served = async {
+        if has_model && request.route.kind == Kind::Streaming {
+            generation::run(state, &request, writer).await
+        } else {
+            call::run(state, &request, writer).await
+        }
     };
+    let limit = request.deadline.since(state.now()) + WRITE_TIME;
+    let result = timeout(limit, served).await.unwrap_or_else(|_| {
+        log::info!(id = request.id(); "caller does not read its answer");
+        Err(io::ErrorKind::TimedOut.into())
+    });
     pending.is_answered = result.is_ok();
     result
 }
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -1,10 +1,17 @@
 //! Endpoints that send bytes without end: they are read up to a bound, the connection is closed, and the
-//! caller gets a failure.
+//! caller gets a failure. Callers that read without end: they are served until their deadline.
+
+use std::time::Duration;
 
 use futures_util::future::join_all;
-use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::config::{HOST, KEY};
+use oriole_platform_standin::fleet;
 use oriole_platform_standin::unframed::Ending;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
 
+use crate::cluster::Cluster;
 use crate::unframed::cluster;
 
 /// Route of calls that may run once only, and of generations that may not resume.
@@ -45,3 +52,24 @@
     assert!(most > 0 && most <= 32 * 1024 * 1024, "{most} bytes");
     assert_eq!(state.body_memory.used(), 0);
 }
+
+/// A caller that hardly reads holds its connection, and the memory of its answer, no longer than it may wait.
+#[actix_rt::test]
+async fn an_answer_whose_caller_reads_a_little_now_and_then_ends_soon_after_the_deadline() {
+    let cluster = Cluster::new(1).await;
+    let mut stream = TcpStream::connect(cluster.entries[0].callers).await.unwrap();
+    let request = format!(
+        "POST /page/big HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-request-id: big\r\n\
+         oriolelanding-deadline-ms: 1000\r\napi-key: {KEY}\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    cluster.wait(|c| !c.fleet.runs("big").is_empty()).await;
+    let (mut answer, mut some) = (Vec::new(), vec![0; 128 * 1024]);
+    while cluster.entries[0].state.active_requests.get() > 0 {
+        let count = stream.read(&mut some).await.unwrap_or(0);
+        answer.extend_from_slice(&some[..count]);
+        sleep(Duration::from_millis(200)).await;
+    }
+    let read = stream.read_to_end(&mut answer).await;
+    assert!(read.is_err() || answer.len() < fleet::BIG_BODY_BYTES, "{} bytes", answer.len());
+}
