Learn what has changed before acting after a pause of the process

Callers saw: requests that waited in an entry's sockets while it stood still were read first when it went on, and sent by the listing from before: to an endpoint that had been draining for three seconds, one allowed.

Cause: nothing told an entry that it had been paused; the next listing comes some milliseconds after the first requests.

Change: fleet::resumption finds pauses of 1.5 s and more by the time between ticks (and by the time of day, since the steady clock does not count the time for which a host is suspended). Requests, and attempts that were about to be sent, then wait for a listing from after the pause, 0.4 s at most, and the listing is read at once.

--- a/crates/adapter/src/clock.rs
+++ b/crates/adapter/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's monotonic clock.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oriole_core::time;
 
@@ -8,6 +8,12 @@
 /// tell of events by their age.
 const OFFSET: Duration = Duration::from_secs(2 * 24 * 3600);
 
+/// Returns the time of day as Unix time in milliseconds; 0 before 1970.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// A monotonic clock that starts when it is created. Copies show the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -10,6 +10,7 @@
 pub mod polling;
 pub mod recovery;
 pub mod refusal;
+pub mod resumption;
 mod usability;
 pub mod wait;
 
@@ -333,6 +334,11 @@
         self.is_recovering(now) && stages.any(|s| self.get(&s.endpoint).is_none())
     }
 
+    /// Returns when the listing was read, or `None` if there is none yet.
+    pub fn listed_at(&self) -> Option<Instant> {
+        self.listed_at
+    }
+
     /// Returns the age of the listing, or `None` if there is none yet.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.listed_at.map(|at| now.since(at))
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -25,7 +25,7 @@
 use crate::reply::Writer;
 use crate::run::{Run, Target};
 use crate::serve::{Reason, Request, check_crashes, give_up};
-use crate::state::{Shared, statement};
+use crate::state::{Shared, pause, statement};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -110,6 +110,7 @@
         queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
     let mut found = None;
     loop {
+        pause::settle(state).await;
         let target = match found.take() {
             Some(target) => target,
             None => wait_for_endpoint(state, request, &tried, wait_deadline).await?,
@@ -221,6 +222,9 @@
             return Outcome::Failed(Failure::NotSent);
         }
     };
+    if state.is_settling() {
+        return Outcome::Failed(Failure::NotSent);
+    }
     let additions = Additions {
         target: &target.id,
         workspace: request.workspace.as_ref().map(|w| &w.name),
--- a/crates/router/src/follow/listing.rs
+++ b/crates/router/src/follow/listing.rs
@@ -19,13 +19,14 @@
 /// Interval at which an entry checks whether to read the registrations.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Reads the registrations whenever the listing is too old, until the process ends.
+/// Reads the registrations whenever the listing is too old, or from before a pause of the process, until
+/// the process ends.
 pub async fn run(state: Shared, store: Client) {
     let mut monitor = Monitor::new(&state, "endpoints");
     loop {
         let limit = polling::listing_age_limit(state.rank_by_name(), state.drain_time());
         let age = state.inner.borrow().view.age(state.now());
-        if age.is_some_and(|age| age < limit) {
+        if age.is_some_and(|age| age < limit) && !state.is_settling() {
             sleep(CHECK_INTERVAL).await;
             continue;
         }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -29,7 +29,7 @@
 use crate::reply::Writer;
 use crate::run::Run;
 use crate::serve::{Reason, Request, check_crashes, give_up};
-use crate::state::Shared;
+use crate::state::{Shared, pause};
 
 pub use admission::{Refusal, Slot};
 use attempt::{Attempt, Continued, Detour, Outcome};
@@ -151,6 +151,7 @@
     /// `splitter` is replaced by that of an earlier response that goes on.
     async fn start(&self, next: Next, splitter: &mut Splitter) -> Result<Start, Reason> {
         let (state, request) = (self.state, self.request);
+        pause::settle(state).await;
         let (chain, slot) = match next {
             Next::Continue(earlier) => {
                 log::info!(id = request.id(); "going on with the response of an earlier attempt");
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -139,6 +139,9 @@
             return Err(Outcome::Failed(Failure::NotSent));
         }
     };
+    if state.is_settling() {
+        return Err(Outcome::Failed(Failure::NotSent));
+    }
     let additions = Additions {
         target: &hop.endpoint,
         workspace: request.workspace.as_ref().map(|w| &w.name),
--- a/crates/router/src/hold.rs
+++ b/crates/router/src/hold.rs
@@ -3,8 +3,9 @@
 //! Entries tell each other of them; the store keeps them for entries that start when no other one runs, and
 //! counts the trials of held requests, of which all entries together make few.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use oriole_adapter::clock::unix_ms;
 use oriole_core::fleet::Message;
 use oriole_core::forward::Fingerprint;
 use oriole_core::forward::hold::{Gate, Hold, Summary};
@@ -165,8 +166,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -4,8 +4,9 @@
 //! runs. An entry writes them if none before it does so.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use oriole_adapter::clock::unix_ms;
 use oriole_core::fleet::Message;
 use oriole_core::forward::Part;
 use oriole_core::forward::quarantine::Group;
@@ -127,8 +128,3 @@
     }
     true
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -20,7 +20,7 @@
 use crate::hold::Admission;
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
-use crate::state::Shared;
+use crate::state::{Shared, pause};
 use crate::{call, generation, hold};
 
 /// `retry-after` of an entry that has no routing table yet.
@@ -119,6 +119,7 @@
     writer: &mut Writer,
 ) -> io::Result<()> {
     let arrived = state.now();
+    pause::settle(state).await;
     let parameters = ingress::parameters(&head.headers);
     let mut request = match authorize(state, head, body, parameters, arrived) {
         Ok(request) => request,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -9,6 +9,7 @@
 pub mod hold;
 pub mod limit;
 pub mod load;
+pub mod pause;
 pub mod quarantine;
 pub mod statement;
 
@@ -22,6 +23,7 @@
 use oriole_core::fleet::freshness::Freshness;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
+use oriole_core::fleet::resumption::Resumption;
 use oriole_core::fleet::{Incarnation, Topic, View};
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
@@ -117,6 +119,8 @@
     pub change_count: Cell<u64>,
     /// Whether no unhealthy, paused or draining period was running at the last [`State::tick`].
     was_stable: Cell<bool>,
+    /// Whether the process was paused.
+    resumption: Cell<Resumption>,
     /// When the process started.
     pub started: Instant,
     /// Memory of response bodies that are kept until they are complete.
@@ -202,6 +206,7 @@
         Rc::new(Self {
             change_count: Cell::new(0),
             was_stable: Cell::new(false),
+            resumption: Cell::default(),
             started: clock.now(),
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
--- a/crates/router/src/state/chains.rs
+++ b/crates/router/src/state/chains.rs
@@ -19,6 +19,7 @@
     /// Called at a fixed interval. Does nothing while no unhealthy, paused or draining period is
     /// running.
     pub fn tick(&self) {
+        self.record_tick();
         let is_stable = {
             let inner = self.inner.borrow();
             inner.view.has_no_pending_expiry(self.drain_grace(), self.now())
