Keep the memory of answered parts and requests in one place

forward::recent::Recent takes the place of the same map, bound and halving in quarantine and hold. No behaviour changes; the tests of both pass.

--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -6,6 +6,7 @@
 //! - [`choice`]: the choice among the endpoints of a plain service, which has no chains.
 //! - [`queue`]: the order in which requests wait for capacity.
 //! - [`quarantine`]: parts of prompts that crash endpoints.
+//! - [`recent`]: when each of many things was last seen.
 //! - [`runs`]: which requests run at which endpoint, and which may have crashed it.
 //! - [`hold`]: requests that crash endpoints and are not run.
 //! - [`rate`]: limits on the rate of requests that endpoints name.
@@ -24,6 +25,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod rate;
+pub mod recent;
 pub mod runs;
 pub mod slowdown;
 pub mod stop;
--- a/crates/core/src/forward/hold.rs
+++ b/crates/core/src/forward/hold.rs
@@ -16,6 +16,7 @@
 use oriole_macros::key;
 
 use super::Fingerprint;
+use super::recent::Recent;
 use crate::fleet::Incarnation;
 use crate::time::Instant;
 
@@ -103,16 +104,27 @@
 type Crashes = BTreeMap<Incarnation, Instant>;
 
 /// What one entry knows of crashes and of the requests that cause them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Holds {
     suspects: BTreeMap<Fingerprint, Crashes>,
     held: BTreeMap<Fingerprint, Held>,
     /// Requests that have been answered lately, with the last time.
-    sound: BTreeMap<Fingerprint, Instant>,
+    sound: Recent<Fingerprint>,
     /// Requests that were suspect or held and have been answered since.
     released: BTreeMap<Fingerprint, Instant>,
 }
 
+impl Default for Holds {
+    fn default() -> Self {
+        Self {
+            suspects: BTreeMap::new(),
+            held: BTreeMap::new(),
+            sound: Recent::new(MAX_SOUND),
+            released: BTreeMap::new(),
+        }
+    }
+}
+
 impl Holds {
     /// Records suspects of the crash of an endpoint at `at`.
     ///
@@ -127,9 +139,9 @@
         self.forget_old(now);
         let mut releases = vec![];
         for fingerprint in suspects {
-            match self.sound.get(fingerprint) {
-                Some(sound_at) if at <= *sound_at + SOUND_PERIOD => {
-                    releases.push(Release::new(*fingerprint, *sound_at, now));
+            match self.sound.last(fingerprint) {
+                Some(sound_at) if at <= sound_at + SOUND_PERIOD => {
+                    releases.push(Release::new(*fingerprint, sound_at, now));
                 }
                 _ => self.suspect(*fingerprint, incarnation, at),
             }
@@ -194,9 +206,7 @@
     /// Records that a request was answered at `at`, which clears it of earlier crashes. Returns whether it
     /// was suspect or held.
     pub fn record_sound(&mut self, fingerprint: Fingerprint, at: Instant) -> bool {
-        let last = self.sound.entry(fingerprint).or_insert(at);
-        *last = at.max(*last);
-        self.forget_oldest_sound();
+        self.sound.record(fingerprint, at);
         let is_told = !self.may_retry(fingerprint);
         let was_suspect = self.clear_crashes(&fingerprint, at);
         let was_held = self.held.get(&fingerprint).is_some_and(|held| held.since <= at);
@@ -233,18 +243,6 @@
         is_cleared
     }
 
-    /// Forgets the older half of the answered requests if there are too many.
-    fn forget_oldest_sound(&mut self) {
-        if self.sound.len() <= MAX_SOUND {
-            return;
-        }
-        let mut times: Vec<Instant> = self.sound.values().copied().collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.sound.retain(|_, at| *at > median);
-    }
-
     /// Returns whether a request may run.
     pub fn gate(&mut self, fingerprint: Fingerprint, now: Instant) -> Gate {
         let Some(held) = self.held.get_mut(&fingerprint) else {
--- a/crates/core/src/forward/hold/summary.rs
+++ b/crates/core/src/forward/hold/summary.rs
@@ -184,7 +184,7 @@
                 let at = now - Duration::from_millis(crash.age_ms);
                 let cleared =
                     self.record_crash(&crash.incarnation, &[suspect.fingerprint], at, now);
-                let sound = cleared.first().and_then(|r| self.sound.get(&r.fingerprint).copied());
+                let sound = cleared.first().and_then(|r| self.sound.last(&r.fingerprint));
                 answered.extend(sound.map(|at| (suspect.fingerprint, at)));
             }
         }
--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/quarantine.rs
@@ -20,6 +20,7 @@
 use oriole_macros::data;
 
 use super::Part;
+use super::recent::Recent;
 use crate::fleet::Incarnation;
 use crate::time::Instant;
 
@@ -139,18 +140,25 @@
 }
 
 /// What one entry knows of crashes and of the parts that cause them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Quarantine {
     crashes: BTreeMap<Incarnation, Crash>,
-    sound: BTreeMap<Part, Instant>,
+    sound: Recent<Part>,
     periods: BTreeMap<BTreeSet<Part>, Period>,
 }
 
+impl Default for Quarantine {
+    fn default() -> Self {
+        let sound = Recent::new(MAX_SOUND);
+        Self { crashes: BTreeMap::new(), sound, periods: BTreeMap::new() }
+    }
+}
+
 impl Quarantine {
     /// Returns those of `parts` that have not been answered lately.
     pub fn unproven(&self, parts: &[Part], now: Instant) -> Vec<Part> {
         let is_sound =
-            |part: &Part| self.sound.get(part).is_some_and(|at| now.since(*at) < SOUND_PERIOD);
+            |part: &Part| self.sound.last(part).is_some_and(|at| now.since(at) < SOUND_PERIOD);
         parts.iter().copied().filter(|part| !is_sound(part)).collect()
     }
 
@@ -237,25 +245,11 @@
     /// That clears them of crashes, also of those soon after. Returns those that were suspect or quarantined.
     pub fn record_sound(&mut self, parts: &[Part], at: Instant) -> Vec<Part> {
         for part in parts {
-            let last = self.sound.entry(*part).or_insert(at);
-            *last = at.max(*last);
+            self.sound.record(*part, at);
         }
-        self.forget_oldest_sound();
         parts.iter().copied().filter(|part| self.clear(*part, at)).collect()
     }
 
-    /// Forgets the older half of the answered parts if there are too many.
-    fn forget_oldest_sound(&mut self) {
-        if self.sound.len() <= MAX_SOUND {
-            return;
-        }
-        let mut times: Vec<Instant> = self.sound.values().copied().collect();
-        let middle = times.len() / 2;
-        let (_, median, _) = times.select_nth_unstable(middle);
-        let median = *median;
-        self.sound.retain(|_, at| *at > median);
-    }
-
     /// Removes a part that was answered at `at` from the crashes of which that clears it and from all
     /// quarantines, and returns whether it was in one.
     fn clear(&mut self, part: Part, at: Instant) -> bool {
@@ -281,7 +275,7 @@
     /// Returns those of `parts` that have been answered lately, with the time since.
     pub fn proven(&self, parts: &[Part], now: Instant) -> Vec<Sound> {
         let sound = parts.iter().filter_map(|part| {
-            let age = now.since(*self.sound.get(part)?);
+            let age = now.since(self.sound.last(part)?);
             (age < SOUND_PERIOD).then_some(Sound { part: *part, age_ms: age.as_millis() as u64 })
         });
         sound.collect()
