Know crashes of entries that are cut from each other, and count repeats as one request

Entries that reach the store but not each other each counted their own crashes, and what is suspect of one crash was not in the store. The users count such entries as in touch. Suspects of a crash that has few of them (16) are in the store at once, and an entry writes what the store lacks by the crashes, not by their number. A repeat counted as a second request with its prompt's parts, so that one request that crashes engines had a part quarantined that sound ones share. Requests are told apart by their fingerprints. Test: a_part_is_not_quarantined_since_one_request_with_it_crashes_endpoints.

crashes_that_are_not_yet_enough_outlast_all_entries took the first write, which now has one crash; it waits for both.

--- a/crates/core/src/forward/hold.rs
+++ b/crates/core/src/forward/hold.rs
@@ -25,7 +25,7 @@
 /// Number of crashes of which a request must be suspect to be held.
 const MIN_CRASHES: usize = 3;
 
-/// Number of crashes from which on a request is not attempted again, and the store knows it.
+/// Number of crashes from which on a request is not attempted again, and is in the store in any case.
 const MAX_CRASHES_FOR_RETRY: usize = 2;
 
 /// Crashes that lie less apart count as one: hosts that fail together take down several endpoints.
--- a/crates/core/src/forward/hold/summary.rs
+++ b/crates/core/src/forward/hold/summary.rs
@@ -2,7 +2,7 @@
 //!
 //! Times are told as ages, since the clocks of hosts differ.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use oriole_macros::data;
@@ -12,6 +12,9 @@
 use crate::forward::Fingerprint;
 use crate::time::Instant;
 
+/// Number of suspects of one crash up to which all of them are in the store.
+const MAX_FEW: usize = 16;
+
 /// The crash of an endpoint, as entries tell each other.
 #[data]
 pub struct Crash {
@@ -90,8 +93,10 @@
     }
 
     fn has_suspect(&self, suspect: &Suspect) -> bool {
-        let mut of_request = self.suspects.iter().filter(|s| s.fingerprint == suspect.fingerprint);
-        of_request.any(|known| known.crashes.len() >= suspect.crashes.len())
+        let of_request = self.suspects.iter().filter(|s| s.fingerprint == suspect.fingerprint);
+        let known: BTreeSet<&Incarnation> =
+            of_request.flat_map(|s| &s.crashes).map(|crash| &crash.incarnation).collect();
+        suspect.crashes.iter().all(|crash| known.contains(&crash.incarnation))
     }
 }
 
@@ -122,12 +127,22 @@
 
     /// Returns all that another entry needs to know.
     pub fn summary(&self, now: Instant) -> Summary {
-        self.summary_from(1, now)
+        self.summary_of(now, |_| true)
     }
 
-    /// Returns what the store is to hold: what must outlast all entries.
+    /// Returns what the store is to hold, for entries that start when no other one runs, and for those that
+    /// cannot reach each other: all but suspects of one crash that share it with many others.
     pub fn lasting(&self, now: Instant) -> Summary {
-        self.summary_from(MAX_CRASHES_FOR_RETRY, now)
+        let mut suspects_of: BTreeMap<&Incarnation, usize> = BTreeMap::new();
+        for incarnation in self.suspects.values().flat_map(BTreeMap::keys) {
+            *suspects_of.entry(incarnation).or_default() += 1;
+        }
+        let is_one_of_few =
+            |crash: &Incarnation| suspects_of.get(crash).is_some_and(|n| *n <= MAX_FEW);
+        self.summary_of(now, |crashes| {
+            count(crashes) >= MAX_CRASHES_FOR_RETRY
+                || crashes.keys().any(|crash| is_one_of_few(crash))
+        })
     }
 
     /// Returns what the store is to hold in place of `stored`, or `None` if it holds all that counts.
@@ -151,9 +166,10 @@
         Some(own)
     }
 
-    fn summary_from(&self, min_crashes: usize, now: Instant) -> Summary {
+    /// Returns a summary with the suspects of crashes for which `is_wanted` holds.
+    fn summary_of(&self, now: Instant, is_wanted: impl Fn(&Crashes) -> bool) -> Summary {
         let is_told = |(fingerprint, crashes): &(&Fingerprint, &Crashes)| {
-            count(crashes) >= min_crashes && !self.held.contains_key(fingerprint)
+            is_wanted(crashes) && !self.held.contains_key(fingerprint)
         };
         let suspects = self.suspects.iter().filter(is_told);
         let suspects = suspects.map(|(fingerprint, crashes)| Suspect {
--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/quarantine.rs
@@ -27,8 +27,8 @@
 /// Number of crashes in which a part must be suspect to be quarantined.
 const MIN_CRASHES: usize = 3;
 
-/// Number of requests that must have been suspects with the part. One request alone may be on
-/// several endpoints by chance, as its attempts follow the crashes.
+/// Number of different requests that must have been suspects with the part. One request alone may be on
+/// several endpoints by chance, as its attempts and repeats follow the crashes, or crash them itself.
 const MIN_REQUESTS: usize = 2;
 
 /// Number of crashes from which on a request with a suspect part is not attempted again.
@@ -94,7 +94,7 @@
 /// A request that an endpoint had hardly begun to answer when it crashed.
 #[data]
 pub struct Suspect {
-    /// A hash of the request's id.
+    /// A part of the request's fingerprint, which its repeats share.
     pub request: u64,
     /// Those of its parts that have not been answered lately.
     pub parts: Vec<Part>,
--- a/crates/router/src/generation/crash.rs
+++ b/crates/router/src/generation/crash.rs
@@ -4,7 +4,6 @@
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::outcome::Failure;
 use oriole_core::forward::quarantine::{BEGIN_TIME, Begin, Suspect};
-use oriole_core::name;
 use tokio::time::sleep;
 
 use crate::peers;
@@ -47,7 +46,7 @@
 fn suspect(state: &Shared, request: &Request) -> Suspect {
     let parts = &request.parameters.shared_parts;
     let parts = state.inner.borrow().quarantine.unproven(parts, state.now());
-    Suspect { request: name::hash(request.id()), parts }
+    Suspect { request: request.fingerprint.0[0], parts }
 }
 
 /// Records that the request has been answered for a while, and tells the other entries if they
--- a/crates/router/src/state/hold.rs
+++ b/crates/router/src/state/hold.rs
@@ -102,6 +102,7 @@
     log::info!(endpoint, suspects = suspects.len(); "endpoint crashed while it ran requests");
     let answered = state.inner.borrow_mut().holds.record_crash(incarnation, suspects, at, now);
     tell_released(state, answered);
+    state.holds_changed.notify_one();
     decide_later(state);
 }
 
--- a/crates/router/tests/path/crashing_request.rs
+++ b/crates/router/tests/path/crashing_request.rs
@@ -45,6 +45,15 @@
     entry.state.summary_of_holds().holds.len()
 }
 
+/// Returns the number of crashes of which an entry knows suspects, at most three.
+fn crashes_known(entry: &Entry) -> u64 {
+    let summary = entry.state.summary_of_holds();
+    if !summary.holds.is_empty() {
+        return 3;
+    }
+    summary.suspects.iter().map(|suspect| suspect.crashes.len() as u64).max().unwrap_or_default()
+}
+
 /// Sends a request with an id of its own to one of the entries in turn.
 async fn send(cluster: &Cluster, path: &str, number: usize) -> Answer {
     cluster.wait(|c| c.entries.iter().all(|e| e.chains() >= 1 && plain_endpoints(e) >= 2)).await;
@@ -158,7 +167,10 @@
     let cluster = start().await;
     send(&cluster, "/page/crash", 0).await;
     assert_eq!(cluster.fleet.crashes(), 2);
-    cluster.wait(|c| c.store.get("oriole/holds").is_some()).await;
+    let has_both = |stored: &serde_json::Value| {
+        stored["summary"]["suspects"][0]["crashes"].as_array().is_some_and(|all| all.len() == 2)
+    };
+    cluster.wait(|c| c.store.get("oriole/holds").as_ref().is_some_and(has_both)).await;
     // The endpoints of another cluster are others, whatever they are called.
     let stored = cluster.store.get("oriole/holds").unwrap().to_string().replace("plain-", "old-");
     let stored = serde_json::from_str(&stored).unwrap();
@@ -272,3 +284,39 @@
         assert_eq!(send(&cluster, path, 100 + number).await.status, 200, "{path}");
     }
 }
+
+/// Only the request is known to crash endpoints, not the part of its prompt that sound ones share.
+#[actix_rt::test]
+async fn a_part_is_not_quarantined_since_one_request_with_it_crashes_endpoints() {
+    let cluster = start().await;
+    let generation = |path, number: usize, parts: &'static str| {
+        let entry = cluster.entries[number % 2].callers;
+        let id = format!("r{number}");
+        async move { Call::new(path, &id, KEY).parts(parts).send(entry, |_| {}).await.unwrap() }
+    };
+    for number in 0..8 {
+        cluster.wait(|c| c.entries.iter().all(|e| e.chains() >= 1)).await;
+        generation("/draft/crash", number, "5c1e07a2:40,abc:760").await;
+    }
+    cluster.wait(|c| c.entries.iter().all(|e| holds(e) == 1)).await;
+    sleep(Duration::from_millis(400)).await;
+    cluster.wait(|c| c.entries.iter().all(|e| e.chains() >= 1)).await;
+    for number in 100..102 {
+        let answer = generation("/draft/a", number, "5c1e07a2:40,def:760").await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
+/// Entries that cannot reach each other know of crashes from the store.
+#[actix_rt::test]
+async fn entries_that_are_cut_from_each_other_count_crashes_together() {
+    let cluster = start().await;
+    for entry in &cluster.entries {
+        *entry.state.hub.borrow_mut() = None;
+    }
+    for number in 0..8 {
+        send(&cluster, "/once/crash", number).await;
+        cluster.wait(|c| c.entries.iter().all(|e| crashes_known(e) == c.fleet.crashes())).await;
+    }
+    assert!(cluster.fleet.crashes() <= MAX_CRASHES, "{} crashes", cluster.fleet.crashes());
+}
