--- a/crates/core/tests/statements.rs
+++ b/crates/core/tests/statements.rs
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn the_word_of_an_endpoint_outlives_listings_that_show_it_as_ready() {
+fn what_an_endpoint_says_of_leaving_outlives_listings_that_show_it_as_ready() {
     let mut view = View::default();
     list(&mut view, 1, vec![endpoint(1, State::Ready)], at_ms(0));
     view.record_leaving(&endpoint(1, State::Ready).incarnation(), at_ms(100));
@@ -116,7 +116,7 @@
     })]
 
     #[test]
-    fn no_words_and_times_let_more_requests_through_than_the_users_allow(
+    fn no_statements_and_times_let_more_requests_through_than_the_users_allow(
         events in prop::collection::vec(event(), 1..200)
     ) {
         let mut view = View::default();
--- a/crates/router/tests/path/leaving.rs
+++ b/crates/router/tests/path/leaving.rs
@@ -45,7 +45,7 @@
     assert_eq!(cluster.fleet.arrivals("plain-0"), before);
 }
 
-/// The word is in a header twice, and in a refusal.
+/// The header is there twice, and in a refusal.
 #[actix_rt::test]
 async fn an_endpoint_that_says_it_leaves_while_it_refuses_gets_no_more_calls() {
     let cluster = Cluster::new(1).await;
@@ -115,7 +115,7 @@
 }
 
 #[actix_rt::test]
-async fn other_values_of_the_word_change_nothing() {
+async fn other_values_of_the_header_change_nothing() {
     for value in ["0", "true", "11", "", "1;q=1", "leaving"] {
         let cluster = Cluster::new(1).await;
         leave(&cluster, "/page/a", &["plain-0", "plain-1"], &[("server-leaving", value)]).await;
