--- a/crates/core/src/forward/hold/summary.rs
+++ b/crates/core/src/forward/hold/summary.rs
@@ -140,8 +140,7 @@
         let is_one_of_few =
             |crash: &Incarnation| suspects_of.get(crash).is_some_and(|n| *n <= MAX_FEW);
         self.summary_of(now, |crashes| {
-            count(crashes) >= MAX_CRASHES_FOR_RETRY
-                || crashes.keys().any(|crash| is_one_of_few(crash))
+            count(crashes) >= MAX_CRASHES_FOR_RETRY || crashes.keys().any(&is_one_of_few)
         })
     }
 
