Keep the platform's headers of tests in its stand-in

Tests of the router spelled requests and a header themselves. The stand-in's caller writes the request and its fleet states that endpoints leave. What the tests ask is unchanged; a paused entry's answer is read by its head, since the connection stays open.

--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use oriole_platform_standin::config::{HOST, KEY};
-use oriole_platform_standin::fleet;
+use oriole_platform_standin::config::KEY;
 use oriole_platform_standin::unframed::Ending;
+use oriole_platform_standin::{caller, fleet};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -58,10 +58,7 @@
 async fn an_answer_whose_caller_reads_a_little_now_and_then_ends_soon_after_the_deadline() {
     let cluster = Cluster::new(1).await;
     let mut stream = TcpStream::connect(cluster.entries[0].callers).await.unwrap();
-    let request = format!(
-        "POST /page/big HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-request-id: big\r\n\
-         oriolelanding-deadline-ms: 1000\r\napi-key: {KEY}\r\ncontent-length: 4\r\n\r\nbody"
-    );
+    let request = caller::request_text("/page/big", "big", KEY, 1000);
     stream.write_all(request.as_bytes()).await.unwrap();
     cluster.wait(|c| !c.fleet.runs("big").is_empty()).await;
     let (mut answer, mut some) = (Vec::new(), vec![0; 128 * 1024]);
--- a/crates/router/tests/path/leaving.rs
+++ b/crates/router/tests/path/leaving.rs
@@ -13,9 +13,9 @@
 
 /// Makes `endpoints` say that they leave, sends requests until an entry has passed that on, and lets the
 /// bound pass.
-async fn leave(cluster: &Cluster, path: &str, endpoints: &[&str], headers: &[(&str, &str)]) {
+async fn leave(cluster: &Cluster, path: &str, endpoints: &[&str], values: &[&str]) {
     for endpoint in endpoints {
-        cluster.fleet.set_headers(endpoint, headers);
+        cluster.fleet.set_leaving(endpoint, values);
     }
     for number in 0..8 {
         for (n, entry) in cluster.entries.iter().enumerate() {
@@ -39,7 +39,7 @@
 #[actix_rt::test]
 async fn a_plain_endpoint_that_says_it_leaves_gets_no_more_calls() {
     let cluster = Cluster::new(2).await;
-    leave(&cluster, "/page/a", &["plain-0"], &[("server-leaving", "1")]).await;
+    leave(&cluster, "/page/a", &["plain-0"], &["1"]).await;
     let before = cluster.fleet.arrivals("plain-0");
     assert!(send(&cluster, "/page/a").await.iter().all(|status| *status == 200));
     assert_eq!(cluster.fleet.arrivals("plain-0"), before);
@@ -50,8 +50,7 @@
 async fn an_endpoint_that_says_it_leaves_while_it_refuses_gets_no_more_calls() {
     let cluster = Cluster::new(1).await;
     cluster.fleet.set_fault("plain-0", Fault::Full);
-    let headers = [("server-leaving", "0"), ("server-leaving", "1")];
-    leave(&cluster, "/page/a", &["plain-0"], &headers).await;
+    leave(&cluster, "/page/a", &["plain-0"], &["0", "1"]).await;
     let before = cluster.fleet.arrivals("plain-0");
     assert!(send(&cluster, "/page/a").await.iter().all(|status| *status == 200));
     assert_eq!(cluster.fleet.arrivals("plain-0"), before);
@@ -67,7 +66,7 @@
     for engine in 0..8 {
         let engine = format!("engine-{engine}");
         let value = if engine == head { "1" } else { "0" };
-        cluster.fleet.set_headers(&engine, &[("server-leaving", value)]);
+        cluster.fleet.set_leaving(&engine, &[value]);
     }
     while cluster.fleet.arrivals(&head) == 0 {
         let calls = (0..6).map(|n| {
@@ -91,7 +90,7 @@
 #[actix_rt::test]
 async fn an_entry_that_starts_hears_which_endpoints_leave() {
     let mut cluster = Cluster::new(2).await;
-    leave(&cluster, "/page/a", &["plain-0"], &[("server-leaving", "1")]).await;
+    leave(&cluster, "/page/a", &["plain-0"], &["1"]).await;
     let started = cluster.entry(2).await;
     cluster.entries.push(started);
     while !cluster.entries[2].is_ready().await {
@@ -107,7 +106,7 @@
     let cluster = Cluster::new(1).await;
     // The second one is used, and says so, only once the first one is not.
     for _ in 0..2 {
-        leave(&cluster, "/once/a", &["plain-0", "plain-1"], &[("server-leaving", "1")]).await;
+        leave(&cluster, "/once/a", &["plain-0", "plain-1"], &["1"]).await;
     }
     let before = cluster.fleet.arrivals("plain-0") + cluster.fleet.arrivals("plain-1");
     assert!(send(&cluster, "/once/a").await.iter().all(|status| *status == 503));
@@ -118,7 +117,7 @@
 async fn other_values_of_the_header_change_nothing() {
     for value in ["0", "true", "11", "", "1;q=1", "leaving"] {
         let cluster = Cluster::new(1).await;
-        leave(&cluster, "/page/a", &["plain-0", "plain-1"], &[("server-leaving", value)]).await;
+        leave(&cluster, "/page/a", &["plain-0", "plain-1"], &[value]).await;
         let statuses = send(&cluster, "/page/a").await;
         assert!(statuses.iter().all(|status| *status == 200), "{value}: {statuses:?}");
     }
--- a/crates/router/tests/path/pause.rs
+++ b/crates/router/tests/path/pause.rs
@@ -3,7 +3,8 @@
 use std::io::Write;
 use std::time::Duration;
 
-use oriole_platform_standin::config::{HOST, KEY, config};
+use oriole_platform_standin::caller;
+use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fault;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -15,21 +16,17 @@
 
 /// Sends a request, pauses all that runs in this process after `change`, and returns the answer.
 async fn answer_after_pause(cluster: &Cluster, id: &str, change: impl FnOnce()) -> String {
-    let request = format!(
-        "POST /once/a HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-request-id: {id}\r\n\
-         oriolelanding-deadline-ms: 20000\r\napi-key: {KEY}\r\nconnection: close\r\n\
-         content-length: 4\r\n\r\nbody"
-    );
+    let request = caller::request_text("/once/a", id, KEY, 20_000);
     // The entry and the store are tasks of this thread, which do not run meanwhile.
     let mut stream = std::net::TcpStream::connect(cluster.entries[0].callers).unwrap();
     stream.write_all(request.as_bytes()).unwrap();
     change();
     std::thread::sleep(PAUSE);
     stream.set_nonblocking(true).unwrap();
-    let mut answer = String::new();
     let mut stream = TcpStream::from_std(stream).unwrap();
-    stream.read_to_string(&mut answer).await.unwrap();
-    answer
+    let mut answer = [0; 1024];
+    let count = stream.read(&mut answer).await.unwrap();
+    String::from_utf8_lossy(&answer[..count]).into_owned()
 }
 
 #[actix_rt::test]
--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oriole_platform_standin::caller;
-use oriole_platform_standin::config::{HOST, KEY};
+use oriole_platform_standin::config::KEY;
 use oriole_router::process;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -13,10 +13,7 @@
 
 /// Returns a request whose answer is short.
 fn request(id: &str) -> String {
-    format!(
-        "POST /once/a HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-request-id: {id}\r\n\
-         oriolelanding-deadline-ms: 20000\r\napi-key: {KEY}\r\ncontent-length: 4\r\n\r\nbody"
-    )
+    caller::request_text("/once/a", id, KEY, 20_000)
 }
 
 /// Reads until an answer is complete or the connection ends.
