Hold a request under which endpoints crash at one moment

Cause: crashes less than 50 ms apart counted as one, whatever ran there, since hosts that fail together take several endpoints down. Closeness alone does not tell the two apart. What does: a rack takes along endpoints that were not running the request. So crashes of one moment now count as one only if another endpoint fell with them; five crashes are enough in any case; crashes beyond the third use up trials, so that what reaches endpoints after the third crash stays at three; and a hold by crashes of a single moment is tried after 10 s, as another cause remains possible.

Failed before: a_request_under_which_all_endpoints_of_one_moment_crashed_is_held, close_crashes_do_not_let_a_request_run_on. Two tests were wrong, as they stated the cause itself: endpoints_that_crash_at_one_moment_count_once had the request on all of eight endpoints and nothing else fallen, as a request that crashes them would; it is replaced by one where others fall too. In a_sound_request_is_not_held_when_endpoints_crash_by_themselves the equal calls were on all endpoints that fell; they are on three of the four now.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -3,9 +3,9 @@
 use oriole_macros::{data, key};
 
 use super::Listing;
+use crate::forward::hold;
 use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::forward::rate::{Notice, Reply};
-use crate::forward::{Fingerprint, hold};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -121,7 +121,7 @@
     /// Parts of prompts that the sender has seen answered, although others suspect them.
     Sound(Vec<Sound>),
     /// An endpoint that crashed, and requests that it was running for the sender.
-    Crashed(hold::Crash, Vec<Fingerprint>),
+    Crashed(hold::Loss),
     /// Requests that the sender has seen answered, although others suspect or hold them.
     Released(Vec<hold::Release>),
     /// Requests that the sender suspects, holds and has released.
--- a/crates/core/src/forward/hold.rs
+++ b/crates/core/src/forward/hold.rs
@@ -7,6 +7,9 @@
 //! it. Suspects of several crashes are held for as long as they come, but for a few trials: endpoints
 //! may have crashed for another reason, such as a request that ran beside it each time. The store counts the
 //! trials, so that entries together make no more of them.
+//!
+//! Crashes at one moment count as one only if an endpoint fell with them that was not running the request:
+//! a host or rack that fails takes its neighbours along, whatever they run.
 
 mod summary;
 
@@ -17,10 +20,11 @@
 
 use super::Fingerprint;
 use super::recent::Recent;
+use super::runs::Cut;
 use crate::fleet::Incarnation;
 use crate::time::Instant;
 
-pub use summary::{Crash, Hold, Release, Summary, Suspect};
+pub use summary::{Crash, Hold, Loss, Release, Summary, Suspect};
 
 /// Number of crashes of which a request must be suspect to be held.
 const MIN_CRASHES: usize = 3;
@@ -28,7 +32,10 @@
 /// Number of crashes from which on a request is not attempted again, and is in the store in any case.
 const MAX_CRASHES_FOR_RETRY: usize = 2;
 
-/// Crashes that lie less apart count as one: hosts that fail together take down several endpoints.
+/// Number of crashes of which a request must be suspect to be held, even if others fell with each of them.
+const MIN_CRASHES_WITH_OTHERS: usize = 5;
+
+/// Crashes that lie less apart may have one cause.
 const SAME_MOMENT: Duration = Duration::from_millis(50);
 
 /// Time for which a crash counts. Only an answer clears a request sooner, however rarely it comes.
@@ -43,10 +50,10 @@
 /// Time after the last crash until a hold is decided, so that other entries' suspects are known.
 pub const REPORT_TIME: Duration = Duration::from_millis(150);
 
-/// Time until the first trial of a request that others were suspect with in all of its crashes.
+/// Time until the first trial of a request whose crashes something else may explain.
 const TIED_TRIAL_DELAY: Duration = Duration::from_secs(10);
 
-/// Time until the first trial of a request that was the only suspect of all of its crashes.
+/// Time until the first trial of a request whose crashes nothing else explains.
 const FIRST_TRIAL_DELAY: Duration = Duration::from_secs(15 * 60);
 
 /// Time from one trial to the next.
@@ -61,7 +68,7 @@
 /// Number of crashes that are kept for one suspect.
 const MAX_KEPT_CRASHES: usize = 8;
 
-/// Maximum numbers of suspects, of held requests and of releases.
+/// Maximum numbers of suspects, of held requests, of releases and of crashed endpoints.
 const MAX_ENTRIES: usize = 4096;
 
 /// Number of answered requests above which the older half is forgotten.
@@ -100,13 +107,23 @@
     }
 }
 
-/// The crashes of which a request is suspect, with their times.
-type Crashes = BTreeMap<Incarnation, Instant>;
+/// What one crash says of a request that was running.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    at: Instant,
+    /// Whether the endpoint had not begun to answer the request, or only just.
+    is_early: bool,
+}
+
+/// The crashes of which a request is suspect.
+type Crashes = BTreeMap<Incarnation, Evidence>;
 
 /// What one entry knows of crashes and of the requests that cause them.
 #[derive(Debug)]
 pub struct Holds {
     suspects: BTreeMap<Fingerprint, Crashes>,
+    /// All crashes, also those without suspects.
+    crashed: Recent<Incarnation>,
     held: BTreeMap<Fingerprint, Held>,
     /// Requests that have been answered lately, with the last time.
     sound: Recent<Fingerprint>,
@@ -118,6 +135,7 @@
     fn default() -> Self {
         Self {
             suspects: BTreeMap::new(),
+            crashed: Recent::new(MAX_ENTRIES),
             held: BTreeMap::new(),
             sound: Recent::new(MAX_SOUND),
             released: BTreeMap::new(),
@@ -126,36 +144,41 @@
 }
 
 impl Holds {
-    /// Records suspects of the crash of an endpoint at `at`.
+    /// Records the crash of an endpoint at `at` and suspects of it, if there are any.
     ///
     /// Returns those that have been answered lately, and are none.
     pub fn record_crash(
         &mut self,
         incarnation: &Incarnation,
-        suspects: &[Fingerprint],
+        suspects: &[Cut],
         at: Instant,
         now: Instant,
     ) -> Vec<Release> {
         self.forget_old(now);
+        if self.crashed.last(incarnation).is_none() {
+            self.crashed.record(incarnation.clone(), at);
+        }
         let mut releases = vec![];
-        for fingerprint in suspects {
-            match self.sound.last(fingerprint) {
+        for Cut { fingerprint, is_early } in suspects.iter().copied() {
+            match self.sound.last(&fingerprint) {
                 Some(sound_at) if at <= sound_at + SOUND_PERIOD => {
-                    releases.push(Release::new(*fingerprint, sound_at, now));
+                    releases.push(Release::new(fingerprint, sound_at, now));
                 }
-                _ => self.suspect(*fingerprint, incarnation, at),
+                _ => self.suspect(fingerprint, incarnation, Evidence { at, is_early }),
             }
         }
         releases
     }
 
-    fn suspect(&mut self, fingerprint: Fingerprint, incarnation: &Incarnation, at: Instant) {
+    fn suspect(&mut self, fingerprint: Fingerprint, incarnation: &Incarnation, evidence: Evidence) {
         let crashes = self.suspects.entry(fingerprint).or_default();
         if crashes.len() < MAX_KEPT_CRASHES {
-            crashes.entry(incarnation.clone()).or_insert(at);
+            let known = crashes.entry(incarnation.clone()).or_insert(evidence);
+            known.is_early |= evidence.is_early;
         }
         if self.suspects.len() > MAX_ENTRIES {
-            let weakest = self.suspects.iter().min_by_key(|(_, c)| (count(c), c.values().max()));
+            let key = |crashes: &Crashes| (crashes.len(), crashes.values().map(|e| e.at).max());
+            let weakest = self.suspects.iter().min_by_key(|(_, crashes)| key(crashes));
             let weakest = weakest.map(|(fingerprint, _)| *fingerprint);
             weakest.map(|fingerprint| self.suspects.remove(&fingerprint));
         }
@@ -163,7 +186,7 @@
 
     fn forget_old(&mut self, now: Instant) {
         self.suspects.retain(|_, crashes| {
-            crashes.retain(|_, at| now.since(*at) < EVIDENCE_PERIOD);
+            crashes.retain(|_, evidence| now.since(evidence.at) < EVIDENCE_PERIOD);
             !crashes.is_empty()
         });
         self.held.retain(|_, held| now.since(held.seen_at) < MEMORY_PERIOD);
@@ -173,23 +196,60 @@
     /// Holds the suspects of enough crashes, and returns those that are held now.
     pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
         let is_due = |(fingerprint, crashes): &(&Fingerprint, &Crashes)| {
-            let is_reported = crashes.values().all(|at| now.since(*at) >= REPORT_TIME);
-            is_reported && count(crashes) >= MIN_CRASHES && !self.held.contains_key(fingerprint)
+            let is_reported = crashes.values().all(|e| now.since(e.at) >= REPORT_TIME);
+            is_reported && !self.held.contains_key(fingerprint) && self.is_evidence(crashes)
         };
         let due: Vec<Fingerprint> = self.suspects.iter().filter(is_due).map(|(f, _)| *f).collect();
         let ties: Vec<bool> = due.iter().map(|fingerprint| self.is_tied(fingerprint)).collect();
         for (fingerprint, is_tied) in due.iter().zip(ties) {
-            let held = Held { since: now, is_tied, trials: 0, tried_at: now, seen_at: now };
+            let trials = self.trials_spent(fingerprint);
+            let held = Held { since: now, is_tied, trials, tried_at: now, seen_at: now };
             self.hold(*fingerprint, held);
         }
         due
     }
 
-    /// Returns whether another request is suspect of all crashes of which this one is.
+    /// Returns the number of crashes, those at one moment as one if an endpoint crashed with them that was
+    /// not running the request.
+    fn count(&self, crashes: &Crashes) -> usize {
+        let mut times: Vec<Instant> = crashes.values().map(|evidence| evidence.at).collect();
+        times.sort_unstable();
+        let moments = times.chunk_by(|earlier, later| later.since(*earlier) < SAME_MOMENT);
+        let count = |moment: &[Instant]| {
+            if self.has_other_crash(crashes, moment) { 1 } else { moment.len() }
+        };
+        moments.map(count).sum()
+    }
+
+    /// Returns whether an endpoint that is not in `crashes` crashed about when the ones of a moment did.
+    fn has_other_crash(&self, crashes: &Crashes, moment: &[Instant]) -> bool {
+        let is_near =
+            |at: Instant| moment.iter().any(|own| at.since(*own).max(own.since(at)) < SAME_MOMENT);
+        moment.len() > 1
+            && self.crashed.iter().any(|(crash, at)| is_near(at) && !crashes.contains_key(crash))
+    }
+
+    /// Returns whether a request must not run that is suspect of these crashes.
+    fn is_evidence(&self, crashes: &Crashes) -> bool {
+        crashes.len() >= MIN_CRASHES_WITH_OTHERS || self.count(crashes) >= MIN_CRASHES
+    }
+
+    /// Returns the number of trials that have been used up by crashes beyond those that are needed to hold
+    /// a request.
+    fn trials_spent(&self, fingerprint: &Fingerprint) -> u32 {
+        let crashes = self.suspects.get(fingerprint).map_or(0, Crashes::len);
+        u32::try_from(crashes.saturating_sub(MIN_CRASHES)).unwrap_or(u32::MAX).min(MAX_TRIALS)
+    }
+
+    /// Returns whether something else may explain all crashes of which this request is suspect: another
+    /// request that is suspect of all of them, or one failure, since they lie in one moment.
     fn is_tied(&self, fingerprint: &Fingerprint) -> bool {
         let Some(crashes) = self.suspects.get(fingerprint) else {
             return false;
         };
+        if is_one_moment(crashes) {
+            return true;
+        }
         let has_all = |other: &Crashes| crashes.keys().all(|crash| other.contains_key(crash));
         self.suspects.iter().any(|(other, of_other)| other != fingerprint && has_all(of_other))
     }
@@ -235,7 +295,7 @@
             return false;
         };
         let before = crashes.len();
-        crashes.retain(|_, crashed_at| *crashed_at > at + SOUND_PERIOD);
+        crashes.retain(|_, evidence| evidence.at > at + SOUND_PERIOD);
         let is_cleared = crashes.len() < before;
         if crashes.is_empty() {
             self.suspects.remove(fingerprint);
@@ -246,8 +306,7 @@
     /// Returns whether a request may run.
     pub fn gate(&mut self, fingerprint: Fingerprint, now: Instant) -> Gate {
         let Some(held) = self.held.get_mut(&fingerprint) else {
-            let crashes = self.suspects.get(&fingerprint);
-            let is_undecided = crashes.is_some_and(|crashes| count(crashes) >= MIN_CRASHES);
+            let is_undecided = self.is_undecided(&fingerprint);
             return if is_undecided { Gate::Closed(REPORT_TIME) } else { Gate::Open };
         };
         held.seen_at = now;
@@ -258,9 +317,15 @@
         }
     }
 
-    /// Returns whether a request may run again after a crash: whether it is not suspect of several.
+    /// Returns whether a request will be held unless it is cleared.
+    fn is_undecided(&self, fingerprint: &Fingerprint) -> bool {
+        let crashes = self.suspects.get(fingerprint);
+        crashes.is_some_and(|crashes| self.is_evidence(crashes))
+    }
+
+    /// Returns whether a call may run again after a crash: whether it is not suspect of several.
     pub fn may_retry(&self, fingerprint: Fingerprint) -> bool {
-        let crashes = self.suspects.get(&fingerprint).map_or(0, count);
+        let crashes = self.suspects.get(&fingerprint).map_or(0, |crashes| self.count(crashes));
         crashes < MAX_CRASHES_FOR_RETRY && !self.held.contains_key(&fingerprint)
     }
 
@@ -298,10 +363,9 @@
     }
 }
 
-/// Returns the number of crashes, those at the same moment as one.
-fn count(crashes: &Crashes) -> usize {
-    let mut times: Vec<Instant> = crashes.values().copied().collect();
-    times.sort_unstable();
-    let gaps = times.windows(2).filter(|pair| pair[1].since(pair[0]) >= SAME_MOMENT).count();
-    if times.is_empty() { 0 } else { gaps + 1 }
+/// Returns whether all crashes lie in one moment.
+fn is_one_moment(crashes: &Crashes) -> bool {
+    let times = || crashes.values().map(|evidence| evidence.at);
+    let (first, last) = (times().min(), times().max());
+    first.zip(last).is_none_or(|(first, last)| last.since(first) < SAME_MOMENT)
 }
--- a/crates/core/src/forward/hold/summary.rs
+++ b/crates/core/src/forward/hold/summary.rs
@@ -7,21 +7,42 @@
 
 use oriole_macros::data;
 
-use super::{Crashes, EVIDENCE_PERIOD, Held, Holds, MAX_CRASHES_FOR_RETRY, count};
+use super::{Crashes, EVIDENCE_PERIOD, Evidence, Held, Holds, MAX_CRASHES_FOR_RETRY};
 use crate::fleet::Incarnation;
 use crate::forward::Fingerprint;
+use crate::forward::runs::Cut;
 use crate::time::Instant;
 
 /// Number of suspects of one crash up to which all of them are in the store.
 const MAX_FEW: usize = 16;
 
-/// The crash of an endpoint, as entries tell each other.
+/// The crash of an endpoint, as entries tell each other when they find it.
+#[data]
+pub struct Loss {
+    /// The endpoint.
+    pub incarnation: Incarnation,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Requests of the sender that were running there.
+    pub cuts: Vec<Cut>,
+}
+
+/// A crash of which a request is suspect, as entries tell each other.
 #[data]
 pub struct Crash {
     /// The endpoint.
     pub incarnation: Incarnation,
     /// Time since the crash, in milliseconds.
     pub age_ms: u64,
+    /// Whether the endpoint had not begun to answer the request, or only just. Entries of versions without
+    /// the field stopped requests in either case.
+    #[serde(default = "is_early")]
+    pub is_early: bool,
+}
+
+/// Default of [`Crash::is_early`].
+fn is_early() -> bool {
+    true
 }
 
 /// A request and the crashes of which it is suspect, as entries tell each other.
@@ -140,7 +161,7 @@
         let is_one_of_few =
             |crash: &Incarnation| suspects_of.get(crash).is_some_and(|n| *n <= MAX_FEW);
         self.summary_of(now, |crashes| {
-            count(crashes) >= MAX_CRASHES_FOR_RETRY || crashes.keys().any(&is_one_of_few)
+            self.count(crashes) >= MAX_CRASHES_FOR_RETRY || crashes.keys().any(&is_one_of_few)
         })
     }
 
@@ -173,7 +194,10 @@
         let suspects = self.suspects.iter().filter(is_told);
         let suspects = suspects.map(|(fingerprint, crashes)| Suspect {
             fingerprint: *fingerprint,
-            crashes: crashes.iter().map(|(crashed, at)| Crash::new(crashed, *at, now)).collect(),
+            crashes: crashes
+                .iter()
+                .map(|(crashed, evidence)| told(crashed, *evidence, now))
+                .collect(),
         });
         let releases = self.released.iter().map(|(f, at)| Release::new(*f, *at, now));
         Summary {
@@ -197,8 +221,8 @@
         for suspect in &summary.suspects {
             for crash in &suspect.crashes {
                 let at = now - Duration::from_millis(crash.age_ms);
-                let cleared =
-                    self.record_crash(&crash.incarnation, &[suspect.fingerprint], at, now);
+                let cut = Cut { fingerprint: suspect.fingerprint, is_early: crash.is_early };
+                let cleared = self.record_crash(&crash.incarnation, &[cut], at, now);
                 let sound = cleared.first().and_then(|r| self.sound.last(&r.fingerprint));
                 answered.extend(sound.map(|at| (suspect.fingerprint, at)));
             }
@@ -218,9 +242,8 @@
     }
 }
 
-impl Crash {
-    /// Creates what is told of a crash at `at`.
-    pub fn new(incarnation: &Incarnation, at: Instant, now: Instant) -> Self {
-        Self { incarnation: incarnation.clone(), age_ms: now.since(at).as_millis() as u64 }
-    }
+/// Returns what is told of a crash of which a request is suspect.
+fn told(incarnation: &Incarnation, evidence: Evidence, now: Instant) -> Crash {
+    let age_ms = now.since(evidence.at).as_millis() as u64;
+    Crash { incarnation: incarnation.clone(), age_ms, is_early: evidence.is_early }
 }
--- a/crates/core/src/forward/recent.rs
+++ b/crates/core/src/forward/recent.rs
@@ -32,6 +32,11 @@
         self.times.get(thing).copied()
     }
 
+    /// Returns all things with their last times, ordered by thing.
+    pub fn iter(&self) -> impl Iterator<Item = (&T, Instant)> {
+        self.times.iter().map(|(thing, at)| (thing, *at))
+    }
+
     fn forget_older_half(&mut self) {
         let mut times: Vec<Instant> = self.times.values().copied().collect();
         let middle = times.len() / 2;
--- a/crates/core/tests/hold.rs
+++ b/crates/core/tests/hold.rs
@@ -6,7 +6,7 @@
 use oriole_core::fleet::Incarnation;
 use oriole_core::forward::Fingerprint;
 use oriole_core::forward::hold::{Gate, Holds, REPORT_TIME, Summary};
-use oriole_core::forward::runs::Runs;
+use oriole_core::forward::runs::{Cut, Runs};
 use oriole_core::time::Instant;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -29,9 +29,14 @@
     Incarnation { endpoint: "e".into(), born: number }
 }
 
+/// Returns the runs of requests that a crash cut off before they were answered.
+fn cuts(suspects: &[Fingerprint]) -> Vec<Cut> {
+    suspects.iter().map(|&fingerprint| Cut { fingerprint, is_early: true }).collect()
+}
+
 /// Records a crash and decides what is held.
 fn crash(holds: &mut Holds, number: u64, suspects: &[Fingerprint], now: Instant) -> usize {
-    holds.record_crash(&endpoint(number), suspects, now, now);
+    holds.record_crash(&endpoint(number), &cuts(suspects), now, now);
     holds.decide(now + REPORT_TIME).len()
 }
 
@@ -51,7 +56,7 @@
 fn a_suspect_of_three_crashes_does_not_run_while_others_may_tell_their_suspects() {
     let mut holds = Holds::default();
     for number in 0..3 {
-        holds.record_crash(&endpoint(number), &[BAD], at(number), at(number));
+        holds.record_crash(&endpoint(number), &cuts(&[BAD]), at(number), at(number));
     }
     assert!(holds.decide(at(2)).is_empty());
     assert!(matches!(holds.gate(BAD, at(2)), Gate::Closed(_)));
@@ -67,14 +72,52 @@
     assert!(holds.may_retry(BESIDE));
 }
 
+/// A rack fails: endpoints of several services fall at once, and three of them were running the request.
 #[test]
-fn endpoints_that_crash_at_one_moment_count_once() {
+fn endpoints_that_fail_together_with_others_count_once() {
     let mut holds = Holds::default();
     for number in 0..8 {
-        holds.record_crash(&endpoint(number), &[BAD], at_ms(number), at_ms(number));
+        let suspects: &[Fingerprint] = if number < 3 { &[BAD] } else { &[BESIDE] };
+        holds.record_crash(&endpoint(number), &cuts(suspects), at_ms(number), at_ms(number));
     }
-    assert!(holds.decide(at(1)).is_empty());
+    assert_eq!(holds.decide(at(1)), vec![BESIDE]);
     assert!(holds.may_retry(BAD));
+    assert_eq!(holds.gate(BAD, at(1)), Gate::Open);
+}
+
+/// Three crashes within one moment have the request in common and nothing else fell: it is their cause,
+/// in whichever order an entry hears of them.
+#[test]
+fn a_request_under_which_all_endpoints_of_one_moment_crashed_is_held() {
+    for spread_ms in [0, 1, 20, 45] {
+        for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
+            let mut holds = Holds::default();
+            for number in order {
+                let crashed_at = at_ms(number * spread_ms);
+                holds.record_crash(&endpoint(number), &cuts(&[BAD]), crashed_at, at_ms(100));
+                // What crashed long before or after says nothing of that moment.
+                holds.record_crash(&endpoint(10 + number), &[], at(50 + number), at(60));
+            }
+            assert_eq!(holds.decide(at(1)), vec![BAD], "{spread_ms} ms, {order:?}");
+        }
+    }
+}
+
+#[test]
+fn endpoints_that_happen_to_fall_with_a_request_do_not_let_it_run_on() {
+    let mut holds = Holds::default();
+    let mut runs = 0;
+    for number in 0..100 {
+        let now = at_ms(number * 200);
+        if holds.gate(BAD, now) == Gate::Open {
+            runs += 1;
+            holds.record_crash(&endpoint(number), &cuts(&[BAD]), now, now);
+            holds.record_crash(&endpoint(number), &cuts(&[BAD]), now, now);
+            holds.record_crash(&endpoint(200 + number), &[], now, now);
+            holds.decide(now + REPORT_TIME);
+        }
+    }
+    assert!(runs <= 3, "{runs} runs");
 }
 
 #[test]
@@ -138,10 +181,10 @@
     runs.begin(endpoint(2), other);
     let answered = runs.begin(endpoint(1), Fingerprint([5, 5]));
     runs.finish(answered);
-    assert_eq!(runs.take_suspects(&endpoint(1), true, at(10)), vec![BESIDE, BAD]);
-    assert_eq!(runs.take_suspects(&endpoint(1), true, at(10)), vec![]);
+    assert_eq!(runs.take_cuts(&endpoint(1), true, at(10)), cuts(&[BESIDE, BAD]));
+    assert_eq!(runs.take_cuts(&endpoint(1), true, at(10)), vec![]);
     // The end of an endpoint that leaves cuts what still runs there.
-    assert_eq!(runs.take_suspects(&endpoint(2), false, at(10)), vec![]);
+    assert_eq!(runs.take_cuts(&endpoint(2), false, at(10)), vec![]);
     assert_eq!(runs.len(), 1);
 }
 
@@ -213,7 +256,7 @@
         self.crashes += 1;
         self.now = self.now + Duration::from_millis(500);
         for holds in &mut self.entries {
-            holds.record_crash(&endpoint(self.crashes), &[fingerprint], self.now, self.now);
+            holds.record_crash(&endpoint(self.crashes), &cuts(&[fingerprint]), self.now, self.now);
         }
         self.now = self.now + REPORT_TIME;
         for holds in &mut self.entries {
@@ -269,6 +312,37 @@
         }
     }
 
+    /// However close crashes lie, and whatever else falls with them, a request reaches endpoints no more often
+    /// than the users allow.
+    #[test]
+    fn close_crashes_do_not_let_a_request_run_on(
+        steps in prop::collection::vec((0..70_u64, any::<bool>()), 1..40),
+        days in prop::collection::vec(0..4000_u64, 0..4),
+    ) {
+        let mut holds = Holds::default();
+        let mut runs = 0;
+        let mut now = at(0);
+        let pauses = days.into_iter().map(|seconds| (seconds * 1000, false));
+        for (number, (pause_ms, falls_with_others)) in steps.into_iter().chain(pauses).enumerate() {
+            now = now + Duration::from_millis(pause_ms);
+            holds.decide(now);
+            match holds.gate(BAD, now) {
+                Gate::Closed(_) => continue,
+                Gate::Open => {}
+                Gate::Trial => {
+                    let hold = holds.with_trial(BAD, now).unwrap();
+                    prop_assert!(holds.adopt(&hold, now));
+                }
+            }
+            runs += 1;
+            if falls_with_others {
+                holds.record_crash(&endpoint(1000 + number as u64), &[], now, now);
+            }
+            holds.record_crash(&endpoint(number as u64), &cuts(&[BAD]), now, now);
+        }
+        prop_assert!(runs <= 3 + MAX_RUNS, "{runs} runs");
+    }
+
     /// Entries that write in turn what the store lacks come to an end.
     #[test]
     fn entries_agree_with_the_store_after_a_few_writes(
@@ -280,7 +354,7 @@
             world.now = world.now + Duration::from_secs(1);
             let crashed = endpoint(number as u64);
             let holds = &mut world.entries[entry];
-            holds.record_crash(&crashed, &[Fingerprint([request, 0])], world.now, world.now);
+            holds.record_crash(&crashed, &cuts(&[Fingerprint([request, 0])]), world.now, world.now);
             holds.decide(world.now + REPORT_TIME);
         }
         world.now = world.now + Duration::from_secs(1);
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -316,6 +316,7 @@
             None => {
                 drop(inner);
                 self.attempt.slot.begin_stream();
+                self.begin_answer();
             }
         }
         self.last = Some(now);
@@ -324,6 +325,12 @@
         self.attempt.begin.set(Some(Begin { events: begin.events + 1, ..begin }));
     }
 
+    fn begin_answer(&self) {
+        let run = self.attempt.run.take();
+        run.iter().for_each(Run::begin_answer);
+        self.attempt.run.set(run);
+    }
+
     /// Records once that the answer has gone on for long enough to show that it crashes no endpoint.
     fn record_sound(&mut self) {
         let now = self.attempt.state.now();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -224,7 +224,7 @@
         Message::Leaving(incarnation) => {
             state.record_leaving(&incarnation, Duration::ZERO, host.as_str());
         }
-        Message::Crashed(crash, suspects) => hold::hear_crash(state, &crash, &suspects),
+        Message::Crashed(loss) => hold::hear_loss(state, loss),
         Message::Released(releases) => {
             let summary = Summary { releases, ..Summary::default() };
             hold::hear_summary(state, &summary, host.as_str());
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -49,6 +49,12 @@
         &self.target
     }
 
+    /// Records that the endpoint has begun to answer.
+    pub fn begin_answer(&self) {
+        let now = self.state.now();
+        self.state.inner.borrow_mut().runs.begin_answer(self.key, now);
+    }
+
     /// Records that the request has not run, or was answered with a failure.
     pub fn finish(self) {
         self.state.inner.borrow_mut().runs.finish(self.key);
--- a/crates/router/src/state/hold.rs
+++ b/crates/router/src/state/hold.rs
@@ -4,7 +4,8 @@
 
 use oriole_core::fleet::{Incarnation, Message};
 use oriole_core::forward::Fingerprint;
-use oriole_core::forward::hold::{Crash, Gate, Hold, REPORT_TIME, Release, Summary};
+use oriole_core::forward::hold::{Gate, Hold, Loss, REPORT_TIME, Release, Summary};
+use oriole_core::forward::runs::Cut;
 use oriole_core::time::Instant;
 use tokio::time::sleep;
 
@@ -25,7 +26,7 @@
         if inner.holds.is_empty() { Gate::Open } else { inner.holds.gate(fingerprint, now) }
     }
 
-    /// Returns whether a request may run again in view of the crashes of which it is suspect.
+    /// Returns whether a call may run again in view of the crashes of which it is suspect.
     pub fn may_run_again(&self, fingerprint: Fingerprint) -> bool {
         self.inner.borrow().holds.may_retry(fingerprint)
     }
@@ -64,43 +65,45 @@
 /// The requests that it was running for this entry are suspects.
 pub fn record_loss(state: &Shared, incarnation: &Incarnation, is_new: bool) {
     let now = state.now();
-    let suspects = take_suspects(state, incarnation, now);
-    if is_new || !suspects.is_empty() {
-        let crash = Crash::new(incarnation, now, now);
-        peers::broadcast(state, &Message::Crashed(crash, suspects.clone()));
+    let cuts = take_cuts(state, incarnation, now);
+    if is_new || !cuts.is_empty() {
+        let loss = Loss { incarnation: incarnation.clone(), age_ms: 0, cuts: cuts.clone() };
+        peers::broadcast(state, &Message::Crashed(loss));
     }
-    record_crash(state, incarnation, &suspects, now);
+    record_crash(state, incarnation, &cuts, now);
 }
 
 /// Records a crash that another entry tells of, and in turn tells of the requests that the endpoint was
 /// running for this entry.
-pub fn hear_crash(state: &Shared, crash: &Crash, suspects: &[Fingerprint]) {
+pub fn hear_loss(state: &Shared, loss: Loss) {
     let now = state.now();
-    let at = now - Duration::from_millis(crash.age_ms);
-    let own = take_suspects(state, &crash.incarnation, now);
+    let at = now - Duration::from_millis(loss.age_ms);
+    let own = take_cuts(state, &loss.incarnation, now);
     if !own.is_empty() {
-        peers::broadcast(state, &Message::Crashed(crash.clone(), own.clone()));
+        let told = Loss { cuts: own.clone(), ..loss.clone() };
+        peers::broadcast(state, &Message::Crashed(told));
     }
-    let all: Vec<Fingerprint> = suspects.iter().chain(&own).copied().collect();
-    record_crash(state, &crash.incarnation, &all, at);
+    let all: Vec<Cut> = loss.cuts.into_iter().chain(own).collect();
+    record_crash(state, &loss.incarnation, &all, at);
 }
 
-/// Takes the suspects among the runs of this entry.
-fn take_suspects(state: &Shared, incarnation: &Incarnation, now: Instant) -> Vec<Fingerprint> {
+/// Takes the runs of this entry that the crash of an endpoint cut off.
+fn take_cuts(state: &Shared, incarnation: &Incarnation, now: Instant) -> Vec<Cut> {
     let mut inner = state.inner.borrow_mut();
     let is_expected = inner.view.is_expected_to_run(incarnation);
-    let mut suspects = inner.runs.take_suspects(incarnation, is_expected, now);
-    suspects.truncate(MAX_SUSPECTS);
-    suspects
+    let mut cuts = inner.runs.take_cuts(incarnation, is_expected, now);
+    cuts.truncate(MAX_SUSPECTS);
+    cuts
 }
 
-fn record_crash(state: &Shared, incarnation: &Incarnation, suspects: &[Fingerprint], at: Instant) {
-    if suspects.is_empty() {
+fn record_crash(state: &Shared, incarnation: &Incarnation, cuts: &[Cut], at: Instant) {
+    let (now, endpoint) = (state.now(), incarnation.endpoint.as_str());
+    let answered = state.inner.borrow_mut().holds.record_crash(incarnation, cuts, at, now);
+    if cuts.is_empty() {
         return;
     }
-    let (now, endpoint) = (state.now(), incarnation.endpoint.as_str());
-    log::info!(endpoint, suspects = suspects.len(); "endpoint crashed while it ran requests");
-    let answered = state.inner.borrow_mut().holds.record_crash(incarnation, suspects, at, now);
+    let (suspects, early) = (cuts.len(), cuts.iter().filter(|cut| cut.is_early).count());
+    log::info!(endpoint, suspects, early; "endpoint crashed while it ran requests");
     tell_released(state, answered);
     state.holds_changed.notify_one();
     decide_later(state);
--- a/crates/router/tests/path/crashing_request.rs
+++ b/crates/router/tests/path/crashing_request.rs
@@ -91,6 +91,26 @@
     assert!(cluster.fleet.crashes() <= MAX_CRASHES, "{} crashes", cluster.fleet.crashes());
 }
 
+/// Repeats that run side by side crash their endpoints within a few milliseconds of each other.
+#[actix_rt::test]
+async fn repeats_that_crash_endpoints_at_one_moment_are_held() {
+    let cluster = start().await;
+    for round in 0..6 {
+        cluster.wait(|c| c.entries.iter().all(|e| plain_endpoints(e) >= 3)).await;
+        let calls = (0..3).map(|number| {
+            let entry = cluster.entries[number % 2].callers;
+            let id = format!("r{round}-{number}");
+            async move { Call::new("/once/crash", &id, KEY).send(entry, |_| {}).await }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+        // The other endpoints have been found to have crashed, too, once the reports are in.
+        sleep(Duration::from_millis(300)).await;
+    }
+    assert!(cluster.fleet.crashes() <= MAX_CRASHES, "{} crashes", cluster.fleet.crashes());
+    assert!(cluster.entries.iter().all(|e| holds(e) == 1));
+}
+
 #[actix_rt::test]
 async fn a_request_that_crashed_three_endpoints_is_refused_and_others_are_served() {
     let cluster = start().await;
@@ -186,10 +206,12 @@
 #[actix_rt::test]
 async fn a_sound_request_is_not_held_when_endpoints_crash_by_themselves() {
     let cluster = start().await;
-    // All four at once, with equal calls on all of them that were never answered before.
+    // All four at once, with equal calls on three of them that were never answered before.
     let entry = cluster.entries[0].callers;
     let calls = (0..8).map(|number| async move {
-        Call::new("/once/slow", &format!("r{number}"), KEY).send(entry, |_| {}).await
+        let other = format!("/once/slow-{number}");
+        let path = if number < 3 { "/once/slow" } else { other.as_str() };
+        Call::new(path, &format!("r{number}"), KEY).send(entry, |_| {}).await
     });
     let crash = async {
         cluster.wait(|c| (0..8).all(|n| c.fleet.runs(&format!("r{n}")).len() == 1)).await;
