Run the suspects of a crash apart from each other

Cause: all requests of a crashed endpoint moved to the next chain together, the guilty one with them, so that each was suspect of the next crash too; from the second crash on none was attempted again. Parts of prompts that one request alone has stopped it in the same way.

Change: forward::hold::caution, a group test. A crash points to requests that the endpoint had not begun to answer, or only just (250 ms); the others go on at once. Suspects of one crash are dealt out to the chains in an order that all entries know, those of two run one to a chain at a time, and one that alone is suspect of two is not attempted again. A request that is late in its run is not held while another one, early in all the same crashes, explains them. A part is evidence only if two requests have it. An endpoint that has crashed since does not count among the attempts of a request, as the users' rules say.

Bounds, by proptest over any suspects and 2 to 11 chains: three crashes at most, all sound requests answered within 15 s (80 suspects on two chains are the worst), none stopped. Failed before: generations_beside_one_that_crashes_ endpoints_finish (502), the cases of tests/caution.rs.

--- a/crates/core/src/forward/hold.rs
+++ b/crates/core/src/forward/hold.rs
@@ -11,6 +11,7 @@
 //! Crashes at one moment count as one only if an endpoint fell with them that was not running the request:
 //! a host or rack that fails takes its neighbours along, whatever they run.
 
+mod caution;
 mod summary;
 
 use std::collections::BTreeMap;
@@ -24,6 +25,7 @@
 use crate::fleet::Incarnation;
 use crate::time::Instant;
 
+pub use caution::Caution;
 pub use summary::{Crash, Hold, Loss, Release, Summary, Suspect};
 
 /// Number of crashes of which a request must be suspect to be held.
@@ -197,7 +199,9 @@
     pub fn decide(&mut self, now: Instant) -> Vec<Fingerprint> {
         let is_due = |(fingerprint, crashes): &(&Fingerprint, &Crashes)| {
             let is_reported = crashes.values().all(|e| now.since(e.at) >= REPORT_TIME);
-            is_reported && !self.held.contains_key(fingerprint) && self.is_evidence(crashes)
+            is_reported
+                && !self.held.contains_key(fingerprint)
+                && self.is_evidence(fingerprint, crashes)
         };
         let due: Vec<Fingerprint> = self.suspects.iter().filter(is_due).map(|(f, _)| *f).collect();
         let ties: Vec<bool> = due.iter().map(|fingerprint| self.is_tied(fingerprint)).collect();
@@ -230,8 +234,19 @@
     }
 
     /// Returns whether a request must not run that is suspect of these crashes.
-    fn is_evidence(&self, crashes: &Crashes) -> bool {
-        crashes.len() >= MIN_CRASHES_WITH_OTHERS || self.count(crashes) >= MIN_CRASHES
+    fn is_evidence(&self, fingerprint: &Fingerprint, crashes: &Crashes) -> bool {
+        crashes.len() >= MIN_CRASHES_WITH_OTHERS
+            || (self.count(crashes) >= MIN_CRASHES && !self.is_explained(fingerprint, crashes))
+    }
+
+    /// Returns whether another request explains crashes better: each of them came early in its run, but not
+    /// in that of this request.
+    fn is_explained(&self, fingerprint: &Fingerprint, crashes: &Crashes) -> bool {
+        let is_early_in_all = |of_other: &Crashes| {
+            crashes.keys().all(|crash| of_other.get(crash).is_some_and(|e| e.is_early))
+        };
+        let others = || self.suspects.iter().filter(|(other, _)| *other != fingerprint);
+        crashes.values().any(|e| !e.is_early) && others().any(|(_, c)| is_early_in_all(c))
     }
 
     /// Returns the number of trials that have been used up by crashes beyond those that are needed to hold
@@ -320,7 +335,7 @@
     /// Returns whether a request will be held unless it is cleared.
     fn is_undecided(&self, fingerprint: &Fingerprint) -> bool {
         let crashes = self.suspects.get(fingerprint);
-        crashes.is_some_and(|crashes| self.is_evidence(crashes))
+        crashes.is_some_and(|crashes| self.is_evidence(fingerprint, crashes))
     }
 
     /// Returns whether a call may run again after a crash: whether it is not suspect of several.
--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -40,7 +40,8 @@
 pub struct Attempts {
     /// Endpoints that may have run the request, without duplicates.
     ///
-    /// Endpoints that seem lost are kept: they may be unreachable from this entry only.
+    /// Endpoints that seem lost are kept, as they may be unreachable from this entry only; those that have
+    /// crashed are not.
     pub ran_at: Vec<name::Endpoint>,
     /// Whether the request may have run at any endpoint.
     pub may_have_run: bool,
@@ -64,6 +65,11 @@
         }
     }
 
+    /// Records that an endpoint has crashed since, so that the request no longer runs there.
+    pub fn record_crash(&mut self, endpoint: &name::Endpoint) {
+        self.ran_at.retain(|ran_at| ran_at != endpoint);
+    }
+
     /// Returns whether the route allows another attempt after `failure`.
     ///
     /// Once the route's maximum number of endpoints has been used, one of these may still run the
--- a/crates/core/src/forward/quarantine.rs
+++ b/crates/core/src/forward/quarantine.rs
@@ -47,6 +47,10 @@
 /// Time after its first event from which on an answer crashes no endpoint.
 pub const BEGIN_TIME: Duration = Duration::from_secs(1);
 
+/// Time after its first event from which on an answer is under way: a crash then hardly comes from how the
+/// endpoint began it.
+const UNDER_WAY_TIME: Duration = Duration::from_millis(250);
+
 /// Number of events that an answer must have as well. An entry that was paused gets the events of some
 /// moments late.
 const BEGIN_EVENTS: u32 = 6;
@@ -80,6 +84,11 @@
     pub fn is_past(self, now: Instant) -> bool {
         self.events >= BEGIN_EVENTS && now.since(self.first_event_at) >= BEGIN_TIME
     }
+
+    /// Returns whether the answer has gone on for long enough to be repeated if its endpoint crashes.
+    pub fn is_under_way(self, now: Instant) -> bool {
+        now.since(self.first_event_at) >= UNDER_WAY_TIME
+    }
 }
 
 /// A part that has been answered, as entries tell each other.
@@ -300,11 +309,14 @@
     }
 
     /// Returns whether a request with `parts` may run again after a crash: whether none of them is
-    /// suspect in several.
+    /// suspect in several crashes by more than one request.
     pub fn may_retry(&self, parts: &[Part], now: Instant) -> bool {
-        let fresh = || self.crashes.values().filter(|c| now.since(c.at) < EVIDENCE_PERIOD);
-        let count = |part: &Part| fresh().filter(|c| c.suspects.contains_key(part)).count();
-        parts.iter().all(|part| count(part) < MAX_CRASHES_FOR_RETRY)
+        !parts.iter().any(|part| {
+            let fresh = self.crashes.values().filter(|c| now.since(c.at) < EVIDENCE_PERIOD);
+            let of_part: Vec<_> = fresh.filter_map(|c| c.suspects.get(part)).collect();
+            let requests: BTreeSet<&u64> = of_part.iter().copied().flatten().collect();
+            of_part.len() >= MAX_CRASHES_FOR_RETRY && requests.len() >= MIN_REQUESTS
+        })
     }
 
     /// Returns the quarantines and those whose parts are on trial.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -54,6 +54,18 @@
     assert!(quarantine.may_retry(&[OTHER], at(2)));
 }
 
+/// A part that one request alone has says no more than the request does: see `hold`.
+#[test]
+fn a_request_is_attempted_again_after_two_crashes_with_a_part_that_no_other_request_has() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=2 {
+        let suspect = Suspect { request: 7, parts: vec![OTHER] };
+        let incarnation = Incarnation { endpoint: "e".into(), born: number };
+        quarantine.record_crash(&incarnation, &[suspect], at(number));
+    }
+    assert!(quarantine.may_retry(&[OTHER], at(3)));
+}
+
 #[test]
 fn parts_that_are_answered_elsewhere_are_not_quarantined_when_many_endpoints_crash() {
     let mut quarantine = Quarantine::default();
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -257,7 +257,9 @@
         Ok(response) if response.head.status.is_server_error() => run.finish(),
         Ok(_) => run.record_sound(),
         Err(failure) if failure.is_not_run() => run.finish(),
-        Err(_) => run.examine(|_| {}).await,
+        Err(_) => {
+            run.examine(|_| {}).await;
+        }
     }
 }
 
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -19,11 +19,13 @@
 use oriole_core::forward::Part;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
+use oriole_core::forward::hold::Caution;
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::quarantine::Begin;
 use oriole_core::forward::queue;
 use oriole_core::name;
 use oriole_core::time::Instant;
+use tokio::time::sleep;
 
 use crate::metrics::Metrics;
 use crate::reply::Writer;
@@ -31,6 +33,7 @@
 use crate::serve::{Reason, Request, check_crashes, give_up};
 use crate::state::{Shared, pause};
 
+use admission::Acquire;
 pub use admission::{Refusal, Slot};
 use attempt::{Attempt, Continued, Detour, Outcome};
 use race::{Race, Suspended};
@@ -163,7 +166,9 @@
             Next::Run(chain, slot) => (chain, slot),
             Next::Wait { failed, until } => {
                 let ran_at = &self.attempts.ran_at;
-                admission::acquire(state, request, ran_at, failed.as_ref(), until).await?
+                let (dealt, waited) = self.take_turn().await;
+                let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt };
+                admission::acquire(state, request, acquire, until + waited).await?
             }
         };
         check_crashes(state, request)?;
@@ -171,6 +176,24 @@
         Ok(Start { chain, slot, continued: None })
     }
 
+    /// Waits until the request may run in view of the crashes of which it is suspect. Returns which of the
+    /// chains it should go to, if that matters, and how long it waited.
+    async fn take_turn(&self) -> (Option<usize>, Duration) {
+        let (state, request) = (self.state, self.request);
+        let chains = state.chain_count(&request.service);
+        let Caution::Apart { chain, not_before } = state.caution(request.fingerprint, chains)
+        else {
+            return (None, Duration::ZERO);
+        };
+        let wait = not_before.min(request.deadline).since(state.now());
+        if !wait.is_zero() {
+            let wait_ms = wait.as_millis() as u64;
+            log::info!(id = request.id(), wait_ms; "suspect of several crashes waits for its turn");
+            sleep(wait).await;
+        }
+        (Some(chain), wait)
+    }
+
     /// Returns the context of the next attempt, for which `slot` is reserved.
     fn context<'a>(&'a self, slot: &'a Slot, may_leave: bool) -> Attempt<'a> {
         let Self { state, request, attempts, timing, begin, run } = self;
@@ -183,7 +206,8 @@
         if !self.attempts.may_retry(&request.route, failure) {
             return Err(Reason::Failed);
         }
-        if !failure.is_not_run() && !crash::may_retry(state, request) {
+        let caution = crash::caution(state, request, self.begin.get());
+        if !failure.is_not_run() && caution == Caution::Stopped {
             return Err(Reason::Quarantined);
         }
         if !state.take_retry(&request.service) {
@@ -215,7 +239,10 @@
         Metrics::count(&self.state.metrics.failures, failure.as_str());
         self.attempts.record(chain.head(), failure);
         let run = self.run.take();
-        crash::examine(self.state, self.request, run, failure, self.begin.get()).await;
+        let begin = self.begin.get();
+        if crash::examine(self.state, self.request, run, failure, begin).await {
+            self.attempts.record_crash(chain.head());
+        }
     }
 
     /// Records, logs and counts a request whose response has been forwarded completely; its last attempt
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -108,18 +108,28 @@
     }
 }
 
+/// Which chains a request prefers.
+#[derive(Clone, Copy)]
+pub struct Acquire<'a> {
+    /// The first endpoints at which the request may have run.
+    pub ran_at: &'a [name::Endpoint],
+    /// Key of a chain that is chosen only if no other one has capacity.
+    pub failed: Option<&'a name::Endpoint>,
+    /// Number of the chain that is chosen if it has capacity, modulo the number of chains, counted from the one
+    /// with least work.
+    pub dealt: Option<usize>,
+}
+
 /// Waits until `until` for capacity on a chain, and reserves it.
 ///
-/// The chain with key `failed` is chosen only if no other chain has capacity. `ran_at` lists the
-/// first endpoints at which the request may have run. At `until`, the request takes capacity if
-/// there is any, even if others wait in front of it.
+/// At `until`, the request takes capacity if there is any, even if others wait in front of it.
 pub async fn acquire(
     state: &Shared,
     request: &Request,
-    ran_at: &[name::Endpoint],
-    failed: Option<&name::Endpoint>,
+    acquire: Acquire<'_>,
     until: Instant,
 ) -> Result<(Chain, Slot), Refusal> {
+    let Acquire { ran_at, failed, dealt } = acquire;
     let mut waiter: Option<Waiter> = None;
     let mut refusal = Refusal::NoRoom;
     loop {
@@ -130,6 +140,7 @@
         }
         let left = until.since(state.now());
         let closed = state.closed_endpoints();
+        let others = dealt.map(|dealt| all_heads_but(state, request, dealt, &closed));
         let query = |avoid, closed| Query {
             route: &request.route,
             work: Work::of(&request.parameters.need),
@@ -140,7 +151,11 @@
             accepts_late: left.is_zero(),
         };
         if is_next(state, request, waiter.as_ref()) || left.is_zero() {
-            let other = choose(state, request, &query(failed, &closed));
+            let other = match &others {
+                Some(others) => choose(state, request, &query(failed, others)),
+                None => None,
+            };
+            let other = other.or_else(|| choose(state, request, &query(failed, &closed)));
             if let Some(chain) = other.or_else(|| choose(state, request, &query(None, &closed))) {
                 if let Some(waiter) = &mut waiter {
                     waiter.is_admitted = true;
@@ -172,6 +187,25 @@
     }
 }
 
+/// Returns the first endpoints of all chains but the one with number `dealt`, and those that are closed.
+fn all_heads_but(
+    state: &Shared,
+    request: &Request,
+    dealt: usize,
+    closed: &[name::Endpoint],
+) -> Vec<name::Endpoint> {
+    let now = state.now();
+    let inner = state.inner.borrow();
+    let chains = inner.chains.get(&request.service).map_or(&[][..], |chains| chains.as_slice());
+    let requests = |chain: &&Chain| inner.in_flight.sum(&chain.key, now).requests;
+    let mut by_work: Vec<&Chain> = chains.iter().collect();
+    by_work.sort_by_key(|chain| (requests(chain), chain.head().clone()));
+    if !by_work.is_empty() {
+        by_work.remove(dealt % by_work.len());
+    }
+    by_work.iter().map(|chain| chain.head()).chain(closed).cloned().collect()
+}
+
 /// Returns the time after which a caller may come back if the service has no chain now and all of its
 /// endpoints that could form one want nothing.
 fn wait_of_chains(state: &Shared, request: &Request) -> Option<Duration> {
--- a/crates/router/src/generation/crash.rs
+++ b/crates/router/src/generation/crash.rs
@@ -2,6 +2,7 @@
 
 use oriole_core::fleet::Message;
 use oriole_core::forward::chain::Chain;
+use oriole_core::forward::hold::Caution;
 use oriole_core::forward::outcome::Failure;
 use oriole_core::forward::quarantine::{BEGIN_TIME, Begin, Suspect};
 use tokio::time::sleep;
@@ -13,20 +14,20 @@
 use crate::suspect;
 
 /// Finds out whether an attempt broke off by the crash of its endpoint, and records its request as suspect
-/// if it had hardly begun to be answered.
+/// if it had hardly begun to be answered. Returns whether the endpoint is known to have crashed.
 pub async fn examine(
     state: &Shared,
     request: &Request,
     run: Option<Run>,
     failure: Failure,
     begin: Option<Begin>,
-) {
+) -> bool {
     let Some(run) = run else {
-        return;
+        return false;
     };
     if failure.is_not_run() || begin.is_some_and(|begin| begin.is_past(state.now())) {
         run.finish();
-        return;
+        return false;
     }
     let suspect = suspect(state, request);
     let incarnation = run.target().incarnation.clone();
@@ -36,10 +37,13 @@
         }
     };
     if failure == Failure::Unknown {
-        run.examine(crashed).await;
-    } else if suspect::is_known_lost(state, &run.target().incarnation.endpoint) {
+        return run.examine(crashed).await;
+    }
+    let is_lost = suspect::is_known_lost(state, &run.target().incarnation.endpoint);
+    if is_lost {
         crashed(state);
     }
+    is_lost
 }
 
 /// Returns the request as a suspect, with those of its parts that have not been answered lately.
@@ -91,10 +95,17 @@
     });
 }
 
-/// Returns whether the request may run again in view of the crashes of which it is suspect.
-pub fn may_retry(state: &Shared, request: &Request) -> bool {
+/// Returns how the request runs again in view of the crashes of which it is suspect, after an attempt that had
+/// begun as `begin` tells.
+///
+/// Parts of its prompt do not speak against it if that attempt was being answered.
+pub fn caution(state: &Shared, request: &Request, begin: Option<Begin>) -> Caution {
     let now = state.now();
     let parts = &request.parameters.shared_parts;
-    state.inner.borrow().quarantine.may_retry(parts, now)
-        && state.may_run_again(request.fingerprint)
+    let is_under_way = begin.is_some_and(|begin| begin.is_under_way(now));
+    let may_parts_run = || state.inner.borrow().quarantine.may_retry(parts, now);
+    if !is_under_way && !may_parts_run() {
+        return Caution::Stopped;
+    }
+    state.caution(request.fingerprint, state.chain_count(&request.service))
 }
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -7,6 +7,7 @@
 
 use oriole_core::fleet::Cause;
 use oriole_core::forward::chain::{Chain, Hop};
+use oriole_core::forward::hold::Caution;
 use oriole_core::forward::outcome::Failure;
 use oriole_core::time::Instant;
 use tokio::time::sleep;
@@ -151,8 +152,14 @@
     ///
     /// Returns `None` if it may not, no chain has capacity, or the retry budget is used up.
     fn reserve_other_chain(&self, chain: &Chain) -> Option<Detour> {
-        let may_retry = self.attempts.may_retry(&self.request.route, Failure::Doubted)
-            && crash::may_retry(self.state, self.request);
+        let caution = crash::caution(self.state, self.request, self.begin.get());
+        // A suspect of several crashes waits for its turn, which a detour cannot.
+        let is_free = match caution {
+            Caution::None => true,
+            Caution::Apart { not_before, .. } => not_before <= self.state.now(),
+            Caution::Stopped => false,
+        };
+        let may_retry = is_free && self.attempts.may_retry(&self.request.route, Failure::Doubted);
         if !self.may_leave || !may_retry {
             return None;
         }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -68,13 +68,13 @@
     }
 
     /// Records that the connection to the endpoint broke, and finds out whether it crashed: at once, and
-    /// again a little later in the background. Calls `crashed` if so.
-    pub async fn examine(self, crashed: impl FnOnce(&Shared) + 'static) {
+    /// again a little later in the background. Calls `crashed` if so. Returns whether it is known to have.
+    pub async fn examine(self, crashed: impl FnOnce(&Shared) + 'static) -> bool {
         let (state, target) = (self.state.clone(), self.target.clone());
         drop(self);
         if suspect::has_crashed(&state, &target).await {
             crashed(&state);
-            return;
+            return true;
         }
         actix_rt::spawn(async move {
             sleep(ASK_AGAIN_DELAY).await;
@@ -82,6 +82,7 @@
                 crashed(&state);
             }
         });
+        false
     }
 }
 
--- a/crates/router/src/state/chains.rs
+++ b/crates/router/src/state/chains.rs
@@ -4,10 +4,16 @@
 use std::rc::Rc;
 
 use oriole_core::forward::chain::{self, Resolver};
+use oriole_core::name;
 
 use super::State;
 
 impl State {
+    /// Returns the number of usable chains of a service.
+    pub fn chain_count(&self, service: &name::Service) -> usize {
+        self.inner.borrow().chains.get(service).map_or(0, |chains| chains.len())
+    }
+
     /// Rebuilds the usable chains after a change of the routing state, and wakes waiting requests.
     pub fn refresh(&self) {
         self.change_count.set(self.change_count.get() + 1);
--- a/crates/router/src/state/hold.rs
+++ b/crates/router/src/state/hold.rs
@@ -4,7 +4,7 @@
 
 use oriole_core::fleet::{Incarnation, Message};
 use oriole_core::forward::Fingerprint;
-use oriole_core::forward::hold::{Gate, Hold, Loss, REPORT_TIME, Release, Summary};
+use oriole_core::forward::hold::{Caution, Gate, Hold, Loss, REPORT_TIME, Release, Summary};
 use oriole_core::forward::runs::Cut;
 use oriole_core::time::Instant;
 use tokio::time::sleep;
@@ -26,6 +26,11 @@
         if inner.holds.is_empty() { Gate::Open } else { inner.holds.gate(fingerprint, now) }
     }
 
+    /// Returns how a generation runs again where there are `chains` chains.
+    pub fn caution(&self, fingerprint: Fingerprint, chains: usize) -> Caution {
+        self.inner.borrow().holds.caution(fingerprint, chains, self.now())
+    }
+
     /// Returns whether a call may run again in view of the crashes of which it is suspect.
     pub fn may_run_again(&self, fingerprint: Fingerprint) -> bool {
         self.inner.borrow().holds.may_retry(fingerprint)
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod prompt_part;
 mod silence;
 mod stop;
+mod suspects;
 mod unframed;
 mod wait;
 
