Put the stage with the fewest layers first in a chain

What callers saw: after a request that crashes endpoints most requests were refused for want of room for ten seconds and more.

Cause: what such a request crashes is the first endpoint of a chain, and chains began with their largest accelerators: 25 to 30 layers, which take 4 to 5 s to load again once another endpoint is free for them; with three crashes all large accelerators were gone.

Change: the stages of one zone lie in the order of their layers. Nothing else of a chain depends on that order.

The test spares_replace_a_small_stage_without_moving_others named a small accelerator by its place in the chain, which is the second now.

--- a/crates/core/src/placement/build.rs
+++ b/crates/core/src/placement/build.rs
@@ -152,9 +152,15 @@
 }
 
 /// Arranges endpoints into a chain, with those of one availability zone next to each other.
+///
+/// Those with the fewest layers come first: what a request crashes is the endpoint that begins to run it, and
+/// the fewer layers that held, the sooner another one holds them.
 fn lay_out(free: &[&Candidate], counts: &[(usize, u32)]) -> Chain {
     let mut counts = counts.to_vec();
-    counts.sort_by(|a, b| free[a.0].zone.cmp(&free[b.0].zone).then(a.0.cmp(&b.0)));
+    counts.sort_by(|a, b| {
+        let zone = free[a.0].zone.cmp(&free[b.0].zone);
+        zone.then(a.1.cmp(&b.1)).then(a.0.cmp(&b.0))
+    });
     let mut first = 0;
     let mut stages = vec![];
     for (i, layers) in counts {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -266,8 +266,8 @@
         let with_spare: Vec<_> = before.iter().take(3).filter(|c| has_spare(&zone_of(c))).collect();
         assert_eq!(with_spare.len(), spares);
         for chain in with_spare {
-            // The second to last stage of each zone's chain is a small accelerator.
-            let lost = &chain.stages[chain.stages.len() - 2].endpoint;
+            // The second stage of each zone's chain is a small accelerator.
+            let lost = &chain.stages[1].endpoint;
             let left: Vec<_> = endpoints.iter().filter(|e| e.endpoint != *lost).cloned().collect();
             let after = revise::revise(&model, &before, &left);
             assert_valid(&model, &after, &left);
