Send an endpoint no order while it carries one out

What callers saw: chains that a plan rebuilt stayed away for 4 to 9 s.

Cause: layers that are given up wait for the requests that pass through them.

Change: who has sent an order tells the others for as long as reports show the endpoint busy, at most a minute, and when it is over; nobody sends another one meanwhile, whichever layers it is for.

Failed before: an_endpoint_that_carries_an_order_out_gets_no_other_one (12 refused, none now).

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -100,9 +100,9 @@
     Listing(Listing, u64),
     /// Layers that an endpoint reported to hold, and the number of orders that it had accepted.
     Held(Incarnation, placement::Range, u64),
-    /// The sender has ordered an endpoint to load layers and monitors it, for at most the given
-    /// number of milliseconds.
-    Ordered(Incarnation, placement::Range, u64),
+    /// The sender monitors an order that an endpoint carries out, for at most the given number of
+    /// milliseconds; 0 ends it.
+    Ordered(Incarnation, u64),
     /// An endpoint that the sender found to be unhealthy.
     #[serde(rename = "doubt")]
     Unhealthy(Incarnation),
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -39,6 +39,12 @@
 /// Time for which an order is monitored beyond four times the estimated load time.
 const MONITOR_MARGIN: Duration = Duration::from_secs(3);
 
+/// Longest time for which an order is monitored while its endpoint carries it out.
+const MAX_MONITOR_TIME: Duration = Duration::from_secs(60);
+
+/// Interval at which other entries are told that an order is still carried out.
+const TELL_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Time beyond twice the estimated load time after which other entries send the same order
 /// themselves.
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(1500);
@@ -112,9 +118,7 @@
                 continue;
             }
             let next = order::next(model, accelerator.memory, e.layers, stage.layers);
-            let Some(layers) =
-                next.filter(|layers| !is_monitored_by_peer(state, &e.id, *layers, now))
-            else {
+            let Some(layers) = next.filter(|_| !is_monitored_by_peer(state, &e.id, now)) else {
                 continue;
             };
             let fraction = f64::from(layers.len()) / f64::from(model.layers);
@@ -131,10 +135,16 @@
     all
 }
 
-/// Returns whether another entry has sent the same order and still monitors it.
-fn is_monitored_by_peer(state: &Shared, id: &name::Endpoint, layers: Range, now: Instant) -> bool {
-    let ordered = state.peer_orders.borrow();
-    ordered.get(id).is_some_and(|(of, until)| *of == layers && now < *until)
+/// Returns whether another entry monitors an order that an endpoint carries out. It takes no other meanwhile.
+fn is_monitored_by_peer(state: &Shared, id: &name::Endpoint, now: Instant) -> bool {
+    let monitored = state.peer_orders.borrow();
+    monitored.get(id).is_some_and(|until| now < *until)
+}
+
+/// Tells the other entries that this one monitors an order for `period`; zero ends it.
+fn tell_monitored(state: &Shared, incarnation: &Incarnation, period: Duration) {
+    let message = Message::Ordered(incarnation.clone(), period.as_millis() as u64);
+    peers::broadcast(state, &message);
 }
 
 /// Returns whether the answer shows that the endpoint has not begun to load, so that a single
@@ -173,19 +183,17 @@
     let (first, end, orders) = (order.layers.first, order.layers.end, order.accepted_orders);
     log::info!(endpoint, first, end, orders, answer:?; "ordered layers");
     Metrics::count(&state.metrics.orders, answer_label(&answer));
-    if let Ok(Acceptance::Begun) = answer {
-        let monitor_ms = (order.load_time * 2 + TAKEOVER_MARGIN).as_millis() as u64;
-        peers::broadcast(
-            &state,
-            &Message::Ordered(order.incarnation.clone(), order.layers, monitor_ms),
-        );
+    let is_begun = matches!(answer, Ok(Acceptance::Begun));
+    if is_begun {
+        tell_monitored(&state, &order.incarnation, order.load_time * 2 + TAKEOVER_MARGIN);
         // Starts to request reports well before the estimated end of the load. Loads may share the
         // rate of the weight store, so the actual time differs from the estimate.
         sleep(order.load_time.mul_f64(0.3)).await;
     }
-    let limit = order.load_time * 4 + MONITOR_MARGIN;
     let mut watch = order::Watch::new(order.layers);
-    while state.now().since(began) < limit {
+    let mut until = began + order.load_time * 4 + MONITOR_MARGIN;
+    let mut told_at = state.now();
+    while state.now() < until {
         if !suspect::may_ask(&state, &order.incarnation) {
             sleep(REPORT_INTERVAL).await;
             continue;
@@ -199,6 +207,13 @@
                 if is_settled || is_void || report.born != order.incarnation.born {
                     break;
                 }
+                let now = state.now();
+                if report.busy && now.since(told_at) >= TELL_INTERVAL {
+                    // Layers that are given up wait for the requests that pass through them.
+                    tell_monitored(&state, &order.incarnation, TAKEOVER_MARGIN);
+                    told_at = now;
+                    until = until.max(now + TAKEOVER_MARGIN).min(began + MAX_MONITOR_TIME);
+                }
             }
             Err(error) => {
                 log::info!(endpoint, error:%; "requesting a report failed");
@@ -207,6 +222,9 @@
         }
         sleep(REPORT_INTERVAL).await;
     }
+    if is_begun {
+        tell_monitored(&state, &order.incarnation, Duration::ZERO);
+    }
     busy.borrow_mut().remove(&order.incarnation.endpoint);
 }
 
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -202,9 +202,9 @@
                 state.refresh();
             }
         }
-        Message::Ordered(incarnation, layers, monitor_ms) => {
+        Message::Ordered(incarnation, monitor_ms) => {
             let until = state.now() + Duration::from_millis(monitor_ms);
-            state.peer_orders.borrow_mut().insert(incarnation.endpoint, (layers, until));
+            state.peer_orders.borrow_mut().insert(incarnation.endpoint, until);
         }
         Message::Refusal(incarnation) => state.pause(&incarnation.endpoint),
         Message::Pace(incarnation, value) => {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -35,7 +35,7 @@
 use oriole_core::forward::rate;
 use oriole_core::forward::runs::Runs;
 use oriole_core::name;
-use oriole_core::placement::{Model, Plan, Range};
+use oriole_core::placement::{Model, Plan};
 use oriole_core::route::Table;
 use oriole_core::time::Instant;
 use tokio::sync::Notify;
@@ -139,8 +139,8 @@
     pub chains_changed: Notify,
     /// Connections to other entries; `None` until the shared secret is known.
     pub hub: RefCell<Option<oriole_wire::Hub>>,
-    /// Layers that other entries have ordered, and until when they monitor the order.
-    pub peer_orders: RefCell<BTreeMap<name::Endpoint, (Range, Instant)>>,
+    /// Until when other entries monitor orders, by endpoint.
+    pub peer_orders: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Topics on which this entry is behind its peers.
     pub lags: RefCell<BTreeMap<Topic, Lag>>,
     /// When each endpoint was last asked for a report.
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -8,6 +8,7 @@
 mod late_version;
 mod leaving;
 mod limit;
+mod orders;
 mod pause;
 mod prompt_part;
 mod silence;
