Do not ask for a move again that was refused for want of room

Cause: each request of a chain asked for the same move every 100 ms for 1.4 s, though the refusal names the stage that is not there or has no room.

Change: the stage that a refusal names is decoded and paused, as it is for requests, and a request does not ask for a move to it again for 800 ms; another path is tried at once.

--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -4,15 +4,22 @@
 //! the tokens so far; running the request again on another chain would prefill them through all
 //! layers.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
+use oriole_core::fleet::wait;
 use oriole_core::forward::chain::Chain;
-use oriole_platform::endpoint::{self, Acceptance};
+use oriole_core::name;
+use oriole_core::time::Instant;
+use oriole_platform::endpoint::{self, Move};
 use tokio::time::sleep;
 
+use crate::metrics::Metrics;
 use crate::serve::Request;
 use crate::state::Shared;
+use crate::suspect;
 
 /// Longest wait for a chain with the same first stage; callers disconnect soon after.
 const MAX_CHAIN_WAIT: Duration = Duration::from_millis(1400);
@@ -27,24 +34,46 @@
 /// Pause after the first stage refused the order or did not answer it.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Time for which a request is not moved to a stage that had no room for it, or was not there.
+const REFUSAL_PERIOD: Duration = Duration::from_millis(800);
+
+/// Stages that could not take a request, with the times of the refusals.
+#[derive(Debug, Default)]
+struct RefusedStages(BTreeMap<name::Endpoint, Instant>);
+
+impl RefusedStages {
+    /// Returns whether a chain has none of the stages that refused lately.
+    fn allow(&self, chain: &Chain, now: Instant) -> bool {
+        let refused_at = chain.hops.iter().filter_map(|hop| self.0.get(&hop.endpoint));
+        refused_at.into_iter().all(|at| now.since(*at) >= REFUSAL_PERIOD)
+    }
+
+    fn record(&mut self, chain: &Chain, at_fault: SocketAddr, now: Instant) {
+        let stages = chain.hops.iter().filter(|hop| hop.address == at_fault);
+        self.0.extend(stages.map(|hop| (hop.endpoint.clone(), now)));
+    }
+}
+
 /// Moves the request to another chain with the same first stage, once there is one.
 ///
-/// Returns the new chain, or `None` if the request has no id, its first stage is unhealthy or wants nothing, or no
+/// Returns the new chain, or `None` if the request has no id, its first stage is unhealthy or is in back-off, or no
 /// move succeeds in time.
 pub async fn run(state: &Shared, request: &Request, chain: &Chain) -> Option<Chain> {
     let id = request.parameters.request_id.as_deref()?;
     let began = state.now();
+    let mut refused = RefusedStages::default();
     loop {
         let mut chains_changed = pin!(state.chains_changed.notified());
         chains_changed.as_mut().enable();
-        let wants_nothing = state.inner.borrow().view.is_waiting(chain.head(), state.now());
-        if wants_nothing || state.is_unhealthy(chain.head()) {
+        let is_in_back_off = state.inner.borrow().view.is_waiting(chain.head(), state.now());
+        if is_in_back_off || state.is_unhealthy(chain.head()) {
             return None;
         }
         let waited = state.now().since(began);
-        if let Some(other) = find_chain(state, request, chain) {
+        let other = find_chain(state, request, chain);
+        if let Some(other) = other.filter(|other| refused.allow(other, state.now())) {
             match endpoint::repath(id, &other.hops, ANSWER_TIMEOUT).await {
-                Ok(Acceptance::Begun | Acceptance::Done) => {
+                Ok(Move::Accepted) => {
                     state.metrics.moves.inc();
                     let waited_ms = waited.as_millis() as u64;
                     log::info!(
@@ -53,7 +82,15 @@
                     );
                     return Some(other);
                 }
-                Ok(answer) => log::info!(id, answer:?; "first stage refused to move the request"),
+                Ok(Move::Refused(at_fault)) => {
+                    log::info!(id, at_fault:?; "first stage refused to move the request");
+                    Metrics::count(&state.metrics.orders, "move-refused");
+                    if let Some(address) = at_fault {
+                        refused.record(&other, address, state.now());
+                        // Other requests of the chain would be refused for the same stage.
+                        suspect::check_refusal(state, &other, at_fault, wait::Statement::None);
+                    }
+                }
                 Err(error) => log::info!(id, error:%; "order to move the request failed"),
             }
             if waited >= MAX_CHAIN_WAIT {
@@ -68,7 +105,7 @@
         }
         tokio::select! {
             () = chains_changed => {}
-            () = sleep(left) => {}
+            () = sleep(left.min(REFUSAL_PERIOD)) => {}
         }
     }
 }
--- a/crates/router/tests/path/orders.rs
+++ b/crates/router/tests/path/orders.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use oriole_platform_standin::caller::Call;
+use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::fleet::Fault;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -54,3 +57,31 @@
     cluster.wait(|c| c.entries.iter().all(holds_plan)).await;
     assert_eq!(cluster.fleet.refused_orders() - before, 0);
 }
+
+/// A stage without room is asked for by few requests, not by each of them ten times a second.
+#[actix_rt::test]
+async fn moves_to_a_stage_without_room_are_not_tried_again_and_again() {
+    const REQUESTS: usize = 12;
+    const MAX_TRIES: usize = 3;
+    let cluster = Cluster::with_zones(1, 1).await;
+    let entry = cluster.entries[0].callers;
+    cluster.fleet.refuse_moves();
+    let before = cluster.fleet.refused_orders();
+    let calls = (1..=REQUESTS).map(|number| async move {
+        let id = format!("r{number}");
+        Call::new("/draft/a", &id, KEY).send(entry, |_| {}).await.unwrap()
+    });
+    let lose = async {
+        cluster.wait(|c| (1..=REQUESTS).all(|n| c.fleet.path(&format!("r{n}")).is_some())).await;
+        sleep(Duration::from_millis(200)).await;
+        let path = cluster.fleet.path("r1").unwrap();
+        let second = path.split(',').nth(1).and_then(|part| part.split('=').next()).unwrap();
+        let second = cluster.fleet.endpoint_at(second).unwrap();
+        cluster.fleet.set_fault(&second, Fault::Unresponsive);
+    };
+    let (answers, ()) =
+        futures_util::future::join(futures_util::future::join_all(calls), lose).await;
+    assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+    let refused = cluster.fleet.refused_orders() - before;
+    assert!(refused > 0 && refused <= MAX_TRIES * REQUESTS, "{refused} moves refused");
+}
