--- a/crates/core/src/placement/search.rs
+++ b/crates/core/src/placement/search.rs
@@ -36,6 +36,17 @@
     search.finish()
 }
 
+/// What a search has found so far, in requests that are completed within its horizon.
+#[derive(Clone, Copy, Debug)]
+pub struct Finding {
+    /// Value of the best plan.
+    pub best: f64,
+    /// Value of the plan in force, as far as its endpoints are available.
+    pub current: f64,
+    /// Number of plans that have been compared.
+    pub compared: usize,
+}
+
 /// A search, which can be carried out in steps.
 #[derive(Debug)]
 pub struct Search<'a> {
@@ -49,6 +60,7 @@
     untried: Vec<BTreeSet<usize>>,
     base: Vec<Chain>,
     rounds: usize,
+    compared: usize,
 }
 
 impl<'a> Search<'a> {
@@ -77,6 +89,7 @@
             untried: vec![],
             base: vec![],
             rounds: 0,
+            compared: 2,
         };
         search.begin_round();
         search
@@ -87,6 +100,7 @@
         let Some(rebuilt) = self.untried.pop() else {
             return self.rounds < MAX_ROUNDS && self.best.1 != self.base && self.begin_round();
         };
+        self.compared += 1;
         let chains = self.rebuild(&rebuilt);
         let Self { model, inventory, current, outlook, .. } = self;
         let value = transition::value(model, inventory, current, &chains, *outlook);
@@ -96,6 +110,13 @@
         true
     }
 
+    /// Returns what decides between the best plan and the one in force.
+    pub fn finding(&self) -> Finding {
+        let Self { model, inventory, current, outlook, compared, .. } = self;
+        let of_current = transition::value(model, inventory, current, current, *outlook);
+        Finding { best: self.best.0, current: of_current, compared: *compared }
+    }
+
     /// Returns the best plan.
     pub fn finish(self) -> Vec<Chain> {
         self.best.1
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::{View, polling};
-use oriole_core::placement::search::Search;
+use oriole_core::placement::search::{Finding, Search};
 use oriole_core::placement::transition::Outlook;
 use oriole_core::placement::{Candidate, Chain, Model, Plan, revise};
 use oriole_core::time::Instant;
@@ -183,7 +183,14 @@
     while state.timed("planning", || search.step()) {
         yield_now().await;
     }
-    search.finish()
+    let finding = search.finding();
+    let chains = search.finish();
+    if chains != *current {
+        let (service, calm_ms) = (input.service.as_str(), calm.as_millis() as u64);
+        let Finding { best, current, compared } = finding;
+        log::info!(service, best, current, compared, demand, calm_ms; "a better plan is possible");
+    }
+    chains
 }
 
 /// Returns what each service that has a model is planned from, or `None` if too little is known or the process
