--- a/crates/core/src/fleet/usability.rs
+++ b/crates/core/src/fleet/usability.rs
@@ -43,13 +43,13 @@
         stated.map(|(incarnation, age)| (incarnation.clone(), age.as_millis() as u64)).collect()
     }
 
-    /// Records that an endpoint wants nothing from this entry for `wait`, and returns whether it was not
+    /// Records that an endpoint backs this entry off for `wait`, and returns whether it was not
     /// waiting before.
     pub fn record_wait(&mut self, incarnation: &Incarnation, wait: Duration, now: Instant) -> bool {
         self.waits.record(incarnation, wait, now)
     }
 
-    /// Returns whether an endpoint wants nothing from this entry now.
+    /// Returns whether an endpoint is in back-off now.
     pub fn is_waiting(&self, id: &name::Endpoint, now: Instant) -> bool {
         let is_waiting = |e: &Endpoint| self.waits.is_waiting(&e.incarnation(), now);
         !self.waits.is_empty() && self.get(id).is_some_and(is_waiting)
--- a/crates/core/src/fleet/wait.rs
+++ b/crates/core/src/fleet/wait.rs
@@ -1,4 +1,4 @@
-//! For how long endpoints that turned requests away want nothing from this entry.
+//! For how long endpoints that turned requests away are in back-off.
 //!
 //! Load pattern: an endpoint in need turns requests away and names a time. Whatever reaches it before,
 //! reports included, adds to its need, and so does all that has waited for the end of that time. So
@@ -22,7 +22,7 @@
 /// Part of a wait, and the time beyond it, over which the return of callers is spread.
 const SPREAD: (f64, Duration) = (0.25, Duration::from_millis(500));
 
-/// What a refusal states about the time for which its endpoint wants nothing.
+/// What a refusal states about the time for which its endpoint is in back-off.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Statement {
     /// It names none.
@@ -40,7 +40,7 @@
 }
 
 impl Waits {
-    /// Records that an endpoint wants nothing for `wait`, and returns whether it was not waiting before.
+    /// Records that an endpoint is in back-off for `wait`, and returns whether it was not waiting before.
     ///
     /// A shorter wait does not end a longer one.
     pub fn record(&mut self, incarnation: &Incarnation, wait: Duration, now: Instant) -> bool {
@@ -57,7 +57,7 @@
         self.until.get(incarnation).copied().filter(|until| now < *until)
     }
 
-    /// Returns whether an endpoint wants nothing now.
+    /// Returns whether an endpoint is in back-off now.
     pub fn is_waiting(&self, incarnation: &Incarnation, now: Instant) -> bool {
         self.end(incarnation, now).is_some()
     }
--- a/crates/core/tests/statements.rs
+++ b/crates/core/tests/statements.rs
@@ -1,4 +1,4 @@
-//! Tests of what endpoints state about themselves: that they leave, and for how long they want nothing.
+//! Tests of what endpoints state about themselves: that they leave, and for how long they are in back-off.
 #![allow(clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -21,7 +21,7 @@
     NoRoom,
     /// Only endpoints had capacity whose own limit is reached.
     Limited,
-    /// All endpoints want nothing for a while. Contains the time after which the request may come again.
+    /// All endpoints are in back-off. Contains the time after which the request may come again.
     Waiting(Duration),
     /// The response might not be complete before the process exits.
     Stopping,
@@ -207,7 +207,7 @@
 }
 
 /// Returns the time after which a caller may come back if the service has no chain now and all of its
-/// endpoints that could form one want nothing.
+/// endpoints that could form one are in back-off.
 fn wait_of_chains(state: &Shared, request: &Request) -> Option<Duration> {
     let has_chains =
         state.inner.borrow().chains.get(&request.service).is_some_and(|chains| !chains.is_empty());
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -85,7 +85,7 @@
     NoBudget,
     /// Parts of its prompt crash endpoints.
     Quarantined,
-    /// All endpoints that could run it want nothing for a while. It may come again after the given time.
+    /// All endpoints that could run it are in back-off. It may come again after the given time.
     Waiting(Duration),
     /// Endpoints crash under it. It may come again after the given time.
     Held(Duration),
--- a/crates/router/src/state/statement.rs
+++ b/crates/router/src/state/statement.rs
@@ -28,18 +28,18 @@
         is_new
     }
 
-    /// Records that an endpoint wants nothing from this entry for `wait`.
+    /// Records that an endpoint backs this entry off for `wait`.
     pub fn record_wait(&self, incarnation: &Incarnation, wait: Duration) {
         let now = self.now();
         if self.inner.borrow_mut().view.record_wait(incarnation, wait, now) {
             let (endpoint, wait_ms) = (incarnation.endpoint.as_str(), wait.as_millis() as u64);
-            log::info!(endpoint, wait_ms; "endpoint wants nothing for a while");
+            log::info!(endpoint, wait_ms; "endpoint is in back-off");
             Metrics::count(&self.metrics.statements, "wait");
             self.refresh();
         }
     }
 
-    /// Returns the time after which a caller may come back if all endpoints of a service want nothing now.
+    /// Returns the time after which a caller may come back if all endpoints of a service are in back-off now.
     pub fn wait_of_all(&self, service: &name::Service) -> Option<Duration> {
         let now = self.now();
         let end = self.inner.borrow().view.end_of_waits(service, self.drain_grace(), now)?;
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -62,7 +62,7 @@
 
 /// Returns whether an endpoint may be asked for a report now.
 ///
-/// One that limits its rate is asked rarely, and one that wants nothing for a while is not, since reports
+/// One that limits its rate is asked rarely, and one that is in back-off is not, since reports
 /// are requests, too.
 pub fn may_ask(state: &Shared, incarnation: &Incarnation) -> bool {
     if is_waiting(state, incarnation) {
@@ -279,7 +279,7 @@
 /// Records that an endpoint is being asked for a report, and returns its incarnation.
 ///
 /// Returns `None` if it was asked less than [`MIN_REPORT_INTERVAL`] ago, limits its rate and was
-/// asked lately, or wants nothing for a while.
+/// asked lately, or is in back-off.
 fn start_probe(state: &Shared, hop: &Hop) -> Option<Incarnation> {
     let incarnation = hop.incarnation();
     if is_waiting(state, &incarnation) {
--- a/crates/router/tests/path/wait.rs
+++ b/crates/router/tests/path/wait.rs
@@ -1,4 +1,4 @@
-//! Tests of endpoints that refuse requests with 503 and say for how long they want nothing.
+//! Tests of endpoints that refuse requests with 503 and say for how long they are in back-off.
 
 use std::time::Duration;
 
