Take the search of whole plans out again

With it go the schedule of orders, the shorter delay and their tests and benchmark. a_chain_begins_with_its_smallest_stage is new and fails with the order before.

--- a/crates/core/src/forward/budget.rs
+++ b/crates/core/src/forward/budget.rs
@@ -63,12 +63,6 @@
         true
     }
 
-    /// Returns the requests per second that callers have sent within the window.
-    pub fn requests_per_s(&self, now: Instant) -> f64 {
-        let recent = self.requests.iter().filter(|at| now.since(**at) <= self.bound.window);
-        recent.count() as f64 / self.bound.window.as_secs_f64().max(f64::MIN_POSITIVE)
-    }
-
     fn expire(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|at| now.since(*at) > self.bound.window) {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,9 +5,6 @@
 //! - [`revise`]: the next plan after endpoints join, leave or fail, with as few moves as possible.
 //! - [`inventory`]: the available endpoints by name, and the expected throughput of a set of
 //!   chains.
-//! - [`search`]: the next plan among whole ones, by what they serve and what the way there costs.
-//! - [`transition`]: what chains serve over the next seconds, starting from what endpoints hold.
-//! - [`schedule`]: which endpoints are ordered next to hold other layers.
 //! - [`order`]: the next layer range to order from an endpoint on the way to its planned range.
 
 pub mod build;
@@ -15,9 +12,6 @@
 pub mod inventory;
 pub mod order;
 pub mod revise;
-pub mod schedule;
-pub mod search;
-pub mod transition;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -84,9 +78,6 @@
     pub token_layer_bytes: f64,
     /// Time to load all layers.
     pub load: Duration,
-    /// Loads of all endpoints together above which each takes proportionally longer.
-    #[serde(default = "one")]
-    pub loads_at_once: u32,
     /// Most concurrent requests that an endpoint accepts as the first stage of a chain.
     pub slots: u32,
     /// Fixed part of a decode step over all layers, in milliseconds.
@@ -124,11 +115,6 @@
     f64::INFINITY
 }
 
-/// Default of [`Model::loads_at_once`] for routing tables sent by entries of versions without the field.
-fn one() -> u32 {
-    1
-}
-
 impl Model {
     /// Returns the most layers that fit into `memory` bytes beside the KV cache of `tokens` tokens.
     pub fn layer_capacity(&self, memory: f64, tokens: f64) -> u32 {
@@ -209,6 +195,4 @@
     pub held: Range,
     /// Whether it runs much more slowly than its kind at present.
     pub is_slow: bool,
-    /// For how long it has been carrying out an order; zero if it carries out none.
-    pub busy: Duration,
 }
--- a/crates/core/src/placement/inventory.rs
+++ b/crates/core/src/placement/inventory.rs
@@ -71,13 +71,11 @@
     ///
     /// Chains with unavailable stages count with a reduced throughput.
     pub fn total_throughput(&self, chains: &[Chain]) -> f64 {
-        chains.iter().map(|chain| self.throughput_with_reroutes(chain)).sum()
-    }
-
-    /// Estimates the mean-sized requests per second of a chain, fewer if some of its stages are unavailable.
-    pub fn throughput_with_reroutes(&self, chain: &Chain) -> f64 {
-        let fraction = if self.missing(chain).is_empty() { 1.0 } else { REROUTED_FRACTION };
-        fraction * self.throughput(chain)
+        let throughput = |chain: &Chain| {
+            let fraction = if self.missing(chain).is_empty() { 1.0 } else { REROUTED_FRACTION };
+            fraction * self.throughput(chain)
+        };
+        chains.iter().map(throughput).sum()
     }
 
     /// Returns the available endpoints that are in none of `chains`, ordered by name.
--- a/crates/core/src/placement/revise.rs
+++ b/crates/core/src/placement/revise.rs
@@ -32,26 +32,11 @@
 
 /// Returns the chains that replace `current`, given the endpoints that are expected to stay.
 pub fn revise(model: &Model, current: &[Chain], endpoints: &[Candidate]) -> Vec<Chain> {
-    revise_with(model, current, endpoints, Draft::repair)
-}
-
-/// Like [`revise`], but dissolves no chain as long as requests of the broken ones can be rerouted: endpoints of a
-/// chain in use take long to give up their layers.
-pub fn patch(model: &Model, current: &[Chain], endpoints: &[Candidate]) -> Vec<Chain> {
-    revise_with(model, current, endpoints, Draft::patch)
-}
-
-fn revise_with<'a>(
-    model: &'a Model,
-    current: &[Chain],
-    endpoints: &'a [Candidate],
-    repair: impl Fn(&mut Draft<'a>, usize),
-) -> Vec<Chain> {
     let inventory = Inventory::new(model, endpoints);
     let mut draft = Draft { model, inventory, chains: current.to_vec(), rerouted: BTreeSet::new() };
     draft.chains.retain(|c| c.is_complete(model.layers));
     while let Some(broken) = draft.next_broken() {
-        repair(&mut draft, broken);
+        draft.repair(broken);
     }
     draft.replace_slow();
     draft.with_new_chains()
@@ -113,20 +98,6 @@
         *self = rebuilt;
     }
 
-    /// Fills the gaps of a chain from free endpoints of any zone, or leaves them if requests can be rerouted.
-    fn patch(&mut self, index: usize) {
-        let is_filled = self.fill_gaps(index, Scope::Zone, &CAPACITY_FRACTIONS)
-            || self.fill_gaps(index, Scope::Anywhere, &CAPACITY_FRACTIONS);
-        if is_filled {
-            return;
-        }
-        if self.can_reroute(index) {
-            self.rerouted.insert(self.chains[index].stages[0].endpoint.clone());
-        } else {
-            self.rebuild(index);
-        }
-    }
-
     /// Replaces slow stages by free endpoints of the chain's zone, where there are enough.
     ///
     /// Other chains are not touched for them: a slow stage still serves.
--- a/crates/core/tests/fleet_fixture/mod.rs
+++ b/crates/core/tests/fleet_fixture/mod.rs
@@ -41,7 +41,6 @@
         layer_bytes: 1.75e9,
         token_layer_bytes: 7_400.0,
         load: Duration::from_secs(14),
-        loads_at_once: 6,
         slots: 192,
         step_ms: 1.0,
         step_request_ms: 0.0046,
@@ -65,7 +64,6 @@
         accelerator: accelerators()[kind].1.clone(),
         held: Range::default(),
         is_slow: false,
-        busy: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -60,6 +60,21 @@
         assert_valid(&model, &build::chains(&model, &endpoints, Existing::None), &endpoints);
     }
 
+    /// A request that crashes endpoints crashes the first one of its chain: the one that is soonest replaced.
+    #[test]
+    fn a_chain_begins_with_its_smallest_stage(endpoints in candidates(8..60)) {
+        let model = model();
+        let zone = |name| endpoints.iter().find(|e| e.endpoint == name).map(|e| &e.zone);
+        for chain in build::chains(&model, &endpoints, Existing::None) {
+            let first = &chain.stages[0];
+            let of_zone = chain.stages.iter().filter(|s| {
+                zone(s.endpoint.clone()) == zone(first.endpoint.clone())
+            });
+            let least = of_zone.map(|s| s.layers.len()).min();
+            prop_assert_eq!(Some(first.layers.len()), least);
+        }
+    }
+
     #[test]
     fn revised_plans_hold_every_layer_once(
         endpoints in candidates(20..60),
--- a/crates/load/src/placement.rs
+++ b/crates/load/src/placement.rs
@@ -107,7 +107,6 @@
             layer_bytes: m.layer_mb * BYTES_PER_MB,
             token_layer_bytes: m.token_bytes / f64::from(m.layers.max(1)),
             load: Duration::from_secs_f64(m.load_s.max(0.0)),
-            loads_at_once: u32::MAX,
             slots: m.slots,
             step_ms: m.step_ms,
             step_request_ms: m.step_request_ms,
@@ -140,7 +139,6 @@
                     accelerator: described.accelerator(),
                     held: Range::default(),
                     is_slow: false,
-                    busy: Duration::ZERO,
                 }));
             }
         }
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -5,22 +5,22 @@
 //! late, after another one, fails its precondition. If an order gets no answer, the endpoint's
 //! report shows whether it was accepted.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use oriole_adapter::exchange::Error;
-use oriole_core::fleet::{Endpoint, Incarnation, Message, View};
+use oriole_core::fleet::{Incarnation, Message};
 use oriole_core::name;
-use oriole_core::placement::inventory::Inventory;
-use oriole_core::placement::{Candidate, Chain, Model, Range, order, schedule};
+use oriole_core::placement::{Range, order};
 use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Acceptance, Report};
 use tokio::time::sleep;
 
 use crate::metrics::Metrics;
 use crate::peers;
-use crate::planner;
 use crate::state::Shared;
 use crate::suspect;
 
@@ -62,8 +62,12 @@
     load_time: Duration,
 }
 
+/// Endpoints with an order of this entry in progress.
+type Busy = Rc<RefCell<BTreeSet<name::Endpoint>>>;
+
 /// Sends orders until the process ends.
 pub async fn run(state: Shared) {
+    let busy = Busy::default();
     let mut due_since: BTreeMap<(name::Endpoint, Range), Instant> = BTreeMap::new();
     let mut last_changes = None;
     loop {
@@ -83,17 +87,15 @@
             let first = *due_since.entry(key(&order)).or_insert(now);
             let wait = DELAY_PER_RANK * state.rank_for(&order.incarnation.endpoint) as u32;
             let is_turn = now.since(first) >= wait;
-            let endpoint = &order.incarnation.endpoint;
-            if is_turn && !state.own_orders.borrow().contains_key(endpoint) {
-                state.own_orders.borrow_mut().insert(endpoint.clone(), now);
-                actix_rt::spawn(place_layers(state.clone(), order));
+            if is_turn && busy.borrow_mut().insert(order.incarnation.endpoint.clone()) {
+                actix_rt::spawn(place_layers(state.clone(), busy.clone(), order));
             }
         }
     }
 }
 
-/// Returns the next orders to healthy endpoints whose layers differ from the plan, except those whose orders
-/// another entry monitors.
+/// Returns the next order for each healthy endpoint whose layers differ from the plan, except those
+/// that another entry monitors.
 fn due_orders(state: &Shared, now: Instant) -> Vec<Order> {
     let inner = state.inner.borrow();
     let (Some(table), Some(plan)) = (&inner.table, inner.plans.first()) else {
@@ -104,41 +106,39 @@
         let Some(model) = table.services.get(service).and_then(|s| s.model.as_ref()) else {
             continue;
         };
-        let candidates = able_endpoints(model, chains, &inner.view, now);
-        let inventory = Inventory::new(model, &candidates);
-        // Loads take little time before the first request.
-        let is_serving = inner.budgets.contains_key(service);
-        let limit = if is_serving { schedule::limit(model) } else { usize::MAX };
-        let due = schedule::due(model, &inventory, chains, limit);
-        let free = due.iter().filter(|(s, _)| !is_monitored_by_peer(state, &s.endpoint, now));
-        all.extend(free.filter_map(|(stage, layers)| {
-            let e = inner.view.get(&stage.endpoint)?;
+        for stage in chains.iter().flat_map(|c| &c.stages) {
+            let Some(e) = inner.view.get(&stage.endpoint) else {
+                continue;
+            };
+            let accelerator = e.accelerator.as_ref().and_then(|a| model.accelerators.get(a));
+            let Some(accelerator) = accelerator else {
+                continue;
+            };
+            if inner.view.is_unhealthy(&e.id, now) || inner.view.is_waiting(&e.id, now) {
+                continue;
+            }
+            let next = order::next(model, accelerator.memory, e.layers, stage.layers);
+            let Some(layers) = next.filter(|_| !is_monitored_by_peer(state, &e.id, now)) else {
+                continue;
+            };
             let fraction = f64::from(layers.len()) / f64::from(model.layers);
-            Some(Order {
+            all.push(Order {
                 incarnation: Incarnation { endpoint: e.id.clone(), born: e.born },
                 address: e.address,
-                layers: *layers,
+                layers,
                 accepted_orders: e.orders,
                 fencing_token: plan.revision,
                 load_time: model.load.mul_f64(fraction),
-            })
-        }));
+            });
+        }
     }
     all
 }
 
-/// Returns the endpoints of chains to which orders may be sent.
-fn able_endpoints(model: &Model, chains: &[Chain], view: &View, now: Instant) -> Vec<Candidate> {
-    let stages = chains.iter().flat_map(|c| &c.stages);
-    let endpoints = stages.filter_map(|stage| view.get(&stage.endpoint));
-    let is_able = |e: &&Endpoint| !view.is_unhealthy(&e.id, now) && !view.is_waiting(&e.id, now);
-    endpoints.filter(is_able).filter_map(|e| planner::candidate(model, e, false)).collect()
-}
-
 /// Returns whether another entry monitors an order that an endpoint carries out. It takes no other meanwhile.
 fn is_monitored_by_peer(state: &Shared, id: &name::Endpoint, now: Instant) -> bool {
     let monitored = state.peer_orders.borrow();
-    monitored.get(id).is_some_and(|order| now < order.until)
+    monitored.get(id).is_some_and(|until| now < *until)
 }
 
 /// Tells the other entries that this one monitors an order for `period`; zero ends it.
@@ -168,7 +168,7 @@
 ///
 /// Stops when reports show that the order is settled ([`order::Watch`]), or that the endpoint has
 /// restarted, when a report fails, or when the time for monitoring is over.
-async fn place_layers(state: Shared, order: Order) {
+async fn place_layers(state: Shared, busy: Busy, order: Order) {
     let began = state.now();
     let answer = endpoint::place(
         order.address,
@@ -225,7 +225,7 @@
     if is_begun {
         tell_monitored(&state, &order.incarnation, Duration::ZERO);
     }
-    state.own_orders.borrow_mut().remove(&order.incarnation.endpoint);
+    busy.borrow_mut().remove(&order.incarnation.endpoint);
 }
 
 /// Records the layers and orders in an endpoint's report and sends them to the other entries.
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -203,7 +203,8 @@
             }
         }
         Message::Ordered(incarnation, monitor_ms) => {
-            state.hear_order(incarnation.endpoint, Duration::from_millis(monitor_ms));
+            let until = state.now() + Duration::from_millis(monitor_ms);
+            state.peer_orders.borrow_mut().insert(incarnation.endpoint, until);
         }
         Message::Refusal(incarnation) => state.pause(&incarnation.endpoint),
         Message::Pace(incarnation, value) => {
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -2,20 +2,16 @@
 //!
 //! Any entry may propose a plan. The store accepts it by compare-and-swap, so the first proposal
 //! after each plan takes effect. Each entry waits for those whose names come before its own, so
-//! that usually only one entry calls the store. The first few compare whole plans, in steps between which other
-//! tasks run; the others only repair.
+//! that usually only one entry calls the store.
 
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use oriole_core::fleet::{View, polling};
-use oriole_core::placement::search::{Finding, Search};
-use oriole_core::placement::transition::Outlook;
 use oriole_core::placement::{Candidate, Chain, Model, Plan, revise};
+use oriole_core::route::Table;
 use oriole_core::time::Instant;
 use oriole_core::{fleet, name};
 use oriole_platform::store::{Client, Commit, Write};
-use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::follow::PLAN_KEY;
@@ -26,9 +22,9 @@
 /// Interval at which an entry checks whether the plan has to be revised.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a better plan must be possible before it is proposed, so that endpoints that come back one
-/// after the other are planned together. A broken chain is replaced without this delay.
-const EXTENSION_DELAY: Duration = Duration::from_millis(1000);
+/// Time for which further chains must be possible before they are planned. A broken chain is
+/// replaced without this delay.
+const EXTENSION_DELAY: Duration = Duration::from_millis(2500);
 
 /// Time after its start in which an entry does not know enough to replace a broken chain without
 /// delay.
@@ -37,53 +33,9 @@
 /// Time for which an entry waits for each entry whose name comes before its own.
 const DELAY_PER_RANK: Duration = Duration::from_millis(400);
 
-/// Interval at which plans are compared while nothing changes: what costs too much in trouble may be worth it when
-/// endpoints stay as they are.
-const CALM_INTERVAL: Duration = Duration::from_secs(5);
-
-/// Number of entries that compare whole plans.
-const SEARCHERS: usize = 3;
-
-/// What the chains of one service are planned from.
-struct Input {
-    service: name::Service,
-    model: Model,
-    current: Vec<Chain>,
-    endpoints: Vec<Candidate>,
-    /// Mean-sized requests per second at all entries.
-    demand: f64,
-}
-
-/// For how long the endpoints on which layers may be placed have been the same ones.
-#[derive(Debug, Default)]
-struct Calm {
-    endpoints: BTreeSet<name::Endpoint>,
-    since: Instant,
-}
-
-impl Calm {
-    fn record(&mut self, inputs: &[Input], now: Instant) -> Duration {
-        let endpoints = inputs.iter().flat_map(|input| &input.endpoints);
-        let endpoints: BTreeSet<name::Endpoint> = endpoints.map(|e| e.endpoint.clone()).collect();
-        if endpoints != self.endpoints {
-            *self = Self { endpoints, since: now };
-        }
-        now.since(self.since)
-    }
-}
-
-/// Chains that differ from those of a plan.
-struct Revision {
-    chains: Vec<(name::Service, Vec<Chain>)>,
-    /// Number of the plan.
-    number: u64,
-    /// Revision of the plan in the store.
-    revision: u64,
-}
-
-/// A revision of the current plan, and the time since when it has been due.
+/// Chains that differ from the current plan, and the time since when they have been due.
 struct Proposal {
-    revision: Revision,
+    chains: Vec<(name::Service, Vec<Chain>)>,
     since: Instant,
 }
 
@@ -91,37 +43,32 @@
 pub async fn run(state: Shared, store: Client) {
     let mut proposal: Option<Proposal> = None;
     let mut seen_changes = None;
-    let mut planned_at = state.now();
-    let mut calm = Calm::default();
     loop {
         sleep(CHECK_INTERVAL).await;
         let changes = state.change_count.get();
-        let now = state.now();
-        let wait = proposal_delay(&state, now) + DELAY_PER_RANK * state.rank_by_name() as u32;
-        let is_due = |p: &Proposal| now.since(p.since) >= wait;
-        let is_calm = seen_changes == Some(changes) && now.since(planned_at) < CALM_INTERVAL;
-        if is_calm && !proposal.as_ref().is_some_and(is_due) {
+        if proposal.is_none() && seen_changes == Some(changes) {
             continue;
         }
         seen_changes = Some(changes);
-        planned_at = now;
-        let Some(revised) = revised_chains(&state, &mut calm, now).await else {
+        let now = state.now();
+        let Some(revised) = state.timed("planning", || revised_chains(&state, now)) else {
             proposal = None;
             continue;
         };
-        let is_same = proposal.as_ref().is_some_and(|p| p.revision.chains == revised.chains);
+        let is_same = proposal.as_ref().is_some_and(|p| p.chains == revised);
         let since = match &proposal {
             // The first plan waits until the endpoints stop changing. A later plan keeps its time,
             // so that further changes do not delay it.
             Some(p) if is_same || has_plan(&state) => p.since,
             _ => now,
         };
-        proposal = Some(Proposal { revision: revised, since });
-        if now.since(since) < wait {
+        proposal = Some(Proposal { chains: revised, since });
+        let delay = proposal_delay(&state, now);
+        if now.since(since) < delay + DELAY_PER_RANK * state.rank_by_name() as u32 {
             continue;
         }
-        if let Some(Proposal { revision, since }) = proposal.take() {
-            propose(&state, &store, revision).await;
+        if let Some(Proposal { chains, since }) = proposal.take() {
+            propose(&state, &store, chains).await;
             Metrics::time(&state.metrics.replan, state.now().since(since));
         }
     }
@@ -155,68 +102,40 @@
 
 /// Returns the revised chains of all services, or `None` if they equal the current plan, too little
 /// is known, or the process is stopping.
-async fn revised_chains(state: &Shared, calm: &mut Calm, now: Instant) -> Option<Revision> {
-    let (number, revision) = plan_version(state);
-    let inputs = state.timed("planning inputs", || inputs(state, now))?;
-    let calm = calm.record(&inputs, now);
-    let is_searcher = state.rank_by_name() < SEARCHERS;
-    let mut all = vec![];
-    let mut is_same = true;
-    for input in inputs {
-        let chains = if is_searcher && !input.current.is_empty() {
-            search(state, &input, calm).await
-        } else {
-            let Input { model, current, endpoints, .. } = &input;
-            state.timed("planning", || revise::revise(model, current, endpoints))
-        };
-        is_same &= chains == input.current;
-        all.push((input.service, chains));
-    }
-    (!is_same).then_some(Revision { chains: all, number, revision })
-}
-
-/// Searches the best chains of a service, in steps between which other tasks run.
-async fn search(state: &Shared, input: &Input, calm: Duration) -> Vec<Chain> {
-    let Input { model, current, endpoints, demand, .. } = input;
-    let outlook = Outlook { demand: *demand, calm };
-    let mut search = state.timed("planning", || Search::new(model, current, endpoints, outlook));
-    while state.timed("planning", || search.step()) {
-        yield_now().await;
-    }
-    let finding = search.finding();
-    let chains = search.finish();
-    if chains != *current {
-        let (service, calm_ms) = (input.service.as_str(), calm.as_millis() as u64);
-        let Finding { best, current, compared } = finding;
-        log::info!(service, best, current, compared, demand, calm_ms; "a better plan is possible");
-    }
-    chains
-}
-
-/// Returns what each service that has a model is planned from, or `None` if too little is known or the process
-/// is stopping.
-fn inputs(state: &Shared, now: Instant) -> Option<Vec<Input>> {
-    let entries = state.entry_count();
+fn revised_chains(state: &Shared, now: Instant) -> Option<Vec<(name::Service, Vec<Chain>)>> {
     let inner = state.inner.borrow();
     let table = inner.table.as_ref()?;
-    let plan = inner.plans.first();
     let is_incomplete = inner.view.listing().endpoints.is_empty()
-        || plan.is_some_and(|p| inner.view.may_reregister(p, now));
+        || inner.plans.first().is_some_and(|p| inner.view.may_reregister(p, now));
     if state.stopping.get() || is_incomplete {
         return None;
     }
-    let models = table.services.iter().filter_map(|(service, s)| Some((service, s.model.clone()?)));
-    let input = |(service, model): (&name::Service, Model)| {
-        let current = plan.and_then(|p| p.services.get(service)).cloned().unwrap_or_default();
-        let mut endpoints = candidates(&model, &inner.view, service, plan, now);
-        for endpoint in &mut endpoints {
-            endpoint.busy = state.order_time(&endpoint.endpoint, now);
-        }
-        let rate = inner.budgets.get(service).map(|budget| budget.requests_per_s(now));
-        let demand = rate.unwrap_or_default() * entries as f64;
-        Input { service: service.clone(), model, current, endpoints, demand }
+    let chains = revise_all(table, inner.plans.first(), &inner.view, now);
+    let is_same = |(service, chains): &(name::Service, Vec<Chain>)| {
+        let current = inner.plans.first().and_then(|p| p.services.get(service));
+        current.map_or(&[][..], Vec::as_slice) == chains.as_slice()
     };
-    Some(models.map(input).collect())
+    (!chains.iter().all(is_same)).then_some(chains)
+}
+
+/// Returns the chains of each service that has a model, revised for the endpoints in `view`.
+fn revise_all(
+    table: &Table,
+    plan: Option<&Plan>,
+    view: &View,
+    now: Instant,
+) -> Vec<(name::Service, Vec<Chain>)> {
+    let mut all = vec![];
+    for (service, s) in &table.services {
+        let Some(model) = &s.model else {
+            continue;
+        };
+        let current = plan.and_then(|p| p.services.get(service));
+        let endpoints = candidates(model, view, service, plan, now);
+        let chains = revise::revise(model, current.map_or(&[], Vec::as_slice), &endpoints);
+        all.push((service.clone(), chains));
+    }
+    all
 }
 
 /// Returns the endpoints on which layers may be placed.
@@ -237,8 +156,7 @@
     able.filter_map(|e| candidate(model, e, view.is_slow(&e.id, now))).collect()
 }
 
-/// Returns an endpoint as one to which layers may be assigned, if its kind of accelerator is known.
-pub fn candidate(model: &Model, endpoint: &fleet::Endpoint, is_slow: bool) -> Option<Candidate> {
+fn candidate(model: &Model, endpoint: &fleet::Endpoint, is_slow: bool) -> Option<Candidate> {
     let accelerator = model.accelerators.get(endpoint.accelerator.as_ref()?)?;
     Some(Candidate {
         endpoint: endpoint.id.clone(),
@@ -246,18 +164,14 @@
         accelerator: accelerator.clone(),
         held: endpoint.layers,
         is_slow,
-        busy: Duration::ZERO,
     })
 }
 
-/// Returns the number of the current plan and its revision in the store.
-fn plan_version(state: &Shared) -> (u64, u64) {
-    let inner = state.inner.borrow();
-    inner.plans.first().map_or((0, 0), |p| (p.number, p.revision))
-}
-
-async fn propose(state: &Shared, store: &Client, proposed: Revision) {
-    let Revision { chains, number, revision } = proposed;
+async fn propose(state: &Shared, store: &Client, chains: Vec<(name::Service, Vec<Chain>)>) {
+    let (number, revision) = {
+        let inner = state.inner.borrow();
+        inner.plans.first().map_or((0, 0), |p| (p.number, p.revision))
+    };
     let services = chains.into_iter().collect();
     let mut plan = Plan { number: number + 1, revision: 0, services };
     let Ok(value) = serde_json::to_vec(&plan) else {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -57,15 +57,6 @@
 /// two events.
 const BLOCKED_THRESHOLD: Duration = Duration::from_millis(30);
 
-/// An order that another entry monitors.
-#[derive(Clone, Copy, Debug)]
-pub struct Monitored {
-    /// When this entry first heard of it.
-    pub since: Instant,
-    /// When it counts as over unless more is heard.
-    pub until: Instant,
-}
-
 /// Another entry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Peer {
@@ -148,10 +139,8 @@
     pub chains_changed: Notify,
     /// Connections to other entries; `None` until the shared secret is known.
     pub hub: RefCell<Option<oriole_wire::Hub>>,
-    /// Orders that other entries monitor, by endpoint.
-    pub peer_orders: RefCell<BTreeMap<name::Endpoint, Monitored>>,
-    /// Since when this entry monitors orders, by endpoint.
-    pub own_orders: RefCell<BTreeMap<name::Endpoint, Instant>>,
+    /// Until when other entries monitor orders, by endpoint.
+    pub peer_orders: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Topics on which this entry is behind its peers.
     pub lags: RefCell<BTreeMap<Topic, Lag>>,
     /// When each endpoint was last asked for a report.
@@ -232,7 +221,6 @@
             chains_changed: Notify::new(),
             hub: RefCell::new(None),
             peer_orders: RefCell::default(),
-            own_orders: RefCell::default(),
             lags: RefCell::default(),
             report_requested_at: RefCell::default(),
             untold_suspects: RefCell::default(),
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -4,9 +4,8 @@
 
 use oriole_core::fleet::{Cause, Incarnation};
 use oriole_core::name;
-use oriole_core::time::Instant;
 
-use super::{Monitored, State};
+use super::State;
 
 impl State {
     /// Marks an endpoint as unhealthy and returns whether it was healthy before.
@@ -80,28 +79,4 @@
     pub fn unhealthy_cause(&self, endpoint: &name::Endpoint) -> Option<Cause> {
         self.inner.borrow().view.unhealthy_cause(endpoint, self.now())
     }
-
-    /// Records that another entry monitors an order to an endpoint for `period`; zero ends it.
-    pub fn hear_order(&self, endpoint: name::Endpoint, period: Duration) {
-        let now = self.now();
-        let mut orders = self.peer_orders.borrow_mut();
-        if period.is_zero() {
-            orders.remove(&endpoint);
-            return;
-        }
-        let until = now + period;
-        let order = orders.entry(endpoint).or_insert(Monitored { since: now, until });
-        if order.until < now {
-            order.since = now;
-        }
-        order.until = until;
-    }
-
-    /// Returns for how long an endpoint has been carrying out an order, as far as this entry knows.
-    pub fn order_time(&self, endpoint: &name::Endpoint, now: Instant) -> Duration {
-        let of_peers = self.peer_orders.borrow();
-        let of_peer = of_peers.get(endpoint).filter(|o| now < o.until).map(|o| o.since);
-        let own = self.own_orders.borrow().get(endpoint).copied();
-        own.into_iter().chain(of_peer).min().map_or(Duration::ZERO, |since| now.since(since))
-    }
 }
