Do not pause a stage that refused a move

Pausing it, for all entries and for up to 3.2 s, takes a stage away that only had no room at that moment, or was still loading; each request already leaves it alone for 800 ms.

--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -9,7 +9,6 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use oriole_core::fleet::wait;
 use oriole_core::forward::chain::Chain;
 use oriole_core::name;
 use oriole_core::time::Instant;
@@ -19,7 +18,6 @@
 use crate::metrics::Metrics;
 use crate::serve::Request;
 use crate::state::Shared;
-use crate::suspect;
 
 /// Longest wait for a chain with the same first stage; callers disconnect soon after.
 const MAX_CHAIN_WAIT: Duration = Duration::from_millis(1400);
@@ -87,8 +85,6 @@
                     Metrics::count(&state.metrics.orders, "move-refused");
                     if let Some(address) = at_fault {
                         refused.record(&other, address, state.now());
-                        // Other requests of the chain would be refused for the same stage.
-                        suspect::check_refusal(state, &other, at_fault, wait::Statement::None);
                     }
                 }
                 Err(error) => log::info!(id, error:%; "order to move the request failed"),
