Let a suspect that waited for its turn wait for capacity until its deadline at most

The time of its turn was added to its wait without a bound, so that it could have waited past the deadline of its route. Found by reading; no test.

--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -168,7 +168,8 @@
                 let ran_at = &self.attempts.ran_at;
                 let (dealt, waited) = self.take_turn().await;
                 let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt };
-                admission::acquire(state, request, acquire, until + waited).await?
+                let until = (until + waited).min(request.deadline);
+                admission::acquire(state, request, acquire, until).await?
             }
         };
         check_crashes(state, request)?;
