--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -71,6 +71,7 @@
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
         let taken = budget.try_take(entries, now);
         if taken {
+            log::info!(service = service.as_str(), entries; "retry");
             self.metrics.retries.inc();
         }
         taken
