--- /dev/null
+++ b/crates/core/tests/budget/world.rs
@@ -0,0 +1,264 @@
+//! Entries that send as many retries as they may, while they are disturbed. Time passes in ticks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use oriole_core::forward::budget::{Bound, Budget};
+use oriole_core::time::Instant;
+
+/// Length of a tick.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks in the window of the bound.
+pub const WINDOW: usize = 100;
+
+/// Ticks without retries after which no entry is new.
+pub const WARM_UP: usize = 160;
+
+/// Ticks after which a registration lapses that is not renewed.
+const LAPSE: usize = 50;
+
+/// Ticks between two renewals of a registration.
+const RENEWAL: usize = 16;
+
+/// Ticks after its start in which an entry has not read who is registered, and gets no requests.
+const STARTING: usize = 2;
+
+/// Ticks between two gossips of an entry.
+const GOSSIP: usize = 3;
+
+/// Ticks for which an entry that was heard counts.
+const HEARD: usize = 20;
+
+/// Ends of one host in a window for which the bound holds.
+const MAX_ENDS: usize = 2;
+
+/// What disturbs entries.
+#[derive(Clone, Debug)]
+pub enum Disturbance {
+    Kill {
+        host: usize,
+        ticks: usize,
+    },
+    KillAll {
+        ticks: usize,
+    },
+    Remove {
+        host: usize,
+    },
+    CutFromStore {
+        host: usize,
+        ticks: usize,
+    },
+    StoreDown {
+        ticks: usize,
+    },
+    /// The hosts from this one on and those before it do not hear each other.
+    Split {
+        from: usize,
+        ticks: usize,
+    },
+    /// One half of the hosts is cut from the other one and from the store.
+    SplitWithoutStore {
+        ticks: usize,
+    },
+}
+
+/// The users' bound with `fixed` retries beside a fifth of the requests.
+pub fn bound(fixed: f64) -> Bound {
+    Bound { ratio: 0.2, fixed, window: TICK * WINDOW as u32 }
+}
+
+fn at(tick: usize) -> Instant {
+    Instant::default() + TICK * tick as u32
+}
+
+/// A process of an entry, with what it knows of the others.
+struct Process {
+    started: usize,
+    budget: Budget,
+    listed: BTreeSet<usize>,
+    heard: BTreeMap<usize, usize>,
+    /// Ticks at which retries are sent that have been taken.
+    waiting: Vec<usize>,
+}
+
+impl Process {
+    fn new(bound: Bound, started: usize) -> Self {
+        Self {
+            started,
+            budget: Budget::new(bound),
+            listed: BTreeSet::new(),
+            heard: BTreeMap::new(),
+            waiting: vec![],
+        }
+    }
+
+    fn take(&mut self, tick: usize) -> bool {
+        let heard = self.heard.values().filter(|at| tick - **at < HEARD).count();
+        let entries = self.listed.len().max(heard) + 2;
+        self.budget.try_take(entries, at(tick))
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    process: Option<Process>,
+    /// When it starts, if it is down.
+    starts_at: usize,
+    renewed_at: Option<usize>,
+    ends: Vec<usize>,
+    cut_from_store_until: usize,
+}
+
+/// All entries, the store, and what has reached endpoints.
+pub struct World {
+    tick: usize,
+    bound: Bound,
+    hosts: Vec<Host>,
+    store_down_until: usize,
+    /// First host of the second part, and until when the parts are cut from each other.
+    split: (usize, usize),
+    requests: Vec<usize>,
+    arrivals: Vec<usize>,
+}
+
+impl World {
+    pub fn new(hosts: usize, bound: Bound) -> Self {
+        let hosts = (0..hosts).map(|_| Host::default()).collect();
+        let (requests, arrivals) = (vec![], vec![]);
+        Self { tick: 0, bound, hosts, store_down_until: 0, split: (0, 0), requests, arrivals }
+    }
+
+    /// Lets `ticks` pass, the first one with `disturbances`. Each entry gets `rate` requests a tick and takes
+    /// each retry that it may, after the warm-up. Retries are sent after `delays`, in turn.
+    pub fn run(
+        &mut self,
+        ticks: usize,
+        disturbances: &[Disturbance],
+        rate: usize,
+        delays: &[usize],
+    ) {
+        for disturbance in disturbances {
+            self.disturb(disturbance);
+        }
+        for _ in 0..ticks {
+            self.start_and_register();
+            self.tell();
+            self.requests.push(0);
+            self.arrivals.push(0);
+            for number in 0..self.hosts.len() {
+                self.serve(number, rate, delays);
+            }
+            self.tick += 1;
+        }
+    }
+
+    fn disturb(&mut self, disturbance: &Disturbance) {
+        let tick = self.tick;
+        match *disturbance {
+            Disturbance::Kill { host, ticks } => self.kill(host, ticks),
+            Disturbance::KillAll { ticks } => {
+                (0..self.hosts.len()).for_each(|host| self.kill(host, ticks));
+            }
+            Disturbance::Remove { host } => self.kill(host, usize::MAX / 2),
+            Disturbance::CutFromStore { host, ticks } => {
+                self.hosts[host].cut_from_store_until = tick + ticks;
+            }
+            Disturbance::StoreDown { ticks } => self.store_down_until = tick + ticks,
+            Disturbance::Split { from, ticks } => self.split = (from, tick + ticks),
+            Disturbance::SplitWithoutStore { ticks } => {
+                let half = self.hosts.len() / 2;
+                self.split = (half, tick + ticks);
+                for host in &mut self.hosts[half..] {
+                    host.cut_from_store_until = tick + ticks;
+                }
+            }
+        }
+    }
+
+    fn kill(&mut self, number: usize, ticks: usize) {
+        let (tick, host) = (self.tick, &mut self.hosts[number]);
+        let recent = host.ends.iter().filter(|at| tick - **at <= WINDOW + WARM_UP).count();
+        if host.process.is_some() && recent < MAX_ENDS {
+            host.process = None;
+            host.starts_at = tick + ticks;
+            host.ends.push(tick);
+        }
+    }
+
+    fn start_and_register(&mut self) {
+        let tick = self.tick;
+        let is_store_up = tick >= self.store_down_until;
+        for host in &mut self.hosts {
+            let is_new = host.process.is_none() && tick >= host.starts_at;
+            if is_new {
+                host.process = Some(Process::new(self.bound, tick));
+            }
+            let reaches_store = is_store_up && tick >= host.cut_from_store_until;
+            let is_due = is_new || host.renewed_at.is_none_or(|at| tick - at >= RENEWAL);
+            if host.process.is_some() && reaches_store && is_due {
+                host.renewed_at = Some(tick);
+            }
+        }
+    }
+
+    /// Tells entries who is registered, and who sent gossip.
+    fn tell(&mut self) {
+        let tick = self.tick;
+        let is_registered = |host: &Host| host.renewed_at.is_some_and(|at| tick - at < LAPSE);
+        let registered: BTreeSet<usize> =
+            (0..self.hosts.len()).filter(|n| is_registered(&self.hosts[*n])).collect();
+        let live: Vec<usize> =
+            (0..self.hosts.len()).filter(|n| self.hosts[*n].process.is_some()).collect();
+        let (from, until) = self.split;
+        let is_split = |a: usize, b: usize| tick < until && (a < from) != (b < from);
+        for number in live.iter().copied() {
+            let host = &mut self.hosts[number];
+            let reaches_store = tick >= self.store_down_until && tick >= host.cut_from_store_until;
+            let Some(process) = &mut host.process else { continue };
+            if reaches_store && tick - process.started >= STARTING {
+                process.listed = registered.iter().copied().filter(|n| *n != number).collect();
+            }
+            if tick % GOSSIP == number % GOSSIP {
+                for other in live.iter().filter(|n| **n != number && !is_split(number, **n)) {
+                    process.heard.insert(*other, tick);
+                }
+            }
+        }
+    }
+
+    fn serve(&mut self, number: usize, rate: usize, delays: &[usize]) {
+        let tick = self.tick;
+        let Some(process) = &mut self.hosts[number].process else { return };
+        if tick - process.started < STARTING {
+            return;
+        }
+        for _ in 0..rate {
+            process.budget.record_request(at(tick));
+            self.requests[tick] += 1;
+        }
+        while tick >= WARM_UP && process.take(tick) {
+            process.waiting.push(tick + delays[process.waiting.len() % delays.len()]);
+        }
+        let before = process.waiting.len();
+        process.waiting.retain(|at| *at > tick);
+        self.arrivals[tick] += before - process.waiting.len();
+    }
+
+    /// Checks the bound in each window. Requests count in the window, the one before it, or the one half a
+    /// window before it, whichever has most.
+    pub fn check(&self) {
+        let sum = |of: &[usize], from: usize| -> usize { of.iter().skip(from).take(WINDOW).sum() };
+        for from in 0..self.arrivals.len() {
+            let starts = [Some(from), from.checked_sub(WINDOW), from.checked_sub(WINDOW / 2)];
+            let requests = starts.iter().flatten().map(|start| sum(&self.requests, *start)).max();
+            let allowed = self.bound.ratio * requests.unwrap_or_default() as f64 + self.bound.fixed;
+            let arrived = sum(&self.arrivals, from);
+            assert!(
+                arrived as f64 <= allowed,
+                "{arrived} retries from tick {from}, {allowed} allowed"
+            );
+        }
+    }
+}
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod pause;
 mod prompt_part;
+mod retry_budget;
 mod silence;
 mod stop;
 mod suspects;
