Give an entry that has just started little of the fixed retry budget

All entries that start again together could use the fixed part once more, each time: 1.6 and 2.4 times 0.8 of it in a window.

A process now uses a tenth of the fixed part until one and a half windows after its start, and none until it knows the other entries; with the 0.8 of those that have run for longer, all entries may start twice in a window.

--- a/crates/core/tests/budget/world.rs
+++ b/crates/core/tests/budget/world.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use oriole_core::forward::budget::{Bound, Budget};
+use oriole_core::forward::budget::{Bound, Budget, Standing};
 use oriole_core::time::Instant;
 
 /// Length of a tick.
@@ -96,8 +96,9 @@
 
     fn take(&mut self, tick: usize) -> bool {
         let heard = self.heard.values().filter(|at| tick - **at < HEARD).count();
-        let entries = self.listed.len().max(heard) + 2;
-        self.budget.try_take(entries, at(tick))
+        let entries = Some(self.listed.len().max(heard) + 2);
+        let standing = Standing { age: at(tick).since(at(self.started)), entries };
+        self.budget.try_take(standing, at(tick))
     }
 }
 
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet_fixture::{proptest_config, route};
-use oriole_core::forward::budget::{Bound, Budget};
+use oriole_core::forward::budget::{Bound, Budget, Standing};
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::queue::{Queue, Refusals};
@@ -153,13 +153,14 @@
         let bound = Bound { ratio: 0.2, fixed: 40.0, window: Duration::from_secs(10) };
         let mut budgets: Vec<_> = (0..entries).map(|_| Budget::new(bound)).collect();
         let (mut requests, mut retries, mut ms) = (vec![], vec![], 0);
+        let standing = Standing { age: Duration::from_secs(60), entries: Some(entries) };
         for (entry, retry, pause) in steps {
             ms += pause;
             let budget = &mut budgets[entry % entries];
             if !retry {
                 budget.record_request(at_ms(ms));
                 requests.push(ms);
-            } else if budget.try_take(entries, at_ms(ms)) {
+            } else if budget.try_take(standing, at_ms(ms)) {
                 retries.push(ms);
             }
             let within = |times: &[u64]| times.iter().filter(|t| ms - **t <= 10_000).count() as f64;
--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriole_core::forward::budget::Budget;
+use oriole_core::forward::budget::{Budget, Standing};
 use oriole_core::forward::stop;
 use oriole_core::name;
 
@@ -59,19 +59,26 @@
         first.unwrap_or(&self.host).clone()
     }
 
+    /// Returns what decides how much of the fixed part of retry budgets this entry may use.
+    fn standing(&self) -> Standing {
+        let knows_others = self.inner.borrow().knows_peers;
+        // One more than known, since another entry may be starting.
+        let entries = knows_others.then(|| self.entry_count() + 1);
+        Standing { age: self.now().since(self.started), entries }
+    }
+
     /// Takes a retry out of this entry's share of the service's retry budget.
     ///
     /// Returns false, and takes nothing, if the share is used up.
     pub fn take_retry(&self, service: &name::Service) -> bool {
-        // One more than known, since another entry may be starting.
-        let entries = self.entry_count() + 1;
         let now = self.now();
+        let standing = self.standing();
         let bound = self.tunables.borrow().retries.bound();
         let mut inner = self.inner.borrow_mut();
         let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        let taken = budget.try_take(entries, now);
+        let taken = budget.try_take(standing, now);
         if taken {
-            log::info!(service = service.as_str(), entries; "retry");
+            log::info!(service = service.as_str(), standing:?; "retry");
             self.metrics.retries.inc();
         }
         taken
