Count entries that are gone among those that share the retry budget for two windows

Callers' requests were sent to endpoints more often than the operators allow: as soon as the registration of an entry lapsed, the others divided the fixed part of the budget by one less, although what it had taken still counted.

Who shares is now one set, fleet::presence: the registered entries, and those that were registered or sent gossip in the last two windows. An entry that cannot renew its registration uses its share for one window beyond it, and then the part that grows with requests only, so that none is used by an entry that the others have ceased to count.

shares_do_not_grow_while_what_others_took_still_counts failed before and passes.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod message;
 pub mod pace;
 pub mod polling;
+pub mod presence;
 pub mod recovery;
 pub mod refusal;
 pub mod resumption;
--- a/crates/core/tests/budget/world.rs
+++ b/crates/core/tests/budget/world.rs
@@ -1,9 +1,11 @@
 //! Entries that send as many retries as they may, while they are disturbed. Time passes in ticks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use oriole_core::fleet::presence::Presence;
 use oriole_core::forward::budget::{Bound, Budget, Standing};
+use oriole_core::name;
 use oriole_core::time::Instant;
 
 /// Length of a tick.
@@ -12,6 +14,9 @@
 /// Ticks in the window of the bound.
 pub const WINDOW: usize = 100;
 
+/// Time that they take.
+const WINDOW_TIME: Duration = Duration::from_secs(10);
+
 /// Ticks without retries after which no entry is new.
 pub const WARM_UP: usize = 160;
 
@@ -27,9 +32,6 @@
 /// Ticks between two gossips of an entry.
 const GOSSIP: usize = 3;
 
-/// Ticks for which an entry that was heard counts.
-const HEARD: usize = 20;
-
 /// Ends of one host in a window for which the bound holds.
 const MAX_ENDS: usize = 2;
 
@@ -66,7 +68,11 @@
 
 /// The users' bound with `fixed` retries beside a fifth of the requests.
 pub fn bound(fixed: f64) -> Bound {
-    Bound { ratio: 0.2, fixed, window: TICK * WINDOW as u32 }
+    Bound { ratio: 0.2, fixed, window: WINDOW_TIME }
+}
+
+fn host_name(number: usize) -> name::Host {
+    name::Host::from(format!("host-{number}").as_str())
 }
 
 fn at(tick: usize) -> Instant {
@@ -77,8 +83,8 @@
 struct Process {
     started: usize,
     budget: Budget,
-    listed: BTreeSet<usize>,
-    heard: BTreeMap<usize, usize>,
+    listed: BTreeSet<name::Host>,
+    presence: Presence,
     /// Ticks at which retries are sent that have been taken.
     waiting: Vec<usize>,
 }
@@ -89,16 +95,26 @@
             started,
             budget: Budget::new(bound),
             listed: BTreeSet::new(),
-            heard: BTreeMap::new(),
+            presence: Presence::default(),
             waiting: vec![],
         }
     }
 
-    fn take(&mut self, tick: usize) -> bool {
-        let heard = self.heard.values().filter(|at| tick - **at < HEARD).count();
-        let entries = Some(self.listed.len().max(heard) + 2);
-        let standing = Standing { age: at(tick).since(at(self.started)), entries };
-        self.budget.try_take(standing, at(tick))
+    fn list(&mut self, hosts: BTreeSet<name::Host>, now: Instant) {
+        for gone in std::mem::replace(&mut self.listed, hosts) {
+            self.presence.record(gone, WINDOW_TIME, now);
+        }
+    }
+
+    fn hear(&mut self, host: name::Host, now: Instant) {
+        self.presence.record(host, WINDOW_TIME, now);
+    }
+
+    fn take(&mut self, now: Instant) -> bool {
+        let registered = self.listed.iter();
+        let entries = self.presence.sharing(registered, WINDOW_TIME, now);
+        let standing = Standing { age: now.since(at(self.started)), entries };
+        self.budget.try_take(standing, now)
     }
 }
 
@@ -201,6 +217,11 @@
             if host.process.is_some() && reaches_store && is_due {
                 host.renewed_at = Some(tick);
             }
+            if let (Some(process), Some(renewed)) = (&mut host.process, host.renewed_at) {
+                if renewed >= process.started {
+                    process.presence.record_registration(at(renewed + LAPSE));
+                }
+            }
         }
     }
 
@@ -219,11 +240,12 @@
             let reaches_store = tick >= self.store_down_until && tick >= host.cut_from_store_until;
             let Some(process) = &mut host.process else { continue };
             if reaches_store && tick - process.started >= STARTING {
-                process.listed = registered.iter().copied().filter(|n| *n != number).collect();
+                let others = registered.iter().copied().filter(|n| *n != number);
+                process.list(others.map(host_name).collect(), at(tick));
             }
             if tick % GOSSIP == number % GOSSIP {
                 for other in live.iter().filter(|n| **n != number && !is_split(number, **n)) {
-                    process.heard.insert(*other, tick);
+                    process.hear(host_name(*other), at(tick));
                 }
             }
         }
@@ -239,7 +261,7 @@
             process.budget.record_request(at(tick));
             self.requests[tick] += 1;
         }
-        while tick >= WARM_UP && process.take(tick) {
+        while tick >= WARM_UP && process.take(at(tick)) {
             process.waiting.push(tick + delays[process.waiting.len() % delays.len()]);
         }
         let before = process.waiting.len();
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -38,7 +38,7 @@
 pub async fn run(state: Shared, store: Client) {
     let apply = |update, changes: Vec<Change>| {
         if update == Update::Snapshot {
-            state.inner.borrow_mut().peers.clear();
+            state.forget_registrations();
         }
         state.inner.borrow_mut().knows_peers = true;
         for change in changes {
@@ -46,7 +46,7 @@
                 Change::Written(item) => apply_entry_key(&state, &item),
                 Change::Removed(key) => {
                     if let Some(host) = key.strip_prefix(HOST_PREFIX) {
-                        state.inner.borrow_mut().peers.remove(&name::Host::from(host));
+                        state.forget_registration(&name::Host::from(host));
                         log::info!(host; "registration of an entry removed");
                     }
                 }
@@ -93,13 +93,17 @@
     let mut monitor = Monitor::new(&state, "registration");
     let mut lease = None;
     loop {
+        let sent = state.now();
         let result = match lease {
             Some(number) => store.renew_lease(number).await.map(|()| number),
             None => register_with_new_lease(&store, ttl, &key, &value).await,
         };
         monitor.record(&result);
         match result {
-            Ok(number) => lease = Some(number),
+            Ok(number) => {
+                lease = Some(number);
+                state.inner.borrow_mut().presence.record_registration(sent + ttl);
+            }
             Err(Error::Missing) => {
                 lease = None;
                 continue;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -153,6 +153,7 @@
 fn handle(state: &Shared, hub: &Hub, host: name::Host, message: Message) {
     match message {
         Message::Gossip(gossip) => {
+            state.record_present(host.clone());
             request_newer(state, hub, &host, &gossip);
             let now = state.now();
             for (incarnation, age_ms) in &gossip.unhealthy {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -23,6 +23,7 @@
 use oriole_core::fleet::freshness::Freshness;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
+use oriole_core::fleet::presence::Presence;
 use oriole_core::fleet::resumption::Resumption;
 use oriole_core::fleet::{Incarnation, Topic, View};
 use oriole_core::forward::budget::Budget;
@@ -100,6 +101,8 @@
     pub last_event_at: BTreeMap<name::Endpoint, Instant>,
     /// Which other entries are running.
     pub liveness: Liveness,
+    /// Which entries share the retry budget.
+    pub presence: Presence,
     /// Other entries registered in the store, by host.
     pub peers: BTreeMap<name::Host, Peer>,
     /// Whether the registrations of entries have been read.
@@ -199,6 +202,7 @@
             failures: Failures::default(),
             last_event_at: BTreeMap::new(),
             liveness: Liveness::default(),
+            presence: Presence::default(),
             peers: BTreeMap::new(),
             knows_peers: false,
         };
--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -61,10 +61,33 @@
 
     /// Returns what decides how much of the fixed part of retry budgets this entry may use.
     fn standing(&self) -> Standing {
-        let knows_others = self.inner.borrow().knows_peers;
-        // One more than known, since another entry may be starting.
-        let entries = knows_others.then(|| self.entry_count() + 1);
-        Standing { age: self.now().since(self.started), entries }
+        let (now, window) = (self.now(), self.retry_window());
+        let inner = self.inner.borrow();
+        let sharing = || inner.presence.sharing(inner.peers.keys(), window, now);
+        let entries = if inner.knows_peers { sharing() } else { None };
+        Standing { age: now.since(self.started), entries }
+    }
+
+    fn retry_window(&self) -> Duration {
+        self.tunables.borrow().retries.bound().window
+    }
+
+    /// Records that another entry is registered or has sent gossip.
+    pub fn record_present(&self, host: name::Host) {
+        let (now, window) = (self.now(), self.retry_window());
+        self.inner.borrow_mut().presence.record(host, window, now);
+    }
+
+    /// Forgets that an entry is registered; it was until now.
+    pub fn forget_registration(&self, host: &name::Host) {
+        self.record_present(host.clone());
+        self.inner.borrow_mut().peers.remove(host);
+    }
+
+    /// Forgets which entries are registered; they were until now.
+    pub fn forget_registrations(&self) {
+        let hosts: Vec<name::Host> = self.inner.borrow().peers.keys().cloned().collect();
+        hosts.iter().for_each(|host| self.forget_registration(host));
     }
 
     /// Takes a retry out of this entry's share of the service's retry budget.
