Count a retry from when it is sent, and send no attempt without a pass of the budget

Callers' requests were sent to endpoints more often than the operators allow: a retry counted from when it was taken out of the share, and reached an endpoint up to 1.2 s later, after it had waited for capacity or its turn. The retries of one window came beside those of the next one: 256 of 200 (320 with the shares of today).

The budget hands out a pass for the first attempt and for each retry. dispatch::send, the one place from which requests are sent to endpoints, takes it by value and makes a retry count from then on, so that no attempt can be added that is not counted.

retries_that_wait_for_capacity_do_not_come_beside_those_of_the_next_window failed before and passes.

--- a/crates/core/src/forward/budget.rs
+++ b/crates/core/src/forward/budget.rs
@@ -47,6 +47,14 @@
     pub entries: Option<usize>,
 }
 
+/// Permission to send one attempt of a request, which only a [`Budget`] hands out.
+#[derive(Debug)]
+#[must_use]
+pub struct Pass {
+    /// When a retry was taken out of the share; `None` for the first attempt.
+    taken_at: Option<Instant>,
+}
+
 /// Requests and retries of one service in the current window.
 #[derive(Debug)]
 pub struct Budget {
@@ -78,24 +86,36 @@
         self.bound = bound;
     }
 
-    /// Records a caller's request.
-    pub fn record_request(&mut self, now: Instant) {
+    /// Records a caller's request, and returns the pass of its first attempt.
+    pub fn record_request(&mut self, now: Instant) -> Pass {
         self.expire(now);
         self.requests.push_back(now);
+        Pass { taken_at: None }
     }
 
     /// Takes one retry out of the share of an entry with this `standing`.
     ///
-    /// Returns false, and takes nothing, if the share is used up.
-    pub fn try_take(&mut self, standing: Standing, now: Instant) -> bool {
+    /// Returns `None`, and takes nothing, if the share is used up.
+    pub fn try_take(&mut self, standing: Standing, now: Instant) -> Option<Pass> {
         self.expire(now);
         let proportional = self.bound.ratio * RATIO_FRACTION * self.requests.len() as f64;
         let allowed = self.bound.fixed_share(standing) + proportional;
         if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
+            return None;
+        }
+        self.retries.push_back(now);
+        Some(Pass { taken_at: Some(now) })
+    }
+
+    /// Records that an attempt is sent. A retry counts from now on, as it may have waited for capacity.
+    pub fn spend(&mut self, pass: Pass, now: Instant) {
+        let Some(taken_at) = pass.taken_at else {
+            return;
+        };
+        if let Some(position) = self.retries.iter().rposition(|at| *at == taken_at) {
+            self.retries.remove(position);
         }
         self.retries.push_back(now);
-        true
     }
 
     fn expire(&mut self, now: Instant) {
--- a/crates/core/tests/budget/world.rs
+++ b/crates/core/tests/budget/world.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::presence::Presence;
-use oriole_core::forward::budget::{Bound, Budget, Standing};
+use oriole_core::forward::budget::{Bound, Budget, Pass, Standing};
 use oriole_core::name;
 use oriole_core::time::Instant;
 
@@ -85,8 +85,8 @@
     budget: Budget,
     listed: BTreeSet<name::Host>,
     presence: Presence,
-    /// Ticks at which retries are sent that have been taken.
-    waiting: Vec<usize>,
+    /// Retries that have been taken, and the ticks at which they are sent.
+    waiting: Vec<(Pass, usize)>,
 }
 
 impl Process {
@@ -110,7 +110,7 @@
         self.presence.record(host, WINDOW_TIME, now);
     }
 
-    fn take(&mut self, now: Instant) -> bool {
+    fn take(&mut self, now: Instant) -> Option<Pass> {
         let registered = self.listed.iter();
         let entries = self.presence.sharing(registered, WINDOW_TIME, now);
         let standing = Standing { age: now.since(at(self.started)), entries };
@@ -258,15 +258,23 @@
             return;
         }
         for _ in 0..rate {
-            process.budget.record_request(at(tick));
+            let first = process.budget.record_request(at(tick));
+            process.budget.spend(first, at(tick));
             self.requests[tick] += 1;
         }
-        while tick >= WARM_UP && process.take(at(tick)) {
-            process.waiting.push(tick + delays[process.waiting.len() % delays.len()]);
+        while tick >= WARM_UP
+            && let Some(pass) = process.take(at(tick))
+        {
+            let delay = delays[process.waiting.len() % delays.len()];
+            process.waiting.push((pass, tick + delay));
+        }
+        let is_due = |(_, at): &(Pass, usize)| *at <= tick;
+        let (due, waiting): (Vec<_>, Vec<_>) = process.waiting.drain(..).partition(is_due);
+        process.waiting = waiting;
+        for (pass, _) in due {
+            process.budget.spend(pass, at(tick));
+            self.arrivals[tick] += 1;
         }
-        let before = process.waiting.len();
-        process.waiting.retain(|at| *at > tick);
-        self.arrivals[tick] += before - process.waiting.len();
     }
 
     /// Checks the bound in each window. Requests count in the window, the one before it, or the one half a
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -158,9 +158,11 @@
             ms += pause;
             let budget = &mut budgets[entry % entries];
             if !retry {
-                budget.record_request(at_ms(ms));
+                let first = budget.record_request(at_ms(ms));
+                budget.spend(first, at_ms(ms));
                 requests.push(ms);
-            } else if budget.try_take(standing, at_ms(ms)) {
+            } else if let Some(pass) = budget.try_take(standing, at_ms(ms)) {
+                budget.spend(pass, at_ms(ms));
                 retries.push(ms);
             }
             let within = |times: &[u64]| times.iter().filter(|t| ms - **t <= 10_000).count() as f64;
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use oriole_adapter::exchange;
 use oriole_core::fleet::Endpoint;
+use oriole_core::forward::budget::Pass;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::in_flight::Work;
 use oriole_core::forward::outcome::{Attempts, Failure};
@@ -20,6 +21,7 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::{sleep, timeout};
 
+use crate::dispatch;
 use crate::generation::Slot;
 use crate::metrics::Metrics;
 use crate::reply::Writer;
@@ -56,13 +58,18 @@
     Response(Response),
     /// The attempt failed.
     Failed(Failure),
-    /// The endpoint took too long, and this other one has been found; the retry has been taken out of
-    /// the budget.
-    Left(Endpoint),
+    /// The endpoint took too long, and this other one has been found, with a retry.
+    Left(Endpoint, Pass),
 }
 
-/// Serves the request. An error means that the connection to the caller is lost.
-pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
+/// Serves the request; `pass` is that of its first attempt. An error means that the connection to the caller
+/// is lost.
+pub async fn run(
+    state: &Shared,
+    request: &Request,
+    pass: Pass,
+    writer: &mut Writer,
+) -> io::Result<()> {
     let left = request.deadline.since(state.now());
     if !state.finishes_before_exit(left) {
         return give_up(state, request, writer, Reason::Stopping, true).await;
@@ -70,7 +77,8 @@
     // The last response with a server error, forwarded if no attempt succeeds.
     let mut failed = None;
     let mut attempts = Attempts::default();
-    let result = timeout(left, try_endpoints(state, request, &mut attempts, &mut failed)).await;
+    let result =
+        timeout(left, try_endpoints(state, request, pass, &mut attempts, &mut failed)).await;
     let waited_ms = state.now().since(request.arrived).as_millis() as u64;
     match (result, failed) {
         (Ok(Ok(response)), _) => {
@@ -102,6 +110,7 @@
 async fn try_endpoints(
     state: &Shared,
     request: &Request,
+    mut pass: Pass,
     attempts: &mut Attempts,
     failed: &mut Option<Response>,
 ) -> Result<Response, Reason> {
@@ -118,8 +127,9 @@
         check_crashes(state, request)?;
         state.record_run(&request.parameters.shared_parts);
         let slot = Slot::reserve(state, &target.id, Work { requests: 1, ..Work::default() });
-        let outcome = attempt(state, request, &target, attempts, &tried).await;
+        let outcome = attempt(state, request, pass, &target, attempts, &tried).await;
         drop(slot);
+        let mut left = None;
         let failure = match outcome {
             Outcome::Response(response) if response.head.status.is_server_error() => {
                 *failed = Some(response);
@@ -127,8 +137,8 @@
             }
             Outcome::Response(response) => return Ok(response),
             Outcome::Failed(failure) => failure,
-            Outcome::Left(other) => {
-                found = Some(other);
+            Outcome::Left(other, retry) => {
+                left = Some((other, retry));
                 Failure::Unknown
             }
         };
@@ -141,7 +151,8 @@
         state.inner.borrow_mut().failures.add(&target.id, state.clock.now());
         attempts.record(&target.id, failure);
         tried.push(target.id);
-        if found.is_some() {
+        if let Some((other, retry)) = left {
+            (found, pass) = (Some(other), retry);
             continue;
         }
         let may_retry = attempts.may_retry(&request.route, failure);
@@ -151,9 +162,7 @@
         if !may_retry || !attempts.may_run_elsewhere(&request.route) {
             return Err(Reason::Failed);
         }
-        if !state.take_retry(&request.service) {
-            return Err(Reason::NoBudget);
-        }
+        pass = state.take_retry(&request.service).ok_or(Reason::NoBudget)?;
     }
 }
 
@@ -207,6 +216,7 @@
 async fn attempt(
     state: &Shared,
     request: &Request,
+    pass: Pass,
     target: &Endpoint,
     attempts: &Attempts,
     tried: &[name::Endpoint],
@@ -238,14 +248,14 @@
     let run = Run::begin(state, request, run_target);
     let exchange = async {
         let sent = state.now();
-        let answer = exchange::send(stream, head, request.body.clone()).await;
+        let answer = dispatch::send(state, request, pass, stream, head).await;
         read_response(state, request, target, answer, sent).await
     };
     let leaving = leave(state, request, target, attempts, tried);
     let result = tokio::select! {
         biased;
         result = exchange => result,
-        other = leaving => return Outcome::Left(other),
+        (other, retry) = leaving => return Outcome::Left(other, retry),
     };
     record_end(run, &result).await;
     result.map_or_else(Outcome::Failed, Outcome::Response)
@@ -263,7 +273,7 @@
     }
 }
 
-/// Waits until the request should leave `target` for another endpoint, and returns that one.
+/// Waits until the request should leave `target` for another endpoint, and returns that one and a retry.
 ///
 /// Silence alone is no reason to leave: an endpoint that is slow is waited for unless the route, the
 /// retry budget and another endpoint allow a further attempt.
@@ -273,7 +283,7 @@
     target: &Endpoint,
     attempts: &Attempts,
     tried: &[name::Endpoint],
-) -> Endpoint {
+) -> (Endpoint, Pass) {
     let mut tried = tried.to_vec();
     tried.push(target.id.clone());
     let runs = attempts.ran_at.len() + 1;
@@ -284,9 +294,10 @@
     loop {
         let other = choose(state, request, &tried, &state.closed_endpoints());
         let other = other.filter(|other| !tried.contains(&other.id));
-        if let Some(other) = other.filter(|_| state.take_retry(&request.service)) {
+        let pass = other.as_ref().and_then(|_| state.take_retry(&request.service));
+        if let (Some(other), Some(pass)) = (other, pass) {
             state.take_permit(&other.id);
-            return other;
+            return (other, pass);
         }
         sleep(LEAVE_RECHECK_INTERVAL).await;
     }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use oriole_core::forward::Part;
+use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::hold::Caution;
@@ -35,7 +36,7 @@
 
 use admission::Acquire;
 pub use admission::{Refusal, Slot};
-use attempt::{Attempt, Continued, Detour, Outcome};
+use attempt::{Attempt, Continued, Detour, Outcome, Source};
 use race::{Race, Suspended};
 use timing::Timing;
 
@@ -45,9 +46,9 @@
 /// What a request does next.
 enum Next {
     /// It waits for capacity on a chain, other than `failed` if possible, until `until`.
-    Wait { failed: Option<name::Endpoint>, until: Instant },
+    Wait { failed: Option<name::Endpoint>, until: Instant, pass: Pass },
     /// It runs on a chain on which capacity has been reserved.
-    Run(Chain, Slot),
+    Run(Chain, Slot, Pass),
     /// It goes on with the response of an earlier attempt.
     Continue(Box<Suspended>),
 }
@@ -56,7 +57,7 @@
 struct Start {
     chain: Chain,
     slot: Slot,
-    continued: Option<Continued>,
+    source: Source,
 }
 
 /// A request and its attempts so far.
@@ -71,10 +72,16 @@
     run: Cell<Option<Run>>,
 }
 
-/// Serves the request, with further attempts on other chains as far as its route allows.
+/// Serves the request, with further attempts on other chains as far as its route allows. `pass` is that of
+/// the first one.
 ///
 /// An error means that the connection to the caller is lost.
-pub async fn run(state: &Shared, request: &Request, writer: &mut Writer) -> io::Result<()> {
+pub async fn run(
+    state: &Shared,
+    request: &Request,
+    pass: Pass,
+    writer: &mut Writer,
+) -> io::Result<()> {
     let mut generation = Generation {
         state,
         request,
@@ -85,20 +92,20 @@
     };
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
     let until = queue::wait_deadline(request.arrived, request.route.objective, request.deadline);
-    let mut next = Next::Wait { failed: None, until };
+    let mut next = Next::Wait { failed: None, until, pass };
     let mut suspended: Option<Box<Suspended>> = None;
     loop {
         let started = generation.start(next, &mut splitter).await;
-        let Start { mut chain, slot, continued } = match started {
+        let Start { mut chain, slot, source } = match started {
             Ok(start) => start,
             Err(reason) => return generation.give_up(writer, reason).await,
         };
         let sent = state.now();
         generation.begin.set(None);
         // One detour at a time, and none from a response that the request has come back to.
-        let may_leave = continued.is_none() && suspended.is_none();
+        let may_leave = matches!(source, Source::Send(_)) && suspended.is_none();
         let context = generation.context(&slot, may_leave);
-        let attempt = attempt::run(context, &mut chain, continued, &mut splitter, writer);
+        let attempt = attempt::run(context, &mut chain, source, &mut splitter, writer);
         let race = race::run(attempt, &generation.begin, suspended.take()).await;
         let (outcome, earlier) = match race {
             Race::Ended(outcome, earlier) => (outcome, earlier),
@@ -145,7 +152,7 @@
     let suspended = detour
         .left
         .map(|response| Box::new(Suspended { chain, slot, response, unread: None, splitter }));
-    (Next::Run(detour.chain, detour.slot), suspended)
+    (Next::Run(detour.chain, detour.slot, detour.pass), suspended)
 }
 
 impl Generation<'_> {
@@ -155,26 +162,27 @@
     async fn start(&self, next: Next, splitter: &mut Splitter) -> Result<Start, Reason> {
         let (state, request) = (self.state, self.request);
         pause::settle(state).await;
-        let (chain, slot) = match next {
+        let (chain, slot, pass) = match next {
             Next::Continue(earlier) => {
                 log::info!(id = request.id(); "going on with the response of an earlier attempt");
                 let Suspended { chain, slot, response, unread, splitter: earlier } = *earlier;
                 *splitter = earlier;
-                let continued = Some(Continued { response, unread });
-                return Ok(Start { chain, slot, continued });
+                let source = Source::Continue(Box::new(Continued { response, unread }));
+                return Ok(Start { chain, slot, source });
             }
-            Next::Run(chain, slot) => (chain, slot),
-            Next::Wait { failed, until } => {
+            Next::Run(chain, slot, pass) => (chain, slot, pass),
+            Next::Wait { failed, until, pass } => {
                 let ran_at = &self.attempts.ran_at;
                 let (dealt, waited) = self.take_turn().await;
                 let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt };
                 let until = (until + waited).min(request.deadline);
-                admission::acquire(state, request, acquire, until).await?
+                let (chain, slot) = admission::acquire(state, request, acquire, until).await?;
+                (chain, slot, pass)
             }
         };
         check_crashes(state, request)?;
         state.record_run(&request.parameters.shared_parts);
-        Ok(Start { chain, slot, continued: None })
+        Ok(Start { chain, slot, source: Source::Send(pass) })
     }
 
     /// Waits until the request may run in view of the crashes of which it is suspect. Returns which of the
@@ -211,11 +219,9 @@
         if !failure.is_not_run() && caution == Caution::Stopped {
             return Err(Reason::Quarantined);
         }
-        if !state.take_retry(&request.service) {
-            return Err(Reason::NoBudget);
-        }
+        let pass = state.take_retry(&request.service).ok_or(Reason::NoBudget)?;
         let until = (state.now() + MAX_RESUME_WAIT).min(request.deadline);
-        Ok(Next::Wait { failed: Some(chain.key), until })
+        Ok(Next::Wait { failed: Some(chain.key), until, pass })
     }
 
     async fn give_up(&self, writer: &mut Writer, reason: Reason) -> io::Result<()> {
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::{self, Chain, Query};
 use oriole_core::forward::in_flight::Work;
 use oriole_core::forward::queue::Ticket;
@@ -235,7 +236,7 @@
     request: &Request,
     ran_at: &[name::Endpoint],
     avoid: &name::Endpoint,
-) -> Option<(Chain, Slot)> {
+) -> Option<(Chain, Slot, Pass)> {
     let query = Query {
         route: &request.route,
         work: Work::of(&request.parameters.need),
@@ -246,10 +247,9 @@
         accepts_late: true,
     };
     let chain = choose(state, request, &query)?;
-    if !state.take_retry(&request.service) {
-        return None;
-    }
-    Some(reserve(state, request, chain))
+    let pass = state.take_retry(&request.service)?;
+    let (chain, slot) = reserve(state, request, chain);
+    Some((chain, slot, pass))
 }
 
 /// Reserves capacity on a chain, and uses the permit for its first endpoint if that needs one.
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -9,6 +9,7 @@
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use oriole_adapter::exchange::{self, Body, Response};
+use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
 use oriole_core::forward::outcome::{Attempts, Failure};
@@ -18,6 +19,7 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
+use crate::dispatch;
 use crate::generation::watch::Silence;
 use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
@@ -59,10 +61,20 @@
     pub chain: Chain,
     /// Capacity on it.
     pub slot: Slot,
+    /// The retry that it takes.
+    pub pass: Pass,
     /// The response of the chain that is left, if its head has arrived.
     pub left: Option<Response>,
 }
 
+/// Where an attempt gets its response from.
+pub enum Source {
+    /// The request is sent to the chain.
+    Send(Pass),
+    /// The response of an earlier attempt goes on.
+    Continue(Box<Continued>),
+}
+
 /// A response whose events are still to be forwarded.
 pub struct Continued {
     /// The response, without what has been forwarded.
@@ -92,23 +104,26 @@
     pub may_leave: bool,
 }
 
-/// Sends the request to the chain, or goes on with the response `continued` of an earlier attempt,
-/// and forwards the events to the caller.
+/// Sends the request to the chain, or goes on with the response of an earlier attempt, and forwards the
+/// events to the caller.
 ///
 /// `chain` is updated when the request moves to other stages. `splitter` holds the id of the last
 /// event that was forwarded, after which the endpoint resumes.
 pub async fn run(
     attempt: Attempt<'_>,
     chain: &mut Chain,
-    continued: Option<Continued>,
+    source: Source,
     splitter: &mut Splitter,
     writer: &mut Writer,
 ) -> Outcome {
     let exchange = async {
-        if let Some(continued) = continued {
-            return forward_events(attempt, chain, continued, splitter, writer).await;
-        }
-        match send(attempt, chain, splitter).await {
+        let pass = match source {
+            Source::Send(pass) => pass,
+            Source::Continue(continued) => {
+                return forward_events(attempt, chain, *continued, splitter, writer).await;
+            }
+        };
+        match send(attempt, chain, pass, splitter).await {
             Ok(answer) => forward_stream(attempt, chain, answer, splitter, writer).await,
             Err(outcome) => outcome,
         }
@@ -124,6 +139,7 @@
 async fn send(
     attempt: Attempt<'_>,
     chain: &mut Chain,
+    pass: Pass,
     splitter: &Splitter,
 ) -> Result<Response, Outcome> {
     let Attempt { state, request, .. } = attempt;
@@ -153,7 +169,7 @@
     let target = Target { incarnation: hop.incarnation(), address: hop.address, has_reports: true };
     attempt.run.set(Some(Run::begin(state, request, target)));
     let sent = state.now();
-    let sending = exchange::send(stream, head, request.body.clone());
+    let sending = dispatch::send(state, request, pass, stream, head);
     let mut silence = Silence::begin(FIRST_EVENT_SILENCE, sent);
     let answer = match attempt.watch(chain, &mut silence, sending).await? {
         Ok(answer) => answer,
--- a/crates/router/src/generation/watch.rs
+++ b/crates/router/src/generation/watch.rs
@@ -167,9 +167,9 @@
         if !ran_at.contains(chain.head()) {
             ran_at.push(chain.head().clone());
         }
-        let (chain, slot) =
+        let (chain, slot, pass) =
             admission::reserve_other(self.state, self.request, &ran_at, &chain.key)?;
-        Some(Detour { chain, slot, left: None })
+        Some(Detour { chain, slot, pass, left: None })
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`orders`]: orders endpoints to load the layers that the plan assigns to them.
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
+//! - [`dispatch`]: sends each attempt of a request, with a pass of the retry budget.
 //! - [`body_memory`]: one bound on the memory of response bodies.
 //! - [`reply`]: writes responses to callers.
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
@@ -28,6 +29,7 @@
 pub mod body_memory;
 pub mod call;
 pub mod cmd;
+pub mod dispatch;
 pub mod follow;
 pub mod generation;
 pub mod hold;
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -132,7 +132,7 @@
             return reject(writer, reason).await;
         }
     };
-    state.count_request(&request.service);
+    let pass = state.count_request(&request.service);
     match hold::admit(state, request.fingerprint).await {
         Admission::Run => {}
         Admission::Trial => request.is_trial = true,
@@ -144,9 +144,9 @@
     let has_model = state.model(&request.service).is_some();
     let served = async {
         if has_model && request.route.kind == Kind::Streaming {
-            generation::run(state, &request, writer).await
+            generation::run(state, &request, pass, writer).await
         } else {
-            call::run(state, &request, writer).await
+            call::run(state, &request, pass, writer).await
         }
     };
     let limit = request.deadline.since(state.now()) + WRITE_TIME;
--- a/crates/router/src/state/entries.rs
+++ b/crates/router/src/state/entries.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriole_core::forward::budget::{Budget, Standing};
+use oriole_core::forward::budget::{Budget, Pass, Standing};
 use oriole_core::forward::stop;
 use oriole_core::name;
 
@@ -92,29 +92,33 @@
 
     /// Takes a retry out of this entry's share of the service's retry budget.
     ///
-    /// Returns false, and takes nothing, if the share is used up.
-    pub fn take_retry(&self, service: &name::Service) -> bool {
-        let now = self.now();
-        let standing = self.standing();
-        let bound = self.tunables.borrow().retries.bound();
-        let mut inner = self.inner.borrow_mut();
-        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        let taken = budget.try_take(standing, now);
-        if taken {
-            log::info!(service = service.as_str(), standing:?; "retry");
-            self.metrics.retries.inc();
-        }
-        taken
+    /// Returns `None`, and takes nothing, if the share is used up.
+    pub fn take_retry(&self, service: &name::Service) -> Option<Pass> {
+        let (now, standing) = (self.now(), self.standing());
+        let pass = self.with_budget(service, |budget| budget.try_take(standing, now))?;
+        log::info!(service = service.as_str(), standing:?; "retry");
+        self.metrics.retries.inc();
+        Some(pass)
     }
 
-    /// Counts a caller's request, which adds to the retry budget of the service.
-    pub fn count_request(&self, service: &name::Service) {
+    /// Counts a caller's request, which adds to the retry budget of the service, and returns the pass of its
+    /// first attempt.
+    pub fn count_request(&self, service: &name::Service) -> Pass {
         let now = self.now();
         self.metrics.requests.inc();
+        self.with_budget(service, |budget| budget.record_request(now))
+    }
+
+    /// Records that an attempt of a request to the service is sent.
+    pub fn spend(&self, service: &name::Service, pass: Pass) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.spend(pass, now));
+    }
+
+    fn with_budget<T>(&self, service: &name::Service, work: impl FnOnce(&mut Budget) -> T) -> T {
         let bound = self.tunables.borrow().retries.bound();
         let mut inner = self.inner.borrow_mut();
-        let budget = inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound));
-        budget.record_request(now);
+        work(inner.budgets.entry(service.clone()).or_insert_with(|| Budget::new(bound)))
     }
 }
 
