--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -63,6 +63,11 @@
     /// The request cannot be encoded, or the response body cannot be decoded.
     #[display("the request cannot be encoded, or the response cannot be decoded")]
     Malformed,
+    /// The peer answered with a status that is not one of success.
+    #[display("the peer answered with status {_0}")]
+    #[from(ignore)]
+    #[error(ignore)]
+    Status(StatusCode),
     /// The response or its body is larger than allowed.
     #[display("the response exceeds the size limit")]
     TooLong,
