Reproduce calls to endpoints within a back-off that was named to a report, an order, a move, or a caller that has left

The users saw an endpoint get three requests from an entry that it had answered 503 with Retry-After.

--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as the tests do
 
+mod back_off;
 mod cluster;
 mod crashing_request;
 mod endless;
--- a/crates/router/tests/path/orders.rs
+++ b/crates/router/tests/path/orders.rs
@@ -12,7 +12,7 @@
 
 /// Returns the plan that the store holds, but with the first endpoint of each chain at its end and with so many
 /// layers there that it cannot hold them beside its present ones.
-fn with_first_at_end(cluster: &Cluster) -> serde_json::Value {
+pub fn with_first_at_end(cluster: &Cluster) -> serde_json::Value {
     const LAYERS: u64 = 80;
     const LAST: u64 = 30;
     let mut plan = cluster.store.get("oriole/plan").unwrap();
