Heed what answers to reports and orders state, as that of answers to callers

The heads of answers to reports, to orders to load layers and to moves of streams were dropped, so that a time named in one was not known; a refused report even counted as no answer, so that the endpoint was asked again and suspected of silence.

Reports and orders go through router::ask, which records what the head states of leaving and of back-off under the run that was asked, as state::statement does for requests. A limit on the rate is still taken from answers to callers only. What is in back-off has answered, and is not suspected.

--- a/crates/router/src/generation/repath.rs
+++ b/crates/router/src/generation/repath.rs
@@ -12,9 +12,10 @@
 use oriole_core::forward::chain::Chain;
 use oriole_core::name;
 use oriole_core::time::Instant;
-use oriole_platform::endpoint::{self, Move};
+use oriole_platform::endpoint::Move;
 use tokio::time::sleep;
 
+use crate::ask;
 use crate::metrics::Metrics;
 use crate::serve::Request;
 use crate::state::Shared;
@@ -70,7 +71,7 @@
         let waited = state.now().since(began);
         let other = find_chain(state, request, chain);
         if let Some(other) = other.filter(|other| refused.allow(other, state.now())) {
-            match endpoint::repath(id, &other.hops, ANSWER_TIMEOUT).await {
+            match ask::repath(state, id, &other.hops, ANSWER_TIMEOUT).await {
                 Ok(Move::Accepted) => {
                     state.metrics.moves.inc();
                     let waited_ms = waited.as_millis() as u64;
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`run`]: at which endpoint each request runs, and whether that crashes.
 //! - [`hold`]: holds requests back that crash endpoints, and keeps them in the store.
+//! - [`ask`]: requests reports of endpoints and sends them orders.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
 //! - [`state::limit`]: permits to send requests to endpoints that limit their rate.
@@ -26,6 +27,7 @@
 //! All tasks run on one thread. The decisions are in `oriole_core`, the platform's names, formats
 //! and calls in `oriole_platform`.
 
+pub mod ask;
 pub mod body_memory;
 pub mod call;
 pub mod cmd;
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,9 +15,10 @@
 use oriole_core::name;
 use oriole_core::placement::{Range, order};
 use oriole_core::time::Instant;
-use oriole_platform::endpoint::{self, Acceptance, Report};
+use oriole_platform::endpoint::{Acceptance, Report};
 use tokio::time::sleep;
 
+use crate::ask::{self, Placement};
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::state::Shared;
@@ -52,16 +52,17 @@
 /// An order that is to be sent.
 #[derive(Clone, Debug)]
 struct Order {
-    incarnation: Incarnation,
-    address: SocketAddr,
-    layers: Range,
-    /// Number of orders that the endpoint has accepted before.
-    accepted_orders: u64,
-    fencing_token: u64,
+    placement: Placement,
     /// Estimated time to load the layers.
     load_time: Duration,
 }
 
+impl Order {
+    fn endpoint(&self) -> &name::Endpoint {
+        &self.placement.incarnation.endpoint
+    }
+}
+
 /// Endpoints with an order of this entry in progress.
 type Busy = Rc<RefCell<BTreeSet<name::Endpoint>>>;
 
@@ -80,14 +81,14 @@
         last_changes = Some(changes);
         let now = state.now();
         let orders = state.timed("orders", || due_orders(&state, now));
-        let key = |o: &Order| (o.incarnation.endpoint.clone(), o.layers);
+        let key = |o: &Order| (o.endpoint().clone(), o.placement.layers);
         let keys: BTreeSet<_> = orders.iter().map(key).collect();
         due_since.retain(|k, _| keys.contains(k));
         for order in orders {
             let first = *due_since.entry(key(&order)).or_insert(now);
-            let wait = DELAY_PER_RANK * state.rank_for(&order.incarnation.endpoint) as u32;
+            let wait = DELAY_PER_RANK * state.rank_for(order.endpoint()) as u32;
             let is_turn = now.since(first) >= wait;
-            if is_turn && busy.borrow_mut().insert(order.incarnation.endpoint.clone()) {
+            if is_turn && busy.borrow_mut().insert(order.endpoint().clone()) {
                 actix_rt::spawn(place_layers(state.clone(), busy.clone(), order));
             }
         }
@@ -122,14 +123,14 @@
                 continue;
             };
             let fraction = f64::from(layers.len()) / f64::from(model.layers);
-            all.push(Order {
-                incarnation: Incarnation { endpoint: e.id.clone(), born: e.born },
+            let placement = Placement {
+                incarnation: e.incarnation(),
                 address: e.address,
                 layers,
                 accepted_orders: e.orders,
                 fencing_token: plan.revision,
-                load_time: model.load.mul_f64(fraction),
-            });
+            };
+            all.push(Order { placement, load_time: model.load.mul_f64(fraction) });
         }
     }
     all
@@ -170,47 +171,40 @@
 /// restarted, when a report fails, or when the time for monitoring is over.
 async fn place_layers(state: Shared, busy: Busy, order: Order) {
     let began = state.now();
-    let answer = endpoint::place(
-        order.address,
-        &order.incarnation.endpoint,
-        order.layers,
-        order.accepted_orders,
-        order.fencing_token,
-        ANSWER_TIMEOUT,
-    );
-    let answer = answer.await;
-    let endpoint = order.incarnation.endpoint.as_str();
-    let (first, end, orders) = (order.layers.first, order.layers.end, order.accepted_orders);
+    let Placement { incarnation, address, layers, accepted_orders, .. } = &order.placement;
+    let answer = ask::place(&state, &order.placement, ANSWER_TIMEOUT).await;
+    let endpoint = incarnation.endpoint.as_str();
+    let (first, end, orders) = (layers.first, layers.end, accepted_orders);
     log::info!(endpoint, first, end, orders, answer:?; "ordered layers");
     Metrics::count(&state.metrics.orders, answer_label(&answer));
     let is_begun = matches!(answer, Ok(Acceptance::Begun));
     if is_begun {
-        tell_monitored(&state, &order.incarnation, order.load_time * 2 + TAKEOVER_MARGIN);
+        tell_monitored(&state, incarnation, order.load_time * 2 + TAKEOVER_MARGIN);
         // Starts to request reports well before the estimated end of the load. Loads may share the
         // rate of the weight store, so the actual time differs from the estimate.
         sleep(order.load_time.mul_f64(0.3)).await;
     }
-    let mut watch = order::Watch::new(order.layers);
+    let mut watch = order::Watch::new(*layers);
     let mut until = began + order.load_time * 4 + MONITOR_MARGIN;
     let mut told_at = state.now();
     while state.now() < until {
-        if !suspect::may_ask(&state, &order.incarnation) {
+        if !suspect::may_ask(&state, incarnation) {
             sleep(REPORT_INTERVAL).await;
             continue;
         }
-        match endpoint::report(order.address, ANSWER_TIMEOUT).await {
+        match ask::report(&state, incarnation, *address, ANSWER_TIMEOUT).await {
             Ok(report) => {
-                apply_report(&state, &order.incarnation, &report);
-                let is_resolved = report.orders > order.accepted_orders;
+                apply_report(&state, incarnation, &report);
+                let is_resolved = report.orders > *accepted_orders;
                 let is_settled = watch.record(report.layers, is_resolved && !report.busy);
                 let is_void = is_not_begun(&answer) && !report.busy;
-                if is_settled || is_void || report.born != order.incarnation.born {
+                if is_settled || is_void || report.born != incarnation.born {
                     break;
                 }
                 let now = state.now();
                 if report.busy && now.since(told_at) >= TELL_INTERVAL {
                     // Layers that are given up wait for the requests that pass through them.
-                    tell_monitored(&state, &order.incarnation, TAKEOVER_MARGIN);
+                    tell_monitored(&state, incarnation, TAKEOVER_MARGIN);
                     told_at = now;
                     until = until.max(now + TAKEOVER_MARGIN).min(began + MAX_MONITOR_TIME);
                 }
@@ -223,9 +217,9 @@
         sleep(REPORT_INTERVAL).await;
     }
     if is_begun {
-        tell_monitored(&state, &order.incarnation, Duration::ZERO);
+        tell_monitored(&state, incarnation, Duration::ZERO);
     }
-    busy.borrow_mut().remove(&order.incarnation.endpoint);
+    busy.borrow_mut().remove(&incarnation.endpoint);
 }
 
 /// Records the layers and orders in an endpoint's report and sends them to the other entries.
--- a/crates/router/src/pace.rs
+++ b/crates/router/src/pace.rs
@@ -57,7 +57,7 @@
 }
 
 async fn ask(state: Shared, hop: Hop) {
-    let Ok(report) = suspect::request_report(hop.address).await else {
+    let Ok(report) = suspect::request_report(&state, &hop.incarnation(), hop.address).await else {
         return;
     };
     if report.born != hop.born {
--- a/crates/router/src/state/statement.rs
+++ b/crates/router/src/state/statement.rs
@@ -6,7 +6,7 @@
 use oriole_core::fleet::{Incarnation, Message, leaving, wait};
 use oriole_core::name;
 use oriole_core::time::Instant;
-use oriole_platform::endpoint;
+use oriole_platform::endpoint::{self, Statements};
 
 use super::{Shared, State, limit};
 use crate::metrics::Metrics;
@@ -63,8 +63,16 @@
 /// Records what the head of an answer to a request that was sent at `sent` states about its endpoint,
 /// and tells the other entries.
 pub fn record(state: &Shared, incarnation: &Incarnation, head: &ResponseHead, sent: Instant) {
-    limit::record(state, incarnation, endpoint::rate_limit(head), sent);
-    match endpoint::leaving(head) {
+    let statements = endpoint::statements(head);
+    limit::record(state, incarnation, statements.limit, sent);
+    record_own(state, incarnation, statements);
+}
+
+/// Records what the answer to a report or an order states about its endpoint.
+///
+/// A limit holds for callers' requests, and only answers to these tell that there is none.
+pub fn record_own(state: &Shared, incarnation: &Incarnation, statements: Statements) {
+    match statements.leaving {
         leaving::Statement::Stays => {}
         leaving::Statement::Leaves => {
             if state.record_leaving(incarnation, Duration::ZERO, state.host.as_str()) {
@@ -74,7 +82,7 @@
         }
         leaving::Statement::Unreadable => state.warn_unreadable(incarnation, "leaving"),
     }
-    match endpoint::wait(head) {
+    match statements.wait {
         wait::Statement::None => {}
         wait::Statement::For(wait) => state.record_wait(incarnation, wait),
         wait::Statement::Unreadable => state.warn_unreadable(incarnation, "wait"),
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -10,9 +10,10 @@
 use oriole_core::fleet::{Cause, Incarnation, Message, wait};
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_core::name;
-use oriole_platform::endpoint::{self, Report};
+use oriole_platform::endpoint::Report;
 use tokio::time::sleep;
 
+use crate::ask;
 use crate::peers;
 use crate::run::Target;
 use crate::state::{Shared, hold};
@@ -50,7 +51,7 @@
 }
 
 async fn ask_again(state: Shared, incarnation: Incarnation, address: SocketAddr) {
-    match request_report(address).await {
+    match request_report(&state, &incarnation, address).await {
         Ok(report) if report.born == incarnation.born => {
             peers::broadcast(&state, &Message::Answered(incarnation.clone()));
             state.record_answer(&incarnation);
@@ -89,10 +90,14 @@
 }
 
 /// Requests a report, and once more if the first request times out.
-pub async fn request_report(address: SocketAddr) -> Result<Report, Error> {
-    match endpoint::report(address, REPORT_TIMEOUTS[0]).await {
+pub async fn request_report(
+    state: &Shared,
+    incarnation: &Incarnation,
+    address: SocketAddr,
+) -> Result<Report, Error> {
+    match ask::report(state, incarnation, address, REPORT_TIMEOUTS[0]).await {
         Err(Error::Timeout | Error::ConnectTimeout) => {
-            endpoint::report(address, REPORT_TIMEOUTS[1]).await
+            ask::report(state, incarnation, address, REPORT_TIMEOUTS[1]).await
         }
         other => other,
     }
@@ -108,7 +113,7 @@
     };
     let (state, chain) = (state.clone(), chain.clone());
     actix_rt::spawn(async move {
-        let report = request_report(chain.hops[0].address).await;
+        let report = request_report(&state, &incarnation, chain.hops[0].address).await;
         match report {
             Err(error) => {
                 log::info!(
@@ -149,7 +154,7 @@
     for hop in chain.hops.iter().filter(|hop| may_ask(state, &hop.incarnation())) {
         let (state, hop) = (state.clone(), hop.clone());
         actix_rt::spawn(async move {
-            match request_report(hop.address).await {
+            match request_report(&state, &hop.incarnation(), hop.address).await {
                 Ok(report) if report.born == hop.born => {}
                 Ok(_) => mark_unhealthy(&state, &hop.incarnation(), Cause::Restarted),
                 Err(error) => record_no_answer(&state, &hop.incarnation(), &error),
@@ -183,7 +188,7 @@
     };
     let (state, address) = (state.clone(), hop.address);
     actix_rt::spawn(async move {
-        let report = request_report(address).await;
+        let report = request_report(&state, &incarnation, address).await;
         match report {
             Ok(report) if report.born == incarnation.born => {
                 let layers = report.layers;
@@ -232,7 +237,8 @@
         if !may_ask(state, incarnation) {
             return false;
         }
-        endpoint::report(*address, REPORT_TIMEOUTS[0]).await.map(|r| r.born == incarnation.born)
+        let report = ask::report(state, incarnation, *address, REPORT_TIMEOUTS[0]).await;
+        report.map(|r| r.born == incarnation.born)
     } else {
         exchange::connect(*address, REPORT_TIMEOUTS[0]).await.map(|_| true)
     };
@@ -255,12 +261,16 @@
 /// Records that an endpoint did not answer.
 ///
 /// An endpoint that refuses connections is certainly unhealthy. Silence may be caused by this entry
-/// or its link, so the endpoint is marked as unhealthy only once other entries see it as well.
+/// or its link, so the endpoint is marked as unhealthy only once other entries see it as well. One that
+/// is in back-off has answered.
 pub fn record_no_answer(state: &Shared, incarnation: &Incarnation, error: &Error) {
     if is_refusal(error) {
         mark_unhealthy(state, incarnation, Cause::ConnectionRefused);
         return;
     }
+    if is_waiting(state, incarnation) {
+        return;
+    }
     peers::broadcast(state, &Message::Suspicion(incarnation.clone()));
     state.suspect(incarnation, &state.host);
 }
--- a/crates/router/tests/path/back_off.rs
+++ b/crates/router/tests/path/back_off.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use futures_util::future::{join, join_all};
+use futures_util::future::{join, join_all, join3};
 use oriole_platform_standin::back_off::{Kind, Refusal};
 use oriole_platform_standin::caller::request_text;
 use oriole_platform_standin::config::KEY;
@@ -77,11 +77,15 @@
     for engine in engines() {
         cluster.fleet.set_fault(&engine, Fault::Full);
     }
-    cluster.entries[0].call("/draft/a", "refused", KEY).await;
-    for engine in engines() {
-        cluster.fleet.set_fault(&engine, Fault::None);
-    }
-    check_bound(&cluster, "/draft/a", &engines()).await;
+    let refused = cluster.entries[0].call("/draft/a", "refused", KEY);
+    let mend = async {
+        cluster.wait(|c| engines().iter().any(|e| !c.fleet.will_turn_away(e))).await;
+        for engine in engines() {
+            cluster.fleet.set_fault(&engine, Fault::None);
+        }
+    };
+    let endpoints = engines();
+    join3(refused, mend, check_bound(&cluster, "/draft/a", &endpoints)).await;
 }
 
 #[actix_rt::test]
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -193,12 +193,12 @@
     let path = cluster.fleet.path("r1").unwrap();
     let (address, layers) = path.split(',').next().unwrap().split_once('=').unwrap();
     let address = address.parse().unwrap();
-    let report = endpoint::report(address, WAIT_TIMEOUT).await.unwrap();
+    let report = endpoint::report(address, WAIT_TIMEOUT).await.unwrap().content.unwrap();
     assert_eq!(format!("{}-{}", report.layers.first, report.layers.end), layers);
     assert!(report.orders > 0);
     let id = cluster.fleet.runs("r1")[0].as_str().into();
     let place = endpoint::place(address, &id, report.layers, report.orders, 1, WAIT_TIMEOUT);
-    assert_eq!(place.await.unwrap(), Acceptance::Begun);
+    assert_eq!(place.await.unwrap().content.unwrap(), Acceptance::Begun);
 }
 
 #[actix_rt::test]
