Read what an endpoint states also when the attempt has been left

An endpoint that had answered an entry 503 with Retry-After got more requests from it than the operators allow: an attempt that was left before the head of its response came (by its caller, for another endpoint, at its deadline, in a race with an earlier response) dropped the connection, and nobody read the time.

dispatch::send reads the head in a task of its own, records what it states, and passes it to the attempt. If that has been left, the task goes on for 100 ms and then closes the connection: an endpoint that turns a request away answers at once, and one that works is not kept at work. Generations and calls had a copy each of classifying and recording; it stands once now.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -21,13 +21,13 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::{sleep, timeout};
 
-use crate::dispatch;
+use crate::dispatch::{self, Answer};
 use crate::generation::Slot;
 use crate::metrics::Metrics;
 use crate::reply::Writer;
 use crate::run::{Run, Target};
 use crate::serve::{Reason, Request, check_crashes, give_up};
-use crate::state::{Shared, pause, statement};
+use crate::state::{Shared, pause};
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -247,9 +247,9 @@
         Target { incarnation: target.incarnation(), address: target.address, has_reports: false };
     let run = Run::begin(state, request, run_target);
     let exchange = async {
-        let sent = state.now();
-        let answer = dispatch::send(state, request, pass, stream, head).await;
-        read_response(state, request, target, answer, sent).await
+        let incarnation = target.incarnation();
+        let answer = dispatch::send(state, request, pass, incarnation, stream, head).await;
+        read_response(state, request, target, answer).await
     };
     let leaving = leave(state, request, target, attempts, tried);
     let result = tokio::select! {
@@ -303,25 +303,21 @@
     }
 }
 
-/// Checks that the response to a request that was sent at `sent` belongs to it, and reads its body.
+/// Checks that the response to a request belongs to it, and reads its body.
 async fn read_response(
     state: &Shared,
     request: &Request,
     target: &Endpoint,
-    answer: Result<exchange::Response, exchange::Error>,
-    sent: Instant,
+    answer: Result<Answer, exchange::Error>,
 ) -> Result<Response, Failure> {
-    let exchange::Response { head, mut body } = answer.map_err(|error| {
+    let Answer { response, class } = answer.map_err(|error| {
         log::info!(
             id = request.id(), endpoint = target.id.as_str(), error:%;
             "no valid response head from the endpoint"
         );
         Failure::Unknown
     })?;
-    let class = endpoint::classify(&head, request.parameters.request_id.as_deref());
-    if class.is_of_target(head.status) {
-        statement::record(state, &target.incarnation(), &head, sent);
-    }
+    let exchange::Response { head, mut body } = response;
     match class {
         Classification::Answer => {}
         Classification::NotExecuted(_) => return Err(Failure::NotExecuted),
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -1,21 +1,94 @@
 //! Sends attempts of requests to endpoints. Every attempt goes through here, with a pass of the retry budget.
+//!
+//! The head of the response is read, and what it states recorded, also if the attempt has been left meanwhile:
+//! by its caller, for another endpoint, or at its deadline.
+
+use std::pin::pin;
+use std::time::Duration;
 
 use actix_http::RequestHead;
 use oriole_adapter::exchange::{self, Error, Response};
+use oriole_core::fleet::Incarnation;
 use oriole_core::forward::budget::Pass;
+use oriole_core::time::Instant;
+use oriole_platform::endpoint::{self, Classification};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::serve::Request;
-use crate::state::State;
+use crate::state::{Shared, statement};
+
+/// Time after an attempt was left in which the head of its response is still read. An endpoint that turns a request
+/// away answers at once; one that has begun to work is not kept at work.
+const LEFT_READ_TIME: Duration = Duration::from_millis(100);
+
+/// The head of a response, with its body to come, and what kind of response it is.
+pub struct Answer {
+    /// The response.
+    pub response: Response,
+    /// Classification by its head.
+    pub class: Classification,
+}
+
+/// An attempt whose response has not begun.
+struct Sent {
+    state: Shared,
+    incarnation: Incarnation,
+    request_id: Option<String>,
+    at: Instant,
+}
 
-/// Sends an attempt of the request on `stream`, and waits for the head of the response.
+/// Sends an attempt of the request to `incarnation` on `stream`, and waits for the head of the response.
 pub async fn send(
-    state: &State,
+    state: &Shared,
     request: &Request,
     pass: Pass,
+    incarnation: Incarnation,
     stream: TcpStream,
     head: RequestHead,
-) -> Result<Response, Error> {
+) -> Result<Answer, Error> {
     state.spend(&request.service, pass);
-    exchange::send(stream, head, request.body.clone()).await
+    let request_id = request.parameters.request_id.clone();
+    let sent = Sent { state: state.clone(), incarnation, request_id, at: state.now() };
+    let exchange = exchange::send(stream, head, request.body.clone());
+    let (sender, receiver) = oneshot::channel();
+    actix_rt::spawn(read_head(sent, exchange, sender));
+    receiver.await.unwrap_or(Err(Error::Closed))
+}
+
+/// Reads the head of a response and passes it to `attempt`, unless that has been left.
+async fn read_head(
+    sent: Sent,
+    exchange: impl Future<Output = Result<Response, Error>>,
+    mut attempt: oneshot::Sender<Result<Answer, Error>>,
+) {
+    let mut exchange = pin!(exchange);
+    let result = tokio::select! {
+        biased;
+        result = &mut exchange => result,
+        () = attempt.closed() => match timeout(LEFT_READ_TIME, exchange).await {
+            Ok(result) => result,
+            Err(_) => return,
+        },
+    };
+    let answer = result.map(|response| sent.record(response));
+    if attempt.send(answer).is_err() {
+        log::debug!(id = sent.id(); "response of an attempt that was left");
+    }
+}
+
+impl Sent {
+    fn id(&self) -> &str {
+        self.request_id.as_deref().unwrap_or_default()
+    }
+
+    /// Records what the head of the response states.
+    fn record(&self, response: Response) -> Answer {
+        let class = endpoint::classify(&response.head, self.request_id.as_deref());
+        if class.is_of_target(response.head.status) {
+            statement::record(&self.state, &self.incarnation, &response.head, self.at);
+        }
+        Answer { response, class }
+    }
 }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -19,14 +19,14 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
-use crate::dispatch;
+use crate::dispatch::{self, Answer};
 use crate::generation::watch::Silence;
 use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::run::{Run, Target};
 use crate::serve::Request;
-use crate::state::{Shared, statement};
+use crate::state::Shared;
 use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
@@ -168,10 +168,9 @@
     let head = endpoint::request(&request.head, &additions);
     let target = Target { incarnation: hop.incarnation(), address: hop.address, has_reports: true };
     attempt.run.set(Some(Run::begin(state, request, target)));
-    let sent = state.now();
-    let sending = dispatch::send(state, request, pass, stream, head);
-    let mut silence = Silence::begin(FIRST_EVENT_SILENCE, sent);
-    let answer = match attempt.watch(chain, &mut silence, sending).await? {
+    let sending = dispatch::send(state, request, pass, hop.incarnation(), stream, head);
+    let mut silence = Silence::begin(FIRST_EVENT_SILENCE, state.now());
+    let Answer { response, class } = match attempt.watch(chain, &mut silence, sending).await? {
         Ok(answer) => answer,
         Err(e) => {
             log::info!(id = request.id(), error:% = e; "no valid response head from the endpoint");
@@ -179,19 +178,15 @@
             return Err(Outcome::Failed(Failure::Unknown));
         }
     };
-    let class = endpoint::classify(&answer.head, request.parameters.request_id.as_deref());
-    if class.is_of_target(answer.head.status) {
-        statement::record(state, &hop.incarnation(), &answer.head, sent);
-    }
     match class {
-        Classification::Answer => Ok(answer),
+        Classification::Answer => Ok(response),
         Classification::NotExecuted(at_fault) => {
-            let status = answer.head.status.as_u16();
+            let status = response.head.status.as_u16();
             log::info!(
                 id = request.id(), status, at_fault:?;
                 "endpoint did not execute the request"
             );
-            let wait = endpoint::wait(&answer.head);
+            let wait = endpoint::wait(&response.head);
             suspect::check_refusal(state, chain, at_fault, wait);
             Err(Outcome::Failed(Failure::NotExecuted))
         }
