Send no request to an endpoint whose back-off became known after it was chosen

a_request_that_has_been_given_an_endpoint_is_not_sent_once_that_is_in_back_off failed before (1 request arrived) and passes.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -28,7 +28,6 @@
 use crate::run::{Run, Target};
 use crate::serve::{Reason, Request, check_crashes, give_up};
 use crate::state::{Shared, pause};
-use crate::suspect;
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -221,20 +220,11 @@
     attempts: &Attempts,
     tried: &[name::Endpoint],
 ) -> Outcome {
-    let stream = match exchange::connect(target.address, CONNECT_TIMEOUT).await {
-        Ok(stream) => stream,
-        Err(error) => {
-            log::info!(
-                id = request.id(), endpoint = target.id.as_str(), error:%;
-                "connection to endpoint failed, request not sent"
-            );
-            suspect::record_no_answer(state, &target.incarnation(), &error);
-            return Outcome::Failed(Failure::NotSent);
-        }
-    };
-    if state.is_settling() {
+    let (incarnation, address) = (target.incarnation(), target.address);
+    let opening = dispatch::open(state, request, &incarnation, address, CONNECT_TIMEOUT);
+    let Some(stream) = opening.await else {
         return Outcome::Failed(Failure::NotSent);
-    }
+    };
     let additions = Additions {
         target: &target.id,
         workspace: request.workspace.as_ref().map(|w| &w.name),
@@ -243,11 +233,9 @@
         hops: &[],
     };
     let head = endpoint::request(&request.head, &additions);
-    let run_target =
-        Target { incarnation: target.incarnation(), address: target.address, has_reports: false };
+    let run_target = Target { incarnation: incarnation.clone(), address, has_reports: false };
     let run = Run::begin(state, request, run_target);
     let exchange = async {
-        let incarnation = target.incarnation();
         let answer = dispatch::send(state, request, pass, incarnation, stream, head).await;
         read_response(state, request, target, answer).await
     };
--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! The head of the response is read, and what it states recorded, also if the attempt has been left meanwhile:
 //! by its caller, for another endpoint, or at its deadline.
 
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
 
@@ -18,6 +19,7 @@
 
 use crate::serve::Request;
 use crate::state::{Shared, statement};
+use crate::suspect;
 
 /// Time after an attempt was left in which the head of its response is still read. An endpoint that turns a request
 /// away answers at once; one that has begun to work is not kept at work.
@@ -39,6 +41,34 @@
     at: Instant,
 }
 
+/// Opens the connection of an attempt within `limit`.
+///
+/// Returns `None` if that fails, or if the endpoint may not get the request any more: it is in back-off since it was
+/// chosen, or this process was paused meanwhile and does not know what has changed.
+pub async fn open(
+    state: &Shared,
+    request: &Request,
+    incarnation: &Incarnation,
+    address: SocketAddr,
+    limit: Duration,
+) -> Option<TcpStream> {
+    let (id, endpoint) = (request.id(), incarnation.endpoint.as_str());
+    let stream = match exchange::connect(address, limit).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::info!(id, endpoint, error:%; "connection to endpoint failed, request not sent");
+            suspect::record_no_answer(state, incarnation, &error);
+            return None;
+        }
+    };
+    let is_in_back_off = state.inner.borrow().view.is_waiting(&incarnation.endpoint, state.now());
+    if is_in_back_off || state.is_settling() {
+        log::info!(id, endpoint, is_in_back_off; "endpoint may not get the request any more");
+        return None;
+    }
+    Some(stream)
+}
+
 /// Sends an attempt of the request to `incarnation` on `stream`, and waits for the head of the response.
 pub async fn send(
     state: &Shared,
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -8,7 +8,7 @@
 
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
-use oriole_adapter::exchange::{self, Body, Response};
+use oriole_adapter::exchange::{Body, Response};
 use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::event::Splitter;
@@ -144,20 +144,11 @@
 ) -> Result<Response, Outcome> {
     let Attempt { state, request, .. } = attempt;
     let hop = chain.hops[0].clone();
-    let stream = match exchange::connect(hop.address, CONNECT_TIMEOUT).await {
-        Ok(stream) => stream,
-        Err(e) => {
-            log::info!(
-                id = request.id(), endpoint = hop.endpoint.as_str(), error:% = e;
-                "connection to endpoint failed, request not sent"
-            );
-            suspect::record_no_answer(state, &hop.incarnation(), &e);
-            return Err(Outcome::Failed(Failure::NotSent));
-        }
-    };
-    if state.is_settling() {
+    let (incarnation, address) = (hop.incarnation(), hop.address);
+    let opening = dispatch::open(state, request, &incarnation, address, CONNECT_TIMEOUT);
+    let Some(stream) = opening.await else {
         return Err(Outcome::Failed(Failure::NotSent));
-    }
+    };
     let additions = Additions {
         target: &hop.endpoint,
         workspace: request.workspace.as_ref().map(|w| &w.name),
@@ -166,9 +157,9 @@
         hops: &chain.hops,
     };
     let head = endpoint::request(&request.head, &additions);
-    let target = Target { incarnation: hop.incarnation(), address: hop.address, has_reports: true };
+    let target = Target { incarnation: incarnation.clone(), address, has_reports: true };
     attempt.run.set(Some(Run::begin(state, request, target)));
-    let sending = dispatch::send(state, request, pass, hop.incarnation(), stream, head);
+    let sending = dispatch::send(state, request, pass, incarnation, stream, head);
     let mut silence = Silence::begin(FIRST_EVENT_SILENCE, state.now());
     let Answer { response, class } = match attempt.watch(chain, &mut silence, sending).await? {
         Ok(answer) => answer,
--- a/crates/router/tests/path/back_off.rs
+++ b/crates/router/tests/path/back_off.rs
@@ -10,6 +10,7 @@
 use oriole_platform_standin::fleet::Fault;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::cluster::Cluster;
@@ -134,3 +135,28 @@
     send_and_leave(&cluster, "/draft/a").await;
     check_bound(&cluster, "/draft/a", &engines()).await;
 }
+
+/// Guards against requests that were on their way to an endpoint when its refusal of another one came.
+#[actix_rt::test]
+async fn a_request_that_has_been_given_an_endpoint_is_not_sent_once_that_is_in_back_off() {
+    let cluster = Cluster::new(1).await;
+    let state = &cluster.entries[0].state;
+    let back_off = async {
+        // Until a request holds capacity at an endpoint and has yet to open its connection.
+        let target = loop {
+            let chosen = ["plain-0", "plain-1"]
+                .into_iter()
+                .find(|id| state.inner.borrow().in_flight.own(&(*id).into()).requests > 0);
+            match chosen {
+                Some(id) => break id,
+                None => yield_now().await,
+            }
+        };
+        let incarnation = state.inner.borrow().view.get(&target.into()).unwrap().incarnation();
+        state.record_wait(&incarnation, Duration::from_secs(2));
+        target
+    };
+    let (answer, target) = join(cluster.entries[0].call("/page/a", "r1", KEY), back_off).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(cluster.fleet.arrivals(target), 0);
+}
