Count all requests that the demo sends over a limit

The demo said 16 requests, of which 2 were complete and 15 refused: the first one, which is repeated until it is admitted, was not counted in the title.

--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -231,7 +231,8 @@
         None => Value::Null,
     };
     Check {
-        title: format!("{count} requests over the limit of {}", scenario.low_rate),
+        // The first request, which was admitted, is one more.
+        title: format!("{} requests over the limit of {}", count + 1, scenario.low_rate),
         passed: all_correct && complete > 0 && !refused.is_empty(),
         observed: format!("{complete} complete, {} refused as not run: {refusal}", refused.len()),
         request,
