--- a/crates/core/tests/budget/main.rs
+++ b/crates/core/tests/budget/main.rs
@@ -38,7 +38,7 @@
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(20_261_204),
         failure_persistence: None,
-        cases: 96,
+        cases: 256,
         ..ProptestConfig::default()
     })]
 
--- a/crates/core/tests/budget/world.rs
+++ b/crates/core/tests/budget/world.rs
@@ -196,7 +196,7 @@
 
     fn kill(&mut self, number: usize, ticks: usize) {
         let (tick, host) = (self.tick, &mut self.hosts[number]);
-        let recent = host.ends.iter().filter(|at| tick - **at <= WINDOW + WARM_UP).count();
+        let recent = host.ends.iter().filter(|at| tick - **at <= WINDOW).count();
         if host.process.is_some() && recent < MAX_ENDS {
             host.process = None;
             host.starts_at = tick + ticks;
