Review case 2: entries that lose their registrations to late writes

Cause: an entry writes its registration without a condition. If the answer is lost and the write is done late, it puts the key under a lease that nobody renews, and the entry renews another one: its registration is gone for good. Two such entries cannot find each other again once their connection has ended, and each of them grants the permits of an endpoint that limits its rate.

Seen: an engine that names 20 requests a second gets about 162 in 4 s, where 125 are allowed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod http;
 mod json;
+mod limit;
 mod record;
 mod store;
 
@@ -62,6 +63,7 @@
     let work = temporary.clone();
     let run = std::panic::catch_unwind(move || match scenario.as_str() {
         "drill" => drill::run(has_trouble, &work, &record),
+        "limit" => limit::run(has_trouble, &work, &record),
         _ => Outcome::Unable,
     });
     entry::kill_all();
