--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -47,6 +47,29 @@
     send(entry, "POST /once", id, record)
 }
 
+/// Sends a request that is not idempotent, with a body of `size` bytes that takes `time`, and returns its answer
+/// if there is one.
+pub fn upload(
+    entry: SocketAddr,
+    id: &str,
+    size: usize,
+    time: Duration,
+    record: &Record,
+) -> Option<Message> {
+    let head = format!(
+        "POST /once/{id} HTTP/1.1\r\nhost: calls.example\r\noriolelanding-request-id: {id}\r\n\
+         oriolelanding-deadline-ms: {}\r\napi-key: {KEY}\r\ncontent-length: {size}\r\n\
+         connection: close\r\n\r\n",
+        DEADLINE.as_millis()
+    );
+    let answer = http::call_slowly(entry, head.as_bytes(), size, time, DEADLINE);
+    match &answer {
+        Ok(answer) => record.line(&format!("client: {id} gets {}", answer.status())),
+        Err(error) => record.line(&format!("client: {id} gets no answer: {error}")),
+    }
+    answer.ok()
+}
+
 fn send(entry: SocketAddr, target: &str, id: &str, record: &Record) -> Option<Message> {
     let length = if target.starts_with("POST") { "content-length: 0\r\n" } else { "" };
     let request = format!(
--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -49,6 +49,7 @@
     pub name: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
+    file: PathBuf,
     child: Child,
     record: Record,
 }
@@ -91,19 +92,34 @@
         assert!(!settings.contains("{{"), "a field of the template has no value: {settings}");
         let file: PathBuf = folder.join(format!("{name}.toml"));
         fs::write(&file, settings).expect("the settings");
-        let log = fs::File::create(folder.join(format!("{name}.log"))).expect("the log");
-        let errors = log.try_clone().expect("the log");
-        let child = Command::new(PROGRAM.0)
-            .arg(PROGRAM.1)
-            .env(SETTINGS_VARIABLE, &file)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program of the deploy file");
-        RUNNING.lock().expect("the processes").push(child.id());
+        let child = spawn(&file);
         record.line(&format!("{name}: started in {zone}"));
-        Self { name: name.to_owned(), callers, ready, child, record: record.clone() }
+        Self { name: name.to_owned(), callers, ready, file, child, record: record.clone() }
+    }
+
+    /// Returns the memory that the process uses, in bytes; zero if it has ended.
+    pub fn memory(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|text| text.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
+    /// Kills the process, and starts it again after `pause` with the same settings.
+    pub fn restart(&mut self, pause: Duration) {
+        self.end();
+        thread::sleep(pause);
+        self.child = spawn(&self.file);
+        self.record.line(&format!("{}: started again", self.name));
+    }
+
+    fn end(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if let Ok(mut running) = RUNNING.lock() {
+            running.retain(|process| *process != self.child.id());
+        }
     }
 
     /// Waits until the entry says that it is ready. Returns whether it did within `limit`.
@@ -133,10 +149,23 @@
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        if let Ok(mut running) = RUNNING.lock() {
-            running.retain(|process| *process != self.child.id());
-        }
+        self.end();
     }
 }
+
+/// Starts the program of the deploy file. Its log lies beside the settings.
+fn spawn(settings: &Path) -> Child {
+    let log = settings.with_extension("log");
+    let log = fs::File::options().create(true).append(true).open(log).expect("the log");
+    let errors = log.try_clone().expect("the log");
+    let child = Command::new(PROGRAM.0)
+        .arg(PROGRAM.1)
+        .env(SETTINGS_VARIABLE, settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .expect("the program of the deploy file");
+    RUNNING.lock().expect("the processes").push(child.id());
+    child
+}
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -153,6 +153,35 @@
     Ok(message)
 }
 
+/// Sends a request whose body of `size` bytes takes `time`, and reads the whole response within `limit` after
+/// that.
+pub fn call_slowly(
+    address: SocketAddr,
+    head: &[u8],
+    size: usize,
+    time: Duration,
+    limit: Duration,
+) -> io::Result<Message> {
+    const STEPS: usize = 20;
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(limit))?;
+    stream.set_write_timeout(Some(limit))?;
+    let mut writer = stream.try_clone()?;
+    writer.write_all(head)?;
+    let step = vec![b'x'; size / STEPS];
+    for _ in 0..STEPS {
+        writer.write_all(&step)?;
+        thread::sleep(time / STEPS as u32);
+    }
+    let mut reader = BufReader::new(stream);
+    let Some(mut message) = read_head(&mut reader)? else {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    };
+    message.body = read_body(&mut reader, &message)?;
+    Ok(message)
+}
+
 /// Listens on a free loopback port.
 pub fn listen() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free loopback port")
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod record;
 mod store;
+mod uploads;
 
 use std::path::PathBuf;
 use std::process::{ExitCode, exit};
@@ -64,6 +65,7 @@
     let run = std::panic::catch_unwind(move || match scenario.as_str() {
         "drill" => drill::run(has_trouble, &work, &record),
         "limit" => limit::run(has_trouble, &work, &record),
+        "uploads" => uploads::run(has_trouble, &work, &record),
         _ => Outcome::Unable,
     });
     entry::kill_all();
