--- a/review/standin/limit.rs
+++ b/review/standin/limit.rs
@@ -63,6 +63,11 @@
     }
     // All entries are in touch again well before the limit is named.
     thread::sleep(CONTACT * 2);
+    measure(&engine, &entries, record)
+}
+
+/// Lets the engine name its limit while each entry gets more requests than that, and counts what reaches it.
+pub fn measure(engine: &Engine, entries: &[Entry], record: &Record) -> Outcome {
     let is_over = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = entries
         .iter()
@@ -87,7 +92,7 @@
         |from: &Instant| times.iter().filter(|at| **at >= *from && **at < *from + WINDOW).count();
     let most = times.iter().map(in_window).max().unwrap_or(0);
     let bound = 1.5 * f64::from(LIMIT) * WINDOW.as_secs_f64() + 5.0;
-    for entry in &entries {
+    for entry in entries {
         let of_entry = |a: &&crate::engine::Arrival| {
             a.request.starts_with(&entry.name) && a.at >= named + CONTACT
         };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod limit;
 mod record;
+mod secret;
 mod store;
 mod uploads;
 
@@ -65,6 +66,7 @@
     let run = std::panic::catch_unwind(move || match scenario.as_str() {
         "drill" => drill::run(has_trouble, &work, &record),
         "limit" => limit::run(has_trouble, &work, &record),
+        "secret" => secret::run(has_trouble, &work, &record),
         "uploads" => uploads::run(has_trouble, &work, &record),
         _ => Outcome::Unable,
     });
