Review case 4: a held request that a drill of the store takes away

Cause: entries write what they know of requests that crash engines when it differs from what the store held when it was last read or written. A drill takes the key away, and no entry notices that it is missing.

Seen: 20 s after the drill no entry has written it back. All entries are killed; then the request reaches engines six times, where three retries are allowed, and crashes two more of them.

The ports of the stand-ins now lie outside of those of outgoing connections.

--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::engine::CRASHING;
 use crate::http::{self, Message};
 use crate::record::Record;
 
@@ -37,6 +38,12 @@
     )
 }
 
+/// Sends an idempotent request that crashes the engines that run it. All of them are alike but for their ids.
+pub fn get_crashing(entry: SocketAddr, id: &str, record: &Record) -> Option<Message> {
+    let target = format!("GET /page/{CRASHING}");
+    send_to(entry, &target, id, record)
+}
+
 /// Sends an idempotent request to an entry, and returns the answer if there is one.
 pub fn get(entry: SocketAddr, id: &str, record: &Record) -> Option<Message> {
     send(entry, "GET /page", id, record)
@@ -71,9 +78,13 @@
 }
 
 fn send(entry: SocketAddr, target: &str, id: &str, record: &Record) -> Option<Message> {
+    send_to(entry, &format!("{target}/{id}"), id, record)
+}
+
+fn send_to(entry: SocketAddr, target: &str, id: &str, record: &Record) -> Option<Message> {
     let length = if target.starts_with("POST") { "content-length: 0\r\n" } else { "" };
     let request = format!(
-        "{target}/{id} HTTP/1.1\r\nhost: calls.example\r\noriolelanding-request-id: {id}\r\n\
+        "{target} HTTP/1.1\r\nhost: calls.example\r\noriolelanding-request-id: {id}\r\n\
          oriolelanding-deadline-ms: {}\r\napi-key: {KEY}\r\n{length}connection: close\r\n\r\n",
         DEADLINE.as_millis()
     );
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -1,6 +1,6 @@
 //! An engine of a plain service, which registers in the store and answers requests.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -15,6 +15,12 @@
 /// Time that an engine works on a request.
 const WORK: Duration = Duration::from_millis(60);
 
+/// Segment of the paths of requests that crash each engine that begins to run them.
+pub const CRASHING: &str = "crashing";
+
+/// Time after which an engine that has crashed is back.
+const DOWN: Duration = Duration::from_secs(4);
+
 /// A request that reached an engine.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -26,6 +32,12 @@
 struct State {
     is_draining: bool,
     has_exited: bool,
+    /// Whether it has crashed and is not back yet.
+    is_down: bool,
+    /// Number of starts.
+    starts: u32,
+    /// Unix time of its last start in milliseconds.
+    born: u128,
     limit: Option<String>,
     sequence: u64,
     arrivals: Vec<Arrival>,
@@ -42,7 +54,6 @@
     address: SocketAddr,
     zone: String,
     service: &'static str,
-    born: u128,
     state: Arc<Mutex<State>>,
     store: Store,
     record: Record,
@@ -60,43 +71,78 @@
     ) -> Self {
         let listener = http::listen();
         let address = listener.local_addr().expect("the address of a listener");
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
         let engine = Self {
             id,
             address,
             zone: zone.to_owned(),
             service,
-            born: since.map_or(0, |time| time.as_millis()),
             state: Arc::default(),
             store: store.clone(),
             record: record.clone(),
         };
-        engine.register();
-        let (served, beating, listening) = (engine.clone(), engine.clone(), engine.clone());
-        let is_closed = move || listening.lock().has_exited;
-        http::serve(listener, is_closed, move |message| served.answer(&message));
+        engine.begin(listener);
+        let beating = engine.clone();
         thread::spawn(move || {
             thread::sleep(phase);
             while !beating.lock().has_exited {
-                beating.register();
+                if !beating.lock().is_down {
+                    beating.register();
+                }
                 thread::sleep(HEARTBEAT);
             }
         });
         engine
     }
 
+    /// Begins a run of the engine, which knows nothing of those before.
+    fn begin(&self, listener: TcpListener) {
+        let start = {
+            let mut state = self.lock();
+            let since = SystemTime::now().duration_since(UNIX_EPOCH);
+            state.born = since.map_or(0, |time| time.as_millis());
+            state.starts += 1;
+            state.sequence = 0;
+            state.is_down = false;
+            state.starts
+        };
+        self.register();
+        let (served, listening) = (self.clone(), self.clone());
+        let is_closed = move || !listening.is_running(start);
+        http::serve(listener, is_closed, move |message| served.answer(&message, start));
+    }
+
+    /// Returns whether the run with the number `start` goes on.
+    fn is_running(&self, start: u32) -> bool {
+        let state = self.lock();
+        !state.has_exited && !state.is_down && state.starts == start
+    }
+
+    /// Crashes: sends nothing more, refuses connections, and is back under the same id a little later.
+    fn crash(&self, request: &str) {
+        self.lock().is_down = true;
+        self.record.line(&format!("{}: is crashed by {request}", self.id));
+        let engine = self.clone();
+        thread::spawn(move || {
+            thread::sleep(DOWN);
+            let listener = TcpListener::bind(engine.address).expect("the engine's own port");
+            engine.record.line(&format!("{}: is back", engine.id));
+            engine.begin(listener);
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("an engine")
     }
 
     /// Writes the registration, and returns whether the store acknowledged it.
     fn register(&self) -> bool {
-        let (sequence, state) = {
+        let (sequence, born, state) = {
             let mut state = self.lock();
             state.sequence += 1;
-            (state.sequence, if state.is_draining { "draining" } else { "ready" })
+            let name = if state.is_draining { "draining" } else { "ready" };
+            (state.sequence, state.born, name)
         };
-        let Self { id, address, zone, service, born, .. } = self;
+        let Self { id, address, zone, service, .. } = self;
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":6,\"state\":\"{state}\",\"cold_remaining_ms\":0,\
@@ -140,10 +186,10 @@
         self.lock().arrivals.clone()
     }
 
-    /// Answers a request; `None` if the engine exits meanwhile.
-    fn answer(&self, message: &Message) -> Option<Vec<u8>> {
+    /// Answers a request that reaches the run with the number `start`; `None` if that ends meanwhile.
+    fn answer(&self, message: &Message, start: u32) -> Option<Vec<u8>> {
         let request = message.header("oriolelanding-request-id").unwrap_or_default().to_owned();
-        if self.lock().has_exited {
+        if !self.is_running(start) {
             return None;
         }
         let (is_draining, limit) = {
@@ -167,13 +213,15 @@
         }
         self.record.line(&format!("{}: runs {request}", self.id));
         thread::sleep(WORK);
-        let mut state = self.lock();
-        state.running -= 1;
-        if state.has_exited {
-            self.record.line(&format!("{}: {request} was cut off by its exit", self.id));
+        self.lock().running -= 1;
+        if !self.is_running(start) {
+            self.record.line(&format!("{}: {request} was cut off by its end", self.id));
+            return None;
+        }
+        if message.path().contains(CRASHING) {
+            self.crash(&request);
             return None;
         }
-        drop(state);
         headers.push(("oriolelanding-request-id", request));
         headers.push(("oriolelanding-response-signature", self.id.clone()));
         Some(http::response(200, &headers, b"the whole answer"))
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -3,6 +3,7 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -182,9 +183,25 @@
     Ok(message)
 }
 
+/// Ports that are tried, below those that the system gives to outgoing connections, so that a process that
+/// starts again finds its own port free.
+const PORTS: std::ops::Range<u32> = 12_000..30_000;
+
+/// The next port to be tried.
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
 /// Listens on a free loopback port.
 pub fn listen() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free loopback port")
+    let count = PORTS.end - PORTS.start;
+    let first = std::process::id().wrapping_mul(101) % count;
+    loop {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        assert!(step < count, "no free loopback port");
+        let port = PORTS.start + (first + step) % count;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener;
+        }
+    }
 }
 
 /// Returns a loopback address that was free just now.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod drill;
 mod engine;
 mod entry;
+mod hold;
 mod http;
 mod json;
 mod limit;
@@ -65,6 +66,7 @@
     let work = temporary.clone();
     let run = std::panic::catch_unwind(move || match scenario.as_str() {
         "drill" => drill::run(has_trouble, &work, &record),
+        "hold" => hold::run(has_trouble, &work, &record),
         "limit" => limit::run(has_trouble, &work, &record),
         "secret" => secret::run(has_trouble, &work, &record),
         "uploads" => uploads::run(has_trouble, &work, &record),
