--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -21,7 +21,6 @@
 const SETTINGS_VARIABLE: &str = "ORIOLELANDING_NODE_FILE";
 
 const SIGKILL: i32 = 9;
-const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
@@ -107,17 +106,6 @@
         kilobytes.unwrap_or(0) * 1024
     }
 
-    /// Stops the process with SIGTERM, kills it after `grace` if it has not ended by then, and starts it again.
-    pub fn roll(&mut self, grace: Duration) {
-        self.record.line(&format!("{}: SIGTERM", self.name));
-        signal(self.child.id(), SIGTERM);
-        let began = Instant::now();
-        while began.elapsed() < grace && matches!(self.child.try_wait(), Ok(None)) {
-            thread::sleep(Duration::from_millis(20));
-        }
-        self.restart(Duration::from_millis(200));
-    }
-
     /// Kills the process, and starts it again after `pause` with the same settings.
     pub fn restart(&mut self, pause: Duration) {
         self.end();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of clients, engines and the platform's store for the scripts of the review.
 //!
 //! Runs the scenario that the first argument names, and writes `record.txt` into the folder that the second
-//! one names. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
+//! one names. The third is 0 for a run without the disruption. Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
 mod client;
 mod drill;
@@ -44,8 +44,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, scenario, folder] = arguments.as_slice() else {
-        eprintln!("usage: play SCENARIO FOLDER");
+    let [_, scenario, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: play SCENARIO FOLDER TROUBLE");
         return ExitCode::from(2);
     };
     thread::spawn(|| {
@@ -54,7 +54,7 @@
         exit(2);
     });
     let folder = PathBuf::from(folder);
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = trouble != "0";
     let Ok(record) = Record::create(&folder) else {
         eprintln!("the record cannot be created");
         return ExitCode::from(2);
--- a/review/standin/secret.rs
+++ b/review/standin/secret.rs
@@ -1,4 +1,4 @@
-//! An entry is restarted after the store has come back from a copy from before the first start.
+//! An entry is added after the store has come back from a copy from before the first start.
 
 use std::path::Path;
 use std::thread;
@@ -19,11 +19,10 @@
 /// Time for which the store is away.
 const AWAY: Duration = Duration::from_secs(1);
 
-/// `grace_s` of the site.
-const GRACE: Duration = Duration::from_secs(8);
-
-/// Number of the entry that is restarted: by the names, the one that grants the engine's permits.
-const RESTARTED: usize = 1;
+/// Numbers of the entries that start first, and of the one that is added: by the names, the one that grants
+/// the engine's permits.
+const FIRST: [usize; 2] = [1, 3];
+const ADDED: usize = 2;
 
 /// Runs the case, with the drill if `has_trouble`.
 pub fn run(has_trouble: bool, folder: &Path, record: &Record) -> Outcome {
@@ -35,7 +34,7 @@
     let began = Instant::now();
     let entry =
         |n: usize| Entry::start(&format!("entry-{n}"), "zone-1", store.address, folder, record);
-    let mut entries: Vec<Entry> = (1..4).map(entry).collect();
+    let mut entries: Vec<Entry> = FIRST.into_iter().map(entry).collect();
     if !entries.iter().all(|entry| entry.wait_until_ready(Duration::from_secs(20))) {
         record.say("the entries do not get ready");
         return Outcome::Unable;
@@ -46,12 +45,13 @@
     }
     thread::sleep(Duration::from_secs(15));
     say_keys(&store, &entries, record);
-    entries[RESTARTED].roll(GRACE);
-    if !entries[RESTARTED].wait_until_ready(Duration::from_secs(20)) {
-        record.say("the entry does not get ready again");
+    let added = entry(ADDED);
+    if !added.wait_until_ready(Duration::from_secs(20)) {
+        record.say("the entry that is added does not get ready");
         return Outcome::Unable;
     }
-    // All entries are in touch again well before the limit is named.
+    entries.push(added);
+    // All entries are in touch well before the limit is named.
     thread::sleep(Duration::from_secs(10));
     say_keys(&store, &entries, record);
     limit::measure(&engine, &entries, record)
