Order positions of the store by era, so that listings count after a restore

Cause: View::update_listing ignored each listing whose revision was lower than that of the one before. Revisions go back in a restore, so that all were ignored until the heartbeats had made up for it, and read again without a pause.

Change: the platform decodes the era of each answer, and a position is era and revision as one ordered type, whose number is also the fencing token of orders. A listing that is ignored is followed by a pause and counted. Endpoints that are missing from the copy have time to register again.

--- a/crates/core/benches/choice.rs
+++ b/crates/core/benches/choice.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use oriole_core::fleet::{Endpoint, Listing, State, View};
+use oriole_core::fleet::{Endpoint, Listing, Position, State, View};
 use oriole_core::forward::choice::{self, Failures};
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::name;
@@ -38,7 +38,7 @@
     let endpoints: BTreeMap<_, _> =
         (0..ENDPOINTS).map(endpoint).map(|e| (e.id.clone(), e)).collect();
     let mut view = View::default();
-    view.update_listing(Listing { revision: 1, endpoints }, now);
+    view.update_listing(Listing { position: Position::new(0, 1), endpoints }, now);
     let mut in_flight = Tracker::default();
     for number in 0..ENDPOINTS / 2 {
         let work = Work { requests: 1, ..Work::default() };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -8,6 +8,7 @@
 pub mod message;
 pub mod pace;
 pub mod polling;
+pub mod position;
 pub mod presence;
 pub mod recovery;
 pub mod refusal;
@@ -24,6 +25,7 @@
 use crate::time::Instant;
 pub use health::{Cause, UNHEALTHY_PERIOD};
 pub use message::{Gossip, Incarnation, Load, Message, Topic};
+pub use position::Position;
 
 use crate::{name, placement};
 
@@ -71,16 +73,28 @@
     }
 }
 
-/// All registered endpoints at one revision of the platform's store.
+/// All registered endpoints at one position of the platform's store.
 #[data]
 #[derive(Default)]
 pub struct Listing {
-    /// Revision of the store.
-    pub revision: u64,
+    /// Position of the store.
+    #[serde(rename = "revision")]
+    pub position: Position,
     /// The endpoints by identifier.
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
 }
 
+/// What a listing has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Update {
+    /// Nothing, since it is older than the one before.
+    Ignored,
+    /// No endpoint differs.
+    Unchanged,
+    /// An endpoint differs.
+    Changed,
+}
+
 /// State that an endpoint reported directly, without the store.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -119,15 +133,14 @@
 impl View {
     /// Replaces the listing by one that was read at `read_at`.
     ///
-    /// Ignores listings of an earlier revision. After an outage of the store, endpoints that are
-    /// missing from the new listing are kept for a while, so that they can register again. Returns
-    /// whether an endpoint has changed.
-    pub fn update_listing(&mut self, mut listing: Listing, read_at: Instant) -> bool {
-        if listing.revision < self.listing.revision {
-            return false;
+    /// Ignores listings of an earlier position. After an outage of the store, endpoints that are
+    /// missing from the new listing are kept for a while, so that they can register again.
+    pub fn update_listing(&mut self, mut listing: Listing, read_at: Instant) -> Update {
+        if listing.position < self.listing.position {
+            return Update::Ignored;
         }
-        let has_lost_many = self.has_lost_many(&listing);
-        self.recovery.record(self.listed_at, read_at, has_lost_many);
+        let sign = self.outage_sign(&listing);
+        self.recovery.record(self.listed_at, read_at, sign);
         // An endpoint that is seen draining now may have begun right after the listing before.
         let previous = self.listed_at.unwrap_or_default();
         if self.listed_at.is_none_or(|at| at < read_at) {
@@ -153,7 +166,7 @@
         }
         let changed = self.listing.endpoints != listing.endpoints;
         self.listing = listing;
-        changed
+        if changed { Update::Changed } else { Update::Unchanged }
     }
 
     /// Records that another entry has had listings for `unbroken` without a gap.
@@ -176,11 +189,20 @@
         self.recovery.unbroken(self.listed_at, now)
     }
 
-    /// Returns whether so many known endpoints are missing from a listing that leases have expired.
-    fn has_lost_many(&self, listing: &Listing) -> bool {
+    /// Returns what a listing tells of an outage since the one before.
+    fn outage_sign(&self, listing: &Listing) -> recovery::Sign {
+        if self.is_restored(listing) {
+            return recovery::Sign::Restored;
+        }
         let known = &self.listing.endpoints;
         let missing = known.keys().filter(|id| !listing.endpoints.contains_key(*id)).count();
-        missing * ENDPOINTS_PER_EXPIRED_LEASE > known.len()
+        let has_lost_many = missing * ENDPOINTS_PER_EXPIRED_LEASE > known.len();
+        if has_lost_many { recovery::Sign::LostMany } else { recovery::Sign::None }
+    }
+
+    /// Returns whether the store has come back from a copy since the listing before.
+    fn is_restored(&self, listing: &Listing) -> bool {
+        self.listed_at.is_some() && self.listing.position.era() < listing.position.era()
     }
 
     /// Records layers that an endpoint reported directly, and the number of orders that it had
--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -2,7 +2,7 @@
 
 use oriole_macros::{data, key};
 
-use super::Listing;
+use super::{Listing, Position};
 use crate::forward::hold;
 use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::forward::rate::{Notice, Reply};
@@ -40,8 +40,8 @@
 pub struct Gossip {
     /// Version of the sender's routing table, 0 if it has none.
     pub table: u64,
-    /// Revision of the sender's plan, 0 if it has none.
-    pub plan: u64,
+    /// Position of the sender's plan, the first one if it has none.
+    pub plan: Position,
     /// Time since the store told the sender that its routing table is the newest, in milliseconds;
     /// `None` if it has not.
     #[serde(default)]
--- a/crates/core/src/fleet/recovery.rs
+++ b/crates/core/src/fleet/recovery.rs
@@ -1,8 +1,9 @@
 //! Whether endpoints that are missing from a listing may register again.
 //!
 //! While the store is away registrations expire. The endpoints register again soon after its return, so
-//! those that are missing from the first listing then are used for a while longer. An entry that was
-//! cut off by itself sees the same gap between its listings, but endpoints that are missing have left.
+//! those that are missing from the first listing then are used for a while longer. So are those that are
+//! missing from an older copy with which the store comes back. An entry that was cut off by itself sees
+//! the same gap between its listings, but endpoints that are missing have left.
 
 use std::time::Duration;
 
@@ -17,6 +18,17 @@
 /// Time after an outage of the store within which endpoints register again.
 const REREGISTRATION_PERIOD: Duration = Duration::from_millis(2300);
 
+/// What a listing tells of an outage before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// Nothing but the time since the listing before.
+    None,
+    /// So many endpoints are missing that registrations have expired.
+    LostMany,
+    /// The store has come back from a copy.
+    Restored,
+}
+
 /// Times of the listings, as far as they tell of outages.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Recovery {
@@ -32,15 +44,17 @@
 
 impl Recovery {
     /// Records a listing that was read at `read_at`, after one that was read at `previous`.
-    ///
-    /// `has_lost_many` tells whether so many endpoints are missing that registrations have expired.
-    pub fn record(&mut self, previous: Option<Instant>, read_at: Instant, has_lost_many: bool) {
+    pub fn record(&mut self, previous: Option<Instant>, read_at: Instant, sign: Sign) {
         self.first.get_or_insert(read_at);
         let gap = previous.map_or(Duration::ZERO, |at| read_at.since(at));
-        if gap > OUTAGE_GAP || self.unbroken_since.is_none() {
+        if gap > OUTAGE_GAP || sign == Sign::Restored || self.unbroken_since.is_none() {
             self.unbroken_since = Some(read_at);
         }
-        if gap > LONG_OUTAGE_GAP || gap > OUTAGE_GAP && has_lost_many {
+        if sign == Sign::Restored {
+            self.until = Some(read_at + REREGISTRATION_PERIOD);
+            // No entry saw the store without this outage.
+            self.gap_began = None;
+        } else if gap > LONG_OUTAGE_GAP || gap > OUTAGE_GAP && sign == Sign::LostMany {
             self.until = Some(read_at + REREGISTRATION_PERIOD);
             self.gap_began = previous;
         }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -18,6 +18,7 @@
 
 use oriole_macros::{data, key};
 
+use crate::fleet::Position;
 use crate::name;
 
 /// A range of consecutive layers.
@@ -167,8 +168,9 @@
 pub struct Plan {
     /// Number of the plan; each plan increments it.
     pub number: u64,
-    /// Revision of the plan in the store; 0 before it has been written.
-    pub revision: u64,
+    /// Position at which the store accepted the plan; the first one before that.
+    #[serde(rename = "revision")]
+    pub position: Position,
     /// Chains by service name.
     pub services: BTreeMap<name::Service, Vec<Chain>>,
 }
--- a/crates/core/tests/chain_loss.rs
+++ b/crates/core/tests/chain_loss.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fleet_fixture::{listing, model, route, service, site_with};
-use oriole_core::fleet::{Cause, Incarnation, View};
+use oriole_core::fleet::{Cause, Incarnation, Position, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::placement::{Model, Plan, Stage, revise};
@@ -37,7 +37,7 @@
 
 fn plan(model: &Model) -> Plan {
     let chains = revise::revise(model, &[], &site_with(2));
-    Plan { number: 1, revision: 1, services: [(service(), chains)].into() }
+    Plan { number: 1, position: Position::new(0, 1), services: [(service(), chains)].into() }
 }
 
 /// Lets all streams on `chain` be silent for two seconds.
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::lag::Lag;
-use oriole_core::fleet::{Incarnation, View};
+use oriole_core::fleet::{Incarnation, Position, View};
 use oriole_core::placement::{Plan, Range, revise};
 use oriole_core::time::Instant;
 
@@ -51,7 +51,7 @@
     let endpoints = fleet_fixture::site();
     let chains = revise::revise(&fleet_fixture::model(), &[], &endpoints);
     let services = [(fleet_fixture::service(), chains)].into();
-    let plan = Plan { number: 1, revision: 1, services };
+    let plan = Plan { number: 1, position: Position::new(0, 1), services };
     let whole = fleet_fixture::listing(&endpoints, &plan);
     let mut part = whole.clone();
     part.endpoints.retain(|id, _| id.as_str() < "e-010");
@@ -75,7 +75,7 @@
     view.update_listing(fleet_fixture::listing(&endpoints, &Plan::default()), at(0));
     let gone = endpoints[3].endpoint.clone();
     let mut after = fleet_fixture::listing(&endpoints, &Plan::default());
-    after.revision = 2;
+    after.position = Position::new(0, 2);
     after.endpoints.remove(&gone);
     view.update_listing(after.clone(), at(6_000));
     assert!(view.get(&gone).is_some(), "it may still register again");
@@ -96,7 +96,7 @@
     let gone = endpoints[3].endpoint.clone();
     for (revision, ms) in [(1, 0), (2, 2_200), (3, 4_400), (4, 6_600)] {
         let mut listing = all.clone();
-        listing.revision = revision;
+        listing.position = Position::new(0, revision);
         if revision > 1 {
             listing.endpoints.remove(&gone);
         }
@@ -112,7 +112,7 @@
     let mut view = View::default();
     view.update_listing(all.clone(), at(10_000));
     let mut rest = all.clone();
-    rest.revision += 1;
+    rest.position = Position::new(0, rest.position.revision() + 1);
     rest.endpoints.retain(|id, _| *id == endpoints[0].endpoint);
     view.update_listing(rest, at(12_500));
     assert_eq!(view.listing().endpoints.len(), all.endpoints.len());
@@ -125,7 +125,7 @@
     let all = fleet_fixture::listing(&endpoints, &Plan::default());
     let gone = endpoints[3].endpoint.clone();
     let mut rest = all.clone();
-    rest.revision += 1;
+    rest.position = Position::new(0, rest.position.revision() + 1);
     rest.endpoints.remove(&gone);
     let mut peer = View::default();
     let mut view = View::default();
@@ -142,7 +142,7 @@
     assert!(view.hear_unbroken(peer.unbroken(at(15_600)), at(15_600)));
     assert!(view.get(&gone).is_none());
     // The next listings do not bring it back.
-    rest.revision += 1;
+    rest.position = Position::new(0, rest.position.revision() + 1);
     view.update_listing(rest, at(16_400));
     assert!(view.get(&gone).is_none());
 }
@@ -152,7 +152,7 @@
     let endpoints = fleet_fixture::site();
     let all = fleet_fixture::listing(&endpoints, &Plan::default());
     let mut few = all.clone();
-    few.revision += 1;
+    few.position = Position::new(0, few.position.revision() + 1);
     few.endpoints.retain(|id, _| *id == endpoints[0].endpoint);
     let [mut view, mut peer] = [View::default(), View::default()];
     view.update_listing(all.clone(), at(10_000));
@@ -176,7 +176,7 @@
     let mut view = View::default();
     view.update_listing(listing.clone(), at(0));
     assert!(view.record_layers(&incarnation, empty, 1), "the order is new");
-    listing.revision += 1;
+    listing.position = Position::new(0, listing.position.revision() + 1);
     let registration = listing.endpoints.get_mut(&id).unwrap();
     (registration.layers, registration.heartbeat) = (loaded, 3);
     view.update_listing(listing, at(100));
--- a/crates/core/tests/fleet_fixture/mod.rs
+++ b/crates/core/tests/fleet_fixture/mod.rs
@@ -5,7 +5,7 @@
 use std::ops::Range as Span;
 use std::time::Duration;
 
-use oriole_core::fleet::{Endpoint, Listing, State};
+use oriole_core::fleet::{Endpoint, Listing, Position, State};
 use oriole_core::name;
 use oriole_core::placement::{Accelerator, Candidate, Model, Plan, Range};
 use oriole_core::route::{Kind, Route, Share};
@@ -128,7 +128,10 @@
         };
         (candidate.endpoint.clone(), endpoint)
     };
-    Listing { revision: 1, endpoints: endpoints.iter().enumerate().map(endpoint).collect() }
+    Listing {
+        position: Position::new(0, 1),
+        endpoints: endpoints.iter().enumerate().map(endpoint).collect(),
+    }
 }
 
 /// Returns a route whose streams may be resumed.
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use fleet_fixture::{listing, model, route, service, site};
-use oriole_core::fleet::{Cause, Incarnation, Load, State, View};
+use oriole_core::fleet::{Cause, Incarnation, Load, Position, State, Update, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
 use oriole_core::forward::choice::{self, Failures};
 use oriole_core::forward::in_flight::{Tracker, Work};
@@ -32,7 +32,11 @@
     fn new() -> Self {
         let (model, endpoints) = (model(), site());
         let chains = revise::revise(&model, &[], &endpoints);
-        let plan = Plan { number: 1, revision: 1, services: [(service(), chains)].into() };
+        let plan = Plan {
+            number: 1,
+            position: Position::new(0, 1),
+            services: [(service(), chains)].into(),
+        };
         let mut view = View::default();
         view.update_listing(listing(&endpoints, &plan), at_ms(0));
         Self { model, plan, view }
@@ -159,7 +163,7 @@
     fixture.mark_unhealthy(&id, at_ms(0));
     assert!(fixture.view.is_unhealthy(&id, at_ms(1)));
     let mut listing = fixture.view.listing().clone();
-    listing.revision += 1;
+    listing.position = Position::new(0, listing.position.revision() + 1);
     listing.endpoints.get_mut(&id).unwrap().born = 2;
     fixture.view.update_listing(listing, at_ms(10));
     assert!(!fixture.view.is_unhealthy(&id, at_ms(10)));
@@ -170,7 +174,7 @@
     let mut fixture = Fixture::new();
     let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
     let mut listing = fixture.view.listing().clone();
-    listing.revision += 1;
+    listing.position = Position::new(0, listing.position.revision() + 1);
     listing.endpoints.get_mut(&id).unwrap().state = State::Draining;
     fixture.view.update_listing(listing, at_ms(0));
     assert!(fixture.view.is_usable(&id, GRACE, at_ms(700)));
@@ -185,7 +189,7 @@
     let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
     let mut listing = fixture.view.listing().clone();
     for (revision, ms) in [(1, 1_000), (2, 1_700), (3, 3_700)] {
-        listing.revision += revision;
+        listing.position = Position::new(0, listing.position.revision() + revision);
         if ms == 3_700 {
             listing.endpoints.get_mut(&id).unwrap().state = State::Draining;
         }
@@ -196,12 +200,12 @@
 }
 
 #[test]
-fn a_listing_of_an_earlier_revision_is_ignored() {
+fn a_listing_of_an_earlier_position_is_ignored() {
     let mut fixture = Fixture::new();
     let mut older = fixture.view.listing().clone();
-    older.revision = 0;
+    older.position = Position::new(0, 0);
     older.endpoints.clear();
-    assert!(!fixture.view.update_listing(older, at_ms(50)));
+    assert_eq!(fixture.view.update_listing(older, at_ms(50)), Update::Ignored);
     assert!(!fixture.view.listing().endpoints.is_empty());
 }
 
@@ -249,7 +253,7 @@
     let all = fixture.view.listing().endpoints.len();
     let listed = |revision, count| {
         let mut listing = listing(&site(), &Plan::default());
-        listing.revision = revision;
+        listing.position = Position::new(0, revision);
         listing.endpoints = listing.endpoints.into_iter().take(count).collect();
         listing
     };
@@ -275,7 +279,7 @@
     fixture.view.record_layers(&Incarnation { endpoint: id.clone(), born: 1 }, layers, 4);
     let listed = |heartbeat| {
         let mut listing = listing(&site(), &fixture.plan);
-        listing.revision = heartbeat;
+        listing.position = Position::new(0, heartbeat);
         listing.endpoints.get_mut(&id).unwrap().heartbeat = heartbeat;
         listing
     };
--- a/crates/core/tests/statements.rs
+++ b/crates/core/tests/statements.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::wait::{self, MAX_WAIT, Waits};
-use oriole_core::fleet::{Endpoint, Incarnation, Listing, State, View};
+use oriole_core::fleet::{Endpoint, Incarnation, Listing, Position, State, View};
 use oriole_core::placement::Range;
 use oriole_core::time::Instant;
 use proptest::prelude::*;
@@ -38,7 +38,7 @@
 
 fn list(view: &mut View, revision: u64, endpoints: Vec<Endpoint>, now: Instant) {
     let endpoints: BTreeMap<_, _> = endpoints.into_iter().map(|e| (e.id.clone(), e)).collect();
-    view.update_listing(Listing { revision, endpoints }, now);
+    view.update_listing(Listing { position: Position::new(0, revision), endpoints }, now);
 }
 
 #[test]
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -73,11 +73,11 @@
     } else if item.key == PLAN_KEY {
         match serde_json::from_slice::<Plan>(&item.value) {
             Ok(mut plan) => {
-                plan.revision = item.revision;
+                plan.position = item.position;
                 state.adopt_plan(plan);
             }
             Err(e) => log::error!(
-                revision = item.revision, error:% = e;
+                position:% = item.position, error:% = e;
                 "plan cannot be decoded; keeping the previous plan"
             ),
         }
--- a/crates/router/src/follow/listing.rs
+++ b/crates/router/src/follow/listing.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use oriole_core::fleet::{Listing, polling};
+use oriole_core::fleet::{Listing, Position, Update, polling};
 use oriole_core::time::Instant;
 use oriole_platform::registry;
 use oriole_platform::store::{Client, Item, Read};
@@ -37,7 +37,10 @@
         match read {
             Ok(read) => {
                 let listing = state.timed("listing", || decode_listing(&state, &read));
-                apply_listing(&state, listing, began);
+                if apply_listing(&state, listing, began) == Update::Ignored {
+                    // The next answer may be as old as this one.
+                    monitor.pause().await;
+                }
             }
             Err(_) => monitor.pause().await,
         }
@@ -45,7 +48,7 @@
 }
 
 fn decode_listing(state: &Shared, read: &Read<Item>) -> Listing {
-    let mut listing = Listing { revision: read.revision, endpoints: BTreeMap::new() };
+    let mut listing = Listing { position: read.position, endpoints: BTreeMap::new() };
     for item in &read.found {
         match registry::decode(&item.key, &item.value) {
             Some(endpoint) => {
@@ -61,15 +64,28 @@
 }
 
 /// Replaces the listing by one that was read at `read_at`, unless it is older.
-pub fn apply_listing(state: &Shared, listing: Listing, read_at: Instant) {
-    let count = listing.endpoints.len();
-    let before = state.inner.borrow().view.listing().endpoints.len();
-    let changed = state.inner.borrow_mut().view.update_listing(listing, read_at);
+pub fn apply_listing(state: &Shared, listing: Listing, read_at: Instant) -> Update {
+    let (count, position) = (listing.endpoints.len(), listing.position);
+    let (before, last) = {
+        let inner = state.inner.borrow();
+        let known = inner.view.listing();
+        (known.endpoints.len(), known.position)
+    };
+    let update = state.inner.borrow_mut().view.update_listing(listing, read_at);
+    if update == Update::Ignored {
+        state.metrics.outdated_listings.inc();
+        log::debug!(position:%, last:%; "ignored an outdated listing");
+        return update;
+    }
+    if position.era() != last.era() && last != Position::default() {
+        log::warn!(position:%, last:%; "store has come back from a copy");
+    }
     if count != before {
         log::info!(count, before; "number of endpoints changed");
     }
-    if changed {
+    if update == Update::Changed {
         state.forget_gone_endpoints();
         state.refresh();
     }
+    update
 }
--- a/crates/router/src/follow/table.rs
+++ b/crates/router/src/follow/table.rs
@@ -72,7 +72,7 @@
         }
         Err(e) => {
             log::error!(
-                revision = item.revision, error:% = e;
+                position:% = item.position, error:% = e;
                 "configuration cannot be decoded; keeping the previous routing table"
             );
             false
--- a/crates/router/src/follow/watch.rs
+++ b/crates/router/src/follow/watch.rs
@@ -79,14 +79,14 @@
             monitor.pause().await;
             continue;
         };
-        let mut revision = read.revision;
+        let mut position = read.position;
         apply(Update::Snapshot, read.found.into_iter().map(Change::Written).collect());
         loop {
-            let changes = store.watch(prefix, revision, spread(state, wait)).await;
+            let changes = store.watch(prefix, position, spread(state, wait)).await;
             monitor.record(&changes);
             match changes {
-                Ok(Read { found, revision: seen }) => {
-                    revision = revision.max(seen);
+                Ok(Read { found, position: seen }) => {
+                    position = position.max(seen);
                     let has_changes = !found.is_empty();
                     apply(Update::Delta, found);
                     if has_changes {
--- a/crates/router/src/hold.rs
+++ b/crates/router/src/hold.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::unix_ms;
-use oriole_core::fleet::Message;
+use oriole_core::fleet::{Message, Position};
 use oriole_core::forward::Fingerprint;
 use oriole_core::forward::hold::{Gate, Hold, Summary};
 use oriole_macros::data;
@@ -42,8 +42,8 @@
 /// What the store holds, as this entry knows it.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// Revision of the key; 0 if there is none.
-    revision: u64,
+    /// Position of the last write of the key; the first one if there is none.
+    position: Position,
     summary: Summary,
 }
 
@@ -101,14 +101,14 @@
     let stored = match serde_json::from_slice::<Stored>(&item.value) {
         Ok(stored) => stored,
         Err(error) => {
-            log::error!(revision = item.revision, error:%; "held requests cannot be decoded");
+            log::error!(position:% = item.position, error:%; "held requests cannot be decoded");
             return;
         }
     };
     let elapsed = Duration::from_millis(unix_ms().saturating_sub(stored.written_ms));
     let summary = stored.summary.aged(elapsed);
     hold::hear_summary(state, &summary, "store");
-    *state.stored_holds.borrow_mut() = Known { revision: item.revision, summary };
+    *state.stored_holds.borrow_mut() = Known { position: item.position, summary };
 }
 
 /// Writes to the store what it lacks whenever that has changed. Runs until the process exits.
@@ -146,11 +146,11 @@
         log::error!("encoding the held requests failed");
         return Outcome::Failed;
     };
-    let revision = state.stored_holds.borrow().revision;
-    let write = Write { key: KEY, value: &value, lease: 0, expected_revision: Some(revision) };
+    let expected_revision = Some(state.stored_holds.borrow().position.revision());
+    let write = Write { key: KEY, value: &value, lease: 0, expected_revision };
     match store.write(&write).await {
-        Ok(Commit::Written(revision)) => {
-            *state.stored_holds.borrow_mut() = Known { revision, summary: stored.summary };
+        Ok(Commit::Written(position)) => {
+            *state.stored_holds.borrow_mut() = Known { position, summary: stored.summary };
             Outcome::Written
         }
         Ok(Commit::Conflict(item)) => {
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -65,6 +65,8 @@
     pub blocked: Reasons,
     /// Registrations of endpoints that could not be decoded.
     pub skipped_registrations: Counter,
+    /// Listings that were older than the one before.
+    pub outdated_listings: Counter,
     /// Time from a request's arrival to the first event of its answer.
     pub first_event: Histogram,
     /// Time between two events of a stream.
@@ -106,6 +108,7 @@
             store_failures: Reasons::default(),
             blocked: Reasons::default(),
             skipped_registrations: Counter::default(),
+            outdated_listings: Counter::default(),
             first_event: histogram(),
             pause: histogram(),
             answer: histogram(),
@@ -143,6 +146,7 @@
             "Unusable registrations",
             self.skipped_registrations.clone(),
         );
+        r.register("listings_outdated", "Listings ignored as old", self.outdated_listings.clone());
         r.register("first_event_seconds", "Arrival to first event", self.first_event.clone());
         r.register("pause_seconds", "Between two events of a stream", self.pause.clone());
         r.register("answer_seconds", "Arrival to end of the answer", self.answer.clone());
--- a/crates/router/src/orders.rs
+++ b/crates/router/src/orders.rs
@@ -128,7 +128,7 @@
                 address: e.address,
                 layers,
                 accepted_orders: e.orders,
-                fencing_token: plan.revision,
+                fencing_token: plan.position.fencing_token(),
             };
             all.push(Order { placement, load_time: model.load.mul_f64(fraction) });
         }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -111,7 +111,7 @@
     Gossip {
         table: inner.table.as_ref().map_or(0, |t| t.version),
         table_age_ms: table_age.map(|age| age.as_millis() as u64),
-        plan: inner.plans.first().map_or(0, |p| p.revision),
+        plan: inner.plans.first().map(|p| p.position).unwrap_or_default(),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         unbroken_ms: inner.view.unbroken(state.now()).as_millis() as u64,
         ready_in_ms: state.ready_in().as_millis() as u64,
@@ -250,7 +250,7 @@
     let now = state.now();
     let inner = state.inner.borrow();
     let table = inner.table.as_ref().map_or(0, |t| t.version);
-    let plan = inner.plans.first().map_or(0, |p| p.revision);
+    let plan = inner.plans.first().map(|p| p.position).unwrap_or_default();
     let drain = state.drain_time();
     let age = inner.view.age(now).unwrap_or(Duration::MAX);
     let is_stale = age > polling::listing_request_age(drain);
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use oriole_core::fleet::{View, polling};
+use oriole_core::fleet::{Position, View, polling};
 use oriole_core::placement::{Candidate, Chain, Model, Plan, revise};
 use oriole_core::route::Table;
 use oriole_core::time::Instant;
@@ -168,31 +168,32 @@
 }
 
 async fn propose(state: &Shared, store: &Client, chains: Vec<(name::Service, Vec<Chain>)>) {
-    let (number, revision) = {
+    let (number, position) = {
         let inner = state.inner.borrow();
-        inner.plans.first().map_or((0, 0), |p| (p.number, p.revision))
+        inner.plans.first().map(|p| (p.number, p.position)).unwrap_or_default()
     };
     let services = chains.into_iter().collect();
-    let mut plan = Plan { number: number + 1, revision: 0, services };
+    let mut plan = Plan { number: number + 1, position: Position::default(), services };
     let Ok(value) = serde_json::to_vec(&plan) else {
         log::error!(number = plan.number; "encoding the plan failed");
         return;
     };
-    let write = Write { key: PLAN_KEY, value: &value, lease: 0, expected_revision: Some(revision) };
+    let expected_revision = Some(position.revision());
+    let write = Write { key: PLAN_KEY, value: &value, lease: 0, expected_revision };
     match store.write(&write).await {
-        Ok(Commit::Written(revision)) => {
-            plan.revision = revision;
-            log::info!(number = plan.number, revision; "plan proposed and accepted");
+        Ok(Commit::Written(position)) => {
+            plan.position = position;
+            log::info!(number = plan.number, position:%; "plan proposed and accepted");
             peers::broadcast(state, &fleet::Message::Plan(plan.clone()));
             state.adopt_plan(plan);
         }
         Ok(Commit::Conflict(Some(item))) => {
             if let Ok(mut plan) = serde_json::from_slice::<Plan>(&item.value) {
-                plan.revision = item.revision;
+                plan.position = item.position;
                 state.adopt_plan(plan);
             }
         }
-        Ok(Commit::Conflict(None)) => log::warn!(revision; "plan is missing from the store"),
+        Ok(Commit::Conflict(None)) => log::warn!(position:%; "plan is missing from the store"),
         Err(e) => log::warn!(number = plan.number, error:% = e; "writing the plan failed"),
     }
 }
--- a/crates/router/src/quarantine.rs
+++ b/crates/router/src/quarantine.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::unix_ms;
-use oriole_core::fleet::Message;
+use oriole_core::fleet::{Message, Position};
 use oriole_core::forward::Part;
 use oriole_core::forward::quarantine::Group;
 use oriole_macros::data;
@@ -40,8 +40,8 @@
 /// The quarantines that the store holds, as this entry knows them.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// Revision of their key; 0 if there is none.
-    revision: u64,
+    /// Position of the last write of their key; the first one if there is none.
+    position: Position,
     /// Ends as Unix times in milliseconds, by parts.
     until_ms: BTreeMap<Vec<Part>, u64>,
 }
@@ -51,7 +51,7 @@
     let stored = match serde_json::from_slice::<Vec<Stored>>(&item.value) {
         Ok(stored) => stored,
         Err(error) => {
-            log::error!(revision = item.revision, error:%; "quarantines cannot be decoded");
+            log::error!(position:% = item.position, error:%; "quarantines cannot be decoded");
             return;
         }
     };
@@ -62,7 +62,7 @@
     };
     let groups: Vec<Group> = stored.iter().map(group).collect();
     let until_ms = stored.into_iter().map(|s| (s.parts, s.until_ms)).collect();
-    *state.stored_quarantine.borrow_mut() = Known { revision: item.revision, until_ms };
+    *state.stored_quarantine.borrow_mut() = Known { position: item.position, until_ms };
     let proven = state.adopt_quarantine(&groups);
     if !proven.is_empty() {
         peers::broadcast(state, &Message::Sound(proven));
@@ -112,12 +112,12 @@
         log::error!("encoding the quarantines failed");
         return false;
     };
-    let revision = state.stored_quarantine.borrow().revision;
-    let write = Write { key: KEY, value: &value, lease: 0, expected_revision: Some(revision) };
+    let expected_revision = Some(state.stored_quarantine.borrow().position.revision());
+    let write = Write { key: KEY, value: &value, lease: 0, expected_revision };
     match store.write(&write).await {
-        Ok(Commit::Written(revision)) => {
+        Ok(Commit::Written(position)) => {
             let until_ms = stored.iter().map(|s| (s.parts.clone(), s.until_ms)).collect();
-            *state.stored_quarantine.borrow_mut() = Known { revision, until_ms };
+            *state.stored_quarantine.borrow_mut() = Known { position, until_ms };
         }
         Ok(Commit::Conflict(Some(item))) => apply(state, &item),
         Ok(Commit::Conflict(None)) => *state.stored_quarantine.borrow_mut() = Known::default(),
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -317,7 +317,7 @@
     pub fn versions(&self) -> (u64, u64) {
         let inner = self.inner.borrow();
         let table = inner.table.as_ref().map_or(0, |t| t.version);
-        (table, inner.plans.first().map_or(0, |p| p.revision))
+        (table, inner.plans.first().map_or(0, |p| p.position.revision()))
     }
 
     /// Returns the model of a service, or `None` if the service is plain or unknown.
@@ -368,11 +368,12 @@
     /// Puts a plan in force if it is newer, and returns whether it is.
     pub fn adopt_plan(&self, plan: Plan) -> bool {
         let mut inner = self.inner.borrow_mut();
-        if inner.plans.first().is_some_and(|p| p.revision >= plan.revision) {
+        if inner.plans.first().is_some_and(|p| p.position >= plan.position) {
             return false;
         }
         let chains = plan.services.values().map(Vec::len).sum::<usize>();
-        log::info!(number = plan.number, revision = plan.revision, chains; "plan in force");
+        let (era, revision) = (plan.position.era(), plan.position.revision());
+        log::info!(number = plan.number, era, revision, chains; "plan in force");
         self.metrics.plans.inc();
         inner.plans.insert(0, plan);
         inner.plans.truncate(MAX_KEPT_PLANS);
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod pause;
 mod prompt_part;
+mod restore;
 mod retry_budget;
 mod silence;
 mod stop;
