Keep what is known to be newer than the copy the store comes back from

Callers would have been lost with endpoints that had left: their registrations come back with the copy, and entries sent requests to them again.

Change: for four heartbeats after a restore the view keeps later registrations, and endpoints that it has seen leave stay away unless they have registered since. The update of listings has a module of its own, since fleet.rs had grown large.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,9 +1,11 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
+pub mod departure;
 pub mod freshness;
 pub mod health;
 pub mod lag;
 pub mod leaving;
+mod listing;
 pub mod liveness;
 pub mod message;
 pub mod pace;
@@ -24,6 +26,7 @@
 
 use crate::time::Instant;
 pub use health::{Cause, UNHEALTHY_PERIOD};
+pub use listing::Update;
 pub use message::{Gossip, Incarnation, Load, Message, Topic};
 pub use position::Position;
 
@@ -84,17 +87,6 @@
     pub endpoints: BTreeMap<name::Endpoint, Endpoint>,
 }
 
-/// What a listing has changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Update {
-    /// Nothing, since it is older than the one before.
-    Ignored,
-    /// No endpoint differs.
-    Unchanged,
-    /// An endpoint differs.
-    Changed,
-}
-
 /// State that an endpoint reported directly, without the store.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -105,9 +97,6 @@
     heartbeat: u64,
 }
 
-/// Number of heartbeats after a report from which on a registration is certainly newer.
-const NEWER_BY_HEARTBEATS: u64 = 2;
-
 /// State of the endpoints as one process knows it, from all sources.
 #[derive(Debug, Default)]
 pub struct View {
@@ -123,86 +112,15 @@
     waits: wait::Waits,
     paces: pace::Paces,
     recovery: recovery::Recovery,
+    departures: departure::Departures,
+    /// Interval at which endpoints register.
+    heartbeat: Duration,
 }
 
-/// After a short gap between listings leases have expired if at least one of so many endpoints is
-/// missing. Among many entries listings come that late also without an outage, and endpoints that left
-/// are missing.
-const ENDPOINTS_PER_EXPIRED_LEASE: usize = 6;
-
 impl View {
-    /// Replaces the listing by one that was read at `read_at`.
-    ///
-    /// Ignores listings of an earlier position. After an outage of the store, endpoints that are
-    /// missing from the new listing are kept for a while, so that they can register again.
-    pub fn update_listing(&mut self, mut listing: Listing, read_at: Instant) -> Update {
-        if listing.position < self.listing.position {
-            return Update::Ignored;
-        }
-        let sign = self.outage_sign(&listing);
-        self.recovery.record(self.listed_at, read_at, sign);
-        // An endpoint that is seen draining now may have begun right after the listing before.
-        let previous = self.listed_at.unwrap_or_default();
-        if self.listed_at.is_none_or(|at| at < read_at) {
-            self.listed_at = Some(read_at);
-        }
-        self.unregistered.clear();
-        if self.recovery.keeps_missing(read_at) {
-            for (id, endpoint) in &self.listing.endpoints {
-                if !listing.endpoints.contains_key(id) {
-                    listing.endpoints.insert(id.clone(), endpoint.clone());
-                    self.unregistered.insert(id.clone());
-                }
-            }
-        }
-        for endpoint in listing.endpoints.values_mut() {
-            self.apply_report(endpoint);
-        }
-        let endpoints = &listing.endpoints;
-        self.reports.retain(|id, _| endpoints.contains_key(id));
-        self.pauses.retain(|id| endpoints.contains_key(id));
-        for endpoint in endpoints.values().filter(|e| e.state == State::Draining) {
-            self.leaving.record(&endpoint.incarnation(), false, previous.min(read_at));
-        }
-        let changed = self.listing.endpoints != listing.endpoints;
-        self.listing = listing;
-        if changed { Update::Changed } else { Update::Unchanged }
-    }
-
-    /// Records that another entry has had listings for `unbroken` without a gap.
-    ///
-    /// If the store was there in the last gap between this entry's listings, endpoints that have been
-    /// missing since have left. Returns whether there are any.
-    pub fn hear_unbroken(&mut self, unbroken: Duration, now: Instant) -> bool {
-        if !self.recovery.hear(unbroken, now) || self.unregistered.is_empty() {
-            return false;
-        }
-        for id in std::mem::take(&mut self.unregistered) {
-            self.listing.endpoints.remove(&id);
-            self.reports.remove(&id);
-        }
-        true
-    }
-
-    /// Returns for how long listings have come without a gap in which the store may have been away.
-    pub fn unbroken(&self, now: Instant) -> Duration {
-        self.recovery.unbroken(self.listed_at, now)
-    }
-
-    /// Returns what a listing tells of an outage since the one before.
-    fn outage_sign(&self, listing: &Listing) -> recovery::Sign {
-        if self.is_restored(listing) {
-            return recovery::Sign::Restored;
-        }
-        let known = &self.listing.endpoints;
-        let missing = known.keys().filter(|id| !listing.endpoints.contains_key(*id)).count();
-        let has_lost_many = missing * ENDPOINTS_PER_EXPIRED_LEASE > known.len();
-        if has_lost_many { recovery::Sign::LostMany } else { recovery::Sign::None }
-    }
-
-    /// Returns whether the store has come back from a copy since the listing before.
-    fn is_restored(&self, listing: &Listing) -> bool {
-        self.listed_at.is_some() && self.listing.position.era() < listing.position.era()
+    /// Creates a view without endpoints, which register every `heartbeat`.
+    pub fn new(heartbeat: Duration) -> Self {
+        Self { heartbeat, ..Self::default() }
     }
 
     /// Records layers that an endpoint reported directly, and the number of orders that it had
@@ -366,18 +284,4 @@
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.listed_at.map(|at| now.since(at))
     }
-
-    /// Overrides a registration by a report that the endpoint sent after writing it.
-    fn apply_report(&self, endpoint: &mut Endpoint) {
-        let Some(report) = self.reports.get(&endpoint.id) else {
-            return;
-        };
-        if report.born != endpoint.born {
-            return;
-        }
-        endpoint.orders = report.orders;
-        if endpoint.heartbeat < report.heartbeat + NEWER_BY_HEARTBEATS {
-            endpoint.layers = report.layers;
-        }
-    }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -72,7 +72,7 @@
     pub drain_ms: u64,
     /// Time between the signal to stop this process and its kill.
     pub grace_ms: u64,
-    /// Interval of the heartbeats by which endpoints renew their registrations. Not used yet.
+    /// Interval of the heartbeats by which endpoints renew their registrations.
     pub heartbeat_ms: u64,
     /// Time after which engines abort requests that wait for a lost stage. Not used yet.
     pub stall_ms: u64,
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -187,7 +187,7 @@
         let inner = Inner {
             table: None,
             freshness: Freshness::default(),
-            view: View::default(),
+            view: View::new(Duration::from_millis(settings.times.heartbeat_ms)),
             plans: vec![],
             chains: BTreeMap::new(),
             in_flight: Tracker::default(),
