Write back the plan that the store has lost, and go on from what it holds

Callers would have got refusals for lost chains until all entries had started again at once: after a restore no plan was accepted any more.

Cause: a plan was written on the condition of the revision of the plan in force, which the store does not have after a restore, and the refusal changed nothing.

Evidence: a_plan_that_the_store_has_lost_is_written_back_and_revised and an_older_plan_of_the_copy_does_not_replace_the_one_in_force fail on the code before (not within 30 s; one plan more in force) and pass now.

Change: an entry knows what the store holds apart from the plan in force. Plans are ordered by number first, which goes on across restores. Who holds a plan that the store has lost writes it back, which gives it a later position and orders a higher fencing token.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -42,6 +42,9 @@
     pub table: u64,
     /// Position of the sender's plan, the first one if it has none.
     pub plan: Position,
+    /// Number of the sender's plan, 0 if it has none.
+    #[serde(default)]
+    pub plan_number: u64,
     /// Time since the store told the sender that its routing table is the newest, in milliseconds;
     /// `None` if it has not.
     #[serde(default)]
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,6 +5,7 @@
 //! - [`revise`]: the next plan after endpoints join, leave or fail, with as few moves as possible.
 //! - [`inventory`]: the available endpoints by name, and the expected throughput of a set of
 //!   chains.
+//! - [`stored`]: what the store holds of the plan.
 //! - [`order`]: the next layer range to order from an endpoint on the way to its planned range.
 
 pub mod build;
@@ -12,6 +13,7 @@
 pub mod inventory;
 pub mod order;
 pub mod revise;
+pub mod stored;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -176,6 +178,14 @@
 }
 
 impl Plan {
+    /// Returns whether this plan replaces `other`.
+    ///
+    /// The number counts first, since it goes on when the store comes back from a copy. Of two plans with
+    /// one number, which entries that did not hear of each other may hold then, the one written later counts.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.number, self.position) > (other.number, other.position)
+    }
+
     /// Returns the layers that the plan assigns to an endpoint, or `None` if it is in no chain.
     pub fn layers_of(&self, endpoint: &name::Endpoint) -> Option<Range> {
         let chains = self.services.values().flatten();
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -15,7 +15,7 @@
 
 use crate::state::Shared;
 
-pub use entries::PLAN_KEY;
+pub use entries::{PLAN_KEY, apply_plan};
 pub use listing::apply_listing;
 
 /// Starts the tasks that follow the store and keep this entry registered.
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use oriole_core::fleet::Position;
 use oriole_core::name;
 use oriole_core::placement::Plan;
+use oriole_core::placement::stored::Stored;
 use oriole_macros::data;
 use oriole_platform::store::{Change, Client, Error, Item, Write};
 use tokio::time::sleep;
@@ -36,26 +38,42 @@
 
 /// Watches the keys that entries write until the process ends.
 pub async fn run(state: Shared, store: Client) {
-    let apply = |update, _, changes: Vec<Change>| {
+    let apply = |update, position, changes: Vec<Change>| {
         if update == Update::Snapshot {
             state.forget_registrations();
+            // What the store does not hold any more is written back.
+            for key in missing_keys(&changes) {
+                remove(&state, key, position);
+            }
         }
         state.inner.borrow_mut().knows_peers = true;
         for change in changes {
             match change {
                 Change::Written(item) => apply_entry_key(&state, &item),
-                Change::Removed(key) => {
-                    if let Some(host) = key.strip_prefix(HOST_PREFIX) {
-                        state.forget_registration(&name::Host::from(host));
-                        log::info!(host; "registration of an entry removed");
-                    }
-                }
+                Change::Removed(key) => remove(&state, &key, position),
             }
         }
     };
     watch(&state, store, KEY_PREFIX, WATCH_WAIT, "plan", apply).await;
 }
 
+/// Returns the keys of which each entry knows the value and that a reading of all keys misses.
+fn missing_keys(found: &[Change]) -> impl Iterator<Item = &'static str> {
+    let has = |key: &str| found.iter().any(|c| matches!(c, Change::Written(i) if i.key == key));
+    let missing: Vec<&'static str> = [PLAN_KEY].into_iter().filter(|key| !has(key)).collect();
+    missing.into_iter()
+}
+
+/// Records that a key is not in the store at `position`.
+fn remove(state: &Shared, key: &str, position: Position) {
+    if let Some(host) = key.strip_prefix(HOST_PREFIX) {
+        state.forget_registration(&name::Host::from(host));
+        log::info!(host; "registration of an entry removed");
+    } else if key == PLAN_KEY {
+        state.record_stored_plan(Stored::missing(position));
+    }
+}
+
 fn apply_entry_key(state: &Shared, item: &Item) {
     if let Some(host) = item.key.strip_prefix(HOST_PREFIX) {
         let Ok(registration) = serde_json::from_slice::<Registration>(&item.value) else {
@@ -71,15 +89,24 @@
     } else if item.key == quarantine::KEY {
         quarantine::apply(state, item);
     } else if item.key == PLAN_KEY {
-        match serde_json::from_slice::<Plan>(&item.value) {
-            Ok(mut plan) => {
-                plan.position = item.position;
-                state.adopt_plan(plan);
-            }
-            Err(e) => log::error!(
+        apply_plan(state, item);
+    }
+}
+
+/// Records what the store holds of the plan, and puts it in force if it is newer.
+pub fn apply_plan(state: &Shared, item: &Item) {
+    match serde_json::from_slice::<Plan>(&item.value) {
+        Ok(mut plan) => {
+            plan.position = item.position;
+            state.record_stored_plan(Stored::plan(&plan));
+            state.adopt_plan(plan);
+        }
+        Err(e) => {
+            log::error!(
                 position:% = item.position, error:% = e;
                 "plan cannot be decoded; keeping the previous plan"
-            ),
+            );
+            state.record_stored_plan(Stored::undecodable(item.position));
         }
     }
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -108,10 +108,12 @@
     let inner = state.inner.borrow();
     let age = inner.view.age(state.now());
     let table_age = inner.freshness.store_age(state.now());
+    let plan = inner.plans.first();
     Gossip {
         table: inner.table.as_ref().map_or(0, |t| t.version),
         table_age_ms: table_age.map(|age| age.as_millis() as u64),
-        plan: inner.plans.first().map(|p| p.position).unwrap_or_default(),
+        plan: plan.map(|p| p.position).unwrap_or_default(),
+        plan_number: plan.map_or(0, |p| p.number),
         listing_age_ms: age.map_or(u64::MAX, |age| age.as_millis() as u64),
         unbroken_ms: inner.view.unbroken(state.now()).as_millis() as u64,
         ready_in_ms: state.ready_in().as_millis() as u64,
@@ -250,7 +252,7 @@
     let now = state.now();
     let inner = state.inner.borrow();
     let table = inner.table.as_ref().map_or(0, |t| t.version);
-    let plan = inner.plans.first().map(|p| p.position).unwrap_or_default();
+    let plan = inner.plans.first().map(|p| (p.number, p.position)).unwrap_or_default();
     let drain = state.drain_time();
     let age = inner.view.age(now).unwrap_or(Duration::MAX);
     let is_stale = age > polling::listing_request_age(drain);
@@ -259,7 +261,7 @@
     let mut lags = state.lags.borrow_mut();
     for (topic, is_current, is_ahead) in [
         (Topic::Table, false, gossip.table > table),
-        (Topic::Plan, false, gossip.plan > plan),
+        (Topic::Plan, false, (gossip.plan_number, gossip.plan) > plan),
         (Topic::Listing, !is_stale, is_stale && is_fresh),
     ] {
         let lag = lags.entry(topic).or_default();
--- a/crates/router/src/planner.rs
+++ b/crates/router/src/planner.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::{Position, View, polling};
+use oriole_core::placement::stored::Stored;
 use oriole_core::placement::{Candidate, Chain, Model, Plan, revise};
 use oriole_core::route::Table;
 use oriole_core::time::Instant;
@@ -14,7 +15,7 @@
 use oriole_platform::store::{Client, Commit, Write};
 use tokio::time::sleep;
 
-use crate::follow::PLAN_KEY;
+use crate::follow::{self, PLAN_KEY};
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::state::Shared;
@@ -30,6 +31,9 @@
 /// delay.
 const STARTUP_PERIOD: Duration = Duration::from_millis(1500);
 
+/// Time for which the store must have lacked the plan before it is written back.
+const WRITE_BACK_DELAY: Duration = Duration::from_secs(1);
+
 /// Time for which an entry waits for each entry whose name comes before its own.
 const DELAY_PER_RANK: Duration = Duration::from_millis(400);
 
@@ -167,33 +171,52 @@
     })
 }
 
+/// Writes the plan in force to the store again whenever the store has lost it, until the process ends.
+pub async fn keep_stored(state: Shared, store: Client) {
+    let mut lost_since = None;
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        let Some(plan) = state.lost_plan() else {
+            lost_since = None;
+            continue;
+        };
+        let since = *lost_since.get_or_insert(state.now());
+        let delay = WRITE_BACK_DELAY + DELAY_PER_RANK * state.rank_by_name() as u32;
+        if state.now().since(since) >= delay {
+            log::warn!(number = plan.number; "writing back the plan that the store has lost");
+            write(&state, &store, plan).await;
+            lost_since = None;
+        }
+    }
+}
+
 async fn propose(state: &Shared, store: &Client, chains: Vec<(name::Service, Vec<Chain>)>) {
-    let (number, position) = {
-        let inner = state.inner.borrow();
-        inner.plans.first().map(|p| (p.number, p.position)).unwrap_or_default()
-    };
+    let number = state.inner.borrow().plans.first().map_or(0, |p| p.number);
     let services = chains.into_iter().collect();
-    let mut plan = Plan { number: number + 1, position: Position::default(), services };
+    write(state, store, Plan { number: number + 1, position: Position::default(), services }).await;
+}
+
+/// Writes a plan to the store unless another one has been written since, and puts in force which one it is.
+async fn write(state: &Shared, store: &Client, mut plan: Plan) {
+    let number = plan.number;
+    plan.position = Position::default();
     let Ok(value) = serde_json::to_vec(&plan) else {
-        log::error!(number = plan.number; "encoding the plan failed");
+        log::error!(number; "encoding the plan failed");
         return;
     };
-    let expected_revision = Some(position.revision());
+    let expected_revision = Some(state.expected_plan_revision());
     let write = Write { key: PLAN_KEY, value: &value, lease: 0, expected_revision };
     match store.write(&write).await {
         Ok(Commit::Written(position)) => {
             plan.position = position;
-            log::info!(number = plan.number, position:%; "plan proposed and accepted");
+            log::info!(number, position:%; "plan proposed and accepted");
+            state.record_stored_plan(Stored::plan(&plan));
             peers::broadcast(state, &fleet::Message::Plan(plan.clone()));
             state.adopt_plan(plan);
         }
-        Ok(Commit::Conflict(Some(item))) => {
-            if let Ok(mut plan) = serde_json::from_slice::<Plan>(&item.value) {
-                plan.position = item.position;
-                state.adopt_plan(plan);
-            }
-        }
-        Ok(Commit::Conflict(None)) => log::warn!(position:%; "plan is missing from the store"),
-        Err(e) => log::warn!(number = plan.number, error:% = e; "writing the plan failed"),
+        Ok(Commit::Conflict(Some(item))) => follow::apply_plan(state, &item),
+        // The watch of the entries' keys tells that the store has lost it.
+        Ok(Commit::Conflict(None)) => log::warn!(number; "the store has lost the plan before"),
+        Err(e) => log::warn!(number, error:% = e; "writing the plan failed"),
     }
 }
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -122,6 +122,7 @@
     actix_rt::spawn(listen::metrics(state.clone(), sockets.metrics));
     actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
+    actix_rt::spawn(planner::keep_stored(state.clone(), store));
     actix_rt::spawn(quarantine::run(state.clone(), store));
     actix_rt::spawn(hold::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,6 +10,7 @@
 pub mod limit;
 pub mod load;
 pub mod pause;
+mod plan;
 pub mod quarantine;
 pub mod statement;
 
@@ -36,6 +37,7 @@
 use oriole_core::forward::rate;
 use oriole_core::forward::runs::Runs;
 use oriole_core::name;
+use oriole_core::placement::stored::Stored;
 use oriole_core::placement::{Model, Plan};
 use oriole_core::route::Table;
 use oriole_core::time::Instant;
@@ -150,6 +152,8 @@
     pub report_requested_at: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Suspects of crashes that are about to be told to the other entries.
     pub untold_suspects: RefCell<BTreeMap<Incarnation, Vec<Suspect>>>,
+    /// What the store holds of the plan; `None` until it has been read.
+    pub stored_plan: Cell<Option<Stored>>,
     /// The quarantines that the store holds.
     pub stored_quarantine: RefCell<crate::quarantine::Known>,
     /// The requests that crash endpoints, as the store holds them.
@@ -228,6 +232,7 @@
             lags: RefCell::default(),
             report_requested_at: RefCell::default(),
             untold_suspects: RefCell::default(),
+            stored_plan: Cell::default(),
             stored_quarantine: RefCell::default(),
             stored_holds: RefCell::default(),
             holds_changed: Notify::new(),
@@ -364,22 +369,4 @@
         self.refresh();
         true
     }
-
-    /// Puts a plan in force if it is newer, and returns whether it is.
-    pub fn adopt_plan(&self, plan: Plan) -> bool {
-        let mut inner = self.inner.borrow_mut();
-        if inner.plans.first().is_some_and(|p| p.position >= plan.position) {
-            return false;
-        }
-        let chains = plan.services.values().map(Vec::len).sum::<usize>();
-        let (era, revision) = (plan.position.era(), plan.position.revision());
-        log::info!(number = plan.number, era, revision, chains; "plan in force");
-        self.metrics.plans.inc();
-        inner.plans.insert(0, plan);
-        inner.plans.truncate(MAX_KEPT_PLANS);
-        drop(inner);
-        self.lags.borrow_mut().remove(&Topic::Plan);
-        self.refresh();
-        true
-    }
 }
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -48,6 +48,11 @@
         Self::start(entries, 2, store).await
     }
 
+    /// Like [`Cluster::new`], with a store that has been started.
+    pub async fn with_store(entries: usize, store: Store) -> Self {
+        Self::start(entries, 2, store).await
+    }
+
     async fn start(entries: usize, zones: usize, store: Store) -> Self {
         store.put("op/config", &config(1, &[KEY]));
         let fleet = Fleet::new(&store);
--- a/crates/router/tests/path/restore.rs
+++ b/crates/router/tests/path/restore.rs
@@ -2,9 +2,10 @@
 
 use oriole_core::fleet::State;
 use oriole_platform_standin::fleet::Fault;
+use oriole_platform_standin::store::{Copy, Store};
 use serde_json::json;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, Entry};
 
 /// Revisions that are lost, more than any test makes up for.
 const LOST_REVISIONS: u64 = 1_000_000;
@@ -57,3 +58,60 @@
     cluster.wait(|c| knows(c, "silent-2")).await;
     assert!(!knows(&cluster, "silent-1"), "its registration was lost");
 }
+
+/// Returns the number of the plan that the store holds; 0 if there is none.
+fn stored_plan(cluster: &Cluster) -> u64 {
+    let plan = cluster.store.get("oriole/plan");
+    plan.and_then(|plan| plan["number"].as_u64()).unwrap_or_default()
+}
+
+fn plan_numbers(cluster: &Cluster) -> Vec<u64> {
+    let number = |e: &Entry| e.state.inner.borrow().plans.first().map_or(0, |p| p.number);
+    cluster.entries.iter().map(number).collect()
+}
+
+/// Returns a cluster of two entries, and a copy of its store from before they started.
+async fn cluster_with_empty_copy() -> (Cluster, Copy) {
+    let store = Store::start().await.unwrap();
+    let copy = store.copy();
+    store.skip_revisions(LOST_REVISIONS);
+    (Cluster::with_store(2, store).await, copy)
+}
+
+/// Guards against entries that wait for the revision of a plan that the store has lost: no plan was accepted
+/// any more, and lost stages were not replaced.
+#[actix_rt::test]
+async fn a_plan_that_the_store_has_lost_is_written_back_and_revised() {
+    let (cluster, copy) = cluster_with_empty_copy().await;
+    let number = stored_plan(&cluster);
+    assert!(number > 0);
+    cluster.store.restore(&copy);
+    assert_eq!(stored_plan(&cluster), 0);
+    cluster.wait(|c| stored_plan(c) >= number).await;
+    let lost = cluster.entries[0].state.inner.borrow().plans[0].clone();
+    let stage = lost.services.values().flatten().flat_map(|c| &c.stages).next().unwrap();
+    cluster.fleet.set_fault(stage.endpoint.as_str(), Fault::Unresponsive);
+    cluster.wait(|c| stored_plan(c) > number).await;
+    cluster.wait(|c| plan_numbers(c).iter().all(|n| *n == stored_plan(c))).await;
+}
+
+/// Guards against an older plan of the copy that replaces the one in force, whose orders are under way.
+#[actix_rt::test]
+async fn an_older_plan_of_the_copy_does_not_replace_the_one_in_force() {
+    let cluster = Cluster::new(2).await;
+    let (older, copy) = (stored_plan(&cluster), cluster.store.copy());
+    let plan = cluster.entries[0].state.inner.borrow().plans[0].clone();
+    let stage = plan.services.values().flatten().flat_map(|c| &c.stages).next().unwrap();
+    cluster.fleet.set_fault(stage.endpoint.as_str(), Fault::Unresponsive);
+    cluster.wait(|c| plan_numbers(c).iter().all(|n| *n > older)).await;
+    let newer = plan_numbers(&cluster)[0];
+    let adopted = cluster.entries[0].state.metrics.plans.get();
+    cluster.store.restore(&copy);
+    cluster.wait(|c| stored_plan(c) >= newer).await;
+    assert!(plan_numbers(&cluster).iter().all(|n| *n >= newer));
+    let replans = cluster.entries[0].state.metrics.plans.get() - adopted;
+    assert_eq!(replans, plan_numbers(&cluster)[0] - newer, "the older plan was in force");
+    let tokens = |e: &Entry| e.state.inner.borrow().plans[0].position.fencing_token();
+    let written = plan.position.fencing_token();
+    assert!(cluster.entries.iter().all(|e| tokens(e) > written), "fencing tokens grow");
+}
