Write back the secret that the store has lost, and follow the one it holds

Cause: the secret by which entries authenticate was written and read once, at the start. A restore takes it away, and the next entry that starts makes another one.

Change: entries follow the secret with their other keys. One that knows it writes it back where it is missing; a new one is used for connections from then on, and an entry dials with the one before, too.

--- a/crates/entry/src/setup.rs
+++ b/crates/entry/src/setup.rs
@@ -103,7 +103,7 @@
     /// Starts the entry in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, http, liveness, seed } = self.setup;
-        let identity = Identity { host: host.clone(), secret };
+        let identity = Identity::new(host.clone(), secret);
         let (hub, events) = Hub::new(hub::Settings { identity, liveness });
         let (commands, receiver) = mpsc::channel(1024);
         let boot = u32::try_from(seed >> 32).unwrap_or_default();
--- a/crates/entry/tests/http/fixture.rs
+++ b/crates/entry/tests/http/fixture.rs
@@ -114,8 +114,7 @@
 impl Fixture {
     pub async fn start() -> Self {
         let (listening, side_address) = listener();
-        let identity =
-            |host: &str| Identity { host: name::Host::from(host), secret: SECRET.to_vec() };
+        let identity = |host: &str| Identity::new(name::Host::from(host), SECRET.to_vec());
         let settings = Settings { identity: identity("side"), liveness: Liveness::default() };
         let (hub, events) = Hub::new(settings);
         hub.listen(listening);
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -12,7 +12,7 @@
 
 use super::watch::{Monitor, Update, watch};
 use crate::state::{Peer, Shared};
-use crate::{hold, quarantine};
+use crate::{hold, quarantine, secret};
 
 /// Prefix of all keys that entries write.
 const KEY_PREFIX: &str = "oriole/";
@@ -60,7 +60,8 @@
 /// Returns the keys of which each entry knows the value and that a reading of all keys misses.
 fn missing_keys(found: &[Change]) -> impl Iterator<Item = &'static str> {
     let has = |key: &str| found.iter().any(|c| matches!(c, Change::Written(i) if i.key == key));
-    let missing: Vec<&'static str> = [PLAN_KEY].into_iter().filter(|key| !has(key)).collect();
+    let missing: Vec<&'static str> =
+        [PLAN_KEY, secret::KEY].into_iter().filter(|key| !has(key)).collect();
     missing.into_iter()
 }
 
@@ -71,6 +72,8 @@
         log::info!(host; "registration of an entry removed");
     } else if key == PLAN_KEY {
         state.record_stored_plan(Stored::missing(position));
+    } else if key == secret::KEY {
+        secret::record_missing(state, position);
     }
 }
 
@@ -88,6 +91,8 @@
         hold::apply(state, item);
     } else if item.key == quarantine::KEY {
         quarantine::apply(state, item);
+    } else if item.key == secret::KEY {
+        secret::apply(state, item);
     } else if item.key == PLAN_KEY {
         apply_plan(state, item);
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod quarantine;
 pub mod reply;
 pub mod run;
+pub mod secret;
 pub mod serve;
 pub mod settings;
 pub mod state;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,7 +11,7 @@
 use oriole_core::forward::in_flight;
 use oriole_core::message;
 use oriole_core::name;
-use oriole_platform::store::{Client, Commit, Error, Write};
+use oriole_platform::store::Client;
 use oriole_wire::conn::Liveness;
 use oriole_wire::handshake::Identity;
 use oriole_wire::hub::{self, Event, Hub, Kind};
@@ -20,17 +20,8 @@
 use tokio::time::sleep;
 
 use crate::follow;
-use crate::pace;
 use crate::state::{Shared, hold, quarantine};
-
-/// Key of the secret by which entries authenticate to each other.
-const SECRET_KEY: &str = "oriole/secret";
-
-/// Length of the secret before hexadecimal encoding.
-const SECRET_BYTES: usize = 32;
-
-/// Pause after reading the secret has failed.
-const RETRY_DELAY: Duration = Duration::from_millis(250);
+use crate::{pace, secret};
 
 /// Returns the heartbeat and silence intervals of connections between entries.
 ///
@@ -43,35 +34,10 @@
     }
 }
 
-/// Returns the shared secret, creating one if the store has none. Retries until the store answers.
-pub async fn secret(store: &Client) -> Vec<u8> {
-    loop {
-        match read_or_create_secret(store).await {
-            Ok(secret) => return secret,
-            Err(e) => log::warn!(error:% = e; "reading the shared secret failed; retrying"),
-        }
-        sleep(RETRY_DELAY).await;
-    }
-}
-
-async fn read_or_create_secret(store: &Client) -> Result<Vec<u8>, Error> {
-    let mut bytes = [0; SECRET_BYTES];
-    if getrandom::fill(&mut bytes).is_err() {
-        return Err(Error::Missing);
-    }
-    let value = hex::encode(bytes).into_bytes();
-    let write = Write { key: SECRET_KEY, value: &value, lease: 0, expected_revision: Some(0) };
-    match store.write(&write).await? {
-        Commit::Written(_) => Ok(value),
-        Commit::Conflict(Some(item)) => Ok(item.value),
-        Commit::Conflict(None) => Err(Error::Missing),
-    }
-}
-
 /// Connects to the other entries and exchanges gossip with them until the process ends.
 pub async fn run(state: Shared, store: Client, listener: TcpListener) {
-    let secret = secret(&store).await;
-    let identity = Identity { host: state.host.clone(), secret };
+    let secret = secret::read(&state, &store).await;
+    let identity = Identity::new(state.host.clone(), secret);
     let (hub, events) = Hub::new(hub::Settings { identity, liveness: liveness() });
     hub.listen(listener);
     actix_rt::spawn(receive(state.clone(), hub.clone(), events));
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -15,7 +15,7 @@
 
 use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State, load};
-use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, suspect};
+use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, secret, suspect};
 
 /// Length of the queue of connections that have not been accepted yet.
 const MAX_PENDING_CONNECTIONS: u32 = 1024;
@@ -123,6 +123,7 @@
     actix_rt::spawn(peers::run(state.clone(), store, sockets.peers));
     actix_rt::spawn(planner::run(state.clone(), store));
     actix_rt::spawn(planner::keep_stored(state.clone(), store));
+    actix_rt::spawn(secret::keep_stored(state.clone(), store));
     actix_rt::spawn(quarantine::run(state.clone(), store));
     actix_rt::spawn(hold::run(state.clone(), store));
     actix_rt::spawn(orders::run(state.clone()));
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -6,7 +6,7 @@
 use oriole_platform_standin::caller::{self, Answer};
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fleet;
-use oriole_platform_standin::store::Store;
+use oriole_platform_standin::store::{Copy, Store};
 use oriole_router::process::{self, Sockets};
 use oriole_router::settings::{self, Settings};
 use oriole_router::state::Shared;
@@ -15,6 +15,9 @@
 /// Longest time that a test waits for a condition.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Revisions that a restore takes away, more than any test makes up for.
+pub const LOST_REVISIONS: u64 = 1_000_000;
+
 /// An entry, with its addresses for callers and for readiness.
 pub struct Entry {
     pub state: Shared,
@@ -48,9 +51,12 @@
         Self::start(entries, 2, store).await
     }
 
-    /// Like [`Cluster::new`], with a store that has been started.
-    pub async fn with_store(entries: usize, store: Store) -> Self {
-        Self::start(entries, 2, store).await
+    /// Starts two entries, and also returns a copy of the store from before.
+    pub async fn with_empty_copy() -> (Self, Copy) {
+        let store = Store::start().await.unwrap();
+        let copy = store.copy();
+        store.skip_revisions(LOST_REVISIONS);
+        (Self::start(2, 2, store).await, copy)
     }
 
     async fn start(entries: usize, zones: usize, store: Store) -> Self {
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -14,6 +14,7 @@
 mod prompt_part;
 mod restore;
 mod retry_budget;
+mod secret;
 mod silence;
 mod stop;
 mod suspects;
--- a/crates/router/tests/path/restore.rs
+++ b/crates/router/tests/path/restore.rs
@@ -2,13 +2,9 @@
 
 use oriole_core::fleet::State;
 use oriole_platform_standin::fleet::Fault;
-use oriole_platform_standin::store::{Copy, Store};
 use serde_json::json;
 
-use crate::cluster::{Cluster, Entry};
-
-/// Revisions that are lost, more than any test makes up for.
-const LOST_REVISIONS: u64 = 1_000_000;
+use crate::cluster::{Cluster, Entry, LOST_REVISIONS};
 
 /// Prefix of the registrations of endpoints.
 const ENDPOINT_PREFIX: &str = "servers/";
@@ -70,19 +66,11 @@
     cluster.entries.iter().map(number).collect()
 }
 
-/// Returns a cluster of two entries, and a copy of its store from before they started.
-async fn cluster_with_empty_copy() -> (Cluster, Copy) {
-    let store = Store::start().await.unwrap();
-    let copy = store.copy();
-    store.skip_revisions(LOST_REVISIONS);
-    (Cluster::with_store(2, store).await, copy)
-}
-
 /// Guards against entries that wait for the revision of a plan that the store has lost: no plan was accepted
 /// any more, and lost stages were not replaced.
 #[actix_rt::test]
 async fn a_plan_that_the_store_has_lost_is_written_back_and_revised() {
-    let (cluster, copy) = cluster_with_empty_copy().await;
+    let (cluster, copy) = Cluster::with_empty_copy().await;
     let number = stored_plan(&cluster);
     assert!(number > 0);
     cluster.store.restore(&copy);
--- a/crates/side/src/builder.rs
+++ b/crates/side/src/builder.rs
@@ -111,7 +111,7 @@
     /// Starts the side in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, liveness } = self.setup;
-        let identity = Identity { host: host.clone(), secret };
+        let identity = Identity::new(host.clone(), secret);
         let (hub, events) = Hub::new(hub::Settings { identity, liveness });
         let mut tasks = vec![hub.listen(wire)];
         let (commands, receiver) = mpsc::channel(64);
--- a/crates/side/tests/process.rs
+++ b/crates/side/tests/process.rs
@@ -72,7 +72,7 @@
         let (host, secret) = ("host".into(), SECRET.to_vec());
         let setup = Setup { host, secret, config, wire, liveness };
         let side = Builder::new(setup).http(http).start();
-        let identity = Identity { host: "entry".into(), secret: SECRET.to_vec() };
+        let identity = Identity::new("entry".into(), SECRET.to_vec());
         let (entry, events) = Hub::new(hub::Settings { identity, liveness });
         let cancel = oriole_core::message::Cancel { request: id(99), attempt: 1 };
         entry.send(&"host".into(), Some(wire_address), Message::Cancel(cancel));
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -18,12 +18,35 @@
 pub type Socket = WebSocketStream<TcpStream>;
 
 /// Identity that a process proves in handshakes.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Identity {
     /// The host of this process.
     pub host: name::Host,
     /// Secret that all processes of one deployment share.
-    pub secret: Vec<u8>,
+    secret: Vec<u8>,
+    /// The secret before, by which a process that has not heard of the change may still prove itself to one
+    /// that dials it.
+    previous: Option<Vec<u8>>,
+}
+
+impl Identity {
+    /// Returns the identity of a host that knows the shared secret.
+    pub fn new(host: name::Host, secret: Vec<u8>) -> Self {
+        Self { host, secret, previous: None }
+    }
+
+    /// Replaces the shared secret.
+    pub fn set_secret(&mut self, secret: Vec<u8>) {
+        if self.secret != secret {
+            self.previous = Some(std::mem::replace(&mut self.secret, secret));
+        }
+    }
+}
+
+impl std::fmt::Debug for Identity {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Identity").field("host", &self.host).finish_non_exhaustive()
+    }
 }
 
 /// The end of the connection that makes a proof. It is part of the HMAC so that one end's proof
@@ -53,11 +76,11 @@
         dialler_nonce: nonce,
         acceptor_nonce: welcome.nonce,
     };
-    verify(identity, End::Acceptor, &transcript, &welcome.proof)?;
+    let secret = verify_any(identity, &transcript, &welcome.proof)?;
     if welcome.host != *expected {
         return Err(Error::Unauthenticated);
     }
-    let proof = prove(identity, End::Dialler, &transcript)?;
+    let proof = prove(secret, End::Dialler, &transcript)?;
     send(socket, &Frame::Proof(proof)).await
 }
 
@@ -74,13 +97,13 @@
         dialler_nonce: hello.nonce,
         acceptor_nonce: nonce,
     };
-    let proof = prove(identity, End::Acceptor, &transcript)?;
+    let proof = prove(&identity.secret, End::Acceptor, &transcript)?;
     let host = identity.host.clone();
     send(socket, &Frame::Welcome(Welcome { version: VERSION, host, nonce, proof })).await?;
     let Frame::Proof(proof) = receive(socket).await? else {
         return Err(Error::UnexpectedFrame);
     };
-    verify(identity, End::Dialler, &transcript, &proof)?;
+    verify(&identity.secret, End::Dialler, &transcript, &proof)?;
     Ok(hello.host)
 }
 
@@ -92,9 +115,8 @@
     acceptor_nonce: Nonce,
 }
 
-fn mac(identity: &Identity, end: End, t: &Transcript<'_>) -> Result<Hmac<Sha256>, Error> {
-    let mut mac =
-        Hmac::<Sha256>::new_from_slice(&identity.secret).map_err(|_| Error::Unauthenticated)?;
+fn mac(secret: &[u8], end: End, t: &Transcript<'_>) -> Result<Hmac<Sha256>, Error> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret).map_err(|_| Error::Unauthenticated)?;
     mac.update(match end {
         End::Dialler => b"oriole dialler",
         End::Acceptor => b"oriole acceptor",
@@ -108,13 +130,24 @@
     Ok(mac)
 }
 
-fn prove(identity: &Identity, end: End, t: &Transcript<'_>) -> Result<Proof, Error> {
-    Ok(mac(identity, end, t)?.finalize().into_bytes().into())
+fn prove(secret: &[u8], end: End, t: &Transcript<'_>) -> Result<Proof, Error> {
+    Ok(mac(secret, end, t)?.finalize().into_bytes().into())
+}
+
+/// Verifies the proof of an acceptor, and returns the secret by which it proves itself.
+fn verify_any<'a>(
+    identity: &'a Identity,
+    t: &Transcript<'_>,
+    proof: &Proof,
+) -> Result<&'a [u8], Error> {
+    let mut known = std::iter::once(&identity.secret).chain(&identity.previous);
+    let proven = known.find(|secret| verify(secret, End::Acceptor, t, proof).is_ok());
+    proven.map(Vec::as_slice).ok_or(Error::Unauthenticated)
 }
 
-fn verify(identity: &Identity, end: End, t: &Transcript<'_>, proof: &Proof) -> Result<(), Error> {
+fn verify(secret: &[u8], end: End, t: &Transcript<'_>, proof: &Proof) -> Result<(), Error> {
     // `verify_slice` compares in constant time.
-    mac(identity, end, t)?.verify_slice(proof).map_err(|_| Error::Unauthenticated)
+    mac(secret, end, t)?.verify_slice(proof).map_err(|_| Error::Unauthenticated)
 }
 
 fn check_version(found: u16) -> Result<(), Error> {
--- a/crates/wire/src/hub.rs
+++ b/crates/wire/src/hub.rs
@@ -62,7 +62,8 @@
 }
 
 struct Inner {
-    settings: Settings,
+    identity: RefCell<Identity>,
+    liveness: Liveness,
     links: RefCell<BTreeMap<name::Host, Vec<Link>>>,
     events: mpsc::Sender<Event>,
     next_link: Cell<u64>,
@@ -80,10 +81,17 @@
     pub fn new(settings: Settings) -> (Self, mpsc::Receiver<Event>) {
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let links = RefCell::default();
-        let inner = Inner { settings, links, events, next_link: Cell::new(0) };
+        let Settings { identity, liveness } = settings;
+        let identity = RefCell::new(identity);
+        let inner = Inner { identity, liveness, links, events, next_link: Cell::new(0) };
         (Self { inner: Rc::new(inner) }, receiver)
     }
 
+    /// Replaces the shared secret for connections that are opened from now on.
+    pub fn set_secret(&self, secret: Vec<u8>) {
+        self.inner.identity.borrow_mut().set_secret(secret);
+    }
+
     /// Accepts connections until the returned task is aborted.
     pub fn listen(&self, listener: TcpListener) -> actix_rt::task::JoinHandle<()> {
         let hub = self.clone();
@@ -95,7 +103,7 @@
                     let hub = hub.clone();
                     actix_rt::spawn(async move { hub.accept(stream).await });
                 } else {
-                    tokio::time::sleep(hub.inner.settings.liveness.busy_heartbeat).await;
+                    tokio::time::sleep(hub.inner.liveness.busy_heartbeat).await;
                 }
             }
         })
@@ -169,7 +177,7 @@
     }
 
     async fn accept(&self, stream: TcpStream) {
-        let limit = self.inner.settings.liveness.connect_timeout;
+        let limit = self.inner.liveness.connect_timeout;
         match timeout(limit, self.accept_socket(stream)).await {
             Ok(Ok((host, socket))) => {
                 let (link, outbound) = self.new_link();
@@ -187,12 +195,13 @@
         stream.set_nodelay(true)?;
         let accepting = tokio_tungstenite::accept_async_with_config(stream, Some(config()));
         let mut socket = accepting.await?;
-        let host = handshake::accept(&mut socket, &self.inner.settings.identity).await?;
+        let identity = self.inner.identity.borrow().clone();
+        let host = handshake::accept(&mut socket, &identity).await?;
         Ok((host, socket))
     }
 
     async fn dial(&self, host: &name::Host, address: SocketAddr) -> Result<Socket, Error> {
-        let limit = self.inner.settings.liveness.connect_timeout;
+        let limit = self.inner.liveness.connect_timeout;
         timeout(limit, self.dial_socket(host, address)).await.map_err(|_| Error::Silent)?
     }
 
@@ -202,7 +211,8 @@
         let url = format!("ws://{address}/");
         let dialling = tokio_tungstenite::client_async_with_config(url, stream, Some(config()));
         let (mut socket, _) = dialling.await?;
-        handshake::dial(&mut socket, &self.inner.settings.identity, host).await?;
+        let identity = self.inner.identity.borrow().clone();
+        handshake::dial(&mut socket, &identity, host).await?;
         Ok(socket)
     }
 
@@ -223,7 +233,7 @@
         let number = self.inner.next_link.get();
         self.inner.next_link.set(number + 1);
         let (outbound, receiver) = mpsc::channel(OUTBOUND_QUEUE_CAPACITY);
-        let activity = Rc::new(Activity::new(self.inner.settings.liveness, Instant::now()));
+        let activity = Rc::new(Activity::new(self.inner.liveness, Instant::now()));
         (Link { number, outbound, activity }, receiver)
     }
 
--- a/crates/wire/tests/wire.rs
+++ b/crates/wire/tests/wire.rs
@@ -43,7 +43,7 @@
 }
 
 async fn node(host: &str, secret: &str) -> Node {
-    let identity = Identity { host: host.into(), secret: secret.as_bytes().to_vec() };
+    let identity = Identity::new(host.into(), secret.as_bytes().to_vec());
     let (hub, events) = Hub::new(Settings { identity, liveness: LIVENESS });
     let (listener, address) = listen().await;
     hub.listen(listener);
@@ -103,6 +103,21 @@
     assert!(b.hub.hosts().is_empty());
 }
 
+/// Guards against a process that is shut out, since it has not heard that the secret was replaced.
+#[actix_rt::test]
+async fn a_process_that_knows_the_new_secret_reaches_one_that_knows_the_one_before() {
+    let (mut a, mut b) = (node("a", "first").await, node("b", "first").await);
+    a.hub.set_secret(b"second".to_vec());
+    a.hub.send(&"b".into(), Some(b.address), cancel(1));
+    assert!(matches!(next(&mut b).await, Kind::Up));
+    assert!(matches!(next(&mut b).await, Kind::Message(_)));
+    assert!(matches!(next(&mut a).await, Kind::Up));
+    let mut c = node("c", "other").await;
+    a.hub.send(&"c".into(), Some(c.address), cancel(1));
+    assert!(matches!(next(&mut a).await, Kind::Lost(Error::Unauthenticated)));
+    assert!(c.events.try_recv().is_err());
+}
+
 /// A stale or wrong address may lead to another host that knows the same secret.
 #[actix_rt::test]
 async fn refuses_a_peer_that_is_another_host() {
