Write back what the store has lost of crashes

Cause: a reading of all keys that misses one was not noticed, so that what the store was taken to hold stayed as it was. The quarantines of prompt parts were kept in the same way.

The same class is a stored value that cannot be decoded: it was never replaced, and writes followed each other without a pause; its test fails without the change, too.

Change: missing keys of a reading and removed keys are told to whoever keeps them, and what is known of a stored value has a position.

--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -23,6 +23,9 @@
 /// Key of the plan.
 pub const PLAN_KEY: &str = "oriole/plan";
 
+/// Keys of what all entries know and keep in the store.
+const ENTRY_KEYS: [&str; 4] = [PLAN_KEY, secret::KEY, hold::KEY, quarantine::KEY];
+
 /// Shortest time after which the store answers a watch of these keys even without changes.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
@@ -58,11 +61,9 @@
 }
 
 /// Returns the keys of which each entry knows the value and that a reading of all keys misses.
-fn missing_keys(found: &[Change]) -> impl Iterator<Item = &'static str> {
+fn missing_keys(found: &[Change]) -> Vec<&'static str> {
     let has = |key: &str| found.iter().any(|c| matches!(c, Change::Written(i) if i.key == key));
-    let missing: Vec<&'static str> =
-        [PLAN_KEY, secret::KEY].into_iter().filter(|key| !has(key)).collect();
-    missing.into_iter()
+    ENTRY_KEYS.into_iter().filter(|key| !has(key)).collect()
 }
 
 /// Records that a key is not in the store at `position`.
@@ -74,6 +75,10 @@
         state.record_stored_plan(Stored::missing(position));
     } else if key == secret::KEY {
         secret::record_missing(state, position);
+    } else if key == hold::KEY {
+        hold::record_missing(state, position);
+    } else if key == quarantine::KEY {
+        quarantine::record_missing(state, position);
     }
 }
 
--- a/crates/router/src/hold.rs
+++ b/crates/router/src/hold.rs
@@ -15,6 +15,7 @@
 
 use crate::peers;
 use crate::state::{Shared, hold};
+use crate::stored::Version;
 
 /// Key of the requests that crash endpoints.
 pub const KEY: &str = "oriole/holds";
@@ -42,8 +43,7 @@
 /// What the store holds, as this entry knows it.
 #[derive(Debug, Default)]
 pub struct Known {
-    /// Position of the last write of the key; the first one if there is none.
-    position: Position,
+    version: Version,
     summary: Summary,
 }
 
@@ -102,13 +102,27 @@
         Ok(stored) => stored,
         Err(error) => {
             log::error!(position:% = item.position, error:%; "held requests cannot be decoded");
+            record_stored(state, Version::written(item.position), Summary::default());
             return;
         }
     };
     let elapsed = Duration::from_millis(unix_ms().saturating_sub(stored.written_ms));
     let summary = stored.summary.aged(elapsed);
     hold::hear_summary(state, &summary, "store");
-    *state.stored_holds.borrow_mut() = Known { position: item.position, summary };
+    record_stored(state, Version::written(item.position), summary);
+}
+
+/// Records that the store holds nothing, as a reading at `position` shows.
+pub fn record_missing(state: &Shared, position: Position) {
+    record_stored(state, Version::missing(position), Summary::default());
+}
+
+fn record_stored(state: &Shared, version: Version, summary: Summary) {
+    let mut stored = state.stored_holds.borrow_mut();
+    if stored.version.is_replaced_by(version) {
+        *stored = Known { version, summary };
+        state.holds_changed.notify_one();
+    }
 }
 
 /// Writes to the store what it lacks whenever that has changed. Runs until the process exits.
@@ -146,17 +160,20 @@
         log::error!("encoding the held requests failed");
         return Outcome::Failed;
     };
-    let expected_revision = Some(state.stored_holds.borrow().position.revision());
+    let expected_revision = Some(state.stored_holds.borrow().version.expected_revision());
     let write = Write { key: KEY, value: &value, lease: 0, expected_revision };
     match store.write(&write).await {
         Ok(Commit::Written(position)) => {
-            *state.stored_holds.borrow_mut() = Known { position, summary: stored.summary };
+            record_stored(state, Version::written(position), stored.summary);
             Outcome::Written
         }
         Ok(Commit::Conflict(item)) => {
             match item {
                 Some(item) => apply(state, &item),
-                None => *state.stored_holds.borrow_mut() = Known::default(),
+                None => {
+                    let lost = state.stored_holds.borrow().version.lost();
+                    record_stored(state, lost, Summary::default());
+                }
             }
             Outcome::Conflict
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -50,4 +50,5 @@
 pub mod serve;
 pub mod settings;
 pub mod state;
+pub mod stored;
 pub mod suspect;
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -9,6 +9,7 @@
 mod late_version;
 mod leaving;
 mod limit;
+mod lost_state;
 mod orders;
 mod pause;
 mod prompt_part;
