Register again when the registration in the store is not the one last written

Cause: an entry took a lease that it can renew for being registered. A write that is carried out late puts the registration under an earlier lease, with which it ends; after a restore the lease may belong to another entry.

Change: an entry compares its own key with what it last wrote whenever the store tells of it, and registers again if it is missing or under another lease at a later position.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -4,10 +4,12 @@
 //! - [`watch`]: watches a prefix, and monitors failed calls.
 //! - [`table`]: the operator's configuration, watched, and read when the watch is silent for too long.
 //! - [`listing`]: the registrations of endpoints, read at an interval.
-//! - [`entries`]: the keys that entries write, watched, and the registration of this entry.
+//! - [`entries`]: the keys that entries write, watched.
+//! - [`registration`]: the registration of this entry.
 
 pub mod entries;
 pub mod listing;
+pub mod registration;
 pub mod table;
 pub mod watch;
 
@@ -24,5 +26,5 @@
     actix_rt::spawn(table::read_if_stale(state.clone(), store));
     actix_rt::spawn(listing::run(state.clone(), store));
     actix_rt::spawn(entries::run(state.clone(), store));
-    actix_rt::spawn(entries::register(state.clone(), store));
+    actix_rt::spawn(registration::run(state.clone(), store));
 }
--- a/crates/router/src/follow/entries.rs
+++ b/crates/router/src/follow/entries.rs
@@ -1,4 +1,4 @@
-//! Follows the keys that entries write, such as the plan, and registers this entry among them.
+//! Follows the keys that entries write, such as the plan.
 
 use std::time::Duration;
 
@@ -6,20 +6,16 @@
 use oriole_core::name;
 use oriole_core::placement::Plan;
 use oriole_core::placement::stored::Stored;
-use oriole_macros::data;
-use oriole_platform::store::{Change, Client, Error, Item, Write};
-use tokio::time::sleep;
+use oriole_platform::store::{Change, Client, Item};
 
-use super::watch::{Monitor, Update, watch};
+use super::registration::{self, Registration};
+use super::watch::{Update, watch};
 use crate::state::{Peer, Shared};
 use crate::{hold, quarantine, secret};
 
 /// Prefix of all keys that entries write.
 const KEY_PREFIX: &str = "oriole/";
 
-/// Prefix of the keys under which entries register, followed by the name of the host.
-const HOST_PREFIX: &str = "oriole/hosts/";
-
 /// Key of the plan.
 pub const PLAN_KEY: &str = "oriole/plan";
 
@@ -29,16 +25,6 @@
 /// Shortest time after which the store answers a watch of these keys even without changes.
 const WATCH_WAIT: Duration = Duration::from_millis(2500);
 
-/// Time to live of an entry's registration unless it is renewed.
-const REGISTRATION_TTL: Duration = Duration::from_secs(5);
-
-/// Registration of an entry, as stored.
-#[data]
-struct Registration {
-    /// Address on which it listens for other entries.
-    address: std::net::SocketAddr,
-}
-
 /// Watches the keys that entries write until the process ends.
 pub async fn run(state: Shared, store: Client) {
     let apply = |update, position, changes: Vec<Change>| {
@@ -49,6 +35,7 @@
                 remove(&state, key, position);
             }
         }
+        registration::check(&state, update == Update::Snapshot, position, &changes);
         state.inner.borrow_mut().knows_peers = true;
         for change in changes {
             match change {
@@ -68,7 +55,7 @@
 
 /// Records that a key is not in the store at `position`.
 fn remove(state: &Shared, key: &str, position: Position) {
-    if let Some(host) = key.strip_prefix(HOST_PREFIX) {
+    if let Some(host) = key.strip_prefix(registration::PREFIX) {
         state.forget_registration(&name::Host::from(host));
         log::info!(host; "registration of an entry removed");
     } else if key == PLAN_KEY {
@@ -83,7 +70,7 @@
 }
 
 fn apply_entry_key(state: &Shared, item: &Item) {
-    if let Some(host) = item.key.strip_prefix(HOST_PREFIX) {
+    if let Some(host) = item.key.strip_prefix(registration::PREFIX) {
         let Ok(registration) = serde_json::from_slice::<Registration>(&item.value) else {
             log::warn!(key = item.key.as_str(); "skipped the undecodable registration of an entry");
             return;
@@ -120,45 +107,3 @@
         }
     }
 }
-
-/// Keeps this entry registered until the process ends.
-pub async fn register(state: Shared, store: Client) {
-    let ttl = REGISTRATION_TTL.max(Duration::from_millis(state.settings.store.min_lease_ms));
-    let key = format!("{HOST_PREFIX}{}", state.settings.name);
-    let registration = Registration { address: state.settings.listen.peers };
-    let value = serde_json::to_vec(&registration).unwrap_or_default();
-    let mut monitor = Monitor::new(&state, "registration");
-    let mut lease = None;
-    loop {
-        let sent = state.now();
-        let result = match lease {
-            Some(number) => store.renew_lease(number).await.map(|()| number),
-            None => register_with_new_lease(&store, ttl, &key, &value).await,
-        };
-        monitor.record(&result);
-        match result {
-            Ok(number) => {
-                lease = Some(number);
-                state.inner.borrow_mut().presence.record_registration(sent + ttl);
-            }
-            Err(Error::Missing) => {
-                lease = None;
-                continue;
-            }
-            Err(_) => {}
-        }
-        sleep(ttl / 3).await;
-    }
-}
-
-/// Writes the entry's registration under a new lease. Returns the number of the lease.
-async fn register_with_new_lease(
-    store: &Client,
-    ttl: Duration,
-    key: &str,
-    value: &[u8],
-) -> Result<u64, Error> {
-    let lease = store.grant_lease(ttl).await?;
-    store.write(&Write { key, value, lease, expected_revision: None }).await?;
-    Ok(lease)
-}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -152,6 +152,8 @@
     pub report_requested_at: RefCell<BTreeMap<name::Endpoint, Instant>>,
     /// Suspects of crashes that are about to be told to the other entries.
     pub untold_suspects: RefCell<BTreeMap<Incarnation, Vec<Suspect>>>,
+    /// The registration of this entry.
+    pub registration: crate::follow::registration::Own,
     /// The secret by which entries authenticate to each other.
     pub secret: crate::secret::Secret,
     /// What the store holds of the plan; `None` until it has been read.
@@ -234,6 +236,7 @@
             lags: RefCell::default(),
             report_requested_at: RefCell::default(),
             untold_suspects: RefCell::default(),
+            registration: crate::follow::registration::Own::default(),
             secret: crate::secret::Secret::default(),
             stored_plan: Cell::default(),
             stored_quarantine: RefCell::default(),
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod pause;
 mod prompt_part;
+mod registration;
 mod restore;
 mod retry_budget;
 mod secret;
