--- a/crates/core/src/fleet/listing.rs
+++ b/crates/core/src/fleet/listing.rs
@@ -151,7 +151,7 @@
             return;
         }
         endpoint.orders = report.orders;
-        if endpoint.heartbeat < report.heartbeat + NEWER_BY_HEARTBEATS {
+        if endpoint.heartbeat < report.heartbeat.saturating_add(NEWER_BY_HEARTBEATS) {
             endpoint.layers = report.layers;
         }
     }
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -12,7 +12,7 @@
         return None;
     }
     let kept = held.intersection(wanted);
-    let both = held.len() + wanted.len() - kept.len();
+    let both = (held.len() - kept.len()).saturating_add(wanted.len());
     if f64::from(both) * model.layer_bytes <= memory {
         return Some(wanted);
     }
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limit;
 mod lost_state;
+mod odd_registration;
 mod orders;
 mod pause;
 mod prompt_part;
