Let no refusal of another request, and no unstated one, promise anything

Callers could be told 503, 'not run', for a call that an endpoint had run and that may not be repeated (REFUSED): where the endpoint answered with a refusal of another request, or with 503 without stating that it had not run the call.

Cause: responses were classified by what they state before it was looked at whose they are, and a status of an endpoint was passed on whatever it promises.

Evidence: a_refusal_of_another_request_says_nothing_of_this_one got 503 in place of 502 on the code before.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -311,6 +311,13 @@
         Classification::NotExecuted(_) => return Err(Failure::NotExecuted),
         Classification::Foreign => return Err(Failure::Unknown),
     }
+    if is_unproven(request, head.status) {
+        log::warn!(
+            id = request.id(), endpoint = target.id.as_str(), status = head.status.as_u16();
+            "the endpoint does not state that the request has not run"
+        );
+        return Err(Failure::Unknown);
+    }
     let mut content = state.body_memory.begin(MAX_RESPONSE_BYTES);
     while let Some(bytes) = body.next().await.map_err(|_| Failure::Unknown)? {
         if !content.push(&bytes) {
@@ -324,6 +331,12 @@
     Ok(Response { head, body: content.finish() })
 }
 
+/// Returns whether an answer with this status would tell the caller of a request that may not be repeated
+/// that it has not run, which is not certain.
+pub(crate) fn is_unproven(request: &Request, status: StatusCode) -> bool {
+    !request.route.may_repeat() && endpoint::is_promise(status)
+}
+
 /// Returns whether the body is a stream that was broken off, although its framing is complete.
 fn is_cut_off(request: &Request, head: &ResponseHead, body: &[u8]) -> bool {
     let is_stream = request.route.kind == Kind::Streaming && request.head.method != Method::HEAD;
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -19,6 +19,7 @@
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
+use crate::call::is_unproven;
 use crate::dispatch::{self, Answer};
 use crate::generation::watch::Silence;
 use crate::generation::{Slot, Timing, crash};
@@ -205,7 +206,7 @@
     let Attempt { request, .. } = attempt;
     let status = answer.head.status;
     if status != StatusCode::OK || request.head.method == Method::HEAD {
-        if status.is_server_error() && request.route.may_repeat() {
+        if status.is_server_error() && request.route.may_repeat() || is_unproven(request, status) {
             return Outcome::Failed(Failure::Unknown);
         }
         return forward_unstreamed(attempt.state, &answer.head, answer.body, writer).await;
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -207,6 +207,33 @@
     }
 }
 
+/// Guards against a promise that a request has not run, and against a second run, because of a refusal that
+/// the endpoint had written before.
+#[actix_rt::test]
+async fn a_refusal_of_another_request_says_nothing_of_this_one() {
+    let cluster = Cluster::new(1).await;
+    for id in ["plain-0", "plain-1"] {
+        cluster.fleet.set_fault(id, fleet::Fault::EarlierRefusal);
+    }
+    let answer = cluster.entries[0].call("/once/a", "r1", KEY).await;
+    assert_eq!(answer.status, 502);
+    assert_eq!(cluster.fleet.runs("r1").len(), 1);
+}
+
+/// Guards against a status that promises that a request has not run, where the endpoint has run it.
+#[actix_rt::test]
+async fn a_refusal_that_does_not_state_that_the_request_has_not_run_is_no_promise() {
+    let cluster = Cluster::new(1).await;
+    for id in ["plain-0", "plain-1"] {
+        cluster.fleet.set_fault(id, fleet::Fault::UnstatedRefusal);
+    }
+    let answer = cluster.entries[0].call("/once/a", "r1", KEY).await;
+    assert_eq!((answer.status, answer.signature), (502, None));
+    assert_eq!(cluster.fleet.runs("r1").len(), 1);
+    // A request that may be repeated gets the endpoint's own answer.
+    assert_eq!(cluster.entries[0].call("/page/a", "r2", KEY).await.status, 503);
+}
+
 /// Callers disconnect before the entry reads their requests, as when its event loop is blocked. The
 /// entry must notice that and not forward the requests.
 #[actix_rt::test]
