Go on with a stream only with events that follow the last one

Cause: where a stream goes on, only the status of the response was looked at.

Change: the response must have the type of the one that began the stream, and its first event an id that follows the last one; the head of a response is no event.

--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -3,12 +3,34 @@
 //! Only complete events are forwarded, so that a stream that breaks in the middle of an event can
 //! resume at another endpoint without a truncated or repeated event.
 //!
+//! A stream that goes on at another endpoint must begin with a later event: whatever else comes there, such as
+//! the text of an error, is no part of the answer.
+//!
 //! A stream whose connection is its only end tells by its events whether it is whole: it has been
 //! broken off if it ends inside an event, or without the event that a caller must still get.
 
+use oriole_macros::failure;
+
 /// Maximum size of an incomplete event that is buffered.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Beginning of a line that is the head of a response, and cannot be a line of an event.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
+
+/// Why bytes are not the next ones of a stream.
+#[failure]
+pub enum Error {
+    /// An incomplete event is too long to buffer.
+    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// The first event of a stream that goes on does not follow the last one.
+    #[display("the first event does not follow the last one that was forwarded")]
+    NotNext,
+    /// The head of a response stands among the events.
+    #[display("the head of a response stands among the events")]
+    Head,
+}
+
 /// Splits a stream of bytes into complete events.
 #[derive(Clone, Debug)]
 pub struct Splitter {
@@ -16,6 +38,8 @@
     last_id: Option<String>,
     /// Whether an end without a further event is not believed.
     is_event_due: bool,
+    /// Whether the next event must follow the last one, since another endpoint sends it.
+    must_follow: bool,
 }
 
 impl Default for Splitter {
@@ -36,15 +60,17 @@
 impl Splitter {
     /// Creates a splitter for a stream that resumes after the event with id `last_id`.
     pub fn after(last_id: Option<String>) -> Self {
-        Self { partial: vec![], is_event_due: last_id.is_none(), last_id }
+        Self { partial: vec![], is_event_due: last_id.is_none(), last_id, must_follow: false }
     }
 
     /// Prepares for the stream of another endpoint, which begins after the last complete event.
     ///
-    /// Drops a partial event, which that endpoint sends again from its start. `is_end_doubtful`
-    /// states that the stream may also end early without an event and not show it.
-    pub fn resume(&mut self, is_end_doubtful: bool) {
-        self.is_event_due |= is_end_doubtful || !self.partial.is_empty();
+    /// Drops a partial event, which that endpoint sends again from its start. `has_begun` states that the
+    /// caller has a part of the stream already, and `is_unframed` that this one may also end early without
+    /// an event and not show it.
+    pub fn resume(&mut self, has_begun: bool, is_unframed: bool) {
+        self.is_event_due |= has_begun && is_unframed || !self.partial.is_empty();
+        self.must_follow = has_begun;
         self.partial.clear();
     }
 
@@ -63,27 +89,49 @@
 
     /// Appends bytes and returns the events that they complete.
     ///
-    /// The batch may be empty. Returns `None` if an incomplete event is too long to buffer.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Batch> {
+    /// The batch may be empty.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Batch, Error> {
         self.partial.extend_from_slice(bytes);
         let mut end = 0;
         let mut count = 0;
         while let Some(length) = boundary(&self.partial[end..]) {
-            if let Some(id) = id(&self.partial[end..end + length]) {
-                self.last_id = Some(id);
+            let block = &self.partial[end..end + length];
+            if block.split(|b| *b == b'\n').any(|line| line.starts_with(STATUS_LINE)) {
+                return Err(Error::Head);
             }
-            if has_field(&self.partial[end..end + length]) {
+            let id = id(block);
+            if has_field(block) {
+                if self.must_follow && !follows(id.as_deref(), self.last_id.as_deref()) {
+                    return Err(Error::NotNext);
+                }
+                self.must_follow = false;
                 count += 1;
                 self.is_event_due = false;
             }
+            if id.is_some() {
+                self.last_id = id;
+            }
             end += length;
         }
         if self.partial.len() - end > MAX_EVENT_BYTES {
-            return None;
+            return Err(Error::TooLong);
         }
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
-        Some(Batch { bytes: whole, count })
+        Ok(Batch { bytes: whole, count })
+    }
+}
+
+/// Returns whether an event with this id may follow the last one. Ids increase where they are numbers.
+fn follows(id: Option<&str>, last: Option<&str>) -> bool {
+    let Some(last) = last else {
+        return true;
+    };
+    let number = |text: &str| text.parse::<u64>().ok();
+    match (id, id.and_then(number), number(last)) {
+        (None, ..) => false,
+        (_, Some(id), Some(last)) => id > last,
+        (Some(id), ..) => id != last,
     }
 }
 
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -8,7 +8,7 @@
 
 use fleet_fixture::{proptest_config, route};
 use oriole_core::forward::budget::{Bound, Budget, Standing};
-use oriole_core::forward::event::Splitter;
+use oriole_core::forward::event::{self, Splitter};
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::queue::{Queue, Refusals};
 use oriole_core::name;
@@ -85,19 +85,46 @@
     assert!(!splitter.is_cut_off());
     splitter.push(b"id: 8\nda").unwrap();
     for _ in 0..3 {
-        splitter.resume(false);
+        splitter.resume(true, false);
         assert!(splitter.is_cut_off());
         assert_eq!(splitter.last_id(), Some("7"));
     }
     let events = splitter.push(b"id: 8\ndata: d\n\n").unwrap();
     assert_eq!((events.bytes.as_slice(), events.count), (&b"id: 8\ndata: d\n\n"[..], 1));
-    splitter.resume(false);
+    splitter.resume(true, false);
     assert!(!splitter.is_cut_off());
-    splitter.resume(true);
+    splitter.resume(true, true);
     assert!(splitter.is_cut_off());
     assert!(Splitter::after(None).is_cut_off());
 }
 
+/// Guards against the text of an error, or events that came already, in the middle of a stream.
+#[test]
+fn a_stream_goes_on_with_a_later_event_only() {
+    let resumed = |last: &str| {
+        let mut splitter = Splitter::after(Some(last.to_owned()));
+        splitter.resume(true, false);
+        splitter
+    };
+    for (last, bytes, is_next) in [
+        ("7", "id: 8\ndata: d\n\n", true),
+        ("7", ": comment\n\nid: 12\ndata: d\n\ndata: without id\n\n", true),
+        ("7", "id: 7\ndata: d\n\n", false),
+        ("7", "id: 1\ndata: d\n\n", false),
+        ("7", "data: internal error\n\n", false),
+        ("7", "internal error\n\n", false),
+        ("a", "id: b\ndata: d\n\n", true),
+        ("a", "id: a\ndata: d\n\n", false),
+    ] {
+        let pushed = resumed(last).push(bytes.as_bytes());
+        assert_eq!(pushed.is_ok(), is_next, "{bytes:?} after {last:?}: {pushed:?}");
+    }
+    let mut first = Splitter::default();
+    assert_eq!(first.push(b"data: without id\n\n").unwrap().count, 1);
+    let head = first.push(b"HTTP/1.1 500 x\r\nid: 9\r\n\r\n");
+    assert_eq!(head, Err(event::Error::Head));
+}
+
 proptest! {
     #![proptest_config(proptest_config(256))]
 
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -344,5 +344,5 @@
         return false;
     }
     let mut splitter = Splitter::after(request.parameters.last_event_id.clone());
-    splitter.push(body).is_none() || splitter.is_cut_off()
+    splitter.push(body).is_err() || splitter.is_cut_off()
 }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -213,7 +213,14 @@
     }
     // After a stream that broke off, a mere close before any event may be another break.
     let is_first = writer.progress() == Progress::NotStarted;
-    splitter.resume(!is_first && answer.body.is_unframed());
+    if !is_first && !writer.has_type(answer.head.headers()) {
+        log::warn!(
+            id = request.id(), endpoint = chain.head().as_str();
+            "response of another type where a stream is to go on"
+        );
+        return Outcome::Failed(Failure::Unknown);
+    }
+    splitter.resume(!is_first, answer.body.is_unframed());
     let continued = Continued { response: answer, unread: None };
     forward_events(attempt, chain, continued, splitter, writer).await
 }
@@ -253,8 +260,13 @@
             Ok(Ok(None)) => break,
             Ok(Ok(Some(bytes))) => bytes,
         };
-        let Some(events) = splitter.push(&bytes) else {
-            return Outcome::Failed(Failure::Unknown);
+        let events = match splitter.push(&bytes) {
+            Ok(events) => events,
+            Err(error) => {
+                let endpoint = chain.head().as_str();
+                log::warn!(id = request.id(), endpoint, error:%; "response is no stream of events");
+                return Outcome::Failed(Failure::Unknown);
+            }
         };
         if events.bytes.is_empty() {
             continue;
--- a/crates/router/src/generation/race.rs
+++ b/crates/router/src/generation/race.rs
@@ -99,6 +99,6 @@
         let kept = kept.freeze();
         let events = self.splitter.clone().push(&kept);
         self.unread = Some(Some(kept));
-        events.is_none_or(|events| events.count > 0)
+        events.map_or(true, |events| events.count > 0)
     }
 }
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -34,6 +34,8 @@
     pub codec: Codec,
     out: BytesMut,
     progress: Progress,
+    /// Type of the stream in progress, if its head states one.
+    stream_type: Option<HeaderValue>,
     /// Whether the connection closes after the current response.
     pub close: bool,
 }
@@ -42,7 +44,7 @@
     /// Creates a writer for a connection on which no request has been read yet.
     pub fn new(write: OwnedWriteHalf, codec: Codec) -> Self {
         let out = BytesMut::with_capacity(OUTPUT_BUFFER_BYTES);
-        Self { write, codec, out, progress: Progress::Complete, close: false }
+        Self { write, codec, out, progress: Progress::Complete, stream_type: None, close: false }
     }
 
     /// Resets the progress for the response to a new request.
@@ -68,11 +70,17 @@
 
     /// Writes the head of a response whose body follows in chunks.
     pub async fn begin_stream(&mut self, status: StatusCode, headers: HeaderMap) -> io::Result<()> {
+        self.stream_type = headers.get(header::CONTENT_TYPE).cloned();
         self.encode_head(status, headers, BodySize::Stream)?;
         self.progress = Progress::Partial;
         self.flush().await
     }
 
+    /// Returns whether a response with these headers has the type of the stream that has begun.
+    pub fn has_type(&self, headers: &HeaderMap) -> bool {
+        media_type(self.stream_type.as_ref()) == media_type(headers.get(header::CONTENT_TYPE))
+    }
+
     /// Writes a chunk of the body.
     pub async fn chunk(&mut self, bytes: Vec<u8>) -> io::Result<()> {
         self.codec.encode(Message::Chunk(Some(Bytes::from(bytes))), &mut self.out)?;
@@ -147,3 +155,10 @@
         Ok(())
     }
 }
+
+/// Returns a type without its parameters, in lower case; empty if there is none.
+fn media_type(value: Option<&HeaderValue>) -> Vec<u8> {
+    let whole = value.map_or(&b""[..], HeaderValue::as_bytes);
+    let name = whole.split(|byte| *byte == b';').next().unwrap_or_default();
+    name.trim_ascii().to_ascii_lowercase()
+}
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -16,6 +16,7 @@
 mod prompt_part;
 mod registration;
 mod restore;
+mod resumed;
 mod retry_budget;
 mod secret;
 mod silence;
