Pause after an outdated listing only while the one known is too old

A listing that is ignored since a peer has sent a newer one meanwhile was followed by the pause after a failed call, up to 2.25 s by its formula, in which the listing could grow older than the drain time allows. Found by reading; the pause is now short, and made only while the known listing is too old.

--- a/crates/router/src/follow/listing.rs
+++ b/crates/router/src/follow/listing.rs
@@ -19,6 +19,9 @@
 /// Interval at which an entry checks whether to read the registrations.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Shortest pause after an outdated answer.
+const OUTDATED_PAUSE: Duration = Duration::from_millis(150);
+
 /// Reads the registrations whenever the listing is too old, or from before a pause of the process, until
 /// the process ends.
 pub async fn run(state: Shared, store: Client) {
@@ -37,9 +40,13 @@
         match read {
             Ok(read) => {
                 let listing = state.timed("listing", || decode_listing(&state, &read));
-                if apply_listing(&state, listing, began) == Update::Ignored {
-                    // The next answer may be as old as this one.
-                    monitor.pause().await;
+                let update = apply_listing(&state, listing, began);
+                let age = state.inner.borrow().view.age(state.now());
+                if update == Update::Ignored && age.is_some_and(|age| age >= limit) {
+                    // The next answer may be as old as this one. One that is ignored since a peer has
+                    // sent a newer one meanwhile needs no pause.
+                    sleep(polling::spread(OUTDATED_PAUSE, state.entry_count(), rand::random()))
+                        .await;
                 }
             }
             Err(_) => monitor.pause().await,
