--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod back_off;
 mod cluster;
 mod crashing_request;
+mod drills;
 mod endless;
 mod late_version;
 mod leaving;
