--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,8 @@
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`run`]: at which endpoint each request runs, and whether that crashes.
 //! - [`hold`]: holds requests back that crash endpoints, and keeps them in the store.
+//! - [`secret`]: the secret by which entries authenticate to each other, kept in the store.
+//! - [`stored`]: when a key that entries write was last written.
 //! - [`ask`]: requests reports of endpoints and sends them orders.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
