--- a/crates/router/tests/path/odd_registration.rs
+++ b/crates/router/tests/path/odd_registration.rs
@@ -2,6 +2,7 @@
 
 use oriole_core::name;
 use oriole_platform_standin::config::{KEY, MODEL_SERVICE, PLAIN_SERVICE};
+use oriole_platform_standin::store::PAGE_ITEMS;
 use serde_json::json;
 
 use crate::all_events;
@@ -108,3 +109,22 @@
         known.filter(|id| !id.starts_with("engine-") && !id.starts_with("plain-")).collect();
     assert!(odd.is_empty(), "they name no endpoint: {odd:?}");
 }
+
+/// Guards against a listing that ends where a page does, or is read no more, since the key at the end of a page
+/// means something else in the query of the next one.
+#[actix_rt::test]
+async fn endpoints_are_followed_beside_odd_keys_at_the_ends_of_pages() {
+    let cluster = Cluster::new(1).await;
+    for odd in [" ", "\u{e9}", "#", "&prefix=a", "%41", "+", "?", "\"", "\n"] {
+        for number in 0..2 * PAGE_ITEMS {
+            cluster.store.put_text(&format!("servers/a{odd}{number}"), "");
+        }
+    }
+    cluster.fleet.add_plain("plain-later", "zone-0").await.unwrap();
+    let later = cluster.entry(1).await;
+    let knows = |_: &Cluster| {
+        let inner = later.state.inner.borrow();
+        inner.view.get(&"plain-later".into()).is_some()
+    };
+    cluster.wait(knows).await;
+}
