Bound the prefill of a chain by the prompt tokens of its passes

Cause: an engine prefills a bounded number of prompt tokens in each pass between the tokens of its streams. The estimate of the time to the first event knew only the compute time, a quarter of what a fast chain needs while it writes 180 streams.

Change: the prefill takes at least as many passes as the queue needs, each as long as an event with the measured slowdown.

a_burst_of_prompts_is_not_sent_where_it_would_begin_late asked that one stream that begins makes room for another prompt of the same length. It makes passes longer, too, so that this holds for two; the bounds are as before.

--- a/crates/core/src/forward/chain/select.rs
+++ b/crates/core/src/forward/chain/select.rs
@@ -100,7 +100,7 @@
 
 impl Crossing {
     fn of(model: &Model, chains: &[Chain], in_flight: &Tracker, now: Instant) -> Self {
-        let pass = model.chunk * f64::from(model.stride);
+        let pass = model.pass_tokens();
         let mut sum = Self { all: 0.0, pass: 0.0 };
         for chain in chains.iter().filter(|c| c.crossings() > 0) {
             let crossings = chain.crossings() as f64;
@@ -154,7 +154,8 @@
         let exceeds_pause =
             query.route.pause.is_some_and(|most| pause > most.mul_f64(MAX_PAUSE_FRACTION));
         let crossing = crossing.all + prompt as f64 * chain.crossings() as f64;
-        let first = event + chain.prefill_time(model, prompt, sum.prefill, crossing);
+        let prefill = chain.prefill_time(model, prompt, sum.prefill, crossing, event);
+        let first = event + prefill;
         let begins_late = sum.prefill > 0 && first > query.first_event_limit();
         if (exceeds_pause && sum.requests > 0) || begins_late {
             continue;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -127,6 +127,11 @@
         (most as u32).min(self.layers)
     }
 
+    /// Returns the most prompt tokens that one pass prefills; infinite if there is no bound.
+    pub fn pass_tokens(&self) -> f64 {
+        self.chunk * f64::from(self.stride)
+    }
+
     /// Returns the tokens whose KV cache fits into `memory` bytes beside `layers` layers.
     pub fn token_capacity(&self, memory: f64, layers: u32) -> f64 {
         let layers = f64::from(layers.max(1));
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -373,8 +373,10 @@
     let prefill = |chain: &Chain| in_flight.sum(&chain.key, at_ms(0)).prefill;
     let crossing: u64 = chains.iter().map(|c| prefill(c) * c.crossings() as u64).sum();
     for chain in &chains {
-        let first =
-            chain.prefill_time(&fixture.model, 1_000, prefill(chain) - 1_000, crossing as f64);
+        let sum = in_flight.sum(&chain.key, at_ms(0));
+        let event = chain.event_time(&fixture.model, sum.requests, sum.tokens);
+        let queue = prefill(chain) - 1_000;
+        let first = chain.prefill_time(&fixture.model, 1_000, queue, crossing as f64, event);
         assert!(first <= route().objective, "{first:?} on {}", chain.path());
     }
     // A request that accepts a late answer is still admitted if all chains would begin late.
@@ -383,6 +385,8 @@
     let before = in_flight.sum(&chain, at_ms(0)).prefill;
     in_flight.begin_stream(&chain, prompt, at_ms(0));
     assert_eq!(in_flight.sum(&chain, at_ms(0)).prefill, before - 1_000);
+    // A stream that has begun makes passes longer, so that one alone may not make room for another prompt.
+    in_flight.begin_stream(&chain, prompt, at_ms(0));
     assert!(fixture.choose_for(&chains, &in_flight, prompt, false, at_ms(0)).is_some());
 }
 
