Admit by priority and by whether callers were refused before

Cause: while demand exceeds the chains, callers that come back, and whose answers are late in any case, took the room of first tries; each request waited half of its objective however many waited before it; the time to come back followed the refusals of one entry.

Change (docs/design/admission.md): entries tell each other whom they refused; a part of each chain stays free for those who go first; as many wait as leave the queue in time; the time to come back follows all callers that are expected. In force with [admission] order = "standing", which deploy/entry.toml sets.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -6,6 +6,7 @@
 use crate::forward::hold;
 use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::forward::rate::{Notice, Reply};
+use crate::forward::returns::Refused;
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -72,6 +73,9 @@
     /// Limits that endpoints name.
     #[serde(default)]
     pub limits: Vec<Notice>,
+    /// Requests that the sender has refused since its last message.
+    #[serde(default)]
+    pub refused: Vec<Refused>,
 }
 
 /// Data that an entry may request from another entry.
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -8,7 +8,9 @@
 //! - [`quarantine`]: parts of prompts that crash endpoints.
 //! - [`recent`]: when each of many things was last seen.
 //! - [`runs`]: which requests run at which endpoint, and which may have crashed it.
+//! - [`headroom`]: the part of a chain that stays free for requests that go first.
 //! - [`hold`]: requests that crash endpoints and are not run.
+//! - [`returns`]: callers that were refused, and when they may come back.
 //! - [`rate`]: limits on the rate of requests that endpoints name.
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
@@ -19,6 +21,7 @@
 pub mod chain;
 pub mod choice;
 pub mod event;
+pub mod headroom;
 pub mod hold;
 pub mod in_flight;
 pub mod outcome;
@@ -26,6 +29,7 @@
 pub mod queue;
 pub mod rate;
 pub mod recent;
+pub mod returns;
 pub mod runs;
 pub mod slowdown;
 pub mod stop;
--- a/crates/core/src/forward/chain/select.rs
+++ b/crates/core/src/forward/chain/select.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::{Chain, Hop};
+use crate::forward::headroom::Headroom;
 use crate::forward::in_flight::{Tracker, Work};
 use crate::placement::Model;
 use crate::placement::estimate;
@@ -51,13 +52,15 @@
     pub closed: &'a [name::Endpoint],
     /// Whether an answer that begins late is accepted, since the request cannot wait any longer.
     pub accepts_late: bool,
+    /// The part of the chain that the request leaves free.
+    pub headroom: Headroom,
 }
 
 impl Query<'_> {
     /// Returns the time within which the first event must be estimated to arrive.
     fn first_event_limit(&self) -> Duration {
         let part = if self.accepts_late { LATE_FIRST_EVENT_FACTOR } else { FIRST_EVENT_FRACTION };
-        self.route.objective.mul_f64(part)
+        self.route.objective.mul_f64(part * self.headroom.usable())
     }
 
     /// Returns whether the request may run on `chain` in view of its earlier attempts.
@@ -123,19 +126,20 @@
     query: &Query<'_>,
     now: Instant,
 ) -> Option<&'a Chain> {
+    let usable = query.headroom.usable();
     // Memory is summed up by endpoint only for chains that share endpoints; most share none.
     let used_bytes = used_bytes(model, chains, in_flight, now);
     let has_hop_room = |hop: &Hop| {
         let bytes =
             query.work.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
         let taken = used_bytes.get(&hop.endpoint).copied().unwrap_or_default();
-        taken + bytes <= hop.free * MAX_ROOM_FRACTION
+        taken + bytes <= hop.free * MAX_ROOM_FRACTION * usable
     };
     let has_room = |chain: &Chain, tokens: u64| {
         if chain.is_shared {
             chain.hops.iter().all(has_hop_room)
         } else {
-            tokens as f64 <= chain.room * MAX_ROOM_FRACTION
+            tokens as f64 <= chain.room * MAX_ROOM_FRACTION * usable
         }
     };
     let crossing = Crossing::of(model, chains, in_flight, now);
@@ -144,7 +148,8 @@
     for chain in chains.iter().filter(|c| query.allows(c)) {
         let sum = in_flight.expected(&chain.key, now);
         let (requests, tokens) = (sum.requests + 1, sum.tokens + query.work.tokens);
-        if requests > model.slots || !has_room(chain, tokens) {
+        let has_slot = f64::from(requests) <= f64::from(model.slots) * usable;
+        if !has_slot || !has_room(chain, tokens) {
             continue;
         }
         let factor = in_flight.slowdown_factor(&chain.key, now);
@@ -152,7 +157,7 @@
         // Events wait for the prompts that are transferred before them.
         let pause = event + chain.crossing_time(model, crossing.pass);
         let exceeds_pause =
-            query.route.pause.is_some_and(|most| pause > most.mul_f64(MAX_PAUSE_FRACTION));
+            query.route.pause.is_some_and(|most| pause > most.mul_f64(MAX_PAUSE_FRACTION * usable));
         let crossing = crossing.all + prompt as f64 * chain.crossings() as f64;
         let prefill = chain.prefill_time(model, prompt, sum.prefill, crossing, event);
         let first = event + prefill;
--- a/crates/core/src/forward/queue.rs
+++ b/crates/core/src/forward/queue.rs
@@ -1,9 +1,9 @@
 //! The order in which requests wait for capacity.
 //!
 //! Load pattern: a burst that exceeds the capacity of the chains. Requests are ordered by
-//! priority; within a priority, workspaces take turns, so that a busy workspace does not starve
+//! class; within a class, workspaces take turns, so that a busy workspace does not starve
 //! the others; within a workspace, by arrival. A request waits only as long as its answer can
-//! still begin in time, and is refused at once if the queue is full.
+//! still begin in time, and is refused at once if it cannot, or if the queue is full.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -20,8 +20,8 @@
 /// Identifies a request in the queue.
 pub type Ticket = u64;
 
-/// Sort key of a request: priority, turn of its workspace, order of arrival.
-type Position = (u8, u64, Ticket);
+/// Sort key of a request: headroom or priority, turn of its workspace, order of arrival.
+type Position = (u16, u64, Ticket);
 
 /// Requests that wait for capacity.
 #[derive(Debug, Default)]
@@ -33,25 +33,42 @@
 }
 
 impl Queue {
-    /// Adds a request; lower values of `priority` go first. Returns `None` if the queue is full.
-    pub fn push(&mut self, priority: u8, workspace: Option<name::Workspace>) -> Option<Ticket> {
-        if self.positions.len() >= MAX_WAITING {
-            return None;
+    /// Adds a request; lower values of `class` go first.
+    ///
+    /// If `limit` requests wait, the last one of a higher class leaves the queue for it. Returns `None` if there
+    /// is none, or if the queue is full.
+    pub fn push(
+        &mut self,
+        class: u16,
+        workspace: Option<name::Workspace>,
+        limit: usize,
+    ) -> Option<Ticket> {
+        if self.positions.len() >= limit.min(MAX_WAITING) {
+            let last = self.positions.last_key_value().map(|(position, _)| *position)?;
+            if last.0 <= class {
+                return None;
+            }
+            self.remove(last.2, false);
         }
         let ticket = self.next;
         self.next += 1;
         let ahead = self.positions.values().filter(|w| **w == workspace).count() as u64;
         let floor = self.served.values().min().copied().unwrap_or_default();
         let turn = self.served.get(&workspace).copied().unwrap_or(floor) + ahead;
-        let position = (priority, turn, ticket);
+        let position = (class, turn, ticket);
         self.positions.insert(position, workspace);
         self.position_of.insert(ticket, position);
         Some(ticket)
     }
 
-    /// Returns whether `ticket` is at the head of the queue.
-    pub fn is_first(&self, ticket: Ticket) -> bool {
-        self.positions.first_key_value().is_some_and(|(position, _)| position.2 == ticket)
+    /// Returns whether a request is in the queue: not after [`Queue::remove`], or when another one took its place.
+    pub fn contains(&self, ticket: Ticket) -> bool {
+        self.position_of.contains_key(&ticket)
+    }
+
+    /// Returns whether `ticket` is among the first `count` requests of the queue.
+    pub fn is_among_first(&self, ticket: Ticket, count: usize) -> bool {
+        self.positions.keys().take(count).any(|position| position.2 == ticket)
     }
 
     /// Returns the ticket at the head of the queue, or `None` if the queue is empty.
@@ -59,9 +76,9 @@
         self.positions.first_key_value().map(|(position, _)| position.2)
     }
 
-    /// Returns whether a new request with `priority` would be at the head of the queue.
-    pub fn would_be_first(&self, priority: u8) -> bool {
-        self.positions.first_key_value().is_none_or(|(position, _)| position.0 > priority)
+    /// Returns whether a new request of `class` would be at the head of the queue.
+    pub fn would_be_first(&self, class: u16) -> bool {
+        self.positions.first_key_value().is_none_or(|(position, _)| position.0 > class)
     }
 
     /// Removes a request. `is_served` tells whether it was admitted, which takes a turn of its
@@ -92,6 +109,48 @@
     }
 }
 
+/// Window over which departures are counted.
+const DEPARTURE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Number of requests that may wait however few leave the queue. They find out when there is room again.
+const MIN_LIMIT: usize = 2;
+
+/// Requests of this entry that began lately, which tell how many of those that wait can begin in time.
+///
+/// Load pattern: more requests come than begin. Those that cannot begin in time are refused at once, rather
+/// than after a wait.
+#[derive(Debug, Default)]
+pub struct Departures {
+    times: VecDeque<Instant>,
+}
+
+impl Departures {
+    /// Records that a request begins.
+    pub fn record(&mut self, now: Instant) {
+        self.forget_old(now);
+        self.times.push_back(now);
+    }
+
+    /// Returns the number of requests that began in the last second.
+    pub fn per_second(&mut self, now: Instant) -> f64 {
+        self.forget_old(now);
+        self.times.len() as f64 / DEPARTURE_PERIOD.as_secs_f64()
+    }
+
+    /// Returns how many requests may wait if each waits `wait` at most.
+    pub fn limit(&mut self, wait: Duration, now: Instant) -> usize {
+        let most = (self.per_second(now) * wait.as_secs_f64()).ceil();
+        // The cast from float to integer saturates.
+        (most as usize).max(MIN_LIMIT)
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        while self.times.front().is_some_and(|at| now.since(*at) >= DEPARTURE_PERIOD) {
+            self.times.pop_front();
+        }
+    }
+}
+
 /// Returns the time until which a request may wait for capacity.
 ///
 /// It is a fraction of `objective` after `arrived`, but at most `deadline`.
--- a/crates/core/tests/chain_loss.rs
+++ b/crates/core/tests/chain_loss.rs
@@ -9,6 +9,7 @@
 use fleet_fixture::{listing, model, route, service, site_with};
 use oriole_core::fleet::{Cause, Incarnation, Position, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
+use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::placement::{Model, Plan, Stage, revise};
 use oriole_core::time::Instant;
@@ -64,6 +65,7 @@
         avoid: None,
         closed: &[],
         accepts_late: false,
+        headroom: Headroom::NONE,
     };
     chain::choose(model, std::slice::from_ref(chain), in_flight, &query, now).is_some()
 }
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -9,6 +9,7 @@
 use oriole_core::fleet::{Cause, Incarnation, Load, Position, State, Update, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
 use oriole_core::forward::choice::{self, Failures};
+use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::forward::slowdown::Meter;
 use oriole_core::name;
@@ -64,6 +65,7 @@
             avoid: None,
             closed: &[],
             accepts_late: false,
+            headroom: Headroom::NONE,
         };
         chain::choose(&self.model, chains, in_flight, &query, at_ms(0)).cloned()
     }
@@ -85,6 +87,7 @@
             avoid: None,
             closed: &[],
             accepts_late,
+            headroom: Headroom::NONE,
         };
         chain::choose(&self.model, chains, in_flight, &query, now).cloned()
     }
--- a/crates/core/tests/prompt_backlog.rs
+++ b/crates/core/tests/prompt_backlog.rs
@@ -12,6 +12,7 @@
 use fleet_fixture::{candidate, listing, model, route, service};
 use oriole_core::fleet::{Position, View};
 use oriole_core::forward::chain::{self, Chain, Query, Resolver};
+use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::placement::{Model, Plan, revise};
 use oriole_core::time::Instant;
@@ -93,6 +94,7 @@
                 avoid: None,
                 closed: &[],
                 accepts_late: false,
+                headroom: Headroom::NONE,
             };
             let chains = std::slice::from_ref(&chain);
             match chain::choose(&model, chains, &in_flight, &query, now) {
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -54,10 +54,10 @@
 #[test]
 fn priorities_go_first_and_workspaces_take_turns() {
     let mut queue = Queue::default();
-    let much = |queue: &mut Queue| queue.push(1, Some("much".into())).unwrap();
+    let much = |queue: &mut Queue| queue.push(1, Some("much".into()), usize::MAX).unwrap();
     let first: Vec<_> = (0..4).map(|_| much(&mut queue)).collect();
-    let little = queue.push(1, Some("little".into())).unwrap();
-    let urgent = queue.push(0, Some("much".into())).unwrap();
+    let little = queue.push(1, Some("little".into()), usize::MAX).unwrap();
+    let urgent = queue.push(0, Some("much".into()), usize::MAX).unwrap();
     let mut order = vec![];
     while let Some(ticket) = queue.first() {
         order.push(ticket);
@@ -70,7 +70,7 @@
 fn a_full_queue_refuses_requests() {
     let mut queue = Queue::default();
     let mut count = 0;
-    while queue.push(1, None).is_some() {
+    while queue.push(1, None, usize::MAX).is_some() {
         count += 1;
         assert!(count < 100_000);
     }
--- a/crates/load/src/platform.rs
+++ b/crates/load/src/platform.rs
@@ -97,6 +97,7 @@
         let (sockets, listen) = Sockets::loopback()?;
         let address = listen.callers;
         let settings = Settings {
+            admission: settings::Admission { order: settings::Order::Standing },
             name: format!("entry-{number}"),
             zone: format!("zone-{number}"),
             listen,
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod crash;
 mod race;
+mod rank;
 mod repath;
 mod timing;
 mod watch;
@@ -174,7 +175,8 @@
             Next::Wait { failed, until, pass } => {
                 let ran_at = &self.attempts.ran_at;
                 let (dealt, waited) = self.take_turn().await;
-                let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt };
+                let is_resumed = failed.is_some() || !ran_at.is_empty();
+                let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt, is_resumed };
                 let until = (until + waited).min(request.deadline);
                 let (chain, slot) = admission::acquire(state, request, acquire, until).await?;
                 (chain, slot, pass)
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -5,6 +5,7 @@
 
 use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::{self, Chain, Query};
+use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::Work;
 use oriole_core::forward::queue::Ticket;
 use oriole_core::name;
@@ -12,6 +13,7 @@
 use std::pin::pin;
 use tokio::time::sleep;
 
+use super::rank::Rank;
 use crate::serve::{Reason, Request};
 use crate::state::Shared;
 
@@ -20,6 +22,8 @@
 pub enum Refusal {
     /// No chain had capacity in time, or the queue is full.
     NoRoom,
+    /// A request that goes first has taken its place in the queue.
+    Displaced,
     /// Only endpoints had capacity whose own limit is reached.
     Limited,
     /// All endpoints are in back-off. Contains the time after which the request may come again.
@@ -32,6 +36,7 @@
     fn from(refusal: Refusal) -> Self {
         match refusal {
             Refusal::NoRoom => Self::NoRoom,
+            Refusal::Displaced => Self::Displaced,
             Refusal::Limited => Self::Limited,
             Refusal::Waiting(wait) => Self::Waiting(wait),
             Refusal::Stopping => Self::Stopping,
@@ -93,13 +98,21 @@
 }
 
 /// A request in the queue of its service; dropping this removes it from the queue.
-struct Waiter {
+pub(super) struct Waiter {
     state: Shared,
     service: name::Service,
-    ticket: Ticket,
+    pub(super) ticket: Ticket,
     is_admitted: bool,
 }
 
+impl Waiter {
+    /// Returns whether no other request has taken its place.
+    fn is_in_queue(&self) -> bool {
+        let inner = self.state.inner.borrow();
+        inner.queues.get(&self.service).is_some_and(|queue| queue.contains(self.ticket))
+    }
+}
+
 impl Drop for Waiter {
     fn drop(&mut self) {
         if let Some(queue) = self.state.inner.borrow_mut().queues.get_mut(&self.service) {
@@ -119,18 +132,19 @@
     /// Number of the chain that is chosen if it has capacity, modulo the number of chains, counted from the one
     /// with least work.
     pub dealt: Option<usize>,
+    /// Whether the request was in progress on a chain before.
+    pub is_resumed: bool,
 }
 
 /// Waits until `until` for capacity on a chain, and reserves it.
-///
-/// At `until`, the request takes capacity if there is any, even if others wait in front of it.
 pub async fn acquire(
     state: &Shared,
     request: &Request,
     acquire: Acquire<'_>,
     until: Instant,
 ) -> Result<(Chain, Slot), Refusal> {
-    let Acquire { ran_at, failed, dealt } = acquire;
+    let Acquire { ran_at, failed, dealt, is_resumed } = acquire;
+    let rank = Rank::of(state, request, is_resumed);
     let mut waiter: Option<Waiter> = None;
     let mut refusal = Refusal::NoRoom;
     loop {
@@ -139,6 +153,9 @@
         if let Some(wait) = wait_of_chains(state, request) {
             return Err(Refusal::Waiting(wait));
         }
+        if waiter.as_ref().is_some_and(|waiter| !waiter.is_in_queue()) {
+            return Err(Refusal::Displaced);
+        }
         let left = until.since(state.now());
         let closed = state.closed_endpoints();
         let others = dealt.map(|dealt| all_heads_but(state, request, dealt, &closed));
@@ -149,9 +166,10 @@
             ran_at,
             avoid,
             closed,
-            accepts_late: left.is_zero(),
+            accepts_late: left.is_zero() && rank.may_begin_late(),
+            headroom: rank.headroom(state, request),
         };
-        if is_next(state, request, waiter.as_ref()) || left.is_zero() {
+        if rank.may_try(state, request, waiter.as_ref()) || left.is_zero() {
             let other = match &others {
                 Some(others) => choose(state, request, &query(failed, others)),
                 None => None,
@@ -164,6 +182,7 @@
                 if !finishes_before_exit(state, request, &chain) {
                     return Err(Refusal::Stopping);
                 }
+                rank.record_begin(state, request);
                 return Ok(reserve(state, request, chain));
             }
             let limited = match closed.is_empty() {
@@ -175,12 +194,12 @@
                 state.request_permit(chain.head());
             }
         }
-        if waiter.is_none() {
-            waiter = Some(enqueue(state, request).ok_or(Refusal::NoRoom)?);
-        }
         if left.is_zero() {
             return Err(refusal);
         }
+        if waiter.is_none() {
+            waiter = Some(enqueue(state, request, rank, left).ok_or(refusal)?);
+        }
         tokio::select! {
             () = capacity_changed => {}
             () = sleep(left) => {}
@@ -215,18 +234,6 @@
     if has_chains { None } else { state.wait_of_all(&request.service) }
 }
 
-/// Returns whether the request may be admitted now: it is first in the queue, or would be.
-fn is_next(state: &Shared, request: &Request, waiter: Option<&Waiter>) -> bool {
-    let inner = state.inner.borrow();
-    let Some(queue) = inner.queues.get(&request.service) else {
-        return true;
-    };
-    match waiter {
-        Some(waiter) => queue.is_first(waiter.ticket),
-        None => queue.would_be_first(request.priority),
-    }
-}
-
 /// Reserves capacity on a chain other than `avoid`, without waiting.
 ///
 /// Takes a retry out of the retry budget, but only if a chain has capacity. Returns `None` if no
@@ -245,6 +252,7 @@
         avoid: Some(avoid),
         closed: &state.closed_endpoints(),
         accepts_late: true,
+        headroom: Headroom::NONE,
     };
     let chain = choose(state, request, &query)?;
     let pass = state.take_retry(&request.service)?;
@@ -283,12 +291,20 @@
     state.finishes_before_exit(max_duration)
 }
 
-/// Adds the request to the queue of its service. Returns `None` if the queue is full.
-fn enqueue(state: &Shared, request: &Request) -> Option<Waiter> {
+/// Adds the request to the queue of its service. Returns `None` if it cannot begin in time, or if the queue is full.
+fn enqueue(state: &Shared, request: &Request, rank: Rank, left: Duration) -> Option<Waiter> {
+    let class = rank.class(state, request);
+    let limit = rank.queue_limit(state, request, left);
     let mut inner = state.inner.borrow_mut();
     let queue = inner.queues.entry(request.service.clone()).or_default();
     let workspace = request.workspace.as_ref().map(|w| w.name.clone());
-    let ticket = queue.push(request.priority, workspace)?;
+    let before = queue.len();
+    let ticket = queue.push(class, workspace, limit)?;
+    let has_displaced = queue.len() == before;
+    drop(inner);
+    if has_displaced {
+        state.capacity_changed.notify_waiters();
+    }
     let service = request.service.clone();
     Some(Waiter { state: state.clone(), service, ticket, is_admitted: false })
 }
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -41,6 +41,8 @@
     pub cut: Reasons,
     /// Attempts that failed, by reason.
     pub failures: Reasons,
+    /// Generations that ask for a chain, by whether they were refused before.
+    pub standings: Reasons,
     /// Attempts beyond the first one of each request.
     pub retries: Counter,
     /// Streams that were moved to other stages because a stage does not work.
@@ -96,6 +98,7 @@
             refused: Reasons::default(),
             cut: Reasons::default(),
             failures: Reasons::default(),
+            standings: Reasons::default(),
             retries: Counter::default(),
             moves: Counter::default(),
             unhealthy: Counter::default(),
@@ -130,6 +133,7 @@
         r.register("refused", "Requests answered by the entry itself", self.refused.clone());
         r.register("answers_cut", "Answers ended midway", self.cut.clone());
         r.register("attempt_failures", "Attempts that failed", self.failures.clone());
+        r.register("standings", "Generations by earlier refusals", self.standings.clone());
         r.register("retries", "Attempts after a request's first one", self.retries.clone());
         r.register("moves", "Streams moved around a lost stage", self.moves.clone());
         r.register("doubts", "Endpoints found not to work", self.unhealthy.clone());
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -49,7 +49,9 @@
 }
 
 fn send_gossip(state: &Shared, hub: &Hub) {
-    let gossip = message::Message::Fleet(Message::Gossip(gossip(state)));
+    let refused = state.inner.borrow_mut().returns.take_untold(state.now());
+    let gossip = Gossip { refused, ..gossip(state) };
+    let gossip = message::Message::Fleet(Message::Gossip(gossip));
     let peers = state.inner.borrow().peers.clone();
     // A connection outlives the registration of an entry that the store turns away.
     for host in hub.hosts().into_iter().filter(|host| !peers.contains_key(host)) {
@@ -88,6 +90,7 @@
         leaving: inner.view.said_to_leave(state.now()),
         quarantined: inner.quarantine.groups(state.now()),
         limits: inner.limits.notices(state.now()),
+        refused: vec![],
     }
 }
 
@@ -149,6 +152,7 @@
             let ready_in = Duration::from_millis(gossip.ready_in_ms);
             inner.liveness.record(host.clone(), ready_in, now);
             inner.in_flight.update_peer(host, gossip.loads, now);
+            inner.returns.hear(&gossip.refused, now);
             drop(inner);
             if has_gone {
                 state.refresh();
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -75,6 +75,8 @@
     Unauthorized,
     /// No chain or endpoint that could run it has capacity.
     NoRoom,
+    /// A request that goes first has taken its place in the queue.
+    Displaced,
     /// Only endpoints had capacity whose own limit on requests is reached.
     Limited,
     /// Its deadline or the route's timeout has passed.
@@ -100,6 +102,7 @@
             Self::NoRoute => "no-route",
             Self::Unauthorized => "unauthorized",
             Self::NoRoom => "no-room",
+            Self::Displaced => "displaced",
             Self::Limited => "limited",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
@@ -277,11 +280,7 @@
                 until.unwrap_or_default().since(state.now())
             }
             Reason::Held(wait) | Reason::Waiting(wait) => wait,
-            _ => {
-                let mut inner = state.inner.borrow_mut();
-                let refusals = inner.refusals.entry(request.service.clone()).or_default();
-                refusals.refuse(state.now(), rand::random())
-            }
+            _ => state.retry_after_refusal(request),
         };
         return writer.respond_empty(StatusCode::SERVICE_UNAVAILABLE, Some(retry_after)).await;
     }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -22,6 +22,9 @@
     pub times: Times,
     /// Limit on the retries of each service.
     pub retries: Retries,
+    /// How requests are admitted while chains are full.
+    #[serde(default)]
+    pub admission: Admission,
 }
 
 /// The settings whose changes take effect without a restart.
@@ -31,12 +34,18 @@
     pub times: Times,
     /// Limit on the retries of each service.
     pub retries: Retries,
+    /// How requests are admitted while chains are full.
+    pub admission: Admission,
 }
 
 impl Tunables {
     /// Copies the tunable part of `settings`.
     pub fn of(settings: &Settings) -> Self {
-        Self { times: settings.times.clone(), retries: settings.retries.clone() }
+        Self {
+            times: settings.times.clone(),
+            retries: settings.retries.clone(),
+            admission: settings.admission,
+        }
     }
 }
 
@@ -92,6 +101,27 @@
     3000
 }
 
+/// How requests are admitted while chains are full.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Admission {
+    /// Which requests go first.
+    #[serde(default)]
+    pub order: Order,
+}
+
+/// Which requests go first while chains are full.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    /// By priority, then by arrival. Each waits as long as its answer can begin in time.
+    #[default]
+    Arrival,
+    /// By priority, and first tries before callers that were refused. Those that cannot begin in time are refused
+    /// at once.
+    Standing,
+}
+
 /// Limit on the retries of each service, summed over all entries, in a sliding window.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -12,6 +12,7 @@
 pub mod pause;
 mod plan;
 pub mod quarantine;
+mod refusal;
 pub mod statement;
 
 use std::cell::{Cell, RefCell};
@@ -30,11 +31,13 @@
 use oriole_core::forward::budget::Budget;
 use oriole_core::forward::chain::Chain;
 use oriole_core::forward::choice::Failures;
+use oriole_core::forward::headroom::Demand;
 use oriole_core::forward::hold::Holds;
 use oriole_core::forward::in_flight::Tracker;
 use oriole_core::forward::quarantine::{Quarantine, Suspect};
-use oriole_core::forward::queue::{Queue, Refusals};
+use oriole_core::forward::queue::{Departures, Queue, Refusals};
 use oriole_core::forward::rate;
+use oriole_core::forward::returns::Ledger;
 use oriole_core::forward::runs::Runs;
 use oriole_core::name;
 use oriole_core::placement::stored::Stored;
@@ -85,6 +88,12 @@
     pub refusals: BTreeMap<name::Service, Refusals>,
     /// Requests that wait for capacity, by service.
     pub queues: BTreeMap<name::Service, Queue>,
+    /// Requests that began lately, by service.
+    pub departures: BTreeMap<name::Service, Departures>,
+    /// Demand for chains by priority, by service.
+    pub demand: BTreeMap<name::Service, Demand>,
+    /// Callers of generations that were refused by any entry.
+    pub returns: Ledger,
     /// Retry budgets by service.
     pub budgets: BTreeMap<name::Service, Budget>,
     /// Parts of prompts that crash endpoints.
@@ -201,6 +210,9 @@
             in_flight: Tracker::default(),
             refusals: BTreeMap::new(),
             queues: BTreeMap::new(),
+            departures: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            returns: Ledger::default(),
             budgets: BTreeMap::new(),
             quarantine: Quarantine::default(),
             runs: Runs::default(),
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -90,6 +90,7 @@
         let (sockets, listen) = Sockets::loopback().unwrap();
         let (callers, ready) = (listen.callers, listen.ready);
         let settings = Settings {
+            admission: settings::Admission { order: settings::Order::Standing },
             name: format!("entry-{number}"),
             zone: format!("zone-{}", number % 2),
             listen,
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod pause;
 mod prompt_part;
+mod refused;
 mod registration;
 mod restore;
 mod resumed;
