--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -137,6 +137,9 @@
 }
 
 /// Waits until `until` for capacity on a chain, and reserves it.
+///
+/// Refuses at once a request that cannot begin until then, or whose place in the queue another one takes that goes
+/// before it. At `until`, the request takes capacity if there is any, even if others wait in front of it.
 pub async fn acquire(
     state: &Shared,
     request: &Request,
