--- a/crates/load/src/platform.rs
+++ b/crates/load/src/platform.rs
@@ -98,6 +98,7 @@
         let address = listen.callers;
         let settings = Settings {
             admission: settings::Admission { order: settings::Order::Standing },
+            limits: settings::Limits::default(),
             name: format!("entry-{number}"),
             zone: format!("zone-{number}"),
             listen,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -25,6 +25,9 @@
     /// How requests are admitted while chains are full.
     #[serde(default)]
     pub admission: Admission,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 /// The settings whose changes take effect without a restart.
@@ -101,6 +104,32 @@
     3000
 }
 
+/// What the process may use of its machine. What clients may make it hold follows from this.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Limits {
+    /// Memory, in megabytes, with the bytes that have been received and not yet read.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: usize,
+    /// Open descriptors.
+    #[serde(default = "default_file_descriptors")]
+    pub file_descriptors: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: default_memory_mb(), file_descriptors: default_file_descriptors() }
+    }
+}
+
+fn default_memory_mb() -> usize {
+    256
+}
+
+fn default_file_descriptors() -> usize {
+    4096
+}
+
 /// How requests are admitted while chains are full.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -91,6 +91,7 @@
         let (callers, ready) = (listen.callers, listen.ready);
         let settings = Settings {
             admission: settings::Admission { order: settings::Order::Standing },
+            limits: settings::Limits::default(),
             name: format!("entry-{number}"),
             zone: format!("zone-{}", number % 2),
             listen,
--- a/review/standin/entry.rs
+++ b/review/standin/entry.rs
@@ -82,6 +82,8 @@
             ("bounds.retry_budget_ratio", "0.2".to_owned()),
             ("bounds.budget_min_retries", "198".to_owned()),
             ("bounds.budget_window_s", "10".to_owned()),
+            ("limits.memory_mb", "260".to_owned()),
+            ("limits.file_descriptors", "4100".to_owned()),
         ];
         let mut settings = fs::read_to_string(TEMPLATE).expect("the template of the settings");
         for (field, value) in values {
