Bound the log lines that wait to be written by their bytes

Cause: lines hold what callers send, such as the id of a request, and only their number was bounded. While nobody reads the output, 4,096 lines with ids of 16 KB wait.

The backlog now holds at most 1 MB. Found by reading; the new test fails on the code before with 67,276,800 bytes and passes now.

--- a/crates/router/src/log_output.rs
+++ b/crates/router/src/log_output.rs
@@ -14,6 +14,9 @@
 /// Maximum number of lines that wait to be written.
 const MAX_QUEUED_LINES: usize = 4096;
 
+/// Maximum number of bytes that wait to be written. Lines hold what callers send, such as the ids of requests.
+const MAX_QUEUED_BYTES: usize = 1024 * 1024;
+
 /// Number of waiting lines from which on lines about served requests are dropped.
 const MAX_QUEUED_LINES_FOR_SERVED: usize = 2048;
 
@@ -32,6 +35,8 @@
 #[derive(Debug)]
 pub struct Backlog {
     lines: VecDeque<Vec<u8>>,
+    /// Bytes of the lines.
+    bytes: usize,
     second_start: Instant,
     served: u32,
     others: u32,
@@ -41,7 +46,14 @@
 impl Backlog {
     /// Creates a backlog without lines.
     pub fn new(now: Instant) -> Self {
-        Self { lines: VecDeque::new(), second_start: now, served: 0, others: 0, dropped: 0 }
+        Self {
+            lines: VecDeque::new(),
+            bytes: 0,
+            second_start: now,
+            served: 0,
+            others: 0,
+            dropped: 0,
+        }
     }
 
     /// Adds a line, or counts it as dropped if a limit for its kind is reached.
@@ -56,11 +68,13 @@
         } else {
             (&mut self.others, MAX_OTHER_LINES_PER_SECOND, MAX_QUEUED_LINES)
         };
-        if *count >= max_rate || self.lines.len() >= max_queued {
+        let has_room = self.lines.len() < max_queued && self.bytes + line.len() <= MAX_QUEUED_BYTES;
+        if *count >= max_rate || !has_room {
             self.dropped += 1;
             return;
         }
         *count += 1;
+        self.bytes += line.len();
         self.lines.push_back(line.to_vec());
     }
 
@@ -68,6 +82,7 @@
     /// that returned one, or `None` if no line is waiting.
     pub fn pop(&mut self) -> Option<(Vec<u8>, u64)> {
         let line = self.lines.pop_front()?;
+        self.bytes -= line.len();
         Some((line, std::mem::take(&mut self.dropped)))
     }
 }
--- a/crates/router/tests/log_output.rs
+++ b/crates/router/tests/log_output.rs
@@ -78,3 +78,19 @@
     }
     assert!(lines <= 4096);
 }
+
+// If nobody reads the output, lines that hold long ids of callers must not use up the memory of the process.
+#[test]
+fn lines_that_wait_share_one_bound_on_memory() {
+    let start = Instant::now();
+    let mut backlog = Backlog::new(start);
+    let id = "x".repeat(16 * 1024);
+    for n in 0..10_000 {
+        let line = format!("[INFO serve] rejected id={id} reason=NoRoute\n");
+        backlog.push(line.as_bytes(), start + Duration::from_millis(10 * n));
+    }
+    let waiting: usize = std::iter::from_fn(|| backlog.pop()).map(|(line, _)| line.len()).sum();
+    assert!(waiting > 0 && waiting <= 1024 * 1024, "{waiting} bytes");
+    backlog.push(&failed(1), start + Duration::from_secs(200));
+    assert_eq!(backlog.pop(), Some((failed(1), 0)));
+}
