--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -129,9 +129,11 @@
 pub async fn send(stream: TcpStream, head: RequestHead, body: Bytes) -> Result<Response, Error> {
     let (mut read, mut write) = stream.into_split();
     let mut codec = new_codec();
-    let mut outgoing = BytesMut::with_capacity(1024 + body.len());
+    let mut encoded = BytesMut::with_capacity(1024);
     let is_head = head.method == Method::HEAD;
-    encode(&mut codec, head, body, &mut outgoing)?;
+    encode_head(&mut codec, head, body.len(), &mut encoded)?;
+    // The body is not copied, which would double the memory of each request in progress.
+    let mut outgoing = encoded.chain(body);
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
     let (mut is_reset, mut interim) = (false, 0);
     loop {
@@ -139,7 +141,7 @@
             written = write.write_buf(&mut outgoing), if outgoing.has_remaining() => {
                 if written.is_err() {
                     // The peer may have responded before it closed the connection; keep reading.
-                    outgoing.clear();
+                    outgoing.advance(outgoing.remaining());
                     is_reset = true;
                 }
             }
@@ -233,23 +235,18 @@
     ClientCodec::new(SERVICE_CONFIG.with(Clone::clone))
 }
 
-fn encode(
+/// Encodes the head of a request whose body, of `length` bytes, follows as it is.
+fn encode_head(
     codec: &mut ClientCodec,
     head: RequestHead,
-    body: Bytes,
+    length: usize,
     outgoing: &mut BytesMut,
 ) -> Result<(), Error> {
-    let size = if body.is_empty() && !head.method.is_safe() {
-        BodySize::Sized(0)
-    } else if body.is_empty() {
-        BodySize::None
-    } else {
-        BodySize::Sized(body.len() as u64)
+    let size = match length {
+        0 if head.method.is_safe() => BodySize::None,
+        length => BodySize::Sized(length as u64),
     };
     codec.encode(Message::Item((RequestHeadType::from(head), size)), outgoing)?;
-    if !body.is_empty() {
-        codec.encode(Message::Chunk(Some(body)), outgoing)?;
-    }
     Ok(())
 }
 
