Bound all answers together until their callers have read them

Callers that do not read made the process hold their answers: the shared bound counted a body only while it was read from its endpoint, and not while it was written; and writing copied it whole into the output buffer.

Answers now hold a lease of one pool until they have been written, in parts of 32 KB. The pool is a quarter of the memory in the settings, 32 MB at most. A response without a body has 2 s to be taken; before, a caller that read none of its refusals was waited for without a bound of ours.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`metrics`]: export of counters to a StatsD collector.
 //! - [`settings`], [`signal`]: settings files, and the signals that stop or reload a process.
 //! - [`server`]: an HTTP server on an existing listener.
+//! - [`memory`]: the memory of what peers send, bounded for all of them together.
+//! - [`eviction`]: tells a task that it must give way to another.
 //! - [`exchange`]: one HTTP request and its response on a connection of its own.
 //! - [`file`]: files that are read and written as a whole.
 //! - [`documents`]: configuration documents stored as files.
@@ -15,11 +17,13 @@
 pub mod clock;
 pub mod documents;
 pub mod engine;
+pub mod eviction;
 pub mod exchange;
 pub mod file;
 pub mod hosts;
 pub mod http;
 pub mod kv;
+pub mod memory;
 pub mod metrics;
 pub mod server;
 pub mod service;
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -15,6 +15,7 @@
 //! - [`budget`]: this entry's share of a service's retry budget.
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
 //! - [`event`]: splits response streams at event boundaries.
+//! - [`memory`]: one bound on the memory that callers make an entry hold.
 //! - [`stop`]: when a caller that a stopping entry turns away may come back.
 
 pub mod budget;
@@ -24,6 +25,7 @@
 pub mod headroom;
 pub mod hold;
 pub mod in_flight;
+pub mod memory;
 pub mod outcome;
 pub mod quarantine;
 pub mod queue;
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -9,6 +9,7 @@
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
 use oriole_adapter::exchange;
+use oriole_adapter::memory::Lease;
 use oriole_core::fleet::Endpoint;
 use oriole_core::forward::budget::Pass;
 use oriole_core::forward::event::Splitter;
@@ -25,6 +26,7 @@
 use crate::generation::Slot;
 use crate::metrics::Metrics;
 use crate::reply::Writer;
+use crate::response;
 use crate::run::{Run, Target};
 use crate::serve::{Reason, Request, check_crashes, give_up};
 use crate::state::{Shared, pause};
@@ -49,6 +51,7 @@
 struct Response {
     head: ResponseHead,
     body: Bytes,
+    lease: Lease,
 }
 
 /// How an attempt ended.
@@ -84,12 +87,12 @@
             log::info!(id = request.id(), waited_ms; "served");
             state.metrics.served.inc();
             Metrics::time(&state.metrics.answer, state.now().since(request.arrived));
-            forward(response, writer).await
+            forward(state, response, writer).await
         }
         (_, Some(response)) => {
             let status = response.head.status.as_u16();
             log::info!(id = request.id(), waited_ms, status; "endpoint's failure passed on");
-            forward(response, writer).await
+            forward(state, response, writer).await
         }
         (Ok(Err(reason)), None) => {
             give_up(state, request, writer, reason, !attempts.may_have_run).await
@@ -98,9 +101,9 @@
     }
 }
 
-async fn forward(response: Response, writer: &mut Writer) -> io::Result<()> {
-    let headers = endpoint::end_to_end(response.head.headers());
-    writer.respond(response.head.status, headers, response.body).await
+async fn forward(state: &Shared, response: Response, writer: &mut Writer) -> io::Result<()> {
+    let Response { head, body, lease } = response;
+    response::forward(state, &head, body, lease, writer).await
 }
 
 /// Attempts the request at one endpoint after the other until one responds without a server error.
@@ -318,17 +321,18 @@
         );
         return Err(Failure::Unknown);
     }
-    let mut content = state.body_memory.begin(MAX_RESPONSE_BYTES);
+    let mut content = response::begin(state, MAX_RESPONSE_BYTES);
     while let Some(bytes) = body.next().await.map_err(|_| Failure::Unknown)? {
-        if !content.push(&bytes) {
-            log::warn!(id = request.id(), endpoint = target.id.as_str(); "body too large");
+        if let Err(refusal) = content.push(&bytes, state.now()) {
+            log::warn!(id = request.id(), endpoint = target.id.as_str(), refusal:?; "body too large");
             return Err(Failure::Unknown);
         }
     }
     if is_cut_off(request, &head, content.content()) {
         return Err(Failure::Unknown);
     }
-    Ok(Response { head, body: content.finish() })
+    let (body, lease) = content.finish();
+    Ok(Response { head, body, lease })
 }
 
 /// Returns whether an answer with this status would tell the caller of a request that may not be repeated
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -25,6 +25,7 @@
 use crate::generation::{Slot, Timing, crash};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
+use crate::response;
 use crate::run::{Run, Target};
 use crate::serve::Request;
 use crate::state::Shared;
@@ -378,16 +379,16 @@
     if writer.progress() != Progress::NotStarted {
         return Outcome::Failed(Failure::Unknown);
     }
-    let mut content = state.body_memory.begin(MAX_RESPONSE_BYTES);
+    let mut content = response::begin(state, MAX_RESPONSE_BYTES);
     loop {
         match body.next().await {
-            Ok(Some(bytes)) if content.push(&bytes) => {}
+            Ok(Some(bytes)) if content.push(&bytes, state.now()).is_ok() => {}
             Ok(None) => break,
             Ok(Some(_)) | Err(_) => return Outcome::Failed(Failure::Unknown),
         }
     }
-    let headers = endpoint::end_to_end(head.headers());
-    match writer.respond(head.status, headers, content.finish()).await {
+    let (body, lease) = content.finish();
+    match response::forward(state, head, body, lease, writer).await {
         Ok(()) => Outcome::Complete,
         Err(e) => Outcome::CallerLost(e),
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,7 @@
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
 //! - [`dispatch`]: sends each attempt of a request, with a pass of the retry budget.
-//! - [`body_memory`]: one bound on the memory of response bodies.
+//! - [`response`]: keeps responses until their callers have read them.
 //! - [`reply`]: writes responses to callers.
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
 //! - [`run`]: at which endpoint each request runs, and whether that crashes.
@@ -30,7 +30,6 @@
 //! and calls in `oriole_platform`.
 
 pub mod ask;
-pub mod body_memory;
 pub mod call;
 pub mod cmd;
 pub mod dispatch;
@@ -47,6 +46,7 @@
 pub mod process;
 pub mod quarantine;
 pub mod reply;
+pub mod response;
 pub mod run;
 pub mod secret;
 pub mod serve;
--- a/crates/router/src/reply.rs
+++ b/crates/router/src/reply.rs
@@ -11,9 +11,13 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::timeout;
 
-/// Initial capacity of the output buffer.
-const OUTPUT_BUFFER_BYTES: usize = 4 * 1024;
+/// Bytes of a body that are encoded at a time.
+const MAX_PART_BYTES: usize = 32 * 1024;
+
+/// Longest time in which a caller must take a response without a body.
+const EMPTY_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// How much of the response to the current request has been written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +47,7 @@
 impl Writer {
     /// Creates a writer for a connection on which no request has been read yet.
     pub fn new(write: OwnedWriteHalf, codec: Codec) -> Self {
-        let out = BytesMut::with_capacity(OUTPUT_BUFFER_BYTES);
+        let out = BytesMut::new();
         Self { write, codec, out, progress: Progress::Complete, stream_type: None, close: false }
     }
 
@@ -100,11 +104,30 @@
         status: StatusCode,
         headers: HeaderMap,
         body: Bytes,
+    ) -> io::Result<()> {
+        self.respond_with(status, headers, body, |_| {}).await
+    }
+
+    /// Writes a complete response, and calls `on_progress` with the number of bytes of each part of the body
+    /// that has been written.
+    pub async fn respond_with(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+        mut body: Bytes,
+        on_progress: impl Fn(usize),
     ) -> io::Result<()> {
         self.encode_head(status, headers, BodySize::Sized(body.len() as u64))?;
         self.progress = Progress::Partial;
-        if !body.is_empty() {
-            self.codec.encode(Message::Chunk(Some(body)), &mut self.out)?;
+        // The body is encoded in parts, so that the output buffer does not double its memory.
+        while !body.is_empty() {
+            let part = body.split_to(body.len().min(MAX_PART_BYTES));
+            let bytes = part.len();
+            self.codec.encode(Message::Chunk(Some(part)), &mut self.out)?;
+            if !body.is_empty() {
+                self.flush().await?;
+                on_progress(bytes);
+            }
         }
         self.codec.encode(Message::Chunk(None), &mut self.out)?;
         self.progress = Progress::Complete;
@@ -124,7 +147,9 @@
                 headers.insert(header::RETRY_AFTER, value);
             }
         }
-        self.respond(status, headers, Bytes::new()).await
+        let writing = self.respond(status, headers, Bytes::new());
+        // A caller that reads none of its answers would keep the connection without end.
+        timeout(EMPTY_WRITE_TIMEOUT, writing).await.map_err(io::Error::from)?
     }
 
     /// Shuts the connection down after everything written so far.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,6 +6,12 @@
 use oriole_core::forward::budget::Bound;
 use serde::Deserialize;
 
+/// Part of the memory that responses may hold.
+const RESPONSE_DIVISOR: usize = 4;
+
+/// Most bytes that responses may hold, whatever the memory.
+const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
+
 /// All settings of an entry.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -116,6 +122,17 @@
     pub file_descriptors: usize,
 }
 
+impl Limits {
+    /// Returns the memory that responses may hold until their callers have read them, in bytes.
+    pub fn response_bytes(&self) -> usize {
+        (self.memory_bytes() / RESPONSE_DIVISOR).min(MAX_RESPONSE_BYTES)
+    }
+
+    fn memory_bytes(&self) -> usize {
+        self.memory_mb.saturating_mul(1024 * 1024)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self { memory_mb: default_memory_mb(), file_descriptors: default_file_descriptors() }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::Clock;
+use oriole_adapter::memory::Memory;
 use oriole_core::fleet::freshness::Freshness;
 use oriole_core::fleet::lag::Lag;
 use oriole_core::fleet::liveness::Liveness;
@@ -46,7 +47,6 @@
 use oriole_core::time::Instant;
 use tokio::sync::Notify;
 
-use crate::body_memory::BodyMemory;
 use crate::metrics::Metrics;
 use crate::settings::{Settings, Tunables};
 
@@ -139,8 +139,8 @@
     resumption: Cell<Resumption>,
     /// When the process started.
     pub started: Instant,
-    /// Memory of response bodies that are kept until they are complete.
-    pub body_memory: BodyMemory,
+    /// Memory of responses that are kept until they are complete and the caller has read them.
+    pub response_memory: Memory,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Clock that all tasks use.
@@ -238,8 +238,8 @@
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
             tunables: RefCell::new(Tunables::of(&settings)),
+            response_memory: Memory::new(settings.limits.response_bytes()),
             settings,
-            body_memory: BodyMemory::default(),
             metrics: Metrics::default(),
             clock,
             inner: RefCell::new(inner),
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -48,9 +48,9 @@
     });
     let answers = join_all(calls).await;
     assert!(answers.iter().all(|a| a.status >= 500 && a.is_complete));
-    let most = state.body_memory.peak();
+    let most = state.response_memory.peak();
     assert!(most > 0 && most <= 32 * 1024 * 1024, "{most} bytes");
-    assert_eq!(state.body_memory.used(), 0);
+    assert_eq!(state.response_memory.used(), 0);
 }
 
 /// A caller that hardly reads holds its connection, and the memory of its answer, no longer than it may wait.
