Bound all requests together from their first byte to their answer

Callers saw an entry end: each body was bounded and all together were not, so that a crowd of large bodies, most of which stopped just short of their end, used up the memory. A length over the limit did not matter until so many bytes had come. While a request was served, up to 64 KB were read ahead on each connection and the rest stayed unread, which counts as memory, too.

Requests now hold a lease of one pool, a quarter of the memory in the settings: from the head on for its copies, for a stated length before the body is read, and as chunks arrive, until the last attempt has ended. One that finds no room gets 503 with Retry-After before more of it is read, and one that has come slower than 256 KB a second for a second gives way to it, with the same answer; neither has run. Requests of up to 16 KB with the copies of their heads need no lease, so that ordinary callers get answers whatever large bodies do. A stated length over the limit gets 413 at once. What goes on after a refusal is discarded for a second, since a reset would take the refusal away. Bytes behind a request in progress beyond 8 KB are discarded, and its connection ends after the answer. Readiness and metrics take no bodies.

--- a/crates/router/src/dispatch.rs
+++ b/crates/router/src/dispatch.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::RequestHead;
 use oriole_adapter::exchange::{self, Error, Response};
+use oriole_adapter::memory::Lease;
 use oriole_core::fleet::Incarnation;
 use oriole_core::forward::budget::Pass;
 use oriole_core::time::Instant;
@@ -39,6 +41,8 @@
     incarnation: Incarnation,
     request_id: Option<String>,
     at: Instant,
+    /// An attempt that has been left may still be sending the request.
+    _lease: Rc<Lease>,
 }
 
 /// Opens the connection of an attempt within `limit`.
@@ -80,7 +84,9 @@
 ) -> Result<Answer, Error> {
     state.spend(&request.service, pass);
     let request_id = request.parameters.request_id.clone();
-    let sent = Sent { state: state.clone(), incarnation, request_id, at: state.now() };
+    let lease = request.lease.clone();
+    let sent =
+        Sent { state: state.clone(), incarnation, request_id, at: state.now(), _lease: lease };
     let exchange = exchange::send(stream, head, request.body.clone());
     let (sender, receiver) = oneshot::channel();
     actix_rt::spawn(read_head(sent, exchange, sender));
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
 //! - [`dispatch`]: sends each attempt of a request, with a pass of the retry budget.
+//! - [`reader`]: reads requests.
 //! - [`response`]: keeps responses until their callers have read them.
 //! - [`reply`]: writes responses to callers.
 //! - [`quarantine`]: keeps the quarantines of prompt parts in the store.
@@ -45,6 +46,7 @@
 pub mod planner;
 pub mod process;
 pub mod quarantine;
+pub mod reader;
 pub mod reply;
 pub mod response;
 pub mod run;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -1,35 +1,24 @@
 //! Accepts callers' connections and serves the readiness and metrics routes.
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use actix_codec::Decoder;
-use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{RequestHead, ServiceConfig, StatusCode};
-use bytes::{Bytes, BytesMut};
+use actix_http::h1::Codec;
+use actix_http::{ServiceConfig, StatusCode};
 use oriole_platform::ingress;
-use tokio::io::AsyncReadExt;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::metrics::{self, Metrics};
+use crate::reader::{Failure, Reader};
 use crate::reply::{Progress, Writer};
 use crate::serve;
 use crate::state::Shared;
 
-/// Free space that is reserved in the buffer before each read.
-const MIN_READ_BYTES: usize = 4 * 1024;
-
-/// Maximum number of bytes that are read ahead of the current request. Also limits the head and the
-/// body of a request before the routing table is known.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
-
 /// Time without an acknowledgement of sent bytes after which the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Timeout of a body, and of heads and idle connections before the routing table is known.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+/// `retry-after` of a request for which there is no memory: slow ones give way after that time.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Pause after accepting a connection failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -39,7 +28,7 @@
     let config = ServiceConfig::default();
     accept(listener, |stream| {
         let codec = Codec::new(config.clone());
-        actix_rt::spawn(connection(state.clone(), stream, codec));
+        actix_rt::spawn(serve_callers(state.clone(), stream, codec));
     })
     .await;
 }
@@ -97,75 +86,99 @@
     }
 }
 
-/// Reasons for which reading a request fails.
-enum Failure {
-    /// The connection is closed or has been idle for too long.
-    Closed,
-    /// The request is malformed, too large or too slow; it is answered with the status.
-    Reject(StatusCode),
-}
-
-struct Reader {
-    read: OwnedReadHalf,
-    buffer: BytesMut,
-}
-
-async fn connection(state: Shared, stream: TcpStream, codec: Codec) {
+/// Serves a connection of a caller until it ends.
+async fn serve_callers(state: Shared, stream: TcpStream, codec: Codec) {
     let (read, write) = stream.into_split();
-    let mut reader = Reader { read, buffer: BytesMut::with_capacity(MIN_READ_BYTES) };
+    let mut reader = Reader::new(read);
     let mut writer = Writer::new(write, codec);
     // A new connection is about to carry its first request and does not count as idle.
     let mut is_new = true;
-    loop {
-        // A connection on which a request has begun to arrive is not idle.
-        let begun = tokio::select! {
-            biased;
-            begun = reader.begin(&state) => begun,
-            () = idle_close(&state), if !is_new => Err(Failure::Closed),
-        };
+    while next(&state, &mut reader, &mut writer, is_new).await == Next::Continue {
         is_new = false;
-        let _active = Active::new(&state);
-        let request = match begun {
-            Ok(()) => reader.request(&state, &mut writer).await,
-            Err(failure) => Err(failure),
-        };
-        let (head, body) = match request {
-            Ok(request) => request,
-            Err(Failure::Closed) => break,
-            Err(Failure::Reject(status)) => {
-                log::info!(status = status.as_u16(); "reading a request failed");
-                writer.close = true;
-                // Ignores the error, since the caller may have closed the connection already.
-                let _ = writer.respond_empty(status, None).await;
-                break;
-            }
-        };
-        if state.exiting.get() {
-            // The process exits soon, which might cut an answer of an endpoint short.
-            refuse_at_exit(&state, &mut writer).await;
-            break;
+    }
+}
+
+/// Whether another request may follow on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    Continue,
+    Close,
+}
+
+/// Reads and serves the next request of a caller.
+async fn next(state: &Shared, reader: &mut Reader, writer: &mut Writer, is_new: bool) -> Next {
+    // A connection on which a request has begun to arrive is not idle.
+    let begun = tokio::select! {
+        biased;
+        begun = reader.begin(state) => begun,
+        () = idle_close(state), if !is_new => Err(Failure::Closed),
+    };
+    let _active = Active::new(state);
+    let request = match begun {
+        Ok(()) => reader.request(state, writer).await,
+        Err(failure) => Err(failure),
+    };
+    let request = match request {
+        Ok(request) => request,
+        Err(failure) => {
+            refuse(state, reader, writer, failure).await;
+            return Next::Close;
         }
-        writer.close = state.stopping.get();
-        tokio::select! {
-            // Polled first, so that a request is not forwarded if its caller has already left.
-            biased;
-            () = reader.closed() => return,
-            result = serve::handle(&state, Rc::new(head), body, &mut writer) => {
-                if result.is_err() {
-                    return;
-                }
+    };
+    if state.exiting.get() {
+        // The process exits soon, which might cut an answer of an endpoint short.
+        refuse_at_exit(state, writer).await;
+        writer.shut_down().await;
+        return Next::Close;
+    }
+    writer.close = state.stopping.get();
+    tokio::select! {
+        // Polled first, so that a request is not forwarded if its caller has already left.
+        biased;
+        () = reader.closed() => return Next::Close,
+        // On the heap, so that a connection without a request takes little memory.
+        result = Box::pin(serve::handle(state, request, writer)) => {
+            if result.is_err() {
+                return Next::Close;
             }
         }
-        if writer.progress() == Progress::Partial {
-            // Closes the connection without the end-of-body marker, so that the caller can tell
-            // that the answer is incomplete.
+    }
+    match writer.progress() {
+        // Closes the connection without the end-of-body marker, so that the caller can tell that the answer is
+        // incomplete.
+        Progress::Partial => Next::Close,
+        _ if writer.may_continue() && reader.may_continue() => Next::Continue,
+        _ => {
+            writer.shut_down().await;
+            Next::Close
+        }
+    }
+}
+
+/// Answers a request that could not be read, and closes the connection.
+async fn refuse(state: &Shared, reader: &mut Reader, writer: &mut Writer, failure: Failure) {
+    let (status, reason, retry_after) = match failure {
+        Failure::Closed => {
+            writer.shut_down().await;
             return;
         }
-        if !writer.may_continue() {
-            break;
+        Failure::Reject(StatusCode::PAYLOAD_TOO_LARGE) => {
+            (StatusCode::PAYLOAD_TOO_LARGE, "too-large", None)
         }
-    }
+        Failure::Reject(StatusCode::REQUEST_TIMEOUT) => {
+            (StatusCode::REQUEST_TIMEOUT, "too-slow", None)
+        }
+        Failure::Reject(status) => (status, "malformed", None),
+        Failure::Full => (StatusCode::SERVICE_UNAVAILABLE, "no-memory", Some(FULL_RETRY_AFTER)),
+        Failure::Evicted => (StatusCode::SERVICE_UNAVAILABLE, "made-room", Some(FULL_RETRY_AFTER)),
+    };
+    log::info!(status = status.as_u16(), reason; "request refused before it was read");
+    Metrics::count(&state.metrics.refused, reason);
+    writer.close = true;
+    // Ignores the error, since the caller may have closed the connection already.
+    let _ = writer.respond_empty(status, retry_after).await;
     writer.shut_down().await;
+    reader.discard().await;
 }
 
 /// Refuses a request that has arrived after the last answer of a stopping process.
@@ -187,10 +200,10 @@
 
 async fn internal_connection(state: Shared, stream: TcpStream, codec: Codec, answer: Responder) {
     let (read, write) = stream.into_split();
-    let mut reader = Reader { read, buffer: BytesMut::with_capacity(MIN_READ_BYTES) };
+    let mut reader = Reader::new(read);
     let mut writer = Writer::new(write, codec);
     while reader.begin(&state).await.is_ok() {
-        let Ok((head, _)) = reader.request(&state, &mut writer).await else {
+        let Ok(head) = reader.bodyless(&state, &mut writer).await else {
             break;
         };
         let (status, text) = answer(&state, head.uri.path());
@@ -204,106 +217,6 @@
     }
 }
 
-impl Reader {
-    /// Waits until a request begins to arrive, for as long as a connection may be idle.
-    async fn begin(&mut self, state: &Shared) -> Result<(), Failure> {
-        if !self.buffer.is_empty() {
-            return Ok(());
-        }
-        let table = state.inner.borrow().table.clone();
-        let idle = table.map_or(DEFAULT_TIMEOUT, |table| table.limits.idle_timeout);
-        let filled = timeout(idle, self.fill()).await;
-        filled.map_err(|_| Failure::Closed)?.map_err(|_| Failure::Closed)
-    }
-
-    /// Reads one request with its complete body.
-    async fn request(
-        &mut self,
-        state: &Shared,
-        writer: &mut Writer,
-    ) -> Result<(RequestHead, Bytes), Failure> {
-        let limits = state.inner.borrow().table.as_ref().map(|t| t.limits.clone());
-        let head_timeout = limits.as_ref().map_or(DEFAULT_TIMEOUT, |l| l.head_timeout);
-        let head_bytes = limits.as_ref().map_or(MAX_READ_AHEAD_BYTES, |l| l.head_bytes);
-        let body_bytes = limits.as_ref().map_or(MAX_READ_AHEAD_BYTES, |l| l.body_bytes);
-        let head = timeout(head_timeout, self.head(writer, head_bytes)).await;
-        let head = head.map_err(|_| Failure::Reject(StatusCode::REQUEST_TIMEOUT))??;
-        writer.start_response();
-        if writer.codec.message_type() == MessageType::None {
-            return Ok((head, Bytes::new()));
-        }
-        if head.expect() {
-            writer.send_continue().await.map_err(|_| Failure::Closed)?;
-        }
-        let body = timeout(DEFAULT_TIMEOUT, self.body(writer, body_bytes)).await;
-        Ok((head, body.map_err(|_| Failure::Reject(StatusCode::REQUEST_TIMEOUT))??))
-    }
-
-    async fn head(
-        &mut self,
-        writer: &mut Writer,
-        max_bytes: usize,
-    ) -> Result<RequestHead, Failure> {
-        loop {
-            let before = self.buffer.len();
-            match writer.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Item(request))) => {
-                    if before - self.buffer.len() > max_bytes {
-                        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-                        return Err(Failure::Reject(status));
-                    }
-                    return Ok(request.head().clone());
-                }
-                Ok(Some(Message::Chunk(_))) => {}
-                Ok(None) if self.buffer.len() > max_bytes => {
-                    return Err(Failure::Reject(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
-                }
-                Ok(None) => self.fill().await.map_err(|_| Failure::Closed)?,
-                Err(_) => return Err(Failure::Reject(StatusCode::BAD_REQUEST)),
-            }
-        }
-    }
-
-    async fn body(&mut self, writer: &mut Writer, max_bytes: usize) -> Result<Bytes, Failure> {
-        let mut body = BytesMut::new();
-        loop {
-            match writer.codec.decode(&mut self.buffer) {
-                Ok(Some(Message::Chunk(Some(bytes)))) => {
-                    if body.len() + bytes.len() > max_bytes {
-                        return Err(Failure::Reject(StatusCode::PAYLOAD_TOO_LARGE));
-                    }
-                    body.extend_from_slice(&bytes);
-                }
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
-                Ok(Some(Message::Item(_))) | Err(_) => {
-                    return Err(Failure::Reject(StatusCode::BAD_REQUEST));
-                }
-                Ok(None) => self.fill().await.map_err(|_| Failure::Closed)?,
-            }
-        }
-    }
-
-    /// Reads at least one byte into the buffer; fails if the connection is closed.
-    async fn fill(&mut self) -> std::io::Result<()> {
-        self.buffer.reserve(MIN_READ_BYTES);
-        match self.read.read_buf(&mut self.buffer).await? {
-            0 => Err(std::io::ErrorKind::UnexpectedEof.into()),
-            _ => Ok(()),
-        }
-    }
-
-    /// Waits until the caller has closed the connection. Stops reading, and never returns, once the
-    /// buffer is full.
-    async fn closed(&mut self) {
-        while self.buffer.len() < MAX_READ_AHEAD_BYTES {
-            if self.fill().await.is_err() {
-                return;
-            }
-        }
-        std::future::pending().await
-    }
-}
-
 /// Counts a request as in progress, from when it begins to arrive, until it is dropped.
 struct Active(Shared);
 
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -9,6 +9,7 @@
 
 use actix_http::{RequestHead, StatusCode, header as http};
 use bytes::Bytes;
+use oriole_adapter::memory::Lease;
 use oriole_core::forward::Fingerprint;
 use oriole_core::forward::hold::Gate;
 use oriole_core::route::{Denial, Kind, Route, Workspace};
@@ -21,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::state::{Shared, pause};
-use crate::{call, generation, hold};
+use crate::{call, generation, hold, reader};
 
 /// `retry-after` of an entry that has no routing table yet.
 const NO_TABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -35,6 +36,8 @@
     pub head: Rc<RequestHead>,
     /// The body.
     pub body: Bytes,
+    /// The memory of head and body, held until the last attempt has ended.
+    pub lease: Rc<Lease>,
     /// Values of the platform's own headers, as received from the caller.
     pub parameters: ingress::Parameters,
     /// What it asks for; equal for its repeats.
@@ -117,14 +120,13 @@
 /// Responds to one request. An error means that the connection to the caller is lost.
 pub async fn handle(
     state: &Shared,
-    head: Rc<RequestHead>,
-    body: Bytes,
+    request: reader::Request,
     writer: &mut Writer,
 ) -> io::Result<()> {
     let arrived = state.now();
     pause::settle(state).await;
-    let parameters = ingress::parameters(&head.headers);
-    let mut request = match authorize(state, head, body, parameters, arrived) {
+    let parameters = ingress::parameters(&request.head.headers);
+    let mut request = match authorize(state, request, parameters, arrived) {
         Ok(request) => request,
         Err((reason, id)) => {
             let (table, _) = state.versions();
@@ -200,11 +202,11 @@
 /// Returns the reason and the id of the request if it is rejected.
 fn authorize(
     state: &Shared,
-    head: Rc<RequestHead>,
-    body: Bytes,
+    request: reader::Request,
     parameters: ingress::Parameters,
     arrived: Instant,
 ) -> Result<Request, (Reason, String)> {
+    let reader::Request { head, body, lease } = request;
     let id = || parameters.request_id.clone().unwrap_or_default();
     let Some(table) = state.inner.borrow().table.clone() else {
         return Err((Reason::NoTable, id()));
@@ -229,8 +231,9 @@
         route: route.clone(),
         arrived,
         deadline: arrived + time_limit,
-        head,
+        head: Rc::new(head),
         body,
+        lease: Rc::new(lease),
         parameters,
     })
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,6 +6,9 @@
 use oriole_core::forward::budget::Bound;
 use serde::Deserialize;
 
+/// Part of the memory that requests may hold.
+const REQUEST_DIVISOR: usize = 4;
+
 /// Part of the memory that responses may hold.
 const RESPONSE_DIVISOR: usize = 4;
 
@@ -123,6 +126,11 @@
 }
 
 impl Limits {
+    /// Returns the memory that requests may hold while they are read and served, in bytes.
+    pub fn request_bytes(&self) -> usize {
+        self.memory_bytes() / REQUEST_DIVISOR
+    }
+
     /// Returns the memory that responses may hold until their callers have read them, in bytes.
     pub fn response_bytes(&self) -> usize {
         (self.memory_bytes() / RESPONSE_DIVISOR).min(MAX_RESPONSE_BYTES)
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -139,6 +139,8 @@
     resumption: Cell<Resumption>,
     /// When the process started.
     pub started: Instant,
+    /// Memory of requests, until they are answered.
+    pub request_memory: Memory,
     /// Memory of responses that are kept until they are complete and the caller has read them.
     pub response_memory: Memory,
     /// Counters and histograms.
@@ -238,6 +240,7 @@
             host: settings.name.as_str().into(),
             zone: settings.zone.as_str().into(),
             tunables: RefCell::new(Tunables::of(&settings)),
+            request_memory: Memory::new(settings.limits.request_bytes()),
             response_memory: Memory::new(settings.limits.response_bytes()),
             settings,
             metrics: Metrics::default(),
