Bound the connections of callers by the descriptors

Connections of callers were accepted without a bound, so that a crowd on which nothing comes, or which never completes its heads, used up the descriptors of an entry, which it needs for endpoints, the store and other entries, too.

Callers now get three eighths of the descriptors that are not kept for files: 1,462 connections of 4,100 descriptors, and as many again for their endpoints. Beyond, the connection that has waited longest for a complete request is closed for a new one; those whose request is being served stay, and only if all do, the new one is closed unread. Readiness and metrics have 16 connections each.

--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -16,11 +16,13 @@
 //! - [`outcome`]: results of attempts, and whether another attempt is allowed.
 //! - [`event`]: splits response streams at event boundaries.
 //! - [`memory`]: one bound on the memory that callers make an entry hold.
+//! - [`connections`]: a bound on the connections of callers.
 //! - [`stop`]: when a caller that a stopping entry turns away may come back.
 
 pub mod budget;
 pub mod chain;
 pub mod choice;
+pub mod connections;
 pub mod event;
 pub mod headroom;
 pub mod hold;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' connections and serves the readiness and metrics routes.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::h1::Codec;
@@ -8,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+use crate::connections::{Connection, Connections};
 use crate::metrics::{self, Metrics};
 use crate::reader::{Failure, Reader};
 use crate::reply::{Progress, Writer};
@@ -17,6 +19,9 @@
 /// Time without an acknowledgement of sent bytes after which the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum number of connections to each listener that callers do not use.
+const MAX_INTERNAL_CONNECTIONS: usize = 16;
+
 /// `retry-after` of a request for which there is no memory: slow ones give way after that time.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -26,9 +31,10 @@
 /// Accepts connections of callers until the task is aborted.
 pub async fn callers(state: Shared, listener: TcpListener) {
     let config = ServiceConfig::default();
-    accept(listener, |stream| {
+    let connections = Connections::new(&state, state.settings.limits.max_connections());
+    accept(listener, connections, |stream, connection| {
         let codec = Codec::new(config.clone());
-        actix_rt::spawn(serve_callers(state.clone(), stream, codec));
+        actix_rt::spawn(serve_callers(state.clone(), stream, codec, connection));
     })
     .await;
 }
@@ -60,23 +66,39 @@
 
 async fn serve_internal(state: Shared, listener: TcpListener, answer: Responder) {
     let config = ServiceConfig::default();
-    accept(listener, |stream| {
+    let connections = Connections::new(&state, MAX_INTERNAL_CONNECTIONS);
+    accept(listener, connections, |stream, mut connection| {
         let codec = Codec::new(config.clone());
-        actix_rt::spawn(internal_connection(state.clone(), stream, codec, answer));
+        let (eviction, state) = (connection.eviction().wait(), state.clone());
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = eviction => {}
+                () = internal_connection(state, stream, codec, answer) => {}
+            }
+            drop(connection);
+        });
     })
     .await;
 }
 
-async fn accept(listener: TcpListener, mut handle: impl FnMut(TcpStream)) {
+/// Accepts connections as long as there is room, and closes those beyond.
+async fn accept(
+    listener: TcpListener,
+    connections: Rc<Connections>,
+    mut handle: impl FnMut(TcpStream, Connection),
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                let Some(connection) = connections.admit() else {
+                    continue;
+                };
                 // Ignores errors: without these options a connection still works, but with more
                 // delay and later detection of lost callers.
                 let _ = stream.set_nodelay(true);
                 let socket = socket2::SockRef::from(&stream);
                 let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-                handle(stream);
+                handle(stream, connection);
             }
             Err(error) => {
                 log::warn!(error:%; "accepting a connection failed");
@@ -86,15 +108,23 @@
     }
 }
 
-/// Serves a connection of a caller until it ends.
-async fn serve_callers(state: Shared, stream: TcpStream, codec: Codec) {
+/// Serves a connection of a caller until it ends or has to make room for another one.
+async fn serve_callers(state: Shared, stream: TcpStream, codec: Codec, mut connection: Connection) {
+    let eviction = connection.eviction().wait();
     let (read, write) = stream.into_split();
     let mut reader = Reader::new(read);
     let mut writer = Writer::new(write, codec);
-    // A new connection is about to carry its first request and does not count as idle.
-    let mut is_new = true;
-    while next(&state, &mut reader, &mut writer, is_new).await == Next::Continue {
-        is_new = false;
+    let serving = async {
+        // A new connection is about to carry its first request and does not count as idle.
+        let mut is_new = true;
+        while next(&state, &mut reader, &mut writer, &connection, is_new).await == Next::Continue {
+            connection.begin_waiting();
+            is_new = false;
+        }
+    };
+    tokio::select! {
+        () = eviction => log::debug!("connection closed to make room for another one"),
+        () = serving => {}
     }
 }
 
@@ -106,7 +136,13 @@
 }
 
 /// Reads and serves the next request of a caller.
-async fn next(state: &Shared, reader: &mut Reader, writer: &mut Writer, is_new: bool) -> Next {
+async fn next(
+    state: &Shared,
+    reader: &mut Reader,
+    writer: &mut Writer,
+    connection: &Connection,
+    is_new: bool,
+) -> Next {
     // A connection on which a request has begun to arrive is not idle.
     let begun = tokio::select! {
         biased;
@@ -125,6 +161,7 @@
             return Next::Close;
         }
     };
+    connection.begin_serving();
     if state.exiting.get() {
         // The process exits soon, which might cut an answer of an endpoint short.
         refuse_at_exit(state, writer).await;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -15,6 +15,9 @@
 /// Most bytes that responses may hold, whatever the memory.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
+/// Descriptors that the platform keeps for files; sockets and pipes share the others.
+const RESERVED_DESCRIPTORS: usize = 200;
+
 /// All settings of an entry.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -136,6 +139,12 @@
         (self.memory_bytes() / RESPONSE_DIVISOR).min(MAX_RESPONSE_BYTES)
     }
 
+    /// Returns the number of callers' connections that may be open. Each may need another one to an endpoint,
+    /// and the process needs some for itself.
+    pub fn max_connections(&self) -> usize {
+        (self.file_descriptors.saturating_sub(RESERVED_DESCRIPTORS) * 3 / 8).max(1)
+    }
+
     fn memory_bytes(&self) -> usize {
         self.memory_mb.saturating_mul(1024 * 1024)
     }
