Bound the bytes that callers have sent and the process has not read

Bytes that have been received and not yet read count as a process's memory, and the kernel chose the receive buffer of each connection, 128 KB and more, also for connections that had not been accepted.

The listeners for callers, readiness and metrics now ask for buffers by which all connections together, with 1,024 that wait to be accepted, hold a quarter of the memory in the settings, but at least 16 KB each (the kernel doubles it), so that a large body from a distant caller still arrives in time.

--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -13,7 +13,7 @@
 use tokio::signal::unix::Signal;
 use tokio::time::sleep;
 
-use crate::settings::{Listen, Settings};
+use crate::settings::{Limits, Listen, Settings};
 use crate::state::{Shared, State, load};
 use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, secret, suspect};
 
@@ -72,7 +72,7 @@
     pub fn loopback() -> Result<(Self, Listen), Error> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let listen = Listen { callers: any, ready: any, peers: any, metrics: any };
-        let sockets = Self::bind(&listen)?;
+        let sockets = Self::bind(&listen, &Limits::default())?;
         let address = |listener: &TcpListener| {
             listener.local_addr().map_err(|source| Error::Listen { address: any, source })
         };
@@ -85,13 +85,15 @@
         Ok((sockets, listen))
     }
 
-    /// Listens on the addresses of the settings.
-    pub fn bind(listen: &Listen) -> Result<Self, Error> {
+    /// Listens on the addresses of the settings. `limits` bound the unread bytes of callers.
+    pub fn bind(listen: &Listen, limits: &Limits) -> Result<Self, Error> {
+        let receive_buffer = limits.receive_buffer_bytes(MAX_PENDING_CONNECTIONS as usize);
+        let receive_buffer = u32::try_from(receive_buffer).unwrap_or(u32::MAX);
         Ok(Self {
-            callers: bind(listen.callers)?,
-            ready: bind(listen.ready)?,
-            peers: bind(listen.peers)?,
-            metrics: bind(listen.metrics)?,
+            callers: bind(listen.callers, Some(receive_buffer))?,
+            ready: bind(listen.ready, Some(receive_buffer))?,
+            peers: bind(listen.peers, None)?,
+            metrics: bind(listen.metrics, Some(receive_buffer))?,
         })
     }
 }
@@ -101,7 +103,7 @@
 ///
 /// `path` is the settings file, which is read again on SIGHUP and when its contents change.
 pub async fn run(settings: Settings, path: PathBuf) -> Result<(), Error> {
-    let sockets = Sockets::bind(&settings.listen)?;
+    let sockets = Sockets::bind(&settings.listen, &settings.limits)?;
     let hang_up = signal::hang_up().map_err(Error::Signal)?;
     let state = start(settings, sockets);
     actix_rt::spawn(reload(state.clone(), path, hang_up));
@@ -134,10 +136,14 @@
     state
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+/// Listens on an address. Connections have receive buffers of the given size, or as the kernel chooses.
+fn bind(address: SocketAddr, receive_buffer: Option<u32>) -> Result<TcpListener, Error> {
     let listen = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
+        if let Some(bytes) = receive_buffer {
+            socket.set_recv_buffer_size(bytes)?;
+        }
         socket.bind(address)?;
         socket.listen(MAX_PENDING_CONNECTIONS)
     };
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -12,12 +12,20 @@
 /// Part of the memory that responses may hold.
 const RESPONSE_DIVISOR: usize = 4;
 
+/// Part of the memory that unread bytes of callers may hold.
+const UNREAD_DIVISOR: usize = 4;
+
 /// Most bytes that responses may hold, whatever the memory.
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
 /// Descriptors that the platform keeps for files; sockets and pipes share the others.
 const RESERVED_DESCRIPTORS: usize = 200;
 
+/// Bounds of the receive buffer of a connection. With a smaller one, a large body from a distant caller would not
+/// arrive in time.
+const MIN_RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const MAX_RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 /// All settings of an entry.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -145,6 +153,16 @@
         (self.file_descriptors.saturating_sub(RESERVED_DESCRIPTORS) * 3 / 8).max(1)
     }
 
+    /// Returns the size of a connection's receive buffer to request from the kernel, in bytes. All unread bytes
+    /// together are bounded by it as long as the smallest buffer allows, with those of connections that have not been
+    /// accepted.
+    pub fn receive_buffer_bytes(&self, max_pending: usize) -> usize {
+        let connections = self.max_connections() + max_pending;
+        let share = self.memory_bytes() / UNREAD_DIVISOR / connections;
+        // The kernel doubles the size that it is given.
+        (share / 2).clamp(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES)
+    }
+
     fn memory_bytes(&self) -> usize {
         self.memory_mb.saturating_mul(1024 * 1024)
     }
