Keep the bounds together while the process stands still

The bounds held one by one. Many connections accepted in one go each replaced one whose task had not run yet, so that up to 128 more were open than allowed; and the shares of the memory added up to more than their sum where a large crowd, unread answers and a crowd of new connections came together while the process stood still.

New connections are now accepted one by one once there is no room, so that the tasks of those that gave way end first. The queue of connections that wait to be accepted has 512 places in place of 1,024. Requests get a third of the memory and responses a fifth, 20 to 32 MB, so that one of the largest size fits.

--- a/crates/core/src/forward/connections.rs
+++ b/crates/core/src/forward/connections.rs
@@ -47,12 +47,16 @@
         self.phases.len()
     }
 
+    /// Returns whether a new connection takes the place of another one.
+    pub fn is_full(&self) -> bool {
+        self.phases.len() >= self.max_count
+    }
+
     /// Admits a new connection. If there are too many, the one that has waited longest for a complete request
     /// gives way.
     pub fn admit(&mut self, now: Instant) -> Admission {
-        let evicted =
-            if self.phases.len() < self.max_count { None } else { self.longest_waiting() };
-        if evicted.is_none() && self.phases.len() >= self.max_count {
+        let evicted = if self.is_full() { self.longest_waiting() } else { None };
+        if evicted.is_none() && self.is_full() {
             return Admission::Full;
         }
         let key = self.phases.insert(Phase::Waiting(now));
--- a/crates/router/src/connections.rs
+++ b/crates/router/src/connections.rs
@@ -32,6 +32,11 @@
         Rc::new(Self { state: state.clone(), table, holders: RefCell::default() })
     }
 
+    /// Returns whether the next connection takes the place of another one.
+    pub fn is_full(&self) -> bool {
+        self.table.borrow().is_full()
+    }
+
     /// Admits a new connection, for which another one may be closed; `None` if there is no room.
     pub fn admit(self: &Rc<Self>) -> Option<Connection> {
         let key = match self.table.borrow_mut().admit(self.state.now()) {
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -7,6 +7,7 @@
 use actix_http::{ServiceConfig, StatusCode};
 use oriole_platform::ingress;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::connections::{Connection, Connections};
@@ -99,6 +100,10 @@
                 let socket = socket2::SockRef::from(&stream);
                 let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
                 handle(stream, connection);
+                if connections.is_full() {
+                    // Lets the tasks of connections that gave way end before more are accepted.
+                    yield_now().await;
+                }
             }
             Err(error) => {
                 log::warn!(error:%; "accepting a connection failed");
@@ -157,7 +162,10 @@
     let request = match request {
         Ok(request) => request,
         Err(failure) => {
-            refuse(state, reader, writer, failure).await;
+            refuse(state, writer, failure).await;
+            if failure != Failure::Closed {
+                reader.discard().await;
+            }
             return Next::Close;
         }
     };
@@ -192,8 +200,8 @@
     }
 }
 
-/// Answers a request that could not be read, and closes the connection.
-async fn refuse(state: &Shared, reader: &mut Reader, writer: &mut Writer, failure: Failure) {
+/// Answers a request that could not be read, and closes the sending half of the connection.
+async fn refuse(state: &Shared, writer: &mut Writer, failure: Failure) {
     let (status, reason, retry_after) = match failure {
         Failure::Closed => {
             writer.shut_down().await;
@@ -215,7 +223,6 @@
     // Ignores the error, since the caller may have closed the connection already.
     let _ = writer.respond_empty(status, retry_after).await;
     writer.shut_down().await;
-    reader.discard().await;
 }
 
 /// Refuses a request that has arrived after the last answer of a stopping process.
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -18,7 +18,7 @@
 use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, secret, suspect};
 
 /// Length of the queue of connections that have not been accepted yet.
-const MAX_PENDING_CONNECTIONS: u32 = 1024;
+const MAX_PENDING_CONNECTIONS: u32 = 512;
 
 /// Time after the signal to stop within which the load balancer notices that the entry is not
 /// ready.
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -7,15 +7,16 @@
 use serde::Deserialize;
 
 /// Part of the memory that requests may hold.
-const REQUEST_DIVISOR: usize = 4;
+const REQUEST_DIVISOR: usize = 3;
 
 /// Part of the memory that responses may hold.
-const RESPONSE_DIVISOR: usize = 4;
+const RESPONSE_DIVISOR: usize = 5;
 
 /// Part of the memory that unread bytes of callers may hold.
 const UNREAD_DIVISOR: usize = 4;
 
-/// Most bytes that responses may hold, whatever the memory.
+/// Bounds of what responses may hold, whatever the memory. One of the largest size fits into the lower one.
+const MIN_RESPONSE_BYTES: usize = 20 * 1024 * 1024;
 const MAX_RESPONSE_BYTES: usize = 32 * 1024 * 1024;
 
 /// Descriptors that the platform keeps for files; sockets and pipes share the others.
@@ -144,7 +145,7 @@
 
     /// Returns the memory that responses may hold until their callers have read them, in bytes.
     pub fn response_bytes(&self) -> usize {
-        (self.memory_bytes() / RESPONSE_DIVISOR).min(MAX_RESPONSE_BYTES)
+        (self.memory_bytes() / RESPONSE_DIVISOR).clamp(MIN_RESPONSE_BYTES, MAX_RESPONSE_BYTES)
     }
 
     /// Returns the number of callers' connections that may be open. Each may need another one to an endpoint,
--- a/crates/router/tests/crowds/main.rs
+++ b/crates/router/tests/crowds/main.rs
@@ -259,3 +259,42 @@
     );
     play_connections("small", head + &"x".repeat(99_999)).await;
 }
+
+/// Guards against bounds that hold one by one and not together, and against what arrives while the process stands
+/// still, on connections that it has not accepted, too.
+#[actix_rt::test]
+async fn all_at_the_same_time_while_the_process_stands_still() {
+    play("still", async |site| {
+        let framing = Framing::Length(LARGE_BODY_BYTES);
+        let upload = Upload { path: "/page/a", framing, piece: 64 * 1024 };
+        let mut crowd = Crowd::open(site.callers, CLIENTS, upload).await;
+        crowd.send_up_to(LARGE_BODY_BYTES - 1).await;
+        let mut others = vec![];
+        for n in 0..CLIENTS {
+            let mut stream = TcpStream::connect(site.callers).await.unwrap();
+            let request = caller::request_text("/page/big", &format!("big-{n}"), KEY, 20_000);
+            // The entry may have closed the connection already.
+            let _ = stream.write_all(request.as_bytes()).await;
+            others.push(stream);
+        }
+        site.signal("STOP");
+        let sending = (0..MANY_CLIENTS).map(|n| async move {
+            let upload = Upload { path: "/page/a", framing, piece: 64 * 1024 };
+            let connecting = Client::connect(site.callers, upload);
+            let Ok(mut client) = timeout(WATCH_TIME, connecting).await else {
+                return None;
+            };
+            let sending = async {
+                client.write_head(&format!("still-{n}")).await;
+                client.send_up_to(LARGE_BODY_BYTES - 1).await;
+            };
+            // Nothing is read while the process stands still.
+            let _ = timeout(WATCH_TIME, sending).await;
+            Some(client)
+        });
+        let still = join_all(sending).await;
+        site.signal("CONT");
+        (crowd, others, still)
+    })
+    .await;
+}
