Read a response into a buffer of the length that it states

The buffer of a response grew by doubling, so that an answer of 15 MB took 16 MB and, while it grew, up to half as much again. It now has the stated length from its first bytes on. Both places that read a whole response (plain calls, and responses of engines that are no streams) share one function, and say why reading failed.

--- a/crates/adapter/src/memory.rs
+++ b/crates/adapter/src/memory.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use derive_more::{Display, Error};
 use oriole_core::forward::memory::{Full, Key, Pool};
 use oriole_core::time::Instant;
 
@@ -103,11 +104,13 @@
 }
 
 /// Why a body cannot grow.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
 pub enum Refusal {
     /// It would be larger than it may be.
+    #[display("larger than allowed")]
     TooLarge,
     /// There is no memory for it.
+    #[display("no memory")]
     Full,
 }
 
@@ -163,9 +166,9 @@
         &mut self.lease
     }
 
-    /// Returns what has been read so far.
-    pub fn content(&self) -> &[u8] {
-        &self.content
+    /// Returns whether no bytes have been received.
+    pub fn is_empty(&self) -> bool {
+        self.content.is_empty()
     }
 
     /// Ends the body. Its memory counts until the lease is dropped.
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -308,7 +308,7 @@
         );
         Failure::Unknown
     })?;
-    let exchange::Response { head, mut body } = response;
+    let exchange::Response { head, body } = response;
     match class {
         Classification::Answer => {}
         Classification::NotExecuted(_) => return Err(Failure::NotExecuted),
@@ -321,17 +321,17 @@
         );
         return Err(Failure::Unknown);
     }
-    let mut content = response::begin(state, MAX_RESPONSE_BYTES);
-    while let Some(bytes) = body.next().await.map_err(|_| Failure::Unknown)? {
-        if let Err(refusal) = content.push(&bytes, state.now()) {
-            log::warn!(id = request.id(), endpoint = target.id.as_str(), refusal:?; "body too large");
-            return Err(Failure::Unknown);
-        }
-    }
-    if is_cut_off(request, &head, content.content()) {
+    let read = response::read(state, &head, body, MAX_RESPONSE_BYTES).await;
+    let (body, lease) = read.map_err(|error| {
+        log::info!(
+            id = request.id(), endpoint = target.id.as_str(), error:%;
+            "reading the body of a response failed"
+        );
+        Failure::Unknown
+    })?;
+    if is_cut_off(request, &head, &body) {
         return Err(Failure::Unknown);
     }
-    let (body, lease) = content.finish();
     Ok(Response { head, body, lease })
 }
 
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -373,21 +373,19 @@
 async fn forward_unstreamed(
     state: &Shared,
     head: &actix_http::ResponseHead,
-    mut body: Body,
+    body: Body,
     writer: &mut Writer,
 ) -> Outcome {
     if writer.progress() != Progress::NotStarted {
         return Outcome::Failed(Failure::Unknown);
     }
-    let mut content = response::begin(state, MAX_RESPONSE_BYTES);
-    loop {
-        match body.next().await {
-            Ok(Some(bytes)) if content.push(&bytes, state.now()).is_ok() => {}
-            Ok(None) => break,
-            Ok(Some(_)) | Err(_) => return Outcome::Failed(Failure::Unknown),
+    let (body, lease) = match response::read(state, head, body, MAX_RESPONSE_BYTES).await {
+        Ok(read) => read,
+        Err(error) => {
+            log::info!(error:%; "reading the body of a response failed");
+            return Outcome::Failed(Failure::Unknown);
         }
-    }
-    let (body, lease) = content.finish();
+    };
     match response::forward(state, head, body, lease, writer).await {
         Ok(()) => Outcome::Complete,
         Err(e) => Outcome::CallerLost(e),
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -4,7 +4,8 @@
 
 use actix_codec::Decoder;
 use actix_http::h1::{Message, MessageType};
-use actix_http::{RequestHead, StatusCode, header};
+use actix_http::header::{self, HeaderMap};
+use actix_http::{RequestHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use oriole_adapter::memory::{Body, Lease, Refusal};
 use oriole_core::forward::memory::Full;
@@ -172,7 +173,7 @@
         writer.start_response();
         let mut body = Body::new(lease, HEAD_COPIES * head_bytes, bounds.body_bytes);
         if writer.codec.message_type() != MessageType::None {
-            if let Some(length) = content_length(&head) {
+            if let Some(length) = content_length(&head.headers) {
                 body.reserve(length, state.now())?;
             }
             if head.expect() {
@@ -273,10 +274,10 @@
     }
 }
 
-/// Returns the length that a head states for its body.
-fn content_length(head: &RequestHead) -> Option<usize> {
-    if head.headers.contains_key(header::TRANSFER_ENCODING) {
+/// Returns the length that headers state for a body, unless they state another framing.
+pub fn content_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
         return None;
     }
-    head.headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
 }
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -4,18 +4,46 @@
 
 use actix_http::ResponseHead;
 use bytes::Bytes;
-use oriole_adapter::memory::{Body, Lease};
+use derive_more::{Display, Error, From};
+use oriole_adapter::exchange;
+use oriole_adapter::memory::{Body, Lease, Refusal};
 use oriole_platform::endpoint;
 
 use crate::metrics::Metrics;
+use crate::reader::content_length;
 use crate::reply::Writer;
 use crate::state::Shared;
 
-/// Begins a response of at most `max_bytes`, which keeps its memory while it is read from its endpoint.
-pub fn begin(state: &Shared, max_bytes: usize) -> Body {
+/// Why the body of a response could not be read.
+#[derive(Debug, Display, Error, From)]
+pub enum Failure {
+    /// The exchange with the endpoint failed.
+    #[display("{_0}")]
+    Exchange(exchange::Error),
+    /// The body does not fit.
+    #[display("the body does not fit: {_0}")]
+    #[error(ignore)]
+    Refused(Refusal),
+}
+
+/// Reads the body of a response, of at most `max_bytes`. It keeps its memory while it is read, whatever others need.
+pub async fn read(
+    state: &Shared,
+    head: &ResponseHead,
+    mut received: exchange::Body,
+    max_bytes: usize,
+) -> Result<(Bytes, Lease), Failure> {
     let lease = state.response_memory.begin(state.now());
     lease.pin();
-    Body::new(lease, 0, max_bytes)
+    let mut body = Body::new(lease, 0, max_bytes);
+    while let Some(bytes) = received.next().await? {
+        // A length without a body, as in a response to HEAD, needs no memory.
+        if let Some(length) = content_length(head.headers()).filter(|_| body.is_empty()) {
+            body.reserve(length, state.now())?;
+        }
+        body.push(&bytes, state.now())?;
+    }
+    Ok(body.finish())
 }
 
 /// Writes a response that has been read. If others need its memory and the caller hardly reads it, it ends midway.
