Discard for longer what follows a refusal, and stop without waiting for it

A caller that takes two seconds to send a large body of legal size, and finds no memory, got a reset in place of its 503: what it went on sending was discarded for one second only. It is discarded for five seconds now, which takes no memory; the connection counts as waiting, so that it gives way to others. A process that stops no longer waits for such connections.

--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -154,7 +154,7 @@
         begun = reader.begin(state) => begun,
         () = idle_close(state), if !is_new => Err(Failure::Closed),
     };
-    let _active = Active::new(state);
+    let active = Active::new(state);
     let request = match begun {
         Ok(()) => reader.request(state, writer).await,
         Err(failure) => Err(failure),
@@ -163,6 +163,8 @@
         Ok(request) => request,
         Err(failure) => {
             refuse(state, writer, failure).await;
+            // What follows a refusal does not keep the process from stopping.
+            drop(active);
             if failure != Failure::Closed {
                 reader.discard().await;
             }
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -35,7 +35,7 @@
 
 /// Time for which what a caller goes on sending is discarded after its request was refused, so that it gets the
 /// refusal: closing a connection with unread bytes resets it.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+const DISCARD_TIME: Duration = Duration::from_secs(5);
 
 /// Reasons for which reading a request fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
