--- a/crates/router/tests/crowds/process.rs
+++ b/crates/router/tests/crowds/process.rs
@@ -10,11 +10,10 @@
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
+use oriole_standin::usage::Usage;
 use serde_json::json;
 use tokio::time::{sleep, timeout};
 
-use crate::usage::Usage;
-
 /// Memory that the process may use, in megabytes: less than the smallest machine of the platform has, so that
 /// a small crowd reaches it.
 pub const MEMORY_MB: u64 = 64;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,10 +7,12 @@
 //! - [`service`]: a plain service that counts how often each call ran.
 //! - [`weights`]: a rate-limited weight store.
 //! - [`relay`]: a TCP relay that injects network faults.
+//! - [`crowd`]: clients that send many bodies and do not finish them; [`usage`]: what a process uses.
 //! - [`fault`], [`http`]: the fault switches and the HTTP server that the stand-ins share.
 //! - [`cmd`]: the subcommands of `oriole-standin`.
 
 pub mod cmd;
+pub mod crowd;
 pub mod engine;
 pub mod fault;
 pub mod hosts;
@@ -19,4 +21,5 @@
 pub mod model;
 pub mod relay;
 pub mod service;
+pub mod usage;
 pub mod weights;
