Bound what callers make an entry of our own interface hold

An entry of our own interface (oriole-entry) ended in the same way: each body had a limit and all together had none, a body was in memory several times while its request ran, and connections were accepted without a bound.

Bodies now hold leases of one pool, a third of the memory in the settings, by four times their length from their end until the answer is complete. One without room is refused as no-memory (503, not run, Retry-After), and one that hardly arrives gives way. Connections are bounded by descriptors, and by a quarter of the memory at 160 KB each, which the HTTP decoder may read ahead; those of operators, at entries and sides, are 32. The receive buffers of connections follow from the memory. The limits, the bound on connections and the pool are those of the router, which moves them to the adapters.

--- a/crates/adapter/src/http.rs
+++ b/crates/adapter/src/http.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use awc::error::{ConnectError, PayloadError, SendRequestError};
+use awc::http::header::{self, HeaderMap};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -163,3 +164,11 @@
         _ => Error::Lost,
     }
 }
+
+/// Returns the length that headers state for a body, unless they state another framing.
+pub fn content_length(headers: &HeaderMap) -> Option<usize> {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return None;
+    }
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,6 +5,8 @@
 //! - [`metrics`]: export of counters to a StatsD collector.
 //! - [`settings`], [`signal`]: settings files, and the signals that stop or reload a process.
 //! - [`server`]: an HTTP server on an existing listener.
+//! - [`limits`]: what a process may use of its machine, and the shares of it.
+//! - [`connections`]: a bound on the connections of a listener.
 //! - [`memory`]: the memory of what peers send, bounded for all of them together.
 //! - [`eviction`]: tells a task that it must give way to another.
 //! - [`exchange`]: one HTTP request and its response on a connection of its own.
@@ -15,6 +17,7 @@
 //! - [`http`]: what the HTTP clients share.
 
 pub mod clock;
+pub mod connections;
 pub mod documents;
 pub mod engine;
 pub mod eviction;
@@ -23,6 +26,7 @@
 pub mod hosts;
 pub mod http;
 pub mod kv;
+pub mod limits;
 pub mod memory;
 pub mod metrics;
 pub mod server;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -89,6 +89,9 @@
     /// The body or a header is larger than allowed.
     #[display("too-large")]
     TooLarge,
+    /// There is no memory for the body.
+    #[display("no-memory")]
+    NoMemory,
     /// The model or service does not exist, or the contract does not allow it.
     #[display("not-found")]
     NotFound,
--- a/crates/ctl/tests/ctl/fixture.rs
+++ b/crates/ctl/tests/ctl/fixture.rs
@@ -11,6 +11,7 @@
 
 use actix_http::{Method, Request, Response, StatusCode};
 use oriole_adapter::clock::Clock;
+use oriole_adapter::connections::Connections;
 use oriole_adapter::kv::{self, Client, Documents};
 use oriole_adapter::{documents, server};
 use oriole_core::revision::Head;
@@ -201,5 +202,5 @@
             Response::build(StatusCode::OK).body(body).map_into_boxed_body()
         }
     };
-    server::serve(listener, handler).await;
+    server::serve(listener, Connections::unbounded(), handler).await;
 }
--- a/crates/entry/src/cmd.rs
+++ b/crates/entry/src/cmd.rs
@@ -51,6 +51,7 @@
         };
         let operators = listen(settings.operators).await?;
         let builder = Builder::new(setup).operators(operators).stop_wait(settings.stop_wait);
+        let builder = builder.limits(settings.limits);
         let mut builder = builder.seeds(source.seeds);
         if let Some(kv) = source.kv {
             builder = builder.kv(kv);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -7,14 +7,14 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use oriole_adapter::server;
+use oriole_adapter::memory::Lease;
 use oriole_core::entry::{Generate, Outcome};
 use oriole_core::request::Refusal;
 use oriole_core::{name, token};
 use serde_json::Value;
 
 use crate::caller::{self, Receiver, Update};
-use crate::http::{BODY_TIMEOUT, MAX_BODY_BYTES, Problem, Shared, authenticate, deadline, json};
+use crate::http::{Problem, Shared, authenticate, deadline, json};
 use crate::process::Command;
 use crate::{chat, problem};
 
@@ -26,8 +26,8 @@
     let workspace = authenticate(&request, shared)?;
     let refuse = |problem: Problem| problem.for_workspace(&workspace);
     let deadline = deadline(&request).map_err(refuse)?;
-    let body = server::read_body(&mut request, MAX_BODY_BYTES, BODY_TIMEOUT).await;
-    let body = body.map_err(|e| refuse(e.into()))?;
+    let body = shared.bodies.read(&mut request).await;
+    let (body, lease) = body.map_err(|e| refuse(e.into()))?;
     let chat_request: chat::Request = serde_json::from_slice(&body)
         .map_err(|e| refuse(Problem::new(Refusal::Malformed, format!("parsing the body: {e}"))))?;
     let model = name::Model::from(chat_request.model.as_str());
@@ -48,8 +48,9 @@
     let Some(Update::Accepted(id)) = updates.recv().await else { return Err(Problem::stopping()) };
     let header = chat::Header { id: id.to_string(), model: chat_request.model };
     if chat_request.stream {
-        streamed(header, updates, shared).await
+        streamed(header, updates, shared, lease).await
     } else {
+        // The lease is held until the answer is complete.
         buffered(header, updates).await
     }
 }
@@ -60,6 +61,7 @@
     header: chat::Header,
     mut updates: Receiver,
     shared: &Shared,
+    lease: Lease,
 ) -> Result<Response<BoxBody>, Problem> {
     let first = match updates.recv().await {
         Some(Update::End(Outcome::Refused(refused))) => {
@@ -72,7 +74,7 @@
     response.insert_header(("content-type", "text/event-stream"));
     response.insert_header(("cache-control", "no-cache"));
     response.insert_header(("x-request-id", header.id.clone()));
-    let state = StreamState { header, first: Some(first), updates, finished: false };
+    let state = StreamState { header, first: Some(first), updates, finished: false, _lease: lease };
     let body = BodyStream::new(events(state, shared.open_answers.clone()));
     Ok(response.body(body).map_into_boxed_body())
 }
@@ -84,6 +86,8 @@
     first: Option<Update>,
     updates: Receiver,
     finished: bool,
+    /// Memory of the request.
+    _lease: Lease,
 }
 
 /// Returns the events of an answer. The stream holds `guard` until the caller has read all events
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -15,7 +15,11 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
-use oriole_adapter::server::{self, BodyError};
+use oriole_adapter::clock::Clock;
+use oriole_adapter::connections::Connections;
+use oriole_adapter::limits::Limits;
+use oriole_adapter::memory::Memory;
+use oriole_adapter::server::{self, BodyError, BodyReader};
 use oriole_core::config::Config;
 use oriole_core::message::not_run;
 use oriole_core::name;
@@ -28,10 +32,14 @@
 use crate::{auth, completion, operator, problem, service};
 
 /// Maximum size of a request body.
-pub(crate) const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Maximum time for reading a request body.
-pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Copies of a body while its request is served: as received, as tokens or a call, for a further attempt, and as it
+/// is sent to a side.
+const BODY_COPIES: usize = 4;
 
 /// State that the HTTP tasks of an entry share.
 pub(crate) struct Shared {
@@ -39,10 +47,23 @@
     pub(crate) config: RefCell<Rc<Config>>,
     /// Commands to the process.
     pub(crate) commands: mpsc::Sender<Command>,
+    /// Reads the bodies of requests, which share one bound on memory.
+    pub(crate) bodies: BodyReader,
     /// Reference count of streamed answers: each holds a clone until it has been read to its end.
     pub(crate) open_answers: Rc<()>,
 }
 
+/// Returns what reads the bodies of requests of an entry with the given limits.
+pub(crate) fn body_reader(limits: &Limits, clock: Clock) -> BodyReader {
+    BodyReader {
+        memory: Memory::new(limits.request_bytes()),
+        clock,
+        max_bytes: MAX_BODY_BYTES,
+        limit: BODY_TIMEOUT,
+        copies: BODY_COPIES,
+    }
+}
+
 impl Shared {
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Rc<Config> {
@@ -59,6 +80,10 @@
 /// to have one by then.
 const STARTING_RETRY_MS: u64 = 1_000;
 
+/// Delay for retries that is suggested when there is no memory for a body: bodies that hardly arrive give way after
+/// that time.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// The clients that a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Audience {
@@ -108,15 +133,27 @@
     fn from(e: BodyError) -> Self {
         let reason = match e {
             BodyError::TooLarge => Refusal::TooLarge,
+            BodyError::NoMemory => Refusal::NoMemory,
             BodyError::Timeout | BodyError::Incomplete => Refusal::Malformed,
         };
-        Self::new(reason, format!("reading the body, at most {MAX_BODY_BYTES} bytes: {e}"))
+        let mut problem =
+            Self::new(reason, format!("reading the body, at most {MAX_BODY_BYTES} bytes: {e}"));
+        if reason == Refusal::NoMemory {
+            problem.refused = not_run(reason, Some(NO_MEMORY_RETRY_MS));
+        }
+        problem
     }
 }
 
 /// Serves the given audience until the future is dropped.
-pub(crate) async fn serve(listener: TcpListener, shared: Rc<Shared>, audience: Audience) {
-    server::serve(listener, move |request| answer(request, shared.clone(), audience)).await;
+pub(crate) async fn serve(
+    listener: TcpListener,
+    connections: Rc<Connections>,
+    shared: Rc<Shared>,
+    audience: Audience,
+) {
+    let handler = move |request| answer(request, shared.clone(), audience);
+    server::serve(listener, connections, handler).await;
 }
 
 async fn answer(request: Request, shared: Rc<Shared>, audience: Audience) -> Response<BoxBody> {
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -48,6 +48,7 @@
         Refusal::NoChain
         | Refusal::Leaving
         | Refusal::QueueFull
+        | Refusal::NoMemory
         | Refusal::Fenced
         | Refusal::Superseded
         | Refusal::Restarted
@@ -65,6 +66,7 @@
         Refusal::Unauthorized => "the key matches no workspace",
         Refusal::Malformed => "the request could not be understood, or asks for no tokens",
         Refusal::TooLarge => "prompt and answer are longer than the model allows",
+        Refusal::NoMemory => "there is no memory for the body",
         Refusal::NotFound => "no such model or service, or none that the contract allows",
         Refusal::RequestRate => "the contract's rate of requests is used up",
         Refusal::TokenRate => "the contract's rate of tokens is used up",
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -4,14 +4,13 @@
 
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
-use oriole_adapter::server;
 use oriole_core::entry::{Outcome, Request as Call};
 use oriole_core::request::Refusal;
 use oriole_core::{home, name};
 use uuid::Uuid;
 
 use crate::caller::{self, Update};
-use crate::http::{BODY_TIMEOUT, MAX_BODY_BYTES, Problem, Shared, authenticate, deadline, header};
+use crate::http::{Problem, Shared, authenticate, deadline, header};
 use crate::problem;
 use crate::process::Command;
 
@@ -39,8 +38,9 @@
     let path = format!("/{path}");
     let method = request.method().to_string();
     let content_type = header(&request, "content-type").unwrap_or_default().to_owned();
-    let body = server::read_body(&mut request, MAX_BODY_BYTES, BODY_TIMEOUT).await;
-    let body = body.map_err(|e| refuse(e.into()))?.to_vec();
+    // The lease is held until the call is answered.
+    let (body, _lease) = shared.bodies.read(&mut request).await.map_err(|e| refuse(e.into()))?;
+    let body = Vec::from(body);
     let call = Call { workspace, service, method, path, content_type, body, key, deadline };
     let (sender, mut updates) = caller::channel(shared.commands.clone());
     shared.send(Command::Call(call, sender)).await?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use oriole_adapter::limits::Limits;
 use oriole_core::{name, units};
 use oriole_follow::Source;
 use serde::{Deserialize, Serialize};
@@ -34,6 +35,9 @@
     /// ready, so that load balancers can notice.
     #[serde(default = "default_stop_wait", with = "units::duration")]
     pub stop_wait: Duration,
+    /// What the process may use of its machine.
+    #[serde(default)]
+    pub limits: Limits,
 }
 
 fn default_stop_wait() -> Duration {
--- a/crates/entry/src/setup.rs
+++ b/crates/entry/src/setup.rs
@@ -7,8 +7,11 @@
 use std::time::Duration;
 
 use oriole_adapter::clock::Clock;
+use oriole_adapter::connections::Connections;
 use oriole_adapter::kv;
+use oriole_adapter::limits::Limits;
 use oriole_adapter::metrics::Exporter;
+use oriole_adapter::server::{self, CONNECTION_BYTES};
 use oriole_core::config::Config;
 use oriole_core::entry::Machine;
 use oriole_core::name;
@@ -24,6 +27,12 @@
 use crate::process::{Command, Process};
 use crate::{hosts, http};
 
+/// Connections that may wait to be accepted.
+const MAX_PENDING: usize = 1024;
+
+/// Maximum number of connections of operators.
+const MAX_OPERATOR_CONNECTIONS: usize = 32;
+
 /// Required inputs of an entry.
 pub struct Setup {
     /// Name of the host on which the entry runs.
@@ -51,6 +60,7 @@
     seeds: BTreeMap<name::Host, SocketAddr>,
     kv: Option<kv::Settings>,
     hosts: Option<SocketAddr>,
+    limits: Limits,
 }
 
 impl Builder {
@@ -59,7 +69,9 @@
         let entries = setup.config.entries.iter();
         let seeds = entries.map(|(host, entry)| (host.clone(), entry.address)).collect();
         let stop_wait = Duration::ZERO;
-        Self { setup, operators: None, exporter: None, stop_wait, seeds, kv: None, hosts: None }
+        let limits = Limits::default();
+        let (operators, exporter, kv, hosts) = (None, None, None, None);
+        Self { setup, operators, exporter, stop_wait, seeds, kv, hosts, limits }
     }
 
     /// Serves operators over a separate listener; the listener for callers then no longer serves
@@ -100,6 +112,12 @@
         self
     }
 
+    /// Sets what the process may use of its machine.
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Starts the entry in the current actix system.
     pub fn start(self) -> Handle {
         let Setup { host, secret, config, wire, http, liveness, seed } = self.setup;
@@ -111,6 +129,7 @@
         let shared = Rc::new(http::Shared {
             config: RefCell::new(Rc::new(config.clone())),
             commands: commands.clone(),
+            bodies: http::body_reader(&self.limits, clock),
             open_answers: Rc::new(()),
         });
         let mut tasks = vec![hub.listen(wire)];
@@ -118,10 +137,16 @@
             Some(_) => http::Audience::Callers,
             None => http::Audience::All,
         };
-        tasks.push(actix_rt::spawn(http::serve(http, shared.clone(), audience)));
+        let max_connections = self.limits.max_connections(CONNECTION_BYTES);
+        let receive_buffer = self.limits.receive_buffer_bytes(max_connections + MAX_PENDING);
+        server::limit_receive_buffers(&http, receive_buffer);
+        let connections = Connections::new(max_connections, clock);
+        tasks.push(actix_rt::spawn(http::serve(http, connections, shared.clone(), audience)));
         if let Some(listener) = self.operators {
             let operators = http::Audience::Operators;
-            tasks.push(actix_rt::spawn(http::serve(listener, shared.clone(), operators)));
+            let connections = Connections::new(MAX_OPERATOR_CONNECTIONS, clock);
+            let serving = http::serve(listener, connections, shared.clone(), operators);
+            tasks.push(actix_rt::spawn(serving));
         }
         let role = follower::Role::Entry;
         let following =
--- a/crates/load/src/platform.rs
+++ b/crates/load/src/platform.rs
@@ -10,6 +10,7 @@
 
 use derive_more::{Display, Error, From};
 use oriole_adapter::exchange;
+use oriole_adapter::limits::Limits;
 use oriole_platform_standin::caller::{self, Answer};
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::{self, Fleet};
@@ -98,7 +99,7 @@
         let address = listen.callers;
         let settings = Settings {
             admission: settings::Admission { order: settings::Order::Standing },
-            limits: settings::Limits::default(),
+            limits: Limits::default(),
             name: format!("entry-{number}"),
             zone: format!("zone-{number}"),
             listen,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,7 +12,6 @@
 //! - [`listen`]: accepts connections of callers and serves readiness and metrics.
 //! - [`serve`]: handles one request, by [`generation`] (on a chain) or [`call`] (a plain service).
 //! - [`dispatch`]: sends each attempt of a request, with a pass of the retry budget.
-//! - [`connections`]: a bound on the connections of callers.
 //! - [`reader`]: reads requests.
 //! - [`response`]: keeps responses until their callers have read them.
 //! - [`reply`]: writes responses to callers.
@@ -34,7 +33,6 @@
 pub mod ask;
 pub mod call;
 pub mod cmd;
-pub mod connections;
 pub mod dispatch;
 pub mod follow;
 pub mod generation;
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -5,12 +5,14 @@
 
 use actix_http::h1::Codec;
 use actix_http::{ServiceConfig, StatusCode};
+use oriole_adapter::connections::{Admission, Connection, Connections};
+use oriole_adapter::eviction::Eviction;
+use oriole_adapter::limits::Limits;
 use oriole_platform::ingress;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::yield_now;
 use tokio::time::sleep;
 
-use crate::connections::{Connection, Connections};
 use crate::metrics::{self, Metrics};
 use crate::reader::{Failure, Reader};
 use crate::reply::{Progress, Writer};
@@ -20,6 +22,9 @@
 /// Time without an acknowledgement of sent bytes after which the kernel closes a connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Memory of a connection that counts for no request: its buffers, and a small request.
+const CONNECTION_BYTES: usize = 24 * 1024;
+
 /// Maximum number of connections to each listener that callers do not use.
 const MAX_INTERNAL_CONNECTIONS: usize = 16;
 
@@ -29,13 +34,24 @@
 /// Pause after accepting a connection failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Returns the number of callers' connections that may be open.
+pub fn max_connections(limits: &Limits) -> usize {
+    limits.max_connections(CONNECTION_BYTES)
+}
+
 /// Accepts connections of callers until the task is aborted.
 pub async fn callers(state: Shared, listener: TcpListener) {
     let config = ServiceConfig::default();
-    let connections = Connections::new(&state, state.settings.limits.max_connections());
-    accept(listener, connections, |stream, connection| {
+    let connections = Connections::new(max_connections(&state.settings.limits), state.clock);
+    accept(&state, listener, connections, |stream, connection, mut eviction| {
         let codec = Codec::new(config.clone());
-        actix_rt::spawn(serve_callers(state.clone(), stream, codec, connection));
+        let serving = serve_callers(state.clone(), stream, codec, connection);
+        actix_rt::spawn(async move {
+            tokio::select! {
+                () = eviction.wait() => log::debug!("connection closed to make room for another one"),
+                () = serving => {}
+            }
+        });
     })
     .await;
 }
@@ -67,14 +83,14 @@
 
 async fn serve_internal(state: Shared, listener: TcpListener, answer: Responder) {
     let config = ServiceConfig::default();
-    let connections = Connections::new(&state, MAX_INTERNAL_CONNECTIONS);
-    accept(listener, connections, |stream, mut connection| {
+    let connections = Connections::new(MAX_INTERNAL_CONNECTIONS, state.clock);
+    accept(&state, listener, connections, |stream, connection, mut eviction| {
         let codec = Codec::new(config.clone());
-        let (eviction, state) = (connection.eviction().wait(), state.clone());
+        let serving = internal_connection(state.clone(), stream, codec, answer);
         actix_rt::spawn(async move {
             tokio::select! {
-                () = eviction => {}
-                () = internal_connection(state, stream, codec, answer) => {}
+                () = eviction.wait() => {}
+                () = serving => {}
             }
             drop(connection);
         });
@@ -84,22 +100,31 @@
 
 /// Accepts connections as long as there is room, and closes those beyond.
 async fn accept(
+    state: &Shared,
     listener: TcpListener,
     connections: Rc<Connections>,
-    mut handle: impl FnMut(TcpStream, Connection),
+    mut handle: impl FnMut(TcpStream, Connection, Eviction),
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let Some(connection) = connections.admit() else {
-                    continue;
+                let (connection, eviction) = match connections.admit() {
+                    Admission::Admitted(connection, eviction) => (connection, eviction),
+                    Admission::InPlaceOfOther(connection, eviction) => {
+                        Metrics::count(&state.metrics.refused, "connection-closed");
+                        (connection, eviction)
+                    }
+                    Admission::Full => {
+                        Metrics::count(&state.metrics.refused, "connections");
+                        continue;
+                    }
                 };
                 // Ignores errors: without these options a connection still works, but with more
                 // delay and later detection of lost callers.
                 let _ = stream.set_nodelay(true);
                 let socket = socket2::SockRef::from(&stream);
                 let _ = socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
-                handle(stream, connection);
+                handle(stream, connection, eviction);
                 if connections.is_full() {
                     // Lets the tasks of connections that gave way end before more are accepted.
                     yield_now().await;
@@ -113,23 +138,16 @@
     }
 }
 
-/// Serves a connection of a caller until it ends or has to make room for another one.
-async fn serve_callers(state: Shared, stream: TcpStream, codec: Codec, mut connection: Connection) {
-    let eviction = connection.eviction().wait();
+/// Serves a connection of a caller until it ends.
+async fn serve_callers(state: Shared, stream: TcpStream, codec: Codec, connection: Connection) {
     let (read, write) = stream.into_split();
     let mut reader = Reader::new(read);
     let mut writer = Writer::new(write, codec);
-    let serving = async {
-        // A new connection is about to carry its first request and does not count as idle.
-        let mut is_new = true;
-        while next(&state, &mut reader, &mut writer, &connection, is_new).await == Next::Continue {
-            connection.begin_waiting();
-            is_new = false;
-        }
-    };
-    tokio::select! {
-        () = eviction => log::debug!("connection closed to make room for another one"),
-        () = serving => {}
+    // A new connection is about to carry its first request and does not count as idle.
+    let mut is_new = true;
+    while next(&state, &mut reader, &mut writer, &connection, is_new).await == Next::Continue {
+        connection.begin_waiting();
+        is_new = false;
     }
 }
 
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use oriole_adapter::limits::Limits;
 use oriole_adapter::{settings, signal};
 use oriole_core::fleet::polling;
 use oriole_platform::store::Client;
@@ -13,7 +14,7 @@
 use tokio::signal::unix::Signal;
 use tokio::time::sleep;
 
-use crate::settings::{Limits, Listen, Settings};
+use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State, load};
 use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, secret, suspect};
 
@@ -87,7 +88,8 @@
 
     /// Listens on the addresses of the settings. `limits` bound the unread bytes of callers.
     pub fn bind(listen: &Listen, limits: &Limits) -> Result<Self, Error> {
-        let receive_buffer = limits.receive_buffer_bytes(MAX_PENDING_CONNECTIONS as usize);
+        let connections = listen::max_connections(limits) + MAX_PENDING_CONNECTIONS as usize;
+        let receive_buffer = limits.receive_buffer_bytes(connections);
         let receive_buffer = u32::try_from(receive_buffer).unwrap_or(u32::MAX);
         Ok(Self {
             callers: bind(listen.callers, Some(receive_buffer))?,
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -4,9 +4,9 @@
 
 use actix_codec::Decoder;
 use actix_http::h1::{Message, MessageType};
-use actix_http::header::{self, HeaderMap};
 use actix_http::{RequestHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use oriole_adapter::http::content_length;
 use oriole_adapter::memory::{Body, Lease, Refusal};
 use oriole_core::forward::memory::Full;
 use oriole_core::route::Limits;
@@ -273,11 +273,3 @@
         let _ = timeout(DISCARD_TIME, discarding).await;
     }
 }
-
-/// Returns the length that headers state for a body, unless they state another framing.
-pub fn content_length(headers: &HeaderMap) -> Option<usize> {
-    if headers.contains_key(header::TRANSFER_ENCODING) {
-        return None;
-    }
-    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
-}
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -6,11 +6,11 @@
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
 use oriole_adapter::exchange;
+use oriole_adapter::http::content_length;
 use oriole_adapter::memory::{Body, Lease, Refusal};
 use oriole_platform::endpoint;
 
 use crate::metrics::Metrics;
-use crate::reader::content_length;
 use crate::reply::Writer;
 use crate::state::Shared;
 
--- a/crates/router/tests/path/cluster.rs
+++ b/crates/router/tests/path/cluster.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use oriole_adapter::limits::Limits;
 use oriole_platform_standin::caller::{self, Answer};
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fleet;
@@ -91,7 +92,7 @@
         let (callers, ready) = (listen.callers, listen.ready);
         let settings = Settings {
             admission: settings::Admission { order: settings::Order::Standing },
-            limits: settings::Limits::default(),
+            limits: Limits::default(),
             name: format!("entry-{number}"),
             zone: format!("zone-{}", number % 2),
             listen,
--- a/crates/side/src/http.rs
+++ b/crates/side/src/http.rs
@@ -12,6 +12,8 @@
 use actix_http::body::BoxBody;
 use actix_http::{Method, Request, Response, StatusCode};
 use derive_more::{Display, Error};
+use oriole_adapter::clock::Clock;
+use oriole_adapter::connections::Connections;
 use oriole_adapter::server;
 use oriole_core::name;
 use oriole_core::request::{Id, ParseError};
@@ -22,6 +24,9 @@
 use crate::process::Command;
 use crate::status::Status;
 
+/// Maximum number of connections of operators.
+const MAX_CONNECTIONS: usize = 32;
+
 /// Prefix of the paths of explanations.
 const EXPLAIN_PREFIX: &str = "/v1/explain/";
 
@@ -53,7 +58,9 @@
 
 /// Serves operators until the future is dropped.
 pub(crate) async fn serve(listener: TcpListener, commands: mpsc::Sender<Command>) {
-    server::serve(listener, move |request| answer(request, commands.clone())).await;
+    let connections = Connections::new(MAX_CONNECTIONS, Clock::start());
+    let handler = move |request| answer(request, commands.clone());
+    server::serve(listener, connections, handler).await;
 }
 
 async fn answer(request: Request, commands: mpsc::Sender<Command>) -> Response<BoxBody> {
