--- a/crates/router/src/listen.rs
+++ b/crates/router/src/listen.rs
@@ -237,7 +237,7 @@
         Failure::Full => (StatusCode::SERVICE_UNAVAILABLE, "no-memory", Some(FULL_RETRY_AFTER)),
         Failure::Evicted => (StatusCode::SERVICE_UNAVAILABLE, "made-room", Some(FULL_RETRY_AFTER)),
     };
-    log::info!(status = status.as_u16(), reason; "request refused before it was read");
+    log::info!(status = status.as_u16(), reason; "reading a request failed");
     Metrics::count(&state.metrics.refused, reason);
     writer.close = true;
     // Ignores the error, since the caller may have closed the connection already.
