Keep the connection of a stream of our own interface while it is answered

The bound on connections counted a request as served only until its response had begun, so that a stream could be broken off by connections that came while all places were taken. What a request holds, its place included, is now dropped with its answer. The new test a_stream_keeps_its_connection_when_others_come fails without this and passes with it.

--- a/crates/adapter/src/connections.rs
+++ b/crates/adapter/src/connections.rs
@@ -82,6 +82,23 @@
     }
 }
 
+/// A request that is being served on a connection, until this is dropped.
+pub struct Serving(Rc<Connection>);
+
+impl Serving {
+    /// Records that a complete request is being served.
+    pub fn begin(connection: &Rc<Connection>) -> Self {
+        connection.begin_serving();
+        Self(connection.clone())
+    }
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.begin_waiting();
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.connections.table.borrow_mut().end(self.key);
--- a/crates/adapter/src/server.rs
+++ b/crates/adapter/src/server.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
-use crate::connections::{Admission, Connection, Connections};
+use crate::connections::{Admission, Connection, Connections, Serving};
 use crate::http::content_length;
 use crate::memory::{Body, Lease, Memory, Refusal};
 
@@ -86,15 +86,9 @@
 {
     // With Nagle's algorithm, small chunks would wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let served = connection.clone();
     let service = fn_service(move |request| {
         let response = handler(request);
-        let connection = served.clone();
-        async move {
-            let response = response.await;
-            connection.begin_waiting();
-            Ok::<_, Infallible>(response)
-        }
+        async move { Ok::<_, Infallible>(response.await) }
     });
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
@@ -136,6 +130,12 @@
     }
 }
 
+/// What a request holds while it is served.
+pub struct Held {
+    _lease: Lease,
+    _serving: Option<Serving>,
+}
+
 /// How bodies are read.
 #[derive(Clone, Debug)]
 pub struct BodyReader {
@@ -158,11 +158,12 @@
         Self { memory, clock: Clock::start(), max_bytes, limit, copies: 1 }
     }
 
-    /// Reads the complete body of a request. Its memory counts until the lease is dropped.
+    /// Reads the complete body of a request. Its memory counts, and its connection does not give way to others, until
+    /// the second part is dropped.
     ///
     /// What follows a body that is refused is discarded for a while, since the caller gets the refusal only if the
     /// connection is not closed with unread bytes.
-    pub async fn read(&self, request: &mut Request) -> Result<(Bytes, Lease), BodyError> {
+    pub async fn read(&self, request: &mut Request) -> Result<(Bytes, Held), BodyError> {
         let length = content_length(request.headers());
         let mut payload = request.take_payload();
         let read = self.read_payload(length, &mut payload).await;
@@ -171,11 +172,9 @@
             // A caller that goes on for longer may find the connection reset.
             let _ = timeout(DISCARD_TIME, discarding).await;
         }
-        let read = read?;
-        if let Some(connection) = request.conn_data::<Rc<Connection>>() {
-            connection.begin_serving();
-        }
-        Ok(read)
+        let (bytes, lease) = read?;
+        let serving = request.conn_data::<Rc<Connection>>().map(Serving::begin);
+        Ok((bytes, Held { _lease: lease, _serving: serving }))
     }
 
     async fn read_payload(
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -7,7 +7,7 @@
 use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
-use oriole_adapter::memory::Lease;
+use oriole_adapter::server::Held;
 use oriole_core::entry::{Generate, Outcome};
 use oriole_core::request::Refusal;
 use oriole_core::{name, token};
@@ -27,7 +27,7 @@
     let refuse = |problem: Problem| problem.for_workspace(&workspace);
     let deadline = deadline(&request).map_err(refuse)?;
     let body = shared.bodies.read(&mut request).await;
-    let (body, lease) = body.map_err(|e| refuse(e.into()))?;
+    let (body, held) = body.map_err(|e| refuse(e.into()))?;
     let chat_request: chat::Request = serde_json::from_slice(&body)
         .map_err(|e| refuse(Problem::new(Refusal::Malformed, format!("parsing the body: {e}"))))?;
     let model = name::Model::from(chat_request.model.as_str());
@@ -48,9 +48,9 @@
     let Some(Update::Accepted(id)) = updates.recv().await else { return Err(Problem::stopping()) };
     let header = chat::Header { id: id.to_string(), model: chat_request.model };
     if chat_request.stream {
-        streamed(header, updates, shared, lease).await
+        streamed(header, updates, shared, held).await
     } else {
-        // The lease is held until the answer is complete.
+        // What the request holds is dropped when the answer is complete.
         buffered(header, updates).await
     }
 }
@@ -61,7 +61,7 @@
     header: chat::Header,
     mut updates: Receiver,
     shared: &Shared,
-    lease: Lease,
+    held: Held,
 ) -> Result<Response<BoxBody>, Problem> {
     let first = match updates.recv().await {
         Some(Update::End(Outcome::Refused(refused))) => {
@@ -74,7 +74,7 @@
     response.insert_header(("content-type", "text/event-stream"));
     response.insert_header(("cache-control", "no-cache"));
     response.insert_header(("x-request-id", header.id.clone()));
-    let state = StreamState { header, first: Some(first), updates, finished: false, _lease: lease };
+    let state = StreamState { header, first: Some(first), updates, finished: false, _held: held };
     let body = BodyStream::new(events(state, shared.open_answers.clone()));
     Ok(response.body(body).map_into_boxed_body())
 }
@@ -86,8 +86,8 @@
     first: Option<Update>,
     updates: Receiver,
     finished: bool,
-    /// Memory of the request.
-    _lease: Lease,
+    /// What the request holds.
+    _held: Held,
 }
 
 /// Returns the events of an answer. The stream holds `guard` until the caller has read all events
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -38,8 +38,8 @@
     let path = format!("/{path}");
     let method = request.method().to_string();
     let content_type = header(&request, "content-type").unwrap_or_default().to_owned();
-    // The lease is held until the call is answered.
-    let (body, _lease) = shared.bodies.read(&mut request).await.map_err(|e| refuse(e.into()))?;
+    // What the request holds is dropped when the call is answered.
+    let (body, _held) = shared.bodies.read(&mut request).await.map_err(|e| refuse(e.into()))?;
     let body = Vec::from(body);
     let call = Call { workspace, service, method, path, content_type, body, key, deadline };
     let (sender, mut updates) = caller::channel(shared.commands.clone());
--- a/crates/entry/tests/http.rs
+++ b/crates/entry/tests/http.rs
@@ -9,6 +9,7 @@
 use awc::Client;
 use fixture::{Fixture, KEY};
 use futures_util::StreamExt;
+use oriole_adapter::limits::Limits;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -147,6 +148,24 @@
     assert_eq!(*fixture.side.calls.borrow(), ["/a/b?c=d"]);
 }
 
+/// Guards against a stream that is broken off since connections without a request need its place.
+#[actix_rt::test]
+async fn a_stream_keeps_its_connection_when_others_come() {
+    // Descriptors for three connections of callers.
+    let limits = Limits { file_descriptors: 208, ..Limits::default() };
+    let fixture = Fixture::with_limits(limits).await;
+    fixture.side.token_us.set(20_000);
+    let request = Client::default().post(fixture.url(CHAT)).bearer_auth(KEY);
+    let mut response = request.send_body(chat_request(true, 20)).await.unwrap();
+    let mut others = vec![];
+    for _ in 0..10 {
+        others.push(TcpStream::connect(fixture.http).await.unwrap());
+        sleep(Duration::from_millis(5)).await;
+    }
+    let body = response.body().await.unwrap();
+    assert!(body.ends_with(b"data: [DONE]\n\n"));
+}
+
 /// Without backpressure, a caller that does not read makes the queue in the entry grow without
 /// bound; without cancellation, a generation goes on for a caller that has left.
 #[actix_rt::test]
--- a/crates/entry/tests/http/fixture.rs
+++ b/crates/entry/tests/http/fixture.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use awc::Client;
+use oriole_adapter::limits;
 use oriole_core::config::{Config, Endpoint, Kind, Model, Service};
 use oriole_core::contract::{Contract, Limits};
 use oriole_core::message::{Answer, Hop, Message, Opened, Reply, Sample, Token};
@@ -113,6 +114,11 @@
 
 impl Fixture {
     pub async fn start() -> Self {
+        Self::with_limits(limits::Limits::default()).await
+    }
+
+    /// Starts an entry that may use `limits` of its machine.
+    pub async fn with_limits(limits: limits::Limits) -> Self {
         let (listening, side_address) = listener();
         let identity = |host: &str| Identity::new(name::Host::from(host), SECRET.to_vec());
         let settings = Settings { identity: identity("side"), liveness: Liveness::default() };
@@ -130,7 +136,8 @@
             liveness: Liveness::default(),
             seed: 7,
         };
-        let entry = Builder::new(setup).stop_wait(Duration::from_millis(300)).start();
+        let entry =
+            Builder::new(setup).stop_wait(Duration::from_millis(300)).limits(limits).start();
         let fixture = Self { entry: Some(entry), http, side, _hub: hub };
         // The token buckets of a new entry start empty; give them time to fill.
         actix_rt::time::sleep(Duration::from_millis(200)).await;
