--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -303,7 +303,8 @@
         let needs_restart = settings.listen != self.settings.listen
             || settings.store != self.settings.store
             || settings.name != self.settings.name
-            || settings.zone != self.settings.zone;
+            || settings.zone != self.settings.zone
+            || settings.limits != self.settings.limits;
         let changed = *self.tunables.borrow() != tunables;
         log::info!(changed, needs_restart; "settings read again");
         let bound = tunables.retries.bound();
