Test refusals of large bodies, requests behind others, and the shares of machines

A caller whose body is far over the limit must read its 413 while it still sends; small requests behind one in progress must be answered; the shares of each machine on the operators' sheets must fit into it, with one legal request and answer in each pool.

--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -7,6 +7,7 @@
 mod crashing_request;
 mod drills;
 mod endless;
+mod large;
 mod late_version;
 mod leaving;
 mod limit;
