--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -16,7 +16,7 @@
 use oriole_standin::crowd::{Client, Crowd, Framing, Upload};
 use oriole_standin::fault::Switch;
 use oriole_standin::service;
-use oriole_standin::usage::Usage;
+use oriole_standin::usage::{Usage, watch};
 use oriole_wire::conn::Liveness;
 use tokio::net::TcpListener;
 use tokio::sync::Mutex;
@@ -171,26 +171,12 @@
     )
 }
 
-/// Records the most that the process uses while `work` goes on.
-async fn watch<T>(site: &Site, most: &Cell<Usage>, work: impl Future<Output = T>) -> T {
-    let sample = async {
-        loop {
-            most.set(most.get().max(site.usage()));
-            sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::select! {
-        result = work => result,
-        () = sample => unreachable!("the samples do not end"),
-    }
-}
-
 /// Lets a crowd do its work, and checks the bounds and an ordinary call while it is there.
 async fn play<C>(name: &str, work: impl AsyncFnOnce(&Site) -> C) {
     let _turn = TURN.lock().await;
     let mut site = Site::start(name).await;
     let most = Cell::new(Usage::default());
-    let watched = watch(&site, &most, async {
+    let watched = watch(|| site.usage(), &most, async {
         let crowd = work(&site).await;
         sleep(WATCH_TIME).await;
         let serves = site.serves().await;
--- a/crates/router/tests/crowds/main.rs
+++ b/crates/router/tests/crowds/main.rs
@@ -17,7 +17,7 @@
 use oriole_platform_standin::config::{HOST, KEY};
 use oriole_platform_standin::fleet::Fault;
 use oriole_standin::crowd::{Client, Crowd, Framing, Upload};
-use oriole_standin::usage::Usage;
+use oriole_standin::usage::{Usage, watch};
 use process::{
     FILE_DESCRIPTORS, LARGE_BODY_BYTES, MAX_BODY_BYTES, MEMORY_MB, RESERVED_DESCRIPTORS, Site,
 };
@@ -52,20 +52,6 @@
     )
 }
 
-/// Records the most that a process uses while `work` goes on.
-async fn watch<T>(site: &Site, most: &Cell<Usage>, work: impl Future<Output = T>) -> T {
-    let sample = async {
-        loop {
-            most.set(most.get().max(site.usage()));
-            sleep(Duration::from_millis(10)).await;
-        }
-    };
-    tokio::select! {
-        result = work => result,
-        () = sample => unreachable!("the samples do not end"),
-    }
-}
-
 /// Checks the bounds that hold whatever clients send.
 fn assert_within_limits(site: &mut Site, most: Usage) {
     eprintln!("most used: {most:?}");
@@ -101,7 +87,7 @@
     let _turn = TURN.lock().await;
     let mut site = Site::start(name).await;
     let most = Rc::new(Cell::new(Usage::default()));
-    let crowd = watch(&site, &most, async {
+    let crowd = watch(|| site.usage(), &most, async {
         let crowd = work(&site).await;
         sleep(WATCH_TIME).await;
         assert_serves(&site, "ordinary").await;
@@ -110,7 +96,7 @@
     let crowd = crowd.await;
     assert_within_limits(&mut site, most.get());
     drop(crowd);
-    watch(&site, &most, async {
+    watch(|| site.usage(), &most, async {
         sleep(WATCH_TIME).await;
         assert_serves_large(&site, Framing::Length(LARGE_BODY_BYTES)).await;
         assert_serves_large(&site, Framing::Chunks(256 * 1024)).await;
--- a/crates/router/tests/crowds/series.rs
+++ b/crates/router/tests/crowds/series.rs
@@ -6,12 +6,13 @@
 use futures_util::future::join_all;
 use oriole_platform_standin::config::{KEY, config};
 use oriole_standin::crowd::{Client, Crowd, Framing, Upload};
-use oriole_standin::usage::Usage;
+use oriole_standin::random::Random;
+use oriole_standin::usage::{Usage, watch};
 use serde_json::json;
 
 use crate::process::{LARGE_BODY_BYTES, MAX_BODY_BYTES, Site};
 use crate::{CLIENTS, ENDLESS_BYTES, TURN, head};
-use crate::{assert_serves, assert_serves_large, assert_within_limits, watch};
+use crate::{assert_serves, assert_serves_large, assert_within_limits};
 
 /// Number of series that are played unless `ORIOLE_CROWD_SEEDS` states another.
 const DEFAULT_SEEDS: u64 = 3;
@@ -31,18 +32,6 @@
 /// Bytes of a small body.
 const SMALL_BODY_BYTES: usize = 60_000;
 
-/// Random numbers of a seed.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, end: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % end
-    }
-}
-
 /// A process, the crowds that are there, and the random numbers that decide what comes next.
 struct Series {
     random: Random,
@@ -135,10 +124,10 @@
 async fn play(seed: u64) {
     let mut site = Site::start(&format!("series-{seed}")).await;
     let most = Cell::new(Usage::default());
-    let random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+    let random = Random::new(seed);
     let mut series = Series { random, version: 1, crowds: vec![], sent: 0 };
     for round in 0..ROUNDS {
-        watch(&site, &most, async {
+        watch(|| site.usage(), &most, async {
             for _ in 0..STEPS {
                 series.step(&site).await;
             }
--- a/crates/router/tests/path/drills.rs
+++ b/crates/router/tests/path/drills.rs
@@ -5,6 +5,7 @@
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fault;
 use oriole_platform_standin::store::{self, Copy};
+use oriole_standin::random::Random;
 use tokio::time::sleep;
 
 use crate::cluster::{Cluster, Entry, LOST_REVISIONS};
@@ -15,18 +16,6 @@
 /// Longest pause between two steps, in milliseconds.
 const MAX_PAUSE_MS: u64 = 400;
 
-/// Random numbers of a seed.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, end: u64) -> u64 {
-        self.0 ^= self.0 << 13;
-        self.0 ^= self.0 >> 7;
-        self.0 ^= self.0 << 17;
-        self.0 % end
-    }
-}
-
 /// A cluster and what has been changed so far.
 struct Series {
     cluster: Cluster,
@@ -39,7 +28,7 @@
 impl Series {
     async fn start(seed: u64) -> Self {
         let (cluster, copy) = Cluster::with_empty_copy().await;
-        let random = Random(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        let random = Random::new(seed);
         Self { cluster, random, version: 1, copies: vec![copy], lost: vec![] }
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`weights`]: a rate-limited weight store.
 //! - [`relay`]: a TCP relay that injects network faults.
 //! - [`crowd`]: clients that send many bodies and do not finish them; [`usage`]: what a process uses.
+//! - [`random`]: random numbers of a seed.
 //! - [`fault`], [`http`]: the fault switches and the HTTP server that the stand-ins share.
 //! - [`cmd`]: the subcommands of `oriole-standin`.
 
@@ -19,6 +20,7 @@
 pub mod http;
 pub mod kv;
 pub mod model;
+pub mod random;
 pub mod relay;
 pub mod service;
 pub mod usage;
--- a/crates/standin/src/usage.rs
+++ b/crates/standin/src/usage.rs
@@ -1,7 +1,11 @@
 //! What a process uses, as the platform counts it: bytes that it has received and not read count as memory.
 
+use std::cell::Cell;
 use std::fs;
 use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::sleep;
 
 /// What a process uses at a moment, and at most so far.
 #[derive(Clone, Copy, Debug, Default)]
@@ -67,3 +71,24 @@
 
 /// State of a listening socket in the kernel's table.
 const LISTENING: &str = "0A";
+
+/// Interval at which [`watch`] reads what a process uses.
+const WATCH_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Does `work`, and meanwhile records in `most` the most of each figure that `read` returns.
+pub async fn watch<T>(
+    read: impl Fn() -> Usage,
+    most: &Cell<Usage>,
+    work: impl Future<Output = T>,
+) -> T {
+    let sample = async {
+        loop {
+            most.set(most.get().max(read()));
+            sleep(WATCH_INTERVAL).await;
+        }
+    };
+    tokio::select! {
+        result = work => result,
+        () = sample => unreachable!("the samples do not end"),
+    }
+}
