Fail a test whose crowd cannot connect, and check the sockets of oriole-entry

The tests of oriole-entry now check sockets and pipes, too (200 of 400 descriptors). The head of an upload with the platform's names moves to the stand-ins of the platform.

--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -18,7 +18,7 @@
 use oriole_standin::service;
 use oriole_standin::usage::{Usage, watch};
 use oriole_wire::conn::Liveness;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Mutex;
 use tokio::time::{sleep, timeout};
 
@@ -31,6 +31,9 @@
 /// Descriptors that the process may use.
 const FILE_DESCRIPTORS: usize = 400;
 
+/// Descriptors of those that are kept for files; sockets and pipes share the others.
+const RESERVED_DESCRIPTORS: usize = 200;
+
 /// Bytes of a large body of legal size.
 const LARGE_BODY_BYTES: usize = 4_000_000;
 
@@ -82,7 +85,8 @@
         let child = spawn(&folder, [wire, callers, operators]);
         let mut site = Self { callers, operators, child, _side: side };
         let wait = async {
-            while !site.serves().await {
+            // The process does not listen at first.
+            while TcpStream::connect(callers).await.is_err() || !site.serves().await {
                 assert!(site.child.try_wait().unwrap().is_none(), "the process has ended");
                 sleep(Duration::from_millis(50)).await;
             }
@@ -189,6 +193,8 @@
     let memory = MEMORY_MB * 1024 * 1024;
     assert!(most.memory <= memory, "{} bytes of memory with unread bytes", most.memory);
     assert!(most.peak_resident <= memory, "{} bytes of resident memory", most.peak_resident);
+    let sockets = FILE_DESCRIPTORS - RESERVED_DESCRIPTORS;
+    assert!(most.sockets <= sockets, "{} sockets and pipes", most.sockets);
     assert!(most.descriptors <= FILE_DESCRIPTORS, "{} descriptors", most.descriptors);
     assert!(serves, "an ordinary call is not served");
 }
--- a/crates/router/tests/crowds/main.rs
+++ b/crates/router/tests/crowds/main.rs
@@ -46,10 +46,7 @@
 
 /// Returns the head of a request without the headers of its body.
 pub fn head(path: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-request-id: crowd\r\n\
-         oriolelanding-deadline-ms: 20000\r\napi-key: {KEY}\r\n"
-    )
+    caller::upload_head(path, "crowd", KEY, 20_000)
 }
 
 /// Checks the bounds that hold whatever clients send.
@@ -245,10 +242,7 @@
 /// Guards against memory that grows with the number of small bodies, none of which is complete.
 #[actix_rt::test]
 async fn small_bodies_on_many_connections() {
-    let head = format!(
-        "POST /page/a HTTP/1.1\r\nhost: {HOST}\r\noriolelanding-deadline-ms: 20000\r\n\
-         api-key: {KEY}\r\ncontent-length: 100000\r\n\r\n"
-    );
+    let head = head("/page/a") + "content-length: 100000\r\n\r\n";
     play_connections("small", head + &"x".repeat(99_999)).await;
 }
 
--- a/crates/standin/src/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -44,17 +44,17 @@
 }
 
 impl Client {
-    /// Connects and sends the head of the request. A client that finds no room sends nothing.
+    /// Connects and sends the head of the request. Panics if it cannot connect, since the crowd would be smaller.
     pub async fn open(entry: SocketAddr, upload: Upload) -> Self {
         let mut client = Self::connect(entry, upload).await;
         client.write_head().await;
         client
     }
 
-    /// Connects only.
+    /// Connects only. Panics if that fails.
     pub async fn connect(entry: SocketAddr, upload: Upload) -> Self {
-        let stream = TcpStream::connect(entry).await.ok();
-        Self { stream, upload, sent: 0, is_blocked: false }
+        let stream = TcpStream::connect(entry).await.expect("a client of the crowd connects");
+        Self { stream: Some(stream), upload, sent: 0, is_blocked: false }
     }
 
     /// Sends the head of the request.
