review: an entry does not start if a bound in seconds is a fraction

The template of the settings appends three zeros to bounds.grace_s and bounds.budget_window_s. A fraction, which the pages allow, becomes a float that the whole-number settings refuse, and the process ends at each start without a word.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod record;
+mod settings;
 mod stop;
 mod store;
 
@@ -19,6 +20,7 @@
     let folder = args.next().unwrap_or_else(|| ".".into());
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let result = match case.as_str() {
+        "settings" => settings::run(&folder, has_trouble),
         "stop" => stop::run(&folder, has_trouble),
         _ => Err(format!("no case '{case}'")),
     };
