review: entries of the scripts listen on loopback addresses of their own

A port that was free when a script looked for it could be taken by a connection of another process before the entry listened there, so that a case could not run beside others.

--- a/review/standin-2/entry.rs
+++ b/review/standin-2/entry.rs
@@ -1,7 +1,8 @@
 //! Starts entries with the command of the deploy file, as processes of their own.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::http;
@@ -24,17 +25,21 @@
     pub ready: SocketAddr,
 }
 
-/// Returns a loopback address with a port that is free now.
-pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+/// Returns a loopback address that no other entry has, as each host of a deployment has its own.
+///
+/// Ports of connections that others open on the machine cannot be in the way there.
+pub fn host_address() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let (id, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    IpAddr::from([127, 64 + (id / 256 % 128) as u8, (id % 256) as u8, number as u8])
 }
 
 impl Entry {
     /// Starts an entry whose settings file is `folder/NAME.toml`.
     pub fn start(folder: &str, plan: &Plan, store: SocketAddr) -> std::io::Result<Self> {
-        let (front, ready, peers, metrics) =
-            (free_address(), free_address(), free_address(), free_address());
+        let ip = host_address();
+        let [front, ready, peers, metrics] =
+            [8227, 8220, 7340, 9464].map(|port| SocketAddr::new(ip, port));
         let Plan { name, zone, memory_mb, file_descriptors } = plan;
         let settings = format!(
             r#"name = "{name}"
--- a/review/standin-2/settings.rs
+++ b/review/standin-2/settings.rs
@@ -6,6 +6,7 @@
 
 use crate::config;
 use crate::engine::Engine;
+use crate::entry;
 use crate::http;
 use crate::record::Record;
 use crate::store::Store;
@@ -32,12 +33,7 @@
 }
 
 fn play(record: &Record, path: &str, store: SocketAddr, has_trouble: bool) -> Result<bool, String> {
-    let ip = IpAddr::from([
-        127,
-        55,
-        (std::process::id() / 200 % 200) as u8,
-        (std::process::id() % 200 + 1) as u8,
-    ]);
+    let ip = entry::host_address();
     let grace = if has_trouble { "7.5" } else { "7" };
     write_settings(path, ip, store, "8")?;
     let mut child = start(path)?;
