--- a/review/standin-2/fields.rs
+++ b/review/standin-2/fields.rs
@@ -35,7 +35,7 @@
 
 fn play(record: &Record, work: &str, has_trouble: bool) -> Result<bool, String> {
     let store = Store::start().map_err(|e| e.to_string())?;
-    store.put("op/config", &config::config(3));
+    store.put("op/config", &config::config(3, config::WHOLE_MB));
     let _engines: Vec<Engine> = ["i-p1", "i-p2"]
         .iter()
         .map(|id| Engine::start(id, config::PLAIN, "hall-a", false, &store, record))
--- a/review/standin-2/settings.rs
+++ b/review/standin-2/settings.rs
@@ -23,7 +23,7 @@
     let work = std::env::temp_dir().join(format!("oriole-review-{}", std::process::id()));
     std::fs::create_dir_all(&work).map_err(|e| e.to_string())?;
     let store = Store::start().map_err(|e| e.to_string())?;
-    store.put("op/config", &config::config(3));
+    store.put("op/config", &config::config(3, config::WHOLE_MB));
     let _engine = Engine::start("i-m1", config::MODEL, "hall-a", true, &store, &record)
         .map_err(|e| e.to_string())?;
     let path = work.join("entry.toml").to_string_lossy().into_owned();
