--- a/review/standin-2/stop.rs
+++ b/review/standin-2/stop.rs
@@ -42,7 +42,7 @@
     let work = work.to_string_lossy().into_owned();
     std::fs::create_dir_all(&work).map_err(|e| e.to_string())?;
     let store = Store::start().map_err(|e| e.to_string())?;
-    store.put("op/config", &config::config(3, config::WHOLE_MB));
+    store.put("op/config", &config::config(3));
     let engines: Vec<Engine> = (1..=3)
         .map(|n| Engine::start(&format!("i-m{n}"), config::MODEL, ZONE, true, &store, &record))
         .collect::<Result<_, _>>()
