Leave room for the pauses of sound engines before the exit

Cause: a stream was taken if 1.25 times its estimate ended before the exit. For streams of a few seconds that leaves less than the second for which a sound engine may be silent. The estimate also left out the prompts that are prefilled ahead of it, and the request itself. The request may run only once, so that nothing can be done any more when the pause shows.

Change: core::forward::stop decides how long an answer may take: 1.25 times its estimate and two seconds, after which callers leave a silent stream anyway, but not longer than the deadline. The estimate counts the prompts ahead.

a_request_that_is_taken_late_is_answered_before_the_exit_although_engines_fall_silent failed before ("was in progress at the exit") and passes now, with two silences of a second late in the grace period.

--- a/crates/core/src/forward/chain.rs
+++ b/crates/core/src/forward/chain.rs
@@ -130,9 +130,12 @@
     /// `sum` is the work in progress on the chain, and `factor` the ratio of observed to estimated
     /// pauses between events.
     pub fn max_duration(&self, model: &Model, need: &Need, sum: Sum, factor: f64) -> Duration {
-        let event = self.event_time(model, sum.requests, sum.tokens).mul_f64(factor.max(1.0));
-        let events = f64::from(need.max_answer) / f64::from(model.stride.max(1));
-        let prefill_ms = self.cost.prefill_ms(model, f64::from(need.prompt));
-        event.mul_f64(events.ceil() + 1.0) + Duration::from_secs_f64(prefill_ms / 1000.0)
+        let (prompt, answer) = (u64::from(need.prompt), need.max_answer);
+        let tokens = sum.tokens + prompt + u64::from(answer);
+        let event = self.event_time(model, sum.requests + 1, tokens).mul_f64(factor.max(1.0));
+        let events = f64::from(answer) / f64::from(model.stride.max(1));
+        let prefill = self.prefill_time(model, prompt, sum.prefill, 0.0);
+        let passes = self.passes_time(model, sum.prefill + prompt, event);
+        event.mul_f64(events.ceil() + 1.0) + prefill.max(passes)
     }
 }
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -59,3 +59,17 @@
     let first = |host: &oriole_core::name::Host| *host < hosts[2];
     assert_eq!(liveness.rank(hosts.iter(), first, at_ms(1_000)), 1);
 }
+
+/// Guards against streams that are cut at the exit because a sound endpoint was silent, and against requests of
+/// unknown length that are taken until the exit.
+#[test]
+fn a_stopping_entry_expects_pauses_and_the_deadline_of_an_answer_of_unknown_length() {
+    let seconds = Duration::from_secs;
+    assert!(stop::longest_answer(Some(Duration::ZERO), seconds(20)) >= Duration::from_millis(1500));
+    assert!(stop::longest_answer(Some(seconds(4)), seconds(20)) >= seconds(4) * 5 / 4 + seconds(1));
+    assert!(stop::longest_answer(None, seconds(20)) >= seconds(20));
+    // An answer is not awaited for longer than until its deadline.
+    let short = stop::longest_answer(None, seconds(1));
+    assert!(short >= seconds(1));
+    assert_eq!(stop::longest_answer(Some(seconds(9)), seconds(1)), short);
+}
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -73,7 +73,7 @@
     writer: &mut Writer,
 ) -> io::Result<()> {
     let left = request.deadline.since(state.now());
-    if !state.finishes_before_exit(left) {
+    if !state.finishes_before_exit(None, left) {
         return give_up(state, request, writer, Reason::Stopping, true).await;
     }
     // The last response with a server error, forwarded if no attempt succeeds.
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -287,13 +287,13 @@
         return false;
     };
     let now = state.now();
-    let max_duration = {
+    let estimate = {
         let inner = state.inner.borrow();
         let sum = inner.in_flight.sum(&chain.key, now);
         let factor = inner.in_flight.slowdown_factor(&chain.key, now);
         chain.max_duration(&model, &request.parameters.need, sum, factor)
     };
-    state.finishes_before_exit(max_duration)
+    state.finishes_before_exit(Some(estimate), request.deadline.since(now))
 }
 
 /// Adds the request to the queue of its service. Returns `None` if it cannot begin in time, or if the queue is full.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -40,6 +40,7 @@
 use oriole_core::forward::rate;
 use oriole_core::forward::returns::Ledger;
 use oriole_core::forward::runs::Runs;
+use oriole_core::forward::stop;
 use oriole_core::name;
 use oriole_core::placement::stored::Stored;
 use oriole_core::placement::{Model, Plan};
@@ -56,9 +57,6 @@
 /// Fraction of the drain time during which a draining endpoint still gets work.
 const DRAIN_GRACE_FRACTION: f64 = 0.7;
 
-/// Safety factor on the estimated duration of work that must end before the process exits.
-const EXIT_TIME_FACTOR: f64 = 1.25;
-
 /// Time for which work may block the event loop before it is logged: half of a usual pause between
 /// two events.
 const BLOCKED_THRESHOLD: Duration = Duration::from_millis(30);
@@ -332,15 +330,16 @@
         is_alone || is_late || inner.liveness.has_heard()
     }
 
-    /// Returns whether work that takes at most `longest` ends before the process exits.
+    /// Returns whether an answer that begins now ends before the process exits. It takes at most `estimate`, if
+    /// that is known, and has `left` until its deadline.
     ///
     /// Always true until idle connections are closed: before that, the load balancer may not have
     /// noticed the stop yet, and its callers are served.
-    pub fn finishes_before_exit(&self, longest: Duration) -> bool {
+    pub fn finishes_before_exit(&self, estimate: Option<Duration>, left: Duration) -> bool {
         let Some(deadline) = self.exit_deadline.get().filter(|_| self.closing.get()) else {
             return true;
         };
-        self.now() + longest.mul_f64(EXIT_TIME_FACTOR) <= deadline
+        self.now() + stop::longest_answer(estimate, left) <= deadline
     }
 
     /// Returns the version of the routing table and the revision of the plan, for logs; 0 for none.
--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use oriole_platform_standin::caller;
+use futures_util::future::join_all;
+use oriole_platform_standin::caller::{self, Call};
 use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::fleet::Fault;
 use oriole_router::process;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -11,6 +13,12 @@
 
 use crate::cluster::Cluster;
 
+/// Interval between the requests that arrive during a stop.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// Number of requests of each kind, so that they come until the end of the grace period.
+const REQUESTS: u32 = 50;
+
 /// Returns a request whose answer is short.
 fn request(id: &str) -> String {
     caller::request_text("/once/a", id, KEY, 20_000)
@@ -85,3 +93,69 @@
     assert!(late.retry_after.is_some());
     assert_eq!(cluster.fleet.runs("late"), Vec::<String>::new());
 }
+
+/// Stops an entry while `calls` come, and runs `disturb` meanwhile. Checks that whatever an
+/// endpoint runs is answered before the entry exits.
+async fn stop_while_calls_come(
+    cluster: &Cluster,
+    calls: fn(&str) -> Vec<Call<'_>>,
+    disturb: impl Future<Output = ()>,
+) {
+    let entry = &cluster.entries[0];
+    let stop = async {
+        process::stop(&entry.state).await;
+        entry.state.now()
+    };
+    let ids: Vec<String> = (0..REQUESTS).map(|n| format!("r{n}")).collect();
+    let callers = ids.iter().zip(0..).map(|(id, n)| {
+        let calls = calls(id);
+        async move {
+            sleep(INTERVAL * n).await;
+            let sent = calls.into_iter().map(|call| call.send(entry.callers, |_| {}));
+            (join_all(sent).await, entry.state.now())
+        }
+    });
+    // Shows the entry how fast the engines are.
+    for n in 0..3 {
+        assert_eq!(entry.call("/draft/a", &format!("before-{n}"), KEY).await.status, 200);
+    }
+    let (exited, (), answers) = tokio::join!(stop, disturb, join_all(callers));
+    let mut taken = 0;
+    for (id, (answers, ended)) in ids.iter().zip(answers) {
+        if cluster.fleet.runs(id).is_empty() {
+            continue;
+        }
+        taken += 1;
+        assert!(ended <= exited, "{id} was in progress at the exit");
+        for answer in answers {
+            let answer = answer.unwrap();
+            assert!(answer.is_complete && matches!(answer.status, 200 | 503), "{id}: {answer:?}");
+        }
+    }
+    assert!(taken > 0);
+}
+
+/// Guards against streams and calls that are taken late in the grace period and cut at its end, since their engines
+/// are silent for a second.
+#[actix_rt::test]
+async fn a_request_that_is_taken_late_is_answered_before_the_exit_although_engines_fall_silent() {
+    let cluster = Cluster::new(1).await;
+    let silence = async {
+        for pause in [Duration::from_millis(4500), Duration::from_millis(1000)] {
+            sleep(pause).await;
+            set_faults(&cluster, Fault::Silent);
+            sleep(Duration::from_secs(1)).await;
+            set_faults(&cluster, Fault::None);
+        }
+    };
+    fn calls(id: &str) -> Vec<Call<'_>> {
+        vec![Call::new("/draft/a", id, KEY), Call::new("/once/a", id, KEY)]
+    }
+    stop_while_calls_come(&cluster, calls, silence).await;
+}
+
+fn set_faults(cluster: &Cluster, fault: Fault) {
+    for n in 0..8 {
+        cluster.fleet.set_fault(&format!("engine-{n}"), fault);
+    }
+}
