Take streams of unknown length late only until their deadline

Cause: without that number the estimate was the time of one event.

Change: without it there is no estimate, so that such a stream is taken only if its deadline passes before the exit, as plain calls are; otherwise it is refused at once and may come back at another entry.

a_stream_of_unknown_length_that_is_taken_late_is_complete_before_the_exit failed before ("was in progress at the exit") and passes now.

--- a/crates/core/src/forward/chain.rs
+++ b/crates/core/src/forward/chain.rs
@@ -128,14 +128,21 @@
     /// Estimates the longest time that a generation of `need` takes.
     ///
     /// `sum` is the work in progress on the chain, and `factor` the ratio of observed to estimated
-    /// pauses between events.
-    pub fn max_duration(&self, model: &Model, need: &Need, sum: Sum, factor: f64) -> Duration {
-        let (prompt, answer) = (u64::from(need.prompt), need.max_answer);
+    /// pauses between events. Returns `None` if the caller does not state how long its answer may be.
+    pub fn max_duration(
+        &self,
+        model: &Model,
+        need: &Need,
+        sum: Sum,
+        factor: f64,
+    ) -> Option<Duration> {
+        let answer = Some(need.max_answer).filter(|tokens| *tokens > 0)?;
+        let prompt = u64::from(need.prompt);
         let tokens = sum.tokens + prompt + u64::from(answer);
         let event = self.event_time(model, sum.requests + 1, tokens).mul_f64(factor.max(1.0));
         let events = f64::from(answer) / f64::from(model.stride.max(1));
         let prefill = self.prefill_time(model, prompt, sum.prefill, 0.0);
         let passes = self.passes_time(model, sum.prefill + prompt, event);
-        event.mul_f64(events.ceil() + 1.0) + prefill.max(passes)
+        Some(event.mul_f64(events.ceil() + 1.0) + prefill.max(passes))
     }
 }
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -293,7 +293,7 @@
         let factor = inner.in_flight.slowdown_factor(&chain.key, now);
         chain.max_duration(&model, &request.parameters.need, sum, factor)
     };
-    state.finishes_before_exit(Some(estimate), request.deadline.since(now))
+    state.finishes_before_exit(estimate, request.deadline.since(now))
 }
 
 /// Adds the request to the queue of its service. Returns `None` if it cannot begin in time, or if the queue is full.
--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -154,6 +154,17 @@
     stop_while_calls_come(&cluster, calls, silence).await;
 }
 
+/// Guards against streams that are taken late in the grace period and cut at its end, since their callers do not
+/// state how long their answers may be.
+#[actix_rt::test]
+async fn a_stream_of_unknown_length_that_is_taken_late_is_complete_before_the_exit() {
+    let cluster = Cluster::new(1).await;
+    fn calls(id: &str) -> Vec<Call<'_>> {
+        vec![Call::new("/draft/a", id, KEY).without_usage()]
+    }
+    stop_while_calls_come(&cluster, calls, async {}).await;
+}
+
 fn set_faults(cluster: &Cluster, fault: Fault) {
     for n in 0..8 {
         cluster.fleet.set_fault(&format!("engine-{n}"), fault);
