Refuse requests that wait for room before the process exits

What callers saw: a request that waits for a chain or an endpoint at a stopping entry, on a route whose objective is longer than the grace period, ended without an answer when the process exited, although it had not run.

Cause: whether the answer ends before the exit was checked once for plain calls, when they came, and for generations only when a chain had been found.

Change: both check it while they wait. A request that may have run is no longer turned away for that reason: refusing it would not be true, and another attempt is its only chance; before, a stream whose chain broke during a stop was cut at once if its whole answer might not end in time.

requests_that_wait_for_room_at_a_stopping_entry_are_refused_before_the_exit failed before (answered only after the exit) and passes now.

--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -73,9 +73,6 @@
     writer: &mut Writer,
 ) -> io::Result<()> {
     let left = request.deadline.since(state.now());
-    if !state.finishes_before_exit(None, left) {
-        return give_up(state, request, writer, Reason::Stopping, true).await;
-    }
     // The last response with a server error, forwarded if no attempt succeeds.
     let mut failed = None;
     let mut attempts = Attempts::default();
@@ -124,7 +121,10 @@
         pause::settle(state).await;
         let target = match found.take() {
             Some(target) => target,
-            None => wait_for_endpoint(state, request, &tried, wait_deadline).await?,
+            None => {
+                let may_refuse = !attempts.may_have_run;
+                wait_for_endpoint(state, request, &tried, may_refuse, wait_deadline).await?
+            }
         };
         check_crashes(state, request)?;
         state.record_run(&request.parameters.shared_parts);
@@ -171,14 +171,20 @@
 /// Waits until `wait_deadline` for an endpoint with capacity.
 ///
 /// Returns the one with the least work, for which a permit is used if it needs one, or why there is none
-/// in time. Endpoints in `tried` are chosen only if there is no other.
+/// in time. Endpoints in `tried` are chosen only if there is no other. A request that `may_refuse` states has not
+/// run gets none if the process exits before its answer is certain to end.
 async fn wait_for_endpoint(
     state: &Shared,
     request: &Request,
     tried: &[name::Endpoint],
+    may_refuse: bool,
     wait_deadline: Instant,
 ) -> Result<Endpoint, Reason> {
     loop {
+        let left = request.deadline.since(state.now());
+        if may_refuse && !state.finishes_before_exit(None, left) {
+            return Err(Reason::Stopping);
+        }
         if let Some(wait) = state.wait_of_all(&request.service) {
             return Err(Reason::Waiting(wait));
         }
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -176,7 +176,9 @@
                 let ran_at = &self.attempts.ran_at;
                 let (dealt, waited) = self.take_turn().await;
                 let is_resumed = failed.is_some() || !ran_at.is_empty();
-                let acquire = Acquire { ran_at, failed: failed.as_ref(), dealt, is_resumed };
+                let may_have_run = self.attempts.may_have_run;
+                let failed = failed.as_ref();
+                let acquire = Acquire { ran_at, failed, dealt, is_resumed, may_have_run };
                 let until = (until + waited).min(request.deadline);
                 let (chain, slot) = admission::acquire(state, request, acquire, until).await?;
                 (chain, slot, pass)
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -17,6 +17,9 @@
 use crate::serve::{Reason, Request};
 use crate::state::Shared;
 
+/// Interval at which a request that waits for a chain checks whether the process exits too soon for it.
+const STOP_RECHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why a request is not admitted to any chain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -134,6 +137,8 @@
     pub dealt: Option<usize>,
     /// Whether the request was in progress on a chain before.
     pub is_resumed: bool,
+    /// Whether an endpoint may have run the request, so that refusing it would not be true.
+    pub may_have_run: bool,
 }
 
 /// Waits until `until` for capacity on a chain, and reserves it.
@@ -146,7 +151,7 @@
     acquire: Acquire<'_>,
     until: Instant,
 ) -> Result<(Chain, Slot), Refusal> {
-    let Acquire { ran_at, failed, dealt, is_resumed } = acquire;
+    let Acquire { ran_at, failed, dealt, is_resumed, may_have_run } = acquire;
     let rank = Rank::of(state, request, is_resumed);
     let mut waiter: Option<Waiter> = None;
     let mut refusal = Refusal::NoRoom;
@@ -159,6 +164,9 @@
         if waiter.as_ref().is_some_and(|waiter| !waiter.is_in_queue()) {
             return Err(Refusal::Displaced);
         }
+        if !may_have_run && !may_finish_before_exit(state, request) {
+            return Err(Refusal::Stopping);
+        }
         let left = until.since(state.now());
         let closed = state.closed_endpoints();
         let others = dealt.map(|dealt| all_heads_but(state, request, dealt, &closed));
@@ -183,7 +191,7 @@
                 if let Some(waiter) = &mut waiter {
                     waiter.is_admitted = true;
                 }
-                if !finishes_before_exit(state, request, &chain) {
+                if !may_have_run && !finishes_before_exit(state, request, &chain) {
                     return Err(Refusal::Stopping);
                 }
                 rank.record_begin(state, request);
@@ -204,9 +212,10 @@
         if waiter.is_none() {
             waiter = Some(enqueue(state, request, rank, left).ok_or(refusal)?);
         }
+        let check = if state.stopping.get() { STOP_RECHECK_INTERVAL } else { left };
         tokio::select! {
             () = capacity_changed => {}
-            () = sleep(left) => {}
+            () = sleep(left.min(check)) => {}
         }
     }
 }
@@ -281,6 +290,17 @@
     chain::choose(&model, chains, &inner.in_flight, query, now).cloned()
 }
 
+/// Returns whether the response would be complete before the process exits if the request began now on any of
+/// the chains.
+fn may_finish_before_exit(state: &Shared, request: &Request) -> bool {
+    if !state.closing.get() {
+        return true;
+    }
+    let chains = state.inner.borrow().chains.get(&request.service).cloned();
+    let mut chains = chains.iter().flat_map(|chains| chains.iter());
+    chains.any(|chain| finishes_before_exit(state, request, chain))
+}
+
 /// Returns whether the response is expected to be complete before the process exits.
 fn finishes_before_exit(state: &Shared, request: &Request, chain: &Chain) -> bool {
     let Some(model) = state.model(&request.service) else {
--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -4,9 +4,10 @@
 
 use futures_util::future::join_all;
 use oriole_platform_standin::caller::{self, Call};
-use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fault;
 use oriole_router::process;
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -170,3 +171,42 @@
         cluster.fleet.set_fault(&format!("engine-{n}"), fault);
     }
 }
+
+/// Guards against requests that wait for room until the process exits, and end without an answer.
+#[actix_rt::test]
+async fn requests_that_wait_for_room_at_a_stopping_entry_are_refused_before_the_exit() {
+    let cluster = Cluster::new(1).await;
+    let mut operator = config(2, &[KEY]);
+    for route in operator["routes"].as_array_mut().unwrap() {
+        route["target_latency_ms"] = json!(20_000);
+        route["timeout_ms"] = json!(20_000);
+    }
+    cluster.store.put("op/config", &operator);
+    set_faults(&cluster, Fault::Draining);
+    for n in 0..2 {
+        cluster.fleet.set_fault(&format!("plain-{n}"), Fault::Draining);
+    }
+    let entry = &cluster.entries[0];
+    cluster
+        .wait(|_| {
+            let inner = entry.state.inner.borrow();
+            let grace = entry.state.drain_grace();
+            let is_left = |id: &str| !inner.view.is_usable(&id.into(), grace, entry.state.now());
+            let version = inner.table.as_ref().map(|table| table.version);
+            version == Some(2) && is_left("plain-0") && is_left("plain-1") && entry.chains() == 0
+        })
+        .await;
+    let stop = async {
+        process::stop(&entry.state).await;
+        entry.state.now()
+    };
+    let calls = ["/once/a", "/draft/a"].map(|path| async move {
+        let answer = entry.call(path, path, KEY).await;
+        (answer, entry.state.now())
+    });
+    let (exited, answers) = tokio::join!(stop, join_all(calls));
+    for (answer, ended) in answers {
+        assert_eq!((answer.status, answer.is_complete), (503, true));
+        assert!(answer.retry_after.is_some() && ended <= exited);
+    }
+}
