--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -1,5 +1,6 @@
 //! Tests of requests that arrive while an entry stops.
 
+use std::cell::Cell;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -12,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::all_events;
 use crate::cluster::Cluster;
 
 /// Interval between the requests that arrive during a stop.
@@ -210,3 +212,27 @@
         assert!(answer.retry_after.is_some() && ended <= exited);
     }
 }
+
+/// Guards against a stream that is cut when its chain breaks during a stop, since its whole answer might not end
+/// before the exit. It has begun, so that another attempt is its only chance.
+#[actix_rt::test]
+async fn a_stream_whose_chain_breaks_during_a_stop_resumes_on_another_one() {
+    let cluster = Cluster::new(1).await;
+    let state = &cluster.entries[0].state;
+    set_faults(&cluster, Fault::BreakStream);
+    let is_stopping = Cell::new(false);
+    let answer = cluster.entries[0]
+        .call_while("/draft/a", "r1", KEY, |body| {
+            if body.contains("id: 19\n") && !is_stopping.replace(true) {
+                set_faults(&cluster, Fault::None);
+                cluster.fleet.set_fault(&cluster.fleet.runs("r1")[0], Fault::BreakStream);
+                state.stopping.set(true);
+                state.exit_deadline.set(Some(state.now() + Duration::from_secs(1)));
+                state.closing.set(true);
+            }
+        })
+        .await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, all_events());
+    assert_eq!(cluster.fleet.runs("r1").len(), 2);
+}
