Accept figures of the platform's settings that are fractions

What operators saw: an entry whose grace period is 7.5 s did not start (review/8: ended with status 1 at each of 19 starts); the same for the window of the retry budget, and for any other whole figure spelled with a fraction.

Cause: the template makes milliseconds of seconds by appending three zeros, which makes 7.5000 of 7.5, and the fields of the settings take whole numbers only.

Negative numbers, NaN, infinities and values of other types are refused as before.

--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`metrics`]: export of counters to a StatsD collector.
 //! - [`settings`], [`signal`]: settings files, and the signals that stop or reload a process.
 //! - [`server`]: an HTTP server on an existing listener.
+//! - [`number`]: numbers in settings that other programs write.
 //! - [`limits`]: what a process may use of its machine, and the shares of it.
 //! - [`connections`]: a bound on the connections of a listener.
 //! - [`memory`]: the memory of what peers send, bounded for all of them together.
@@ -29,6 +30,7 @@
 pub mod limits;
 pub mod memory;
 pub mod metrics;
+pub mod number;
 pub mod server;
 pub mod service;
 pub mod settings;
--- a/crates/adapter/src/limits.rs
+++ b/crates/adapter/src/limits.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::number;
+
 /// Part of the memory that requests may hold.
 const REQUEST_DIVISOR: usize = 3;
 
@@ -31,8 +33,10 @@
 #[serde(rename_all = "kebab-case", deny_unknown_fields, default)]
 pub struct Limits {
     /// Memory, in megabytes, with the bytes that have been received and not yet read.
+    #[serde(deserialize_with = "number::whole")]
     pub memory_mb: usize,
     /// Open descriptors.
+    #[serde(deserialize_with = "number::whole")]
     pub file_descriptors: usize,
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,9 +1,12 @@
 //! Settings of an entry. The platform renders the settings file from `deploy/entry.toml`.
+//!
+//! The platform may spell any figure as a fraction; those that are whole numbers here are rounded.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use oriole_adapter::limits::Limits;
+use oriole_adapter::number;
 use oriole_core::forward::budget::Bound;
 use serde::Deserialize;
 
@@ -74,6 +77,7 @@
     /// Address of the store.
     pub address: SocketAddr,
     /// Shortest time to live of a lease that the store grants, in milliseconds.
+    #[serde(deserialize_with = "number::whole")]
     pub min_lease_ms: u64,
 }
 
@@ -82,18 +86,22 @@
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Times {
     /// Time after the start of draining within which an endpoint must stop getting requests.
+    #[serde(deserialize_with = "number::whole")]
     pub drain_ms: u64,
     /// Time between the signal to stop this process and its kill.
+    #[serde(deserialize_with = "number::whole")]
     pub grace_ms: u64,
     /// Interval of the heartbeats by which endpoints renew their registrations.
+    #[serde(deserialize_with = "number::whole")]
     pub heartbeat_ms: u64,
     /// Time after which engines abort requests that wait for a lost stage. Not used yet.
+    #[serde(deserialize_with = "number::whole")]
     pub stall_ms: u64,
     /// Time after the acknowledgement of a configuration within which it must be in force.
-    #[serde(default = "default_apply_ms")]
+    #[serde(default = "default_apply_ms", deserialize_with = "number::whole")]
     pub apply_ms: u64,
     /// Time without disturbance after which this process must keep all bounds again.
-    #[serde(default = "default_contact_ms")]
+    #[serde(default = "default_contact_ms", deserialize_with = "number::whole")]
     pub contact_ms: u64,
 }
 
@@ -135,6 +143,7 @@
     /// Retries allowed in the window regardless of requests.
     pub fixed: f64,
     /// Length of the window, in milliseconds.
+    #[serde(deserialize_with = "number::whole")]
     pub window_ms: u64,
 }
 
