Write the last log lines before the process ends

Cause: a thread of its own writes the log lines, and the process ended before that thread had run.

Change: before the process ends it waits until all lines are written, for half a second at most, since nobody may read them.

--- a/crates/router/src/cmd/run.rs
+++ b/crates/router/src/cmd/run.rs
@@ -2,15 +2,25 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use oriole_adapter::settings;
 
 use crate::settings::Settings;
 use crate::{log_output, process};
 
+/// Longest time for writing the last log lines, such as why the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Runs until the process is signalled to stop.
 pub fn execute() -> ExitCode {
-    log_output::start();
+    let output = log_output::start();
+    let code = run();
+    output.flush(FLUSH_TIMEOUT);
+    code
+}
+
+fn run() -> ExitCode {
     let Some(path) = std::env::var_os(oriole_platform::SETTINGS_VARIABLE) else {
         log::error!(
             "environment variable {} is not set; it must name the settings file",
--- a/crates/router/src/log_output.rs
+++ b/crates/router/src/log_output.rs
@@ -88,28 +88,58 @@
 }
 
 /// Starts logging. The environment variable `RUST_LOG` sets the level, which is `info` by default.
-pub fn start() {
+pub fn start() -> Output {
+    let pending = Pending { backlog: Backlog::new(Instant::now()), is_writing: false };
     let shared = Arc::new(Shared {
-        backlog: Mutex::new(Backlog::new(Instant::now())),
+        pending: Mutex::new(pending),
         added: Condvar::new(),
+        written: Condvar::new(),
     });
-    let writer = Writer(shared.clone());
+    let (writer, output) = (Writer(shared.clone()), Output(shared.clone()));
     std::thread::spawn(move || write_lines(&shared));
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(writer)))
         .write_style(WriteStyle::Never)
         .init();
+    output
+}
+
+/// The output of the log, for the end of the process.
+pub struct Output(Arc<Shared>);
+
+impl Output {
+    /// Blocks until all lines have been written, at most for `limit`, since nobody may read them.
+    pub fn flush(&self, limit: Duration) {
+        let is_unwritten = |pending: &mut Pending| pending.is_writing || !pending.is_empty();
+        let waited = self.0.written.wait_timeout_while(self.0.lock(), limit, is_unwritten);
+        // Neither a panic of another thread nor the end of the time can be reported here.
+        drop(waited);
+    }
+}
+
+/// Lines that have not been written.
+struct Pending {
+    backlog: Backlog,
+    /// Whether a line that is no longer in the backlog is being written.
+    is_writing: bool,
+}
+
+impl Pending {
+    fn is_empty(&self) -> bool {
+        self.backlog.lines.is_empty()
+    }
 }
 
 struct Shared {
-    backlog: Mutex<Backlog>,
+    pending: Mutex<Pending>,
     added: Condvar,
+    written: Condvar,
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Backlog> {
+    fn lock(&self) -> MutexGuard<'_, Pending> {
         // A panic while the lock was held cannot leave the backlog in an invalid state.
-        self.backlog.lock().unwrap_or_else(PoisonError::into_inner)
+        self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -118,7 +148,7 @@
 
 impl Write for Writer {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.0.lock().push(line, Instant::now());
+        self.0.lock().backlog.push(line, Instant::now());
         self.0.added.notify_one();
         Ok(line.len())
     }
@@ -143,13 +173,17 @@
     }
 }
 
-/// Waits for the next line. Returns it with the number of lines dropped before it.
+/// Waits for the next line, after the previous one has been written. Returns it with the number of lines dropped
+/// before it.
 fn next(shared: &Shared) -> (Vec<u8>, u64) {
-    let mut backlog = shared.lock();
+    let mut pending = shared.lock();
+    pending.is_writing = false;
     loop {
-        if let Some(found) = backlog.pop() {
+        if let Some(found) = pending.backlog.pop() {
+            pending.is_writing = true;
             return found;
         }
-        backlog = shared.added.wait(backlog).unwrap_or_else(PoisonError::into_inner);
+        shared.written.notify_all();
+        pending = shared.added.wait(pending).unwrap_or_else(PoisonError::into_inner);
     }
 }
--- a/crates/router/tests/settings.rs
+++ b/crates/router/tests/settings.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as the tests do
 
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::process::Command;
 
 use oriole_adapter::settings;
 use oriole_router::settings::Settings;
@@ -34,8 +35,8 @@
     ("platform.address", "10.200.1.7:8223"),
 ];
 
-/// Renders the template with `value` as the figure `field`, and loads the settings.
-fn load(field: &str, value: &str) -> Result<Settings, settings::Error> {
+/// Writes a settings file, rendered from the template with `value` as the figure `field`, and returns its path.
+fn render(field: &str, value: &str) -> PathBuf {
     let template = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/entry.toml");
     let mut text = fs::read_to_string(template).unwrap();
     text = text.replace(&format!("{{{{{field}}}}}"), value);
@@ -46,6 +47,12 @@
     let name = format!("oriole-settings-{}-{field}-{value}.toml", std::process::id());
     let path = std::env::temp_dir().join(name);
     fs::write(&path, text).unwrap();
+    path
+}
+
+/// Renders the template with `value` as the figure `field`, and loads the settings.
+fn load(field: &str, value: &str) -> Result<Settings, settings::Error> {
+    let path = render(field, value);
     let loaded = settings::load(&path);
     fs::remove_file(&path).unwrap();
     loaded
@@ -76,3 +83,18 @@
         assert!(load("bounds.drain_ms", value).is_err(), "{value}");
     }
 }
+
+/// Guards against an entry that ends at its start and does not say why.
+#[test]
+fn an_entry_whose_settings_are_refused_says_why() {
+    let path = render("bounds.contact_ms", "many");
+    let output = Command::new(env!("CARGO_BIN_EXE_oriole-router"))
+        .arg("run")
+        .env("ORIOLELANDING_NODE_FILE", &path)
+        .output()
+        .unwrap();
+    fs::remove_file(&path).unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("contact-ms = many"), "{text:?}");
+}
