Search each byte of a stream of events once

Cause: Splitter::push searched the partial event from its start at each piece, so that the work grew with the square of its length up to 256 KB, and copied the buffer at each piece.

Change: the splitter remembers how far it has searched.

--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -35,6 +35,8 @@
 #[derive(Clone, Debug)]
 pub struct Splitter {
     partial: Vec<u8>,
+    /// How far the partial event has been searched for its end.
+    searched: Search,
     last_id: Option<String>,
     /// Whether an end without a further event is not believed.
     is_event_due: bool,
@@ -60,7 +62,13 @@
 impl Splitter {
     /// Creates a splitter for a stream that resumes after the event with id `last_id`.
     pub fn after(last_id: Option<String>) -> Self {
-        Self { partial: vec![], is_event_due: last_id.is_none(), last_id, must_follow: false }
+        Self {
+            partial: vec![],
+            searched: Search::default(),
+            is_event_due: last_id.is_none(),
+            last_id,
+            must_follow: false,
+        }
     }
 
     /// Prepares for the stream of another endpoint, which begins after the last complete event.
@@ -72,6 +80,7 @@
         self.is_event_due |= has_begun && is_unframed || !self.partial.is_empty();
         self.must_follow = has_begun;
         self.partial.clear();
+        self.searched = Search::default();
     }
 
     /// Returns the id of the last complete event, if any event had one.
@@ -89,12 +98,12 @@
 
     /// Appends bytes and returns the events that they complete.
     ///
-    /// The batch may be empty.
+    /// The batch may be empty. Each byte is searched once, in however small pieces an event comes.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Batch, Error> {
         self.partial.extend_from_slice(bytes);
         let mut end = 0;
         let mut count = 0;
-        while let Some(length) = boundary(&self.partial[end..]) {
+        while let Some(length) = self.searched.boundary(&self.partial[end..]) {
             let block = &self.partial[end..end + length];
             if block.split(|b| *b == b'\n').any(|line| line.starts_with(STATUS_LINE)) {
                 return Err(Error::Head);
@@ -116,6 +125,9 @@
         if self.partial.len() - end > MAX_EVENT_BYTES {
             return Err(Error::TooLong);
         }
+        if end == 0 {
+            return Ok(Batch { bytes: vec![], count });
+        }
         let rest = self.partial.split_off(end);
         let whole = std::mem::replace(&mut self.partial, rest);
         Ok(Batch { bytes: whole, count })
@@ -135,22 +147,34 @@
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it.
-///
-/// Returns `None` if no event is complete.
-fn boundary(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (i, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..i];
-        if i > 0 && (line.is_empty() || line == b"\r") {
-            return Some(i + 1);
+/// How far the bytes of an event have been searched for its end.
+#[derive(Clone, Copy, Debug, Default)]
+struct Search {
+    /// Number of bytes that have been searched.
+    bytes: usize,
+    /// Where the last line begins of which no end has been found.
+    line_start: usize,
+}
+
+impl Search {
+    /// Returns the length of the first event, including the empty line that ends it, and begins a new search.
+    ///
+    /// Returns `None` if no event is complete. `bytes` are those of the last search and further ones.
+    fn boundary(&mut self, bytes: &[u8]) -> Option<usize> {
+        for (i, byte) in bytes.iter().enumerate().skip(self.bytes) {
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = &bytes[self.line_start..i];
+            if i > 0 && (line.is_empty() || line == b"\r") {
+                *self = Self::default();
+                return Some(i + 1);
+            }
+            self.line_start = i + 1;
         }
-        line_start = i + 1;
+        self.bytes = bytes.len();
+        None
     }
-    None
 }
 
 /// Returns whether a block of lines has any that is neither empty nor a comment.
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -78,6 +78,20 @@
     assert!(queue.would_be_first(0));
 }
 
+/// Guards against time that grows with the square of the length of an event that comes in small pieces: this test
+/// then takes minutes.
+#[test]
+fn a_long_event_in_small_pieces_is_searched_once() {
+    const BYTES: usize = 200_000;
+    let mut splitter = Splitter::default();
+    for _ in 0..BYTES {
+        assert_eq!(splitter.push(b"x").unwrap().count, 0);
+    }
+    let whole = splitter.push(b"\r\n\r\nrest").unwrap();
+    assert_eq!((whole.count, whole.bytes.len()), (1, BYTES + 4));
+    assert_eq!(splitter.push(b"\n\n").unwrap().bytes, b"rest\n\n");
+}
+
 /// Only a stream that resumes where none is known to follow may end without an event.
 #[test]
 fn an_event_that_must_follow_is_missed_over_all_attempts() {
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -4,21 +4,29 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::config::{KEY, config};
+use oriole_platform_standin::fleet::Fleet;
+use oriole_platform_standin::store::Store;
 use oriole_platform_standin::unframed::Ending;
 use oriole_platform_standin::{caller, fleet};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::all_events;
 use crate::cluster::Cluster;
 use crate::unframed::cluster;
 
 /// Route of calls that may run once only, and of generations that may not resume.
 const PATHS: [&str; 2] = ["/once/a", "/strict/a"];
 
-const ENDINGS: [Ending; 4] =
-    [Ending::EndlessHead, Ending::EndlessInterim, Ending::EndlessBody, Ending::EndlessChunkLine];
+const ENDINGS: [Ending; 5] = [
+    Ending::EndlessHead,
+    Ending::EndlessInterim,
+    Ending::EndlessBody,
+    Ending::EndlessChunkLine,
+    Ending::EndlessChunks,
+];
 
 #[actix_rt::test]
 async fn an_answer_without_end_is_closed_and_the_caller_gets_a_failure() {
@@ -70,3 +78,35 @@
     let read = stream.read_to_end(&mut answer).await;
     assert!(read.is_err() || answer.len() < fleet::BIG_BODY_BYTES, "{} bytes", answer.len());
 }
+
+/// Guards against one faulty engine that holds up all requests of an entry, since the bytes that it sends cost time
+/// that grows with the square of their number.
+#[actix_rt::test]
+async fn requests_are_served_by_others_while_an_engine_sends_bytes_without_end() {
+    let store = Store::start().await.unwrap();
+    store.put("op/config", &config(1, &[KEY]));
+    let fleet = Fleet::new(&store);
+    fleet.set_ending(Ending::EndlessChunks);
+    for n in 0..4 {
+        fleet.add_unframed_engine(&format!("faulty-{n}"), "zone-0").await.unwrap();
+        fleet.add_engine(&format!("sound-{n}"), "zone-1").await.unwrap();
+    }
+    fleet.add_plain("plain-0", "zone-0").await.unwrap();
+    let mut cluster = Cluster { store, fleet, entries: vec![] };
+    let entry = cluster.entry(0).await;
+    cluster.entries.push(entry);
+    cluster.wait(|c| c.entries[0].chains() >= 2).await;
+    let entry = &cluster.entries[0];
+    let calls = (0..15_u32).map(|n| async move {
+        sleep(Duration::from_millis(40) * n).await;
+        let (stream, call) = (format!("stream-{n}"), format!("call-{n}"));
+        tokio::join!(entry.call("/draft/a", &stream, KEY), entry.call("/once/a", &call, KEY))
+    });
+    for (n, (stream, call)) in join_all(calls).await.into_iter().enumerate() {
+        assert_eq!((stream.status, stream.is_complete), (200, true), "stream {n}");
+        assert_eq!(stream.body, all_events());
+        assert_eq!((call.status, call.is_complete), (200, true), "call {n}");
+    }
+    let arrivals = (0..4).map(|n| cluster.fleet.arrivals(&format!("faulty-{n}")));
+    assert!(arrivals.sum::<usize>() > 0, "the faulty engines have not been asked");
+}
