Keep no comments of a response that has been left

Cause, found by reading: a stream that has left a silent chain for another one kept all bytes of the earlier response until an event came in them, searched all of them once more at each piece, and counted them in no bound on memory. An engine that sends comments without end could fill the memory of the entry.

Change: the splitter of the response that was left takes each piece once; it keeps a partial event, which is bounded. Comments are dropped, events are kept as they were split.

--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
-use bytes::Bytes;
 use oriole_adapter::exchange::{Body, Response};
 use oriole_core::forward::budget::Pass;
 use oriole_core::forward::chain::Chain;
-use oriole_core::forward::event::Splitter;
+use oriole_core::forward::event::{self, Batch, Splitter};
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::quarantine::Begin;
 use oriole_core::name;
@@ -81,8 +80,8 @@
 pub struct Continued {
     /// The response, without what has been forwarded.
     pub response: Response,
-    /// What has been read of it and not been forwarded; `None` in it is its end.
-    pub unread: Option<Option<Bytes>>,
+    /// Events that have been read of it and not been forwarded, or why what was read is none.
+    pub unread: Option<Result<Batch, event::Error>>,
 }
 
 /// Context of an attempt.
@@ -240,28 +239,26 @@
     let mut silence = Silence::begin(FIRST_EVENT_SILENCE, state.now());
     let mut stream = Stream::new(attempt, chain);
     loop {
-        let next = async {
-            match unread.take() {
-                Some(bytes) => Ok(bytes),
-                None => body.next().await,
-            }
-        };
-        let bytes = match attempt.watch(chain, &mut silence, next).await {
-            Err(Outcome::Rerouted(detour)) => {
-                let left = Some(Response { head, body });
-                return Outcome::Rerouted(Box::new(Detour { left, ..*detour }));
-            }
-            Err(outcome) => return outcome,
-            Ok(Err(e)) => {
-                log::info!(id = request.id(), error:% = e; "reading the response stream failed");
-                suspect::probe_first_stage(state, chain);
-                return Outcome::Failed(Failure::Unknown);
-            }
-            Ok(Ok(None)) if splitter.is_cut_off() => return Outcome::Failed(Failure::Unknown),
-            Ok(Ok(None)) => break,
-            Ok(Ok(Some(bytes))) => bytes,
+        let events = match unread.take() {
+            Some(events) => events,
+            None => match attempt.watch(chain, &mut silence, body.next()).await {
+                Err(Outcome::Rerouted(detour)) => {
+                    let left = Some(Response { head, body });
+                    return Outcome::Rerouted(Box::new(Detour { left, ..*detour }));
+                }
+                Err(outcome) => return outcome,
+                Ok(Err(e)) => {
+                    let id = request.id();
+                    log::info!(id, error:% = e; "reading the response stream failed");
+                    suspect::probe_first_stage(state, chain);
+                    return Outcome::Failed(Failure::Unknown);
+                }
+                Ok(Ok(None)) if splitter.is_cut_off() => return Outcome::Failed(Failure::Unknown),
+                Ok(Ok(None)) => break,
+                Ok(Ok(Some(bytes))) => splitter.push(&bytes),
+            },
         };
-        let events = match splitter.push(&bytes) {
+        let events = match events {
             Ok(events) => events,
             Err(error) => {
                 let endpoint = chain.head().as_str();
--- a/crates/router/src/generation/race.rs
+++ b/crates/router/src/generation/race.rs
@@ -5,10 +5,10 @@
 use std::pin::pin;
 use std::task::Poll;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use oriole_adapter::exchange::{Error, Response};
 use oriole_core::forward::chain::Chain;
-use oriole_core::forward::event::Splitter;
+use oriole_core::forward::event::{self, Batch, Splitter};
 use oriole_core::forward::quarantine::Begin;
 
 use super::Slot;
@@ -24,8 +24,8 @@
     pub slot: Slot,
     /// The response, without what has been forwarded.
     pub response: Response,
-    /// What has been read of the response and not been forwarded; `None` in it is its end.
-    pub unread: Option<Option<Bytes>>,
+    /// Events that have been read of the response and not been forwarded, or why what was read is none.
+    pub unread: Option<Result<Batch, event::Error>>,
     /// Events of the response so far.
     pub splitter: Splitter,
 }
@@ -77,11 +77,8 @@
             }
             Step::Earlier(Ok(Some(bytes))) if !earlier.has_event(&bytes) => {}
             Step::Earlier(Ok(Some(_))) => return Race::Earlier(earlier),
-            Step::Earlier(Ok(None)) => {
-                // What was read before its end is yet to be forwarded; the body tells of its end again.
-                earlier.unread.get_or_insert(None);
-                return Race::Earlier(earlier);
-            }
+            // The body tells of its end again.
+            Step::Earlier(Ok(None)) => return Race::Earlier(earlier),
             Step::Begun | Step::Earlier(Err(_)) => {
                 drop(earlier);
                 return Race::Ended(attempt.await, None);
@@ -91,14 +88,14 @@
 }
 
 impl Suspended {
-    /// Keeps bytes that have been read, and returns whether there is an event in all that is kept, or what
-    /// cannot become one.
+    /// Splits further bytes, and returns whether there is an event in them, which is kept, or what cannot become
+    /// one. Comments are dropped: they show that a connection is open, which the caller's is anyway.
     fn has_event(&mut self, bytes: &[u8]) -> bool {
-        let mut kept = BytesMut::from(self.unread.take().flatten().unwrap_or_default());
-        kept.extend_from_slice(bytes);
-        let kept = kept.freeze();
-        let events = self.splitter.clone().push(&kept);
-        self.unread = Some(Some(kept));
-        events.map_or(true, |events| events.count > 0)
+        let events = self.splitter.push(bytes);
+        if events.as_ref().is_ok_and(|events| events.count == 0) {
+            return false;
+        }
+        self.unread = Some(events);
+        true
     }
 }
--- a/crates/router/tests/path/silence.rs
+++ b/crates/router/tests/path/silence.rs
@@ -7,9 +7,10 @@
 use oriole_core::fleet::{Cause, Incarnation};
 use oriole_core::forward::in_flight::Work;
 use oriole_platform_standin::caller::Answer;
-use oriole_platform_standin::config::KEY;
+use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::{Fault, Fleet};
 use oriole_router::generation::Slot;
+use serde_json::json;
 use tokio::time::sleep;
 
 use crate::all_events;
@@ -198,12 +199,11 @@
     assert_eq!(cluster.fleet.runs("r1").len(), 1);
 }
 
-/// Sends a request that stalls at its first chain, which sends a byte or a comment now and then, and at no
-/// other one.
-async fn call_dripping(cluster: &Cluster, request: &str) -> Answer {
+/// Sends a request that stalls at its first chain, which has the fault `first`, while others have `other`.
+async fn call_stalling(cluster: &Cluster, request: &str, first: Fault, other: Fault) -> Answer {
     let state = &cluster.entries[0].state;
     for n in 0..8 {
-        cluster.fleet.set_fault(&format!("engine-{n}"), Fault::Drip);
+        cluster.fleet.set_fault(&format!("engine-{n}"), first);
     }
     // Stands for other streams on the same chain, each event of which is recorded here.
     let others = async {
@@ -216,7 +216,7 @@
             for n in 0..8 {
                 let id = format!("engine-{n}");
                 if id != first {
-                    cluster.fleet.set_fault(&id, Fault::None);
+                    cluster.fleet.set_fault(&id, other);
                 }
             }
         }
@@ -231,7 +231,7 @@
 #[actix_rt::test]
 async fn a_stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere() {
     let cluster = Cluster::new(1).await;
-    let answer = call_dripping(&cluster, "slow").await;
+    let answer = call_stalling(&cluster, "slow", Fault::Drip, Fault::None).await;
     assert_eq!((answer.is_complete, answer.body), (true, all_events()));
     assert_eq!(cluster.fleet.runs("slow").len(), 2);
 }
@@ -239,8 +239,24 @@
 #[actix_rt::test]
 async fn a_stalled_stream_that_sends_comments_goes_on_elsewhere() {
     let cluster = Cluster::new(1).await;
-    let answer = call_dripping(&cluster, "slow-comments").await;
+    let answer = call_stalling(&cluster, "slow-comments", Fault::Drip, Fault::None).await;
     let events = answer.body.replace(": still here\n\n", "");
     assert_eq!((answer.is_complete, events), (true, all_events()));
     assert_eq!(cluster.fleet.runs("slow-comments").len(), 2);
 }
+
+/// Guards against a stream that keeps all comments of the chain that it has left until another one has an event: their
+/// number has no bound, and each piece was read once more with all earlier ones.
+#[actix_rt::test]
+async fn comments_without_end_are_not_kept_while_a_stream_waits_for_another_chain() {
+    let cluster = Cluster::new(1).await;
+    let mut operator = config(2, &[KEY]);
+    operator["routes"][0]["timeout_ms"] = json!(15_000);
+    cluster.store.put("op/config", &operator);
+    let version = |c: &Cluster| c.entries[0].state.inner.borrow().table.as_ref().map(|t| t.version);
+    cluster.wait(|c| version(c) == Some(2)).await;
+    let answer = call_stalling(&cluster, "slow", Fault::Flood, Fault::Preempt).await;
+    let events = answer.body.replace(": still here\n\n", "");
+    assert_eq!((answer.is_complete, events), (true, all_events()));
+    assert_eq!(cluster.fleet.runs("slow").len(), 2);
+}
