Let other tasks run while a body comes in small pieces

Cause, found beside the report of bytes without end: a read brings up to 8 KB, which are hundreds of small chunks. The loops that take them reach no point at which the runtime may let other tasks run until they read again, and even then only after 128 reads.

Change: each piece takes one unit of the task's budget of the runtime, in exchanges with endpoints and the store, in bodies of callers and in the watch of our own interface's key-value service.

a_body_in_small_pieces_does_not_keep_other_tasks_from_running failed before (0 turns of the other task for 5000 pieces) and passes now. Bodies of callers and that watch have the same line and no test of their own.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -19,6 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
 /// Sent data may stay unacknowledged for this long before the kernel closes the connection.
@@ -200,6 +201,8 @@
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
         let mut framing_bytes = 0;
         loop {
+            // Without this, a task that gets many small pieces by one read would not let others run.
+            consume_budget().await;
             match &mut self.framing {
                 Framing::Complete => return Ok(None),
                 Framing::UntilClose { .. } if !self.buffer.is_empty() => {
--- a/crates/adapter/src/kv/watch.rs
+++ b/crates/adapter/src/kv/watch.rs
@@ -5,6 +5,7 @@
 use awc::ClientResponse;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
+use tokio::task::coop::consume_budget;
 
 use super::message::{StreamReply, WatchReply};
 use super::{Cause, Error, Operation};
@@ -36,6 +37,8 @@
     pub async fn next(&mut self) -> Result<WatchReply, Error> {
         let fail = |e| Error { operation: Operation::Watch, cause: Cause::Http(e) };
         loop {
+            // Without this, a task that gets many small pieces by one read would not let others run.
+            consume_budget().await;
             if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
                 let line = self.buffer.split_to(end);
                 self.buffer.advance(1);
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -4,7 +4,9 @@
 //! must not reach a caller.
 #![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::RequestHead;
@@ -208,3 +210,33 @@
     drop(listener);
     assert!(call(address).await.unwrap_err().is_not_sent());
 }
+
+/// Guards against a task that reads a body in many small pieces and lets no other task run meanwhile.
+#[actix_rt::test]
+async fn a_body_in_small_pieces_does_not_keep_other_tasks_from_running() {
+    const PIECES: usize = 5000;
+    let mut bytes = String::from("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    bytes += &"1\r\nx\r\n".repeat(PIECES);
+    bytes += "0\r\n\r\n";
+    let address = peer_sending(bytes.leak()).await;
+    let stream = exchange::connect(address, TIME_LIMIT).await.unwrap();
+    let response = exchange::send(stream, RequestHead::default(), Bytes::new()).await.unwrap();
+    let mut body = response.body;
+    // Lets all bytes arrive, so that reading never waits for them.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let turns = Rc::new(Cell::new(0));
+    let counted = turns.clone();
+    let other = actix_rt::spawn(async move {
+        loop {
+            counted.set(counted.get() + 1);
+            tokio::task::yield_now().await;
+        }
+    });
+    let mut pieces = 0;
+    while body.next().await.unwrap().is_some() {
+        pieces += 1;
+    }
+    other.abort();
+    assert_eq!(pieces, PIECES);
+    assert!(turns.get() >= PIECES / 1000, "{} turns", turns.get());
+}
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -12,6 +12,7 @@
 use oriole_core::route::Limits;
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
+use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
 use crate::reply::Writer;
@@ -225,6 +226,8 @@
         body: &mut Body,
     ) -> Result<(), Failure> {
         loop {
+            // Without this, a body that comes in many small chunks would not let other tasks run.
+            consume_budget().await;
             match writer.codec.decode(&mut self.buffer) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => body.push(&bytes, state.now())?,
                 Ok(Some(Message::Chunk(None))) => return Ok(()),
