Parse a head that comes in small pieces a few times only

Cause, found beside the report of bytes without end: the head of a response or of a request was parsed from its start at each piece that arrived, up to 128 KB, so that the work grew with the square of the number of pieces.

Change: adapter::head decides when a head is parsed: when it holds its end, and when twice as many bytes have come as the last time, so that a peer that sends something else is still noticed early. Empty lines before a head are none of its ends. The server of our own interface has its library's parser, which is not changed.

Tests: a head of 100,000 bytes that comes byte by byte is parsed at most 20 times in place of 100,000 times; the end is noticed at once in whatever pieces the head comes.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -22,6 +22,8 @@
 use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
+use crate::head::Progress;
+
 /// Sent data may stay unacknowledged for this long before the kernel closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -136,7 +138,7 @@
     // The body is not copied, which would double the memory of each request in progress.
     let mut outgoing = encoded.chain(body);
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
-    let (mut is_reset, mut interim) = (false, 0);
+    let (mut is_reset, mut interim, mut progress) = (false, 0, Progress::default());
     loop {
         tokio::select! {
             written = write.write_buf(&mut outgoing), if outgoing.has_remaining() => {
@@ -148,7 +150,16 @@
             }
             count = read.read_buf(&mut buffer) => {
                 let count = count?;
-                if let Some(head) = decode(&mut codec, &mut buffer, &mut interim)? {
+                let before = buffer.len();
+                let is_due = progress.is_due(&buffer);
+                let head = match is_due {
+                    true => decode(&mut codec, &mut buffer, &mut interim)?,
+                    false => None,
+                };
+                if buffer.len() < before {
+                    progress = Progress::default();
+                }
+                if let Some(head) = head {
                     let framing = match is_head {
                         true => Framing::Complete,
                         false => framing(&head, codec, is_reset),
--- a/crates/adapter/src/lib.rs
+++ b/crates/adapter/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`memory`]: the memory of what peers send, bounded for all of them together.
 //! - [`eviction`]: tells a task that it must give way to another.
 //! - [`exchange`]: one HTTP request and its response on a connection of its own.
+//! - [`head`]: when the head of a message that arrives in pieces is parsed.
 //! - [`file`]: files that are read and written as a whole.
 //! - [`documents`]: configuration documents stored as files.
 //! - [`kv`], [`hosts`]: clients of the key-value service and of the platform's host list.
@@ -24,6 +25,7 @@
 pub mod eviction;
 pub mod exchange;
 pub mod file;
+pub mod head;
 pub mod hosts;
 pub mod http;
 pub mod kv;
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -12,6 +12,7 @@
 use actix_http::RequestHead;
 use bytes::Bytes;
 use oriole_adapter::exchange::{self, Error};
+use oriole_adapter::head::Progress;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -240,3 +241,48 @@
     assert_eq!(pieces, PIECES);
     assert!(turns.get() >= PIECES / 1000, "{} turns", turns.get());
 }
+
+/// Guards against time that grows with the square of the number of pieces in which a head comes.
+#[test]
+fn a_head_in_small_pieces_is_parsed_a_few_times_only() {
+    for line in ["x-more: and more\r\n", "x: y\n", "\r\n", "x"] {
+        let bytes = line.repeat(100_000 / line.len());
+        let mut progress = Progress::default();
+        let pieces = 1..=bytes.len();
+        let parsed = pieces.filter(|n| progress.is_due(&bytes.as_bytes()[..*n])).count();
+        assert!(parsed <= 20, "{line:?}: parsed {parsed} times");
+    }
+}
+
+/// Guards against a head that is complete and not noticed, however it is cut into pieces.
+#[test]
+fn the_end_of_a_head_is_noticed_at_once_in_whatever_pieces_it_comes() {
+    for begin in ["", "\r\n", "\n\n\r\n"] {
+        for line_end in ["\r\n", "\n"] {
+            let text = format!("{begin}HTTP/1.1 200 OK{line_end}a: b{line_end}{line_end}");
+            for first in 0..text.len() {
+                for second in first..text.len() {
+                    let mut progress = Progress::default();
+                    progress.is_due(&text.as_bytes()[..first]);
+                    progress.is_due(&text.as_bytes()[..second]);
+                    assert!(progress.is_due(text.as_bytes()), "{text:?} {first} {second}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against heads that are read wrongly since they come in pieces, and after interim ones.
+#[actix_rt::test]
+async fn a_head_that_comes_byte_by_byte_is_read() {
+    let address = peer(|mut stream| async move {
+        stream.set_nodelay(true).unwrap();
+        let text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole";
+        for byte in text.as_bytes() {
+            stream.write_all(&[*byte]).await.unwrap();
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    assert_eq!(call(address).await.unwrap(), "whole");
+}
--- a/crates/router/src/reader.rs
+++ b/crates/router/src/reader.rs
@@ -6,6 +6,7 @@
 use actix_http::h1::{Message, MessageType};
 use actix_http::{RequestHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use oriole_adapter::head::Progress;
 use oriole_adapter::http::content_length;
 use oriole_adapter::memory::{Body, Lease, Refusal};
 use oriole_core::forward::memory::Full;
@@ -197,9 +198,14 @@
         max_bytes: usize,
     ) -> Result<(RequestHead, usize), Failure> {
         const TOO_LARGE: Failure = Failure::Reject(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+        let mut progress = Progress::default();
         loop {
             let before = self.buffer.len();
-            match writer.codec.decode(&mut self.buffer) {
+            let decoded = match progress.is_due(&self.buffer) {
+                true => writer.codec.decode(&mut self.buffer),
+                false => Ok(None),
+            };
+            match decoded {
                 Ok(Some(Message::Item(request))) => {
                     let bytes = before - self.buffer.len();
                     if bytes > max_bytes {
