Search each byte of a watch of our own key-value service once

The same cause as in streams of events: each piece was searched with all that came before it, up to 4 MB. No daemon uses such a watch, and there is no test of it with small pieces.

--- a/crates/adapter/src/kv/watch.rs
+++ b/crates/adapter/src/kv/watch.rs
@@ -20,6 +20,8 @@
 pub struct Watch {
     body: Body,
     buffer: BytesMut,
+    /// Bytes of the buffer that hold no end of a line.
+    searched: usize,
 }
 
 impl Watch {
@@ -27,7 +29,7 @@
     where
         S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin + 'static,
     {
-        Self { body: Box::pin(response), buffer: BytesMut::new() }
+        Self { body: Box::pin(response), buffer: BytesMut::new(), searched: 0 }
     }
 
     /// Waits for the next reply.
@@ -39,12 +41,15 @@
         loop {
             // Without this, a task that gets many small pieces by one read would not let others run.
             consume_budget().await;
-            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
-                let line = self.buffer.split_to(end);
+            let new = &self.buffer[self.searched..];
+            if let Some(end) = new.iter().position(|byte| *byte == b'\n') {
+                let line = self.buffer.split_to(self.searched + end);
                 self.buffer.advance(1);
+                self.searched = 0;
                 let reply = serde_json::from_slice::<StreamReply<WatchReply>>(&line);
                 return reply.map(|r| r.result).map_err(|_| fail(http::Error::Malformed));
             }
+            self.searched = self.buffer.len();
             if self.buffer.len() > MAX_REPLY_BYTES {
                 return Err(fail(http::Error::Malformed));
             }
