Take no status outside of 200 to 599 for an answer

Cause: the client took every status but those of interim heads for an answer.

Change: such a head is a failure of the attempt, as one that cannot be parsed is: another engine answers if the route allows it, else the caller gets 502. The same in our own interface.

Failing before: a_status_that_no_answer_has_is_not_passed_on (101 passed on), a_status_that_no_answer_has_is_a_failure, and a_status_that_no_answer_has_is_no_ answer of our own interface. A head that breaks off was refused before wherever it was cut; both clients now have a test of it.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -23,6 +23,7 @@
 use tokio::time::timeout;
 
 use crate::head::Progress;
+use crate::http;
 
 /// Sent data may stay unacknowledged for this long before the kernel closes the connection.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
@@ -66,6 +67,11 @@
     /// The request cannot be encoded, or the response body cannot be decoded.
     #[display("the request cannot be encoded, or the response cannot be decoded")]
     Malformed,
+    /// The head has a status that no final answer has.
+    #[display("the response has status {_0}, which no answer has")]
+    #[from(ignore)]
+    #[error(ignore)]
+    NoAnswer(StatusCode),
     /// The peer answered with a status that is not one of success.
     #[display("the peer answered with status {_0}")]
     #[from(ignore)]
@@ -272,9 +278,12 @@
     interim: &mut usize,
 ) -> Result<Option<ResponseHead>, Error> {
     while let Some(head) = codec.decode(buffer)? {
+        if http::is_final(head.status) {
+            return Ok(Some(head));
+        }
         let is_interim = head.status.is_informational();
         if !is_interim || head.status == StatusCode::SWITCHING_PROTOCOLS {
-            return Ok(Some(head));
+            return Err(Error::NoAnswer(head.status));
         }
         *interim += 1;
         if *interim > MAX_INTERIM_RESPONSES {
--- a/crates/adapter/src/http.rs
+++ b/crates/adapter/src/http.rs
@@ -140,6 +140,9 @@
         client_request = client_request.force_close();
     }
     let mut response = client_request.send_body(request.body).await.map_err(send_error)?;
+    if !is_final(response.status()) {
+        return Err(Error::Malformed);
+    }
     let body = response.body().limit(MAX_RESPONSE_BYTES).await.map_err(|e| match e {
         PayloadError::Overflow => Error::Malformed,
         _ => Error::Lost,
@@ -165,6 +168,12 @@
     }
 }
 
+/// Returns whether an answer may have this status. HTTP has none from 600 on; those below 200 come before an answer, or,
+/// as 101, change the protocol, for which no request of ours asks.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns the length that headers state for a body, unless they state another framing.
 pub fn content_length(headers: &HeaderMap) -> Option<usize> {
     if headers.contains_key(header::TRANSFER_ENCODING) {
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -286,3 +286,34 @@
     .await;
     assert_eq!(call(address).await.unwrap(), "whole");
 }
+
+/// Guards against a status that no answer has, which a caller would get as an answer: 101 as a head without a body on a
+/// connection that it may use again, others as a number that HTTP does not have.
+#[actix_rt::test]
+async fn a_status_that_no_answer_has_is_a_failure() {
+    for status in ["000", "099", "101", "600", "999", "1000", "20", "2000", "-20", "2x0", ""] {
+        let text = format!("HTTP/1.1 {status} Any\r\ncontent-length: 5\r\n\r\nwhole").leak();
+        let failed = call(peer_sending(text).await).await;
+        assert!(matches!(failed, Err(Error::Head(_) | Error::NoAnswer(_))), "{status}: {failed:?}");
+    }
+    for status in ["200", "299", "304", "404", "429", "500", "599"] {
+        let text = format!("HTTP/1.1 {status} Any\r\ncontent-length: 5\r\n\r\nwhole").leak();
+        assert!(call(peer_sending(text).await).await.is_ok(), "{status}");
+    }
+}
+
+/// Guards against a head that breaks off and is taken for an answer without a body.
+#[actix_rt::test]
+async fn a_head_that_breaks_off_anywhere_is_a_failure() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\nx: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for head in heads {
+        for length in 0..head.len() {
+            let failed = call(peer_sending(&head[..length]).await).await;
+            assert!(failed.is_err(), "{:?}: {failed:?}", &head[..length]);
+        }
+    }
+}
--- a/crates/adapter/tests/service.rs
+++ b/crates/adapter/tests/service.rs
@@ -85,3 +85,38 @@
         assert_eq!(refused, Err(engine::Error::Status { status: 409 }));
     }
 }
+
+/// Starts a service that sends `bytes` as its answer to each request and closes the connection.
+async fn service_sending(bytes: String) -> service::Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _ = stream.read(&mut [0; 4096]).await.unwrap();
+            stream.write_all(bytes.as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+        }
+    });
+    service::Client::new(address)
+}
+
+/// Guards against a status that no answer has, which a caller would get as an answer.
+#[actix_rt::test]
+async fn a_status_that_no_answer_has_is_no_answer() {
+    for status in ["000", "099", "101", "600", "999"] {
+        let answer = format!("HTTP/1.1 {status} Any\r\ncontent-length: 5\r\n\r\nwhole");
+        let failed = service_sending(answer).await.call(&call("/call"), TIMEOUT).await;
+        assert!(failed.is_err(), "{status}: {failed:?}");
+    }
+}
+
+/// Guards against a head that breaks off and is taken for an answer without a body.
+#[actix_rt::test]
+async fn a_head_that_breaks_off_anywhere_is_no_answer() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    for length in 0..head.len() {
+        let client = service_sending(head[..length].to_owned()).await;
+        let failed = client.call(&call("/call"), TIMEOUT).await;
+        assert!(failed.is_err(), "{:?}: {failed:?}", &head[..length]);
+    }
+}
--- a/crates/router/tests/path/unframed.rs
+++ b/crates/router/tests/path/unframed.rs
@@ -250,3 +250,17 @@
     let answer = call(&cluster, "/feed/strict/a", Ending::Whole).await;
     assert_eq!((answer.status, answer.body.as_str()), (200, STREAM_OF_PLAIN));
 }
+
+/// Guards against an answer with a status that no answer has, which callers would get: 101 as a head without a body on a
+/// connection that they may use again, others as a number that HTTP does not have.
+#[actix_rt::test]
+async fn a_status_that_no_answer_has_is_not_passed_on() {
+    let cluster = cluster().await;
+    for status in [0, 99, 101, 600, 999, 1000] {
+        for path in ["/once/a", "/page/a", "/strict/a", "/feed/strict/a"] {
+            let answer = call(&cluster, path, Ending::Status(status)).await;
+            assert_eq!((answer.status, answer.is_complete), (502, true), "{status} {path}");
+            assert_eq!(answer.signature, None);
+        }
+    }
+}
