Prefer other chains to one whose first stage keeps sending no answers

What callers saw: while an engine answered each stream at once with what is no answer (bytes without end, status 101, interim heads without end), streams got 502 although another chain was sound.

Cause: such an engine fails fast, so that its chain seemed to have most capacity and got all streams first; each took a retry, until the budget was used up. What a first stage sends was not recorded, other than that of plain endpoints.

Change: heads and bodies that are no answer count as recent failures of the first stage, with the same decay as of plain endpoints. A chain with a weight of three or more is chosen only if no other one has capacity, so that it is asked about once a second. Resets and answers that break off do not count: they also come from sound engines whose later stages fail. Records that no longer matter are dropped.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -86,6 +86,14 @@
 }
 
 impl Error {
+    /// Returns whether the peer sent what is no answer, and not merely none or a part of one.
+    pub fn is_invalid(&self) -> bool {
+        matches!(
+            self,
+            Self::Head(_) | Self::Body(_) | Self::Malformed | Self::NoAnswer(_) | Self::TooLong
+        )
+    }
+
     /// Returns whether it is certain that the peer received no part of the request.
     pub fn is_not_sent(&self) -> bool {
         matches!(self, Self::Connect(_) | Self::ConnectTimeout)
--- a/crates/core/src/forward/choice.rs
+++ b/crates/core/src/forward/choice.rs
@@ -15,9 +15,16 @@
 /// Half-life of the weight of a failure.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Time after which no weight of failures is left that matters.
+const FORGET_TIME: Duration = Duration::from_secs(30);
+
 /// Load per slot that one recent failure counts as.
 const FAILURE_LOAD: f64 = 0.5;
 
+/// Weight of failures from which on an endpoint is chosen only if no other one has capacity. An endpoint that breaks off
+/// or spoils a few of its answers stays below.
+const FAILING_WEIGHT: f64 = 3.0;
+
 /// Upper bound on the weight of failures.
 const MAX_FAILURES: f64 = 8.0;
 
@@ -37,6 +44,7 @@
     /// Records a failure of `endpoint`.
     pub fn add(&mut self, endpoint: &name::Endpoint, now: Instant) {
         let count = (self.weight(endpoint, now) + 1.0).min(MAX_FAILURES);
+        self.by_endpoint.retain(|_, (_, at)| now.since(*at) < FORGET_TIME);
         self.by_endpoint.insert(endpoint.clone(), (count, now));
     }
 
@@ -48,6 +56,12 @@
         let halves = now.since(*at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         count * 0.5_f64.powf(halves)
     }
+
+    /// Returns the endpoints that fail so often that others are preferred.
+    pub fn failing(&self, now: Instant) -> Vec<name::Endpoint> {
+        let is_failing = |endpoint: &&name::Endpoint| self.weight(endpoint, now) >= FAILING_WEIGHT;
+        self.by_endpoint.keys().filter(is_failing).cloned().collect()
+    }
 }
 
 /// Picks the endpoint for the next request.
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -505,6 +505,18 @@
     assert!(meter.factor() < 1.0 + (silent - 1.0) / 8.0);
 }
 
+#[test]
+fn an_endpoint_that_fails_often_is_failing_until_a_while_after() {
+    let mut failures = Failures::default();
+    let (often, once) = ("often".into(), "once".into());
+    failures.add(&once, at_ms(0));
+    for ms in [0, 100, 200, 300] {
+        failures.add(&often, at_ms(ms));
+    }
+    assert_eq!(failures.failing(at_ms(300)), [often]);
+    assert_eq!(failures.failing(at_ms(5_000)), []);
+}
+
 #[test]
 fn a_plain_service_avoids_endpoints_with_recent_failures() {
     let fixture = Fixture::new();
--- a/crates/router/src/generation/admission.rs
+++ b/crates/router/src/generation/admission.rs
@@ -281,13 +281,20 @@
     (chain, slot)
 }
 
-/// Returns the best chain with capacity for `query`, if any.
+/// Returns the best chain with capacity for `query`, if any: one whose first endpoint keeps sending what is no answer
+/// only if there is no other. It fails fast, so that it would seem to have most capacity.
 fn choose(state: &Shared, request: &Request, query: &Query<'_>) -> Option<Chain> {
     let now = state.now();
     let model = state.model(&request.service)?;
     let inner = state.inner.borrow();
     let chains = inner.chains.get(&request.service)?;
-    chain::choose(&model, chains, &inner.in_flight, query, now).cloned()
+    let choose = |query| chain::choose(&model, chains, &inner.in_flight, query, now).cloned();
+    let failing = inner.failures.failing(now);
+    if failing.is_empty() {
+        return choose(query);
+    }
+    let closed = [query.closed, &failing].concat();
+    choose(&Query { closed: &closed, ..*query }).or_else(|| choose(query))
 }
 
 /// Returns whether the response would be complete before the process exits if the request began now on any of
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -166,6 +166,9 @@
         Ok(answer) => answer,
         Err(e) => {
             log::info!(id = request.id(), error:% = e; "no valid response head from the endpoint");
+            if e.is_invalid() {
+                state.record_no_answer(chain.head());
+            }
             suspect::probe_first_stage(state, chain);
             return Err(Outcome::Failed(Failure::Unknown));
         }
@@ -187,6 +190,7 @@
                 id = request.id(), endpoint = hop.endpoint.as_str();
                 "response is for another request, or lacks its id or signature"
             );
+            state.record_no_answer(&hop.endpoint);
             Err(Outcome::Failed(Failure::Unknown))
         }
     }
@@ -250,6 +254,9 @@
                 Ok(Err(e)) => {
                     let id = request.id();
                     log::info!(id, error:% = e; "reading the response stream failed");
+                    if e.is_invalid() {
+                        state.record_no_answer(chain.head());
+                    }
                     suspect::probe_first_stage(state, chain);
                     return Outcome::Failed(Failure::Unknown);
                 }
@@ -263,6 +270,7 @@
             Err(error) => {
                 let endpoint = chain.head().as_str();
                 log::warn!(id = request.id(), endpoint, error:%; "response is no stream of events");
+                state.record_no_answer(chain.head());
                 return Outcome::Failed(Failure::Unknown);
             }
         };
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -106,7 +106,7 @@
     pub limits: rate::Limits,
     /// Permits to send requests to endpoints with a limit.
     pub permits: rate::Permits,
-    /// Recent failures of endpoints of plain services.
+    /// Recent failures of endpoints of plain services, and of first stages that sent what is no answer.
     pub failures: Failures,
     /// When this entry last got an event from a chain, by key of the chain.
     pub last_event_at: BTreeMap<name::Endpoint, Instant>,
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -33,6 +33,11 @@
         is_new
     }
 
+    /// Records that what an endpoint sent is no answer to a request.
+    pub fn record_no_answer(&self, endpoint: &name::Endpoint) {
+        self.inner.borrow_mut().failures.add(endpoint, self.now());
+    }
+
     /// Records that an endpoint did not answer the entry `by`.
     ///
     /// Returns whether this marks the endpoint as unhealthy, since enough entries agree.
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -79,14 +79,12 @@
     assert!(read.is_err() || answer.len() < fleet::BIG_BODY_BYTES, "{} bytes", answer.len());
 }
 
-/// Guards against one faulty engine that holds up all requests of an entry, since the bytes that it sends cost time
-/// that grows with the square of their number.
-#[actix_rt::test]
-async fn requests_are_served_by_others_while_an_engine_sends_bytes_without_end() {
+/// Starts an entry with two chains, of which one has engines whose responses end as `ending` states.
+async fn cluster_with_faulty_chain(ending: Ending) -> Cluster {
     let store = Store::start().await.unwrap();
     store.put("op/config", &config(1, &[KEY]));
     let fleet = Fleet::new(&store);
-    fleet.set_ending(Ending::EndlessChunks);
+    fleet.set_ending(ending);
     for n in 0..4 {
         fleet.add_unframed_engine(&format!("faulty-{n}"), "zone-0").await.unwrap();
         fleet.add_engine(&format!("sound-{n}"), "zone-1").await.unwrap();
@@ -96,8 +94,14 @@
     let entry = cluster.entry(0).await;
     cluster.entries.push(entry);
     cluster.wait(|c| c.entries[0].chains() >= 2).await;
+    cluster
+}
+
+/// Sends `count` streams, each with a plain call beside it, and checks that all are served. Returns how often the
+/// faulty engines were asked.
+async fn arrivals_while_all_are_served(cluster: &Cluster, count: u32) -> usize {
     let entry = &cluster.entries[0];
-    let calls = (0..15_u32).map(|n| async move {
+    let calls = (0..count).map(|n| async move {
         sleep(Duration::from_millis(40) * n).await;
         let (stream, call) = (format!("stream-{n}"), format!("call-{n}"));
         tokio::join!(entry.call("/draft/a", &stream, KEY), entry.call("/once/a", &call, KEY))
@@ -107,6 +111,25 @@
         assert_eq!(stream.body, all_events());
         assert_eq!((call.status, call.is_complete), (200, true), "call {n}");
     }
-    let arrivals = (0..4).map(|n| cluster.fleet.arrivals(&format!("faulty-{n}")));
-    assert!(arrivals.sum::<usize>() > 0, "the faulty engines have not been asked");
+    (0..4).map(|n| cluster.fleet.arrivals(&format!("faulty-{n}"))).sum()
+}
+
+/// Guards against one faulty engine that holds up all requests of an entry, since the bytes that it sends cost time
+/// that grows with the square of their number.
+#[actix_rt::test]
+async fn requests_are_served_by_others_while_an_engine_sends_bytes_without_end() {
+    let cluster = cluster_with_faulty_chain(Ending::EndlessChunks).await;
+    let arrivals = arrivals_while_all_are_served(&cluster, 15).await;
+    assert!(arrivals > 0, "the faulty engines have not been asked");
+}
+
+/// Guards against a faulty engine that answers each request with what is no answer, which gets all requests since it
+/// has always room, until the retry budget is used up.
+#[actix_rt::test]
+async fn a_first_stage_that_sends_no_answers_gets_few_requests() {
+    for ending in [Ending::EndlessChunks, Ending::Status(101), Ending::EndlessInterim] {
+        let cluster = cluster_with_faulty_chain(ending).await;
+        let arrivals = arrivals_while_all_are_served(&cluster, 60).await;
+        assert!(arrivals > 0, "the faulty engines have not been asked");
+    }
 }
