Bound the memory of partial events and of heads of responses

Cause, found beside the report of bytes without end: the partial event of each stream may take 256 KB and was counted in no bound, so that faulty engines with many streams at a time could take an entry over its memory. Heads of responses were read up to 128 KB, or twice as much as they are parsed seldom now.

Change: a partial event of more than 16 KB has a lease of the memory of responses, and the attempt fails if there is none. A head of a response of more than 64 KB is refused. What is recorded of a stream has a module of its own.

many_partial_events_share_the_bound_on_memory_of_other_answers fails without the lease (0 bytes counted) and passes now. The partial event of a response that has been left for another chain is still not counted; it is one for each stream.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -31,6 +31,9 @@
 /// Interim (1xx) responses before a final one above which the peer is taken not to send any.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// Largest head of a response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Bytes that may arrive without a part of the body, such as the lines between chunks.
 const MAX_FRAMING_BYTES: usize = 64 * 1024;
 
@@ -184,6 +187,9 @@
                 if count == 0 {
                     return Err(Error::Closed);
                 }
+                if buffer.len() > MAX_HEAD_BYTES {
+                    return Err(Error::TooLong);
+                }
             }
         }
     }
--- a/crates/core/src/forward/event.rs
+++ b/crates/core/src/forward/event.rs
@@ -96,6 +96,11 @@
         self.is_event_due || !self.partial.is_empty()
     }
 
+    /// Returns the memory that the partial event uses, in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Appends bytes and returns the events that they complete.
     ///
     /// The batch may be empty. Each byte is searched once, in however small pieces an event comes.
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -10,6 +10,7 @@
 mod race;
 mod rank;
 mod repath;
+mod stream;
 mod timing;
 mod watch;
 
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -13,15 +13,14 @@
 use oriole_core::forward::event::{self, Batch, Splitter};
 use oriole_core::forward::outcome::{Attempts, Failure};
 use oriole_core::forward::quarantine::Begin;
-use oriole_core::name;
-use oriole_core::time::Instant;
 use oriole_platform::endpoint::{self, Additions, Classification};
 use tokio::time::sleep;
 
 use crate::call::is_unproven;
 use crate::dispatch::{self, Answer};
+use crate::generation::stream::Stream;
 use crate::generation::watch::Silence;
-use crate::generation::{Slot, Timing, crash};
+use crate::generation::{Slot, Timing};
 use crate::metrics::Metrics;
 use crate::reply::{Progress, Writer};
 use crate::response;
@@ -274,6 +273,10 @@
                 return Outcome::Failed(Failure::Unknown);
             }
         };
+        if let Err(error) = stream.keep(splitter.partial_bytes()) {
+            log::warn!(id = request.id(), error:%; "no memory for an event");
+            return Outcome::Failed(Failure::Unknown);
+        }
         if events.bytes.is_empty() {
             continue;
         }
@@ -307,62 +310,6 @@
     }
 }
 
-/// Records the events of one attempt in the shared state.
-struct Stream<'a> {
-    attempt: Attempt<'a>,
-    /// Key of the chain at the start of the attempt.
-    key: name::Endpoint,
-    /// When the previous event arrived.
-    last: Option<Instant>,
-    /// Whether [`Stream::record_sound`] has taken effect.
-    is_sound: bool,
-}
-
-impl<'a> Stream<'a> {
-    fn new(attempt: Attempt<'a>, chain: &Chain) -> Self {
-        Self { attempt, key: chain.key.clone(), last: None, is_sound: false }
-    }
-
-    fn record_event(&mut self, chain: &Chain) {
-        let state = self.attempt.state;
-        let now = state.now();
-        self.attempt.timing.record_event(now);
-        let mut inner = state.inner.borrow_mut();
-        inner.last_event_at.insert(chain.key.clone(), now);
-        match self.last {
-            Some(last) => {
-                Metrics::time(&state.metrics.pause, now.since(last));
-                inner.in_flight.record_event(&self.key, now.since(last), now);
-            }
-            None => {
-                drop(inner);
-                self.attempt.slot.begin_stream();
-                self.begin_answer();
-            }
-        }
-        self.last = Some(now);
-        let begin = self.attempt.begin.get();
-        let begin = begin.unwrap_or(Begin { first_event_at: now, events: 0 });
-        self.attempt.begin.set(Some(Begin { events: begin.events + 1, ..begin }));
-    }
-
-    fn begin_answer(&self) {
-        let run = self.attempt.run.take();
-        run.iter().for_each(Run::begin_answer);
-        self.attempt.run.set(run);
-    }
-
-    /// Records once that the answer has gone on for long enough to show that it crashes no endpoint.
-    fn record_sound(&mut self) {
-        let now = self.attempt.state.now();
-        if !self.is_sound && self.attempt.begin.get().is_some_and(|begin| begin.is_past(now)) {
-            self.is_sound = true;
-            let run = self.attempt.run.take();
-            crash::record_sound(self.attempt.state, self.attempt.request, run);
-        }
-    }
-}
-
 /// Records the time to the first event that the caller gets.
 fn record_first_event(state: &Shared, request: &Request, chain: &Chain) {
     let first = state.now().since(request.arrived);
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -61,6 +61,24 @@
     assert_eq!(state.response_memory.used(), 0);
 }
 
+/// Guards against partial events that are kept beside all bounds on memory: each is bounded, many at the same time
+/// are not.
+#[actix_rt::test]
+async fn many_partial_events_share_the_bound_on_memory_of_other_answers() {
+    let cluster = cluster().await;
+    cluster.fleet.set_ending(Ending::PartialEvent(200_000));
+    let state = cluster.entries[0].state.clone();
+    let calls = (0..160).map(|n| {
+        let cluster = &cluster;
+        async move { cluster.entries[0].call("/strict/a", &format!("r{n}"), KEY).await }
+    });
+    let answers = join_all(calls).await;
+    assert!(answers.iter().all(|a| a.status >= 500 && a.is_complete));
+    let (most, limit) = (state.response_memory.peak(), state.settings.limits.response_bytes());
+    assert!(most >= limit / 2 && most <= limit, "{most} bytes of {limit}");
+    assert_eq!(state.response_memory.used(), 0);
+}
+
 /// A caller that hardly reads holds its connection, and the memory of its answer, no longer than it may wait.
 #[actix_rt::test]
 async fn an_answer_whose_caller_reads_a_little_now_and_then_ends_soon_after_the_deadline() {
