Leave half of a short grace period to requests in progress

Cause, found by reading beside the report of planned stops: a stopping entry waited 2.5 s for the load balancer whatever its grace period, and was killed in that time if the period is shorter, with all requests in progress.

an_entry_exits_within_a_grace_period_that_is_shorter_than_the_notice_of_the_balancer failed before (killed) and passes now.

--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -22,7 +22,7 @@
 const MAX_PENDING_CONNECTIONS: u32 = 512;
 
 /// Time after the signal to stop within which the load balancer notices that the entry is not
-/// ready.
+/// ready. It is at most half of the grace period, so that requests in progress have the rest.
 const UNREADY_NOTICE_PERIOD: Duration = Duration::from_millis(2500);
 
 /// Fraction of the grace period that is kept for writing the last bytes when requests are still in
@@ -190,7 +190,7 @@
     state.exit_deadline.set(Some(began + grace));
     state.stopping.set(true);
     log::info!(active = state.active_requests.get(); "stopping");
-    sleep(UNREADY_NOTICE_PERIOD).await;
+    sleep(UNREADY_NOTICE_PERIOD.min(grace / 2)).await;
     state.closing.set(true);
     state.closing_changed.notify_waiters();
     loop {
--- a/crates/router/tests/path/stop.rs
+++ b/crates/router/tests/path/stop.rs
@@ -236,3 +236,18 @@
     assert_eq!(answer.body, all_events());
     assert_eq!(cluster.fleet.runs("r1").len(), 2);
 }
+
+/// Guards against an entry that is still waiting for the load balancer when its grace period ends, and is killed.
+#[actix_rt::test]
+async fn an_entry_exits_within_a_grace_period_that_is_shorter_than_the_notice_of_the_balancer() {
+    let cluster = Cluster::new(1).await;
+    let state = &cluster.entries[0].state;
+    let mut settings = state.settings.clone();
+    settings.times.grace_ms = 2000;
+    state.reload(&settings);
+    tokio::select! {
+        biased;
+        () = process::stop(state) => {}
+        () = sleep(Duration::from_millis(settings.times.grace_ms)) => panic!("killed"),
+    }
+}
