Take any response of a plain endpoint for an answer after a silence

Cause: silent endpoints are asked for reports, and a report alone counted as an answer. Endpoints of plain services have none and answer with an error status, which renewed the finding of silence at all entries every 400 ms.

Change: where an endpoint gives no reports, any response takes the finding back. Endpoints of models are asked as before, since their reports also tell whether they have started again.

a_plain_endpoint_that_was_silent_is_used_again failed before (silent for 30 s after it answers) and passes now. The stand-in of a plain endpoint answers a request for a report with an error, as those of the platform do.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -89,6 +89,11 @@
 }
 
 impl Error {
+    /// Returns whether the peer sent a response, whatever is wrong with it.
+    pub fn is_response(&self) -> bool {
+        self.is_invalid() || matches!(self, Self::Status(_))
+    }
+
     /// Returns whether the peer sent what is no answer, and not merely none or a part of one.
     pub fn is_invalid(&self) -> bool {
         matches!(
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -52,15 +52,27 @@
 
 async fn ask_again(state: Shared, incarnation: Incarnation, address: SocketAddr) {
     match request_report(&state, &incarnation, address).await {
-        Ok(report) if report.born == incarnation.born => {
-            peers::broadcast(&state, &Message::Answered(incarnation.clone()));
-            state.record_answer(&incarnation);
-        }
+        Ok(report) if report.born == incarnation.born => record_answer(&state, &incarnation),
         Ok(_) => mark_unhealthy(&state, &incarnation, Cause::Restarted),
+        Err(error) if error.is_response() && !has_reports(&state, &incarnation) => {
+            record_answer(&state, &incarnation);
+        }
         Err(error) => record_no_answer(&state, &incarnation, &error),
     }
 }
 
+/// Records that a silent endpoint answers again, and tells the other entries.
+fn record_answer(state: &Shared, incarnation: &Incarnation) {
+    peers::broadcast(state, &Message::Answered(incarnation.clone()));
+    state.record_answer(incarnation);
+}
+
+/// Returns whether an endpoint gives reports. Those of plain services answer the request for one with an error.
+fn has_reports(state: &Shared, incarnation: &Incarnation) -> bool {
+    let endpoint = state.inner.borrow().view.get(&incarnation.endpoint).cloned();
+    endpoint.is_some_and(|endpoint| state.model(&endpoint.service).is_some())
+}
+
 /// Returns whether an endpoint may be asked for a report now.
 ///
 /// One that limits its rate is asked rarely, and one that is in back-off is not, since reports
--- a/crates/router/tests/path/silence.rs
+++ b/crates/router/tests/path/silence.rs
@@ -260,3 +260,26 @@
     assert_eq!((answer.is_complete, events), (true, all_events()));
     assert_eq!(cluster.fleet.runs("slow").len(), 2);
 }
+
+/// Guards against plain endpoints that get no request any more, at any entry, once two entries could not connect to
+/// them: they give no reports, and each answer to the request for one renewed the finding.
+#[actix_rt::test]
+async fn a_plain_endpoint_that_was_silent_is_used_again() {
+    let cluster = Cluster::new(2).await;
+    for id in ["plain-0", "plain-1"] {
+        let incarnation = Incarnation { endpoint: id.into(), born: 1 };
+        for entry in &cluster.entries {
+            for by in &cluster.entries {
+                entry.state.suspect(&incarnation, &by.state.host);
+            }
+            assert_eq!(entry.state.unhealthy_cause(&id.into()), Some(Cause::Silent));
+        }
+    }
+    let is_used = |c: &Cluster, id: &str| {
+        c.entries.iter().all(|entry| entry.state.unhealthy_cause(&id.into()).is_none())
+    };
+    cluster.wait(|c| is_used(c, "plain-0") && is_used(c, "plain-1")).await;
+    for (n, entry) in cluster.entries.iter().enumerate() {
+        assert_eq!(entry.call("/once/a", &format!("r{n}"), KEY).await.status, 200);
+    }
+}
