Keep nothing of an empty chain free for more urgent requests

Cause: the part that a request leaves free was also kept on a chain without work, as it was not for pauses and prompts.

Change: a chain without requests takes what fits into it.

an_empty_chain_takes_a_request_that_leaves_a_part_of_chains_free failed before (Returned) and passes now.

--- a/crates/core/src/forward/chain/select.rs
+++ b/crates/core/src/forward/chain/select.rs
@@ -128,18 +128,17 @@
     query: &Query<'_>,
     now: Instant,
 ) -> Option<&'a Chain> {
-    let usable = query.headroom.usable();
     // Memory is summed up by endpoint only for chains that share endpoints; most share none.
     let used_bytes = used_bytes(model, chains, in_flight, now);
-    let has_hop_room = |hop: &Hop| {
+    let has_hop_room = |hop: &Hop, usable: f64| {
         let bytes =
             query.work.tokens as f64 * f64::from(hop.layers.len()) * model.token_layer_bytes;
         let taken = used_bytes.get(&hop.endpoint).copied().unwrap_or_default();
         taken + bytes <= hop.free * MAX_ROOM_FRACTION * usable
     };
-    let has_room = |chain: &Chain, tokens: u64| {
+    let has_room = |chain: &Chain, tokens: u64, usable: f64| {
         if chain.is_shared {
-            chain.hops.iter().all(has_hop_room)
+            chain.hops.iter().all(|hop| has_hop_room(hop, usable))
         } else {
             tokens as f64 <= chain.room * MAX_ROOM_FRACTION * usable
         }
@@ -149,9 +148,11 @@
     let mut best: Option<(f64, &Chain)> = None;
     for chain in chains.iter().filter(|c| query.allows(c)) {
         let sum = in_flight.expected(&chain.key, now);
+        // Nothing stays free on an empty chain: what fits into no other part of it would never run.
+        let usable = if sum.requests == 0 { 1.0 } else { query.headroom.usable() };
         let (requests, tokens) = (sum.requests + 1, sum.tokens + query.work.tokens);
         let has_slot = f64::from(requests) <= f64::from(model.slots) * usable;
-        if !has_slot || !has_room(chain, tokens) {
+        if !has_slot || !has_room(chain, tokens, usable) {
             continue;
         }
         let factor = in_flight.slowdown_factor(&chain.key, now);
