Do not blame an endpoint for an answer that finds no memory

Change: where the head states the length and there is no memory for it, the attempt ends with a failure of its own: the caller gets 502 at once (counter refused, no-memory), since the request has run. A body without a stated length may be one without end, and counts as before.

--- a/crates/core/src/forward/outcome.rs
+++ b/crates/core/src/forward/outcome.rs
@@ -14,6 +14,8 @@
     NotExecuted,
     /// The request may have run: the connection broke, or the answer is not usable.
     Unknown,
+    /// The request has run, and this process has no memory for its answer. That is no fault of the endpoint.
+    NoMemory,
     /// A stage of the chain was marked unhealthy; the request may have run.
     Doubted,
 }
@@ -25,6 +27,7 @@
             Self::NotSent => "not-sent",
             Self::NotExecuted => "not-executed",
             Self::Unknown => "unknown",
+            Self::NoMemory => "no-memory",
             Self::Doubted => "doubted",
         }
     }
--- a/crates/router/src/call.rs
+++ b/crates/router/src/call.rs
@@ -150,8 +150,12 @@
             "attempt failed"
         );
         Metrics::count(&state.metrics.failures, failure.as_str());
-        state.inner.borrow_mut().failures.add(&target.id, state.clock.now());
         attempts.record(&target.id, failure);
+        if failure == Failure::NoMemory {
+            // Another attempt would need that memory, too.
+            return Err(Reason::NoMemory);
+        }
+        state.inner.borrow_mut().failures.add(&target.id, state.clock.now());
         tried.push(target.id);
         if let Some((other, retry)) = left {
             (found, pass) = (Some(other), retry);
@@ -263,6 +267,7 @@
     match result {
         Ok(response) if response.head.status.is_server_error() => run.finish(),
         Ok(_) => run.record_sound(),
+        Err(Failure::NoMemory) => run.finish(),
         Err(failure) if failure.is_not_run() => run.finish(),
         Err(_) => {
             run.examine(|_| {}).await;
@@ -333,7 +338,7 @@
             id = request.id(), endpoint = target.id.as_str(), error:%;
             "reading the body of a response failed"
         );
-        Failure::Unknown
+        error.of_attempt()
     })?;
     if is_cut_off(request, &head, &body) {
         return Err(Failure::Unknown);
--- a/crates/router/src/generation.rs
+++ b/crates/router/src/generation.rs
@@ -217,6 +217,9 @@
     /// Decides what follows a failed attempt on `chain`, or why nothing does.
     fn after_failure(&self, chain: Chain, failure: Failure) -> Result<Next, Reason> {
         let (state, request) = (self.state, self.request);
+        if failure == Failure::NoMemory {
+            return Err(Reason::NoMemory);
+        }
         if !self.attempts.may_retry(&request.route, failure) {
             return Err(Reason::Failed);
         }
--- a/crates/router/src/generation/attempt.rs
+++ b/crates/router/src/generation/attempt.rs
@@ -335,7 +335,7 @@
         Ok(read) => read,
         Err(error) => {
             log::info!(error:%; "reading the body of a response failed");
-            return Outcome::Failed(Failure::Unknown);
+            return Outcome::Failed(error.of_attempt());
         }
     };
     match response::forward(state, head, body, lease, writer).await {
--- a/crates/router/src/generation/crash.rs
+++ b/crates/router/src/generation/crash.rs
@@ -25,7 +25,9 @@
     let Some(run) = run else {
         return false;
     };
-    if failure.is_not_run() || begin.is_some_and(|begin| begin.is_past(state.now())) {
+    let is_answered = failure == Failure::NoMemory;
+    if failure.is_not_run() || is_answered || begin.is_some_and(|begin| begin.is_past(state.now()))
+    {
         run.finish();
         return false;
     }
--- a/crates/router/src/response.rs
+++ b/crates/router/src/response.rs
@@ -8,6 +8,7 @@
 use oriole_adapter::exchange;
 use oriole_adapter::http::content_length;
 use oriole_adapter::memory::{Body, Lease, Refusal};
+use oriole_core::forward::outcome;
 use oriole_platform::endpoint;
 
 use crate::metrics::Metrics;
@@ -20,12 +21,25 @@
     /// The exchange with the endpoint failed.
     #[display("{_0}")]
     Exchange(exchange::Error),
-    /// The body does not fit.
+    /// There is no memory for a body of the length that its head states.
+    #[display("there is no memory for the body")]
+    NoMemory,
+    /// The body does not fit. One whose head states no length may have no end.
     #[display("the body does not fit: {_0}")]
     #[error(ignore)]
     Refused(Refusal),
 }
 
+impl Failure {
+    /// Returns how the attempt ended.
+    pub fn of_attempt(&self) -> outcome::Failure {
+        match self {
+            Self::NoMemory => outcome::Failure::NoMemory,
+            Self::Exchange(_) | Self::Refused(_) => outcome::Failure::Unknown,
+        }
+    }
+}
+
 /// Reads the body of a response, of at most `max_bytes`. It keeps its memory while it is read, whatever others need.
 pub async fn read(
     state: &Shared,
@@ -39,7 +53,10 @@
     while let Some(bytes) = received.next().await? {
         // A length without a body, as in a response to HEAD, needs no memory.
         if let Some(length) = content_length(head.headers()).filter(|_| body.is_empty()) {
-            body.reserve(length, state.now())?;
+            body.reserve(length, state.now()).map_err(|refusal| match refusal {
+                Refusal::Full => Failure::NoMemory,
+                Refusal::TooLarge => Failure::Refused(refusal),
+            })?;
         }
         body.push(&bytes, state.now())?;
     }
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -88,6 +88,8 @@
     Failed,
     /// The route allows another attempt, but the retry budget is used up.
     NoBudget,
+    /// There is no memory for its answer.
+    NoMemory,
     /// Parts of its prompt crash endpoints.
     Quarantined,
     /// All endpoints that could run it are in back-off. It may come again after the given time.
@@ -110,6 +112,7 @@
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::NoBudget => "no-budget",
+            Self::NoMemory => "no-memory",
             Self::Quarantined => "quarantined",
             Self::Waiting(_) => "waiting",
             Self::Held(_) => "held",
--- a/crates/router/tests/path/large.rs
+++ b/crates/router/tests/path/large.rs
@@ -60,3 +60,22 @@
         assert_eq!(cluster.fleet.runs(&format!("r{n}")).len(), 1);
     }
 }
+
+/// Guards against an endpoint that is blamed, and a request that runs once more, since this entry has no memory for the
+/// answer.
+#[actix_rt::test]
+async fn an_answer_that_finds_no_memory_is_no_failure_of_its_endpoint() {
+    let cluster = Cluster::new(1).await;
+    let state = &cluster.entries[0].state;
+    let held = state.response_memory.begin(state.now());
+    held.pin();
+    held.resize(state.settings.limits.response_bytes() / 2, state.now()).unwrap();
+    let answer = cluster.entries[0].call("/page/big", "r1", KEY).await;
+    assert_eq!((answer.status, answer.is_complete), (502, true));
+    let runs = cluster.fleet.runs("r1");
+    assert_eq!(runs.len(), 1);
+    let weight = state.inner.borrow().failures.weight(&runs[0].as_str().into(), state.now());
+    assert!(weight.abs() < f64::EPSILON, "{weight}");
+    drop(held);
+    assert_eq!(cluster.entries[0].call("/page/big", "r2", KEY).await.status, 200);
+}
