--- a/crates/core/tests/empty_chain.rs
+++ b/crates/core/tests/empty_chain.rs
@@ -3,37 +3,18 @@
 
 mod fleet_fixture;
 
-use std::time::Duration;
-
-use fleet_fixture::{candidate, listing, model, route, service};
-use oriole_core::fleet::{Position, View};
-use oriole_core::forward::chain::{self, Chain, Query, Resolver};
+use fleet_fixture::{model, only_chain, route};
+use oriole_core::forward::chain::{self, Chain, Query};
 use oriole_core::forward::headroom::Demand;
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::forward::returns::Standing;
-use oriole_core::placement::{Model, Plan, revise};
+use oriole_core::placement::Model;
 use oriole_core::time::Instant;
 
 fn at_ms(ms: u64) -> Instant {
     Instant::from_us(1_000_000 + ms * 1000)
 }
 
-/// Returns the only chain of a site of three accelerators.
-fn chain(model: &Model) -> Chain {
-    let endpoints: Vec<_> = (0..3).map(|number| candidate(number, 0, 0)).collect();
-    let plan = Plan {
-        number: 1,
-        position: Position::new(0, 1),
-        services: [(service(), revise::revise(model, &[], &endpoints))].into(),
-    };
-    let mut view = View::default();
-    view.update_listing(listing(&endpoints, &plan), at_ms(0));
-    let service = service();
-    let resolver =
-        Resolver { model, service: &service, view: &view, grace: Duration::ZERO, now: at_ms(0) };
-    chain::usable(&resolver, std::slice::from_ref(&plan)).remove(0)
-}
-
 /// Returns whether a chain takes a request of `tokens` tokens with this standing.
 fn takes(
     model: &Model,
@@ -62,9 +43,9 @@
 #[test]
 fn an_empty_chain_takes_a_request_that_leaves_a_part_of_chains_free() {
     let single = Model { slots: 1, ..model() };
-    let single_chain = chain(&single);
+    let single_chain = only_chain(&single, at_ms(0));
     let several = Model { slots: 8, ..model() };
-    let several_chain = chain(&several);
+    let several_chain = only_chain(&several, at_ms(0));
     let empty = Tracker::default();
     let largest = (1..1_000_u64)
         .map(|thousands| thousands * 1_000)
--- a/crates/core/tests/fleet_fixture/mod.rs
+++ b/crates/core/tests/fleet_fixture/mod.rs
@@ -5,10 +5,12 @@
 use std::ops::Range as Span;
 use std::time::Duration;
 
-use oriole_core::fleet::{Endpoint, Listing, Position, State};
+use oriole_core::fleet::{Endpoint, Listing, Position, State, View};
+use oriole_core::forward::chain::{self, Chain, Resolver};
 use oriole_core::name;
-use oriole_core::placement::{Accelerator, Candidate, Model, Plan, Range};
+use oriole_core::placement::{Accelerator, Candidate, Model, Plan, Range, revise};
 use oriole_core::route::{Kind, Route, Share};
+use oriole_core::time::Instant;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -134,6 +136,21 @@
     }
 }
 
+/// Returns the only chain of a site of three large and fast accelerators.
+pub fn only_chain(model: &Model, now: Instant) -> Chain {
+    let endpoints: Vec<_> = (0..3).map(|number| candidate(number, 0, 0)).collect();
+    let plan = Plan {
+        number: 1,
+        position: Position::new(0, 1),
+        services: [(service(), revise::revise(model, &[], &endpoints))].into(),
+    };
+    let mut view = View::default();
+    view.update_listing(listing(&endpoints, &plan), now);
+    let service = service();
+    let resolver = Resolver { model, service: &service, view: &view, grace: Duration::ZERO, now };
+    chain::usable(&resolver, std::slice::from_ref(&plan)).remove(0)
+}
+
 /// Returns a route whose streams may be resumed.
 pub fn route() -> Route {
     Route {
--- a/crates/core/tests/prompt_backlog.rs
+++ b/crates/core/tests/prompt_backlog.rs
@@ -9,12 +9,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use fleet_fixture::{candidate, listing, model, route, service};
-use oriole_core::fleet::{Position, View};
-use oriole_core::forward::chain::{self, Chain, Query, Resolver};
+use fleet_fixture::{model, only_chain, route};
+use oriole_core::forward::chain::{self, Query};
 use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::{Tracker, Work};
-use oriole_core::placement::{Model, Plan, revise};
+use oriole_core::placement::Model;
 use oriole_core::time::Instant;
 
 /// Time for which a stream writes after its first event.
@@ -30,23 +29,6 @@
     Instant::from_us(1_000_000 + ms * 1000)
 }
 
-/// Returns a chain of three large and fast accelerators.
-fn fast_chain(model: &Model) -> Chain {
-    let endpoints: Vec<_> = (0..3).map(|number| candidate(number, 0, 0)).collect();
-    let plan = Plan {
-        number: 1,
-        position: Position::new(0, 1),
-        services: [(service(), revise::revise(model, &[], &endpoints))].into(),
-    };
-    let mut view = View::default();
-    view.update_listing(listing(&endpoints, &plan), at_ms(0));
-    let service = service();
-    let resolver =
-        Resolver { model, service: &service, view: &view, grace: Duration::ZERO, now: at_ms(0) };
-    let chains = chain::usable(&resolver, std::slice::from_ref(&plan));
-    chains.into_iter().next().unwrap()
-}
-
 /// Guards against a backlog of prompts that never drains, in which all requests begin late although the
 /// chain could begin as many of them in time.
 #[test]
@@ -54,7 +36,7 @@
     // Memory and compute suffice, so that only the bounded passes limit the prompts.
     let model =
         Model { prefill_tokens_per_ms: 300.0, token_layer_bytes: 4_000.0, stride: 5, ..model() };
-    let chain = fast_chain(&model);
+    let chain = only_chain(&model, at_ms(0));
     let (route, zone) = (route(), chain.zone.clone());
     let work = Work { requests: 1, tokens: 900, prefill: 800 };
     let mut in_flight = Tracker::default();
