Let any number wait until an entry has begun its first request

Cause: the number that may wait follows from those that began in the last second, and an entry that has started has seen none.

--- a/crates/core/src/forward/queue.rs
+++ b/crates/core/src/forward/queue.rs
@@ -122,6 +122,8 @@
 #[derive(Debug, Default)]
 pub struct Departures {
     times: VecDeque<Instant>,
+    /// Whether any request has begun since the process started.
+    has_any: bool,
 }
 
 impl Departures {
@@ -129,6 +131,7 @@
     pub fn record(&mut self, now: Instant) {
         self.forget_old(now);
         self.times.push_back(now);
+        self.has_any = true;
     }
 
     /// Returns the number of requests that began in the last second.
@@ -138,7 +141,13 @@
     }
 
     /// Returns how many requests may wait if each waits `wait` at most.
+    ///
+    /// Any number until the first one begins: an entry that has started knows nothing of how many the chains can
+    /// begin, and callers that come back after a restart of all entries come together.
     pub fn limit(&mut self, wait: Duration, now: Instant) -> usize {
+        if !self.has_any {
+            return usize::MAX;
+        }
         let most = (self.per_second(now) * wait.as_secs_f64()).ceil();
         // The cast from float to integer saturates.
         (most as usize).max(MIN_LIMIT)
