--- a/crates/router/tests/path/drills.rs
+++ b/crates/router/tests/path/drills.rs
@@ -132,6 +132,8 @@
 /// Guards against entries that do not agree with the store, or with each other, after any series of restores.
 #[actix_rt::test]
 async fn entries_settle_after_any_series_of_restores() {
+    // With RUST_LOG set, a failure shows the log lines of all entries.
+    let _ = env_logger::builder().is_test(true).try_init();
     for seed in seeds() {
         // Shown if a wait of this seed fails.
         println!("seed {seed}");
