--- a/crates/router/tests/crowds/process.rs
+++ b/crates/router/tests/crowds/process.rs
@@ -85,6 +85,23 @@
         timeout(WAIT_TIMEOUT, wait).await.expect("the process did not get ready");
     }
 
+    /// Waits until the process has found a chain of the engines that have been added, and serves a stream.
+    pub async fn wait_until_streams_are_served(&self) {
+        let wait = async {
+            let is_served = async |n: u32| {
+                let id = format!("first-{n}");
+                let answer = caller::call(self.callers, "/draft/a", &id, KEY, |_| {}).await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            };
+            let mut tries = 0;
+            while !is_served(tries).await {
+                tries += 1;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, wait).await.expect("no stream is served");
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
