--- a/crates/core/tests/fleet_fixture/mod.rs
+++ b/crates/core/tests/fleet_fixture/mod.rs
@@ -5,7 +5,7 @@
 use std::ops::Range as Span;
 use std::time::Duration;
 
-use oriole_core::fleet::{Endpoint, Listing, Position, State, View};
+use oriole_core::fleet::{Cause, Endpoint, Incarnation, Listing, Position, State, View};
 use oriole_core::forward::chain::{self, Chain, Resolver};
 use oriole_core::name;
 use oriole_core::placement::{Accelerator, Candidate, Model, Plan, Range, revise};
@@ -136,6 +136,46 @@
     }
 }
 
+/// Time for which a draining endpoint still gets work.
+pub const GRACE: Duration = Duration::from_millis(800);
+
+/// A site with a plan, whose endpoints hold the layers that the plan assigns to them.
+pub struct Fixture {
+    pub model: Model,
+    pub plan: Plan,
+    pub view: View,
+}
+
+impl Fixture {
+    /// Creates the site of [`site`], whose registrations are read at `now`.
+    pub fn new(now: Instant) -> Self {
+        let (model, endpoints) = (model(), site());
+        let chains = revise::revise(&model, &[], &endpoints);
+        let plan = Plan {
+            number: 1,
+            position: Position::new(0, 1),
+            services: [(service(), chains)].into(),
+        };
+        let mut view = View::default();
+        view.update_listing(listing(&endpoints, &plan), now);
+        Self { model, plan, view }
+    }
+
+    /// Returns the chains that are usable at `now`.
+    pub fn chains(&self, now: Instant) -> Vec<Chain> {
+        let service = service();
+        let (model, view) = (&self.model, &self.view);
+        let resolver = Resolver { model, service: &service, view, grace: GRACE, now };
+        chain::usable(&resolver, std::slice::from_ref(&self.plan))
+    }
+
+    /// Marks an endpoint as unhealthy, since it refuses connections.
+    pub fn mark_unhealthy(&mut self, id: &name::Endpoint, now: Instant) {
+        let incarnation = Incarnation { endpoint: id.clone(), born: 1 };
+        self.view.mark_unhealthy(&incarnation, Cause::ConnectionRefused, now, now);
+    }
+}
+
 /// Returns the only chain of a site of three large and fast accelerators.
 pub fn only_chain(model: &Model, now: Instant) -> Chain {
     let endpoints: Vec<_> = (0..3).map(|number| candidate(number, 0, 0)).collect();
--- a/crates/core/tests/forward.rs
+++ b/crates/core/tests/forward.rs
@@ -1,55 +1,25 @@
-//! Tests of usable chains, of the endpoints behind them, and of the choice among them.
+//! Tests of usable chains and of the choice among them.
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as tests do
 
 mod fleet_fixture;
 
 use std::time::Duration;
 
-use fleet_fixture::{listing, model, route, service, site};
-use oriole_core::fleet::{Cause, Incarnation, Load, Position, State, Update, View};
-use oriole_core::forward::chain::{self, Chain, Query, Resolver};
+use fleet_fixture::{Fixture, route, service};
+use oriole_core::fleet::Load;
+use oriole_core::forward::chain::{self, Chain, Query};
 use oriole_core::forward::choice::{self, Failures};
 use oriole_core::forward::headroom::Headroom;
 use oriole_core::forward::in_flight::{Tracker, Work};
 use oriole_core::forward::slowdown::Meter;
 use oriole_core::name;
-use oriole_core::placement::{Model, Plan, revise};
 use oriole_core::time::Instant;
 
-const GRACE: Duration = Duration::from_millis(800);
-
 fn at_ms(ms: u64) -> Instant {
     Instant::from_us(1_000_000 + ms * 1000)
 }
 
-/// A site with a plan, whose endpoints hold the layers that the plan assigns to them.
-struct Fixture {
-    model: Model,
-    plan: Plan,
-    view: View,
-}
-
 impl Fixture {
-    fn new() -> Self {
-        let (model, endpoints) = (model(), site());
-        let chains = revise::revise(&model, &[], &endpoints);
-        let plan = Plan {
-            number: 1,
-            position: Position::new(0, 1),
-            services: [(service(), chains)].into(),
-        };
-        let mut view = View::default();
-        view.update_listing(listing(&endpoints, &plan), at_ms(0));
-        Self { model, plan, view }
-    }
-
-    fn chains(&self, now: Instant) -> Vec<Chain> {
-        let service = service();
-        let (model, view) = (&self.model, &self.view);
-        let resolver = Resolver { model, service: &service, view, grace: GRACE, now };
-        chain::usable(&resolver, std::slice::from_ref(&self.plan))
-    }
-
     fn choose(
         &self,
         chains: &[Chain],
@@ -93,11 +63,6 @@
         };
         chain::choose(&self.model, chains, in_flight, &query, now).cloned()
     }
-
-    fn mark_unhealthy(&mut self, id: &name::Endpoint, now: Instant) {
-        let incarnation = Incarnation { endpoint: id.clone(), born: 1 };
-        self.view.mark_unhealthy(&incarnation, Cause::ConnectionRefused, now, now);
-    }
 }
 
 /// Returns the work of a request of `tokens` tokens whose prefill is complete.
@@ -117,7 +82,7 @@
 
 #[test]
 fn all_chains_of_a_plan_are_usable() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     assert_eq!(chains.len(), fixture.plan.services[&service()].len());
     chains.iter().for_each(|chain| assert_covers_layers(chain, fixture.model.layers));
@@ -125,7 +90,7 @@
 
 #[test]
 fn requests_of_a_lost_stage_are_rerouted_through_endpoints_of_other_chains() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::new(at_ms(0));
     let lost = fixture.plan.services[&service()][0].stages[2].endpoint.clone();
     let head = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
     fixture.mark_unhealthy(&lost, at_ms(0));
@@ -137,7 +102,7 @@
 
 #[test]
 fn a_lost_first_stage_is_replaced_by_endpoints_that_hold_its_layers() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::new(at_ms(0));
     let head = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
     fixture.mark_unhealthy(&head, at_ms(0));
     let chains = fixture.chains(at_ms(0));
@@ -147,160 +112,11 @@
     assert_eq!(chains.len(), fixture.plan.services[&service()].len());
 }
 
-#[test]
-fn forwarded_findings_do_not_renew_the_unhealthy_period() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
-    fixture.mark_unhealthy(&id, at_ms(0));
-    let reported = fixture.view.unhealthy(at_ms(4_000));
-    assert_eq!((reported.len(), reported[0].1), (1, 4_000));
-    let mut other = Fixture::new();
-    assert!(other.view.mark_unhealthy(&reported[0].0, Cause::Peer, at_ms(0), at_ms(4_000)));
-    assert!(!fixture.view.mark_unhealthy(&reported[0].0, Cause::Peer, at_ms(0), at_ms(4_000)));
-    assert!(other.view.is_unhealthy(&id, at_ms(5_900)));
-    assert!(!other.view.is_unhealthy(&id, at_ms(6_100)));
-}
-
-#[test]
-fn a_restarted_endpoint_is_not_unhealthy() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
-    fixture.mark_unhealthy(&id, at_ms(0));
-    assert!(fixture.view.is_unhealthy(&id, at_ms(1)));
-    let mut listing = fixture.view.listing().clone();
-    listing.position = Position::new(0, listing.position.revision() + 1);
-    listing.endpoints.get_mut(&id).unwrap().born = 2;
-    fixture.view.update_listing(listing, at_ms(10));
-    assert!(!fixture.view.is_unhealthy(&id, at_ms(10)));
-}
-
-#[test]
-fn a_draining_endpoint_gets_no_work_after_the_grace_period() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
-    let mut listing = fixture.view.listing().clone();
-    listing.position = Position::new(0, listing.position.revision() + 1);
-    listing.endpoints.get_mut(&id).unwrap().state = State::Draining;
-    fixture.view.update_listing(listing, at_ms(0));
-    assert!(fixture.view.is_usable(&id, GRACE, at_ms(700)));
-    assert!(!fixture.view.is_usable(&id, GRACE, at_ms(800)));
-    assert!(!fixture.view.is_ready(&id, at_ms(0)));
-}
-
-/// Entries that learn late that an endpoint leaves must not send work to it after its drain time.
-#[test]
-fn an_endpoint_counts_as_draining_from_the_listing_before_the_one_that_says_so() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
-    let mut listing = fixture.view.listing().clone();
-    for (revision, ms) in [(1, 1_000), (2, 1_700), (3, 3_700)] {
-        listing.position = Position::new(0, listing.position.revision() + revision);
-        if ms == 3_700 {
-            listing.endpoints.get_mut(&id).unwrap().state = State::Draining;
-        }
-        fixture.view.update_listing(listing.clone(), at_ms(ms));
-    }
-    assert!(!fixture.view.is_usable(&id, GRACE, at_ms(3_700)));
-    assert!(fixture.view.is_usable(&id, GRACE * 3, at_ms(4_000)));
-}
-
-#[test]
-fn a_listing_of_an_earlier_position_is_ignored() {
-    let mut fixture = Fixture::new();
-    let mut older = fixture.view.listing().clone();
-    older.position = Position::new(0, 0);
-    older.endpoints.clear();
-    assert_eq!(fixture.view.update_listing(older, at_ms(50)), Update::Ignored);
-    assert!(!fixture.view.listing().endpoints.is_empty());
-}
-
-#[test]
-fn usable_endpoints_change_with_time_only_while_a_period_runs() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[1].endpoint.clone();
-    assert!(fixture.view.has_no_pending_expiry(GRACE, at_ms(0)));
-    fixture.view.pause(&id, at_ms(0));
-    assert!(!fixture.view.has_no_pending_expiry(GRACE, at_ms(399)));
-    assert!(fixture.view.has_no_pending_expiry(GRACE, at_ms(400)));
-    fixture.mark_unhealthy(&id, at_ms(1_000));
-    assert!(!fixture.view.has_no_pending_expiry(GRACE, at_ms(6_999)));
-    assert!(fixture.view.has_no_pending_expiry(GRACE, at_ms(7_000)));
-}
-
-/// Guards against an entry with a slow link, which gets no answer from healthy endpoints, marking
-/// them as unhealthy for all entries.
-#[test]
-fn an_endpoint_is_unhealthy_once_several_entries_get_no_answer() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[1].endpoint.clone();
-    let incarnation = Incarnation { endpoint: id.clone(), born: 1 };
-    for ms in [0, 300, 600] {
-        assert!(!fixture.view.suspect(&incarnation, "slow".into(), 4, at_ms(ms)));
-    }
-    // The first suspicions are too old to be counted together with this one.
-    assert!(!fixture.view.suspect(&incarnation, "other".into(), 4, at_ms(2_700)));
-    assert!(!fixture.view.is_unhealthy(&id, at_ms(2_700)));
-    assert!(fixture.view.suspect(&incarnation, "third".into(), 4, at_ms(2_800)));
-    assert!(fixture.view.is_unhealthy(&id, at_ms(2_800)));
-    let mut large = Fixture::new();
-    for (n, host) in ["a", "b", "c", "d"].into_iter().enumerate() {
-        assert_eq!(large.view.suspect(&incarnation, host.into(), 29, at_ms(0)), n == 3);
-    }
-    let mut alone = Fixture::new();
-    assert!(alone.view.suspect(&incarnation, "only".into(), 1, at_ms(0)));
-}
-
-/// Guards against dropping endpoints whose leases expired while the store was unavailable: they
-/// register again within two seconds of its return.
-#[test]
-fn endpoints_whose_leases_expired_in_an_outage_have_time_to_register_again() {
-    let mut fixture = Fixture::new();
-    let all = fixture.view.listing().endpoints.len();
-    let listed = |revision, count| {
-        let mut listing = listing(&site(), &Plan::default());
-        listing.position = Position::new(0, revision);
-        listing.endpoints = listing.endpoints.into_iter().take(count).collect();
-        listing
-    };
-    // Without an outage, a missing endpoint is removed at once.
-    fixture.view.update_listing(listed(2, all - 1), at_ms(600));
-    assert_eq!(fixture.view.listing().endpoints.len(), all - 1);
-    fixture.view.update_listing(listed(3, 3), at_ms(6_600));
-    assert_eq!(fixture.view.listing().endpoints.len(), all - 1);
-    fixture.view.update_listing(listed(4, 20), at_ms(7_200));
-    assert_eq!(fixture.view.listing().endpoints.len(), all - 1);
-    // Endpoints that are still missing after two seconds are removed.
-    fixture.view.update_listing(listed(5, 30), at_ms(7_800));
-    fixture.view.update_listing(listed(6, 30), at_ms(8_400));
-    fixture.view.update_listing(listed(7, 30), at_ms(9_000));
-    assert_eq!(fixture.view.listing().endpoints.len(), 30);
-}
-
-#[test]
-fn a_report_overrides_registrations_written_before_it() {
-    let mut fixture = Fixture::new();
-    let id = fixture.plan.services[&service()][0].stages[0].endpoint.clone();
-    let layers = oriole_core::placement::Range { first: 3, end: 9 };
-    fixture.view.record_layers(&Incarnation { endpoint: id.clone(), born: 1 }, layers, 4);
-    let listed = |heartbeat| {
-        let mut listing = listing(&site(), &fixture.plan);
-        listing.position = Position::new(0, heartbeat);
-        listing.endpoints.get_mut(&id).unwrap().heartbeat = heartbeat;
-        listing
-    };
-    fixture.view.update_listing(listed(2), at_ms(10));
-    assert_eq!(fixture.view.get(&id).unwrap().layers, layers);
-    assert_eq!(fixture.view.get(&id).unwrap().orders, 4);
-    // A registration that is two heartbeats later is certainly newer.
-    fixture.view.update_listing(listed(3), at_ms(20));
-    assert_ne!(fixture.view.get(&id).unwrap().layers, layers);
-}
-
 /// Guards against evicted sequences when demand exceeds capacity: the admitted work must fit the
 /// memory of each stage.
 #[test]
 fn a_burst_is_not_admitted_beyond_the_memory_of_any_stage() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let mut in_flight = Tracker::default();
     let mut admitted = 0;
@@ -323,7 +139,7 @@
 /// another chain.
 #[test]
 fn an_endpoint_in_two_chains_is_not_filled_twice() {
-    let mut fixture = Fixture::new();
+    let mut fixture = Fixture::new(at_ms(0));
     let lost = fixture.plan.services[&service()][0].stages[2].endpoint.clone();
     fixture.mark_unhealthy(&lost, at_ms(0));
     let chains = fixture.chains(at_ms(0));
@@ -345,7 +161,7 @@
 
 #[test]
 fn the_load_of_a_peer_counts_until_it_expires() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let mut in_flight = Tracker::default();
     let full = |chain: &Chain| Load {
@@ -365,7 +181,7 @@
 /// cross.
 #[test]
 fn a_burst_of_prompts_is_not_sent_where_it_would_begin_late() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let mut in_flight = Tracker::default();
     let prompt = Work { requests: 1, tokens: 1_000, prefill: 1_000 };
@@ -394,7 +210,7 @@
 /// Guards against sending further requests to a chain that accepts requests but produces no event.
 #[test]
 fn a_chain_that_produces_no_event_gets_no_further_requests() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let first = fixture.choose(&chains, &Tracker::default(), &[]).unwrap();
     let mut in_flight = Tracker::default();
@@ -413,7 +229,7 @@
 #[test]
 fn entries_that_hear_of_each_other_late_do_not_all_choose_the_same_chain() {
     const ENTRIES: usize = 30;
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let heads: Vec<_> = chains.iter().map(|c| c.key.clone()).collect();
     let mut trackers: Vec<Tracker> = (0..ENTRIES).map(|_| Tracker::default()).collect();
@@ -464,7 +280,7 @@
 
 #[test]
 fn a_request_that_reached_its_maximum_of_endpoints_returns_to_one_of_them() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let ran_at = [chains[1].head().clone(), chains[2].head().clone()];
     let chosen = fixture.choose(&chains, &Tracker::default(), &ran_at).unwrap();
@@ -476,7 +292,7 @@
 /// Guards against sending work to a chain with a slow stage: admission follows the observed pauses.
 #[test]
 fn a_chain_with_long_pauses_gets_little_work() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let chains = fixture.chains(at_ms(0));
     let fast = fixture.choose(&chains, &Tracker::default(), &[]).unwrap();
     let mut in_flight = Tracker::default();
@@ -519,7 +335,7 @@
 
 #[test]
 fn a_plain_service_avoids_endpoints_with_recent_failures() {
-    let fixture = Fixture::new();
+    let fixture = Fixture::new(at_ms(0));
     let endpoints: Vec<_> = fixture.view.listing().endpoints.values().take(2).collect();
     let mut failures = Failures::default();
     let choose = |failures: &Failures, tried: &[name::Endpoint]| {
