--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -148,6 +148,6 @@
     for ending in [Ending::EndlessChunks, Ending::Status(101), Ending::EndlessInterim] {
         let cluster = cluster_with_faulty_chain(ending).await;
         let arrivals = arrivals_while_all_are_served(&cluster, 60).await;
-        assert!(arrivals > 0, "the faulty engines have not been asked");
+        assert!((1..=15).contains(&arrivals), "{ending:?}: asked {arrivals} times");
     }
 }
