Let only what is heard of nobody renew a finding of silence

What callers saw: after two entries could not connect to a plain endpoint once, no entry used it any more, although it ran and took connections, if it closed the connection of a request for a report or held it.

Cause: silent endpoints are asked again, and whatever was no report renewed the finding at all entries: a connection that was closed, a model engine's answer with an error, a wait for a slot of over 0.2 s, or a lack of descriptors of the entry itself. No request of a caller reaches a silent endpoint, so that nothing else could end the finding.

Change: what a question shows is one of six contacts (fleet::Contact). Only a connection that does not open, and a model engine that takes one and sends nothing for 1.2 s, renew a finding of silence. Anything else leaves it to end 6 s after it was last renewed; meanwhile the entries that found it go on asking. The same errors no longer begin a finding. The counter `contacts` tells what the questions showed, which no log or metric did before.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -4,7 +4,7 @@
 //! one, therefore cannot reach a caller, and no request is sent on a connection that the peer is
 //! about to close.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -94,6 +94,21 @@
         self.is_invalid() || matches!(self, Self::Status(_))
     }
 
+    /// Returns whether nothing was heard of the peer.
+    ///
+    /// A lack of descriptors or ports of this process says nothing of the peer, and one that closes a connection has
+    /// been heard of.
+    pub fn is_silence(&self) -> bool {
+        match self {
+            Self::ConnectTimeout | Self::Timeout => true,
+            Self::Connect(error) => matches!(
+                error.kind(),
+                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
+            ),
+            _ => false,
+        }
+    }
+
     /// Returns whether the peer sent what is no answer, and not merely none or a part of one.
     pub fn is_invalid(&self) -> bool {
         matches!(
@@ -108,6 +123,21 @@
     }
 }
 
+/// Time limits of a complete exchange.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Longest time until the connection is open.
+    pub connect: Duration,
+    /// Longest time until the response is complete, from the beginning.
+    pub total: Duration,
+}
+
+impl From<Duration> for Limit {
+    fn from(total: Duration) -> Self {
+        Self { connect: total, total }
+    }
+}
+
 /// The head of a response, and its body as it arrives.
 pub struct Response {
     /// Status and headers.
@@ -208,10 +238,11 @@
     head: RequestHead,
     body: Bytes,
     max_bytes: usize,
-    limit: Duration,
+    limit: impl Into<Limit>,
 ) -> Result<(ResponseHead, Bytes), Error> {
+    let limit = limit.into();
     let exchange = async {
-        let stream = connect(address, limit).await?;
+        let stream = connect(address, limit.connect).await?;
         let Response { head, mut body } = send(stream, head, body).await?;
         let mut received = BytesMut::new();
         while let Some(chunk) = body.next().await? {
@@ -222,7 +253,7 @@
         }
         Ok((head, received.freeze()))
     };
-    timeout(limit, exchange).await.map_err(|_| Error::Timeout)?
+    timeout(limit.total, exchange).await.map_err(|_| Error::Timeout)?
 }
 
 impl Body {
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -5,11 +5,12 @@
 #![allow(clippy::unwrap_used)] // helpers of tests fail by panic as the tests do
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::RequestHead;
+use actix_http::{RequestHead, StatusCode};
 use bytes::Bytes;
 use oriole_adapter::exchange::{self, Error};
 use oriole_adapter::head::Progress;
@@ -317,3 +318,31 @@
         }
     }
 }
+
+/// Guards against a peer that counts as silent although it was heard of, or although this process lacks descriptors.
+#[test]
+fn only_a_lack_of_signs_of_the_peer_is_silence() {
+    let connect = |kind: ErrorKind| Error::Connect(kind.into());
+    for silence in [
+        Error::Timeout,
+        Error::ConnectTimeout,
+        connect(ErrorKind::TimedOut),
+        connect(ErrorKind::HostUnreachable),
+        connect(ErrorKind::NetworkUnreachable),
+    ] {
+        assert!(silence.is_silence(), "{silence}");
+    }
+    const TOO_MANY_OPEN_FILES: i32 = 24;
+    for other in [
+        Error::Connect(std::io::Error::from_raw_os_error(TOO_MANY_OPEN_FILES)),
+        connect(ErrorKind::AddrNotAvailable),
+        connect(ErrorKind::ConnectionRefused),
+        Error::Io(ErrorKind::ConnectionReset.into()),
+        Error::Closed,
+        Error::Malformed,
+        Error::Status(StatusCode::NOT_FOUND),
+        Error::TooLong,
+    ] {
+        assert!(!other.is_silence(), "{other}");
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,6 @@
 //! State of the endpoints as one process knows it, and the messages about it between entries.
 
+pub mod contact;
 pub mod departure;
 pub mod freshness;
 pub mod health;
@@ -25,6 +26,7 @@
 use oriole_macros::{data, key};
 
 use crate::time::Instant;
+pub use contact::Contact;
 pub use health::{Cause, UNHEALTHY_PERIOD};
 pub use listing::Update;
 pub use message::{Gossip, Incarnation, Load, Message, Topic};
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -122,7 +122,10 @@
         self.forget_old(now);
         let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
         suspicions.insert(by, (incarnation.born, now));
-        let agreeing = suspicions.values().filter(|(born, _)| *born == incarnation.born).count();
+        let is_agreeing = |(born, at): &&(u64, Instant)| {
+            *born == incarnation.born && now.since(*at) < SUSPICION_PERIOD
+        };
+        let agreeing = suspicions.values().filter(is_agreeing).count();
         let known = self.silences.get(&incarnation.endpoint);
         let is_silent = known.is_some_and(|f| f.born == incarnation.born && f.is_fresh(now));
         is_silent || agreeing >= needed_suspicions(entries)
@@ -133,8 +136,13 @@
         self.findings.retain(|_, f| f.is_fresh(now));
         self.silences.retain(|_, f| f.is_fresh(now));
         self.answers.retain(|_, (_, at)| now.since(*at) < UNHEALTHY_PERIOD);
-        self.suspicions.retain(|_, by| {
-            by.retain(|_, (_, at)| now.since(*at) < SUSPICION_PERIOD);
+        let silences = &self.silences;
+        self.suspicions.retain(|id, by| {
+            // The entries that found a silence ask the endpoint until the finding ends, whatever they find then.
+            let silent = silences.get(id).map(|f| f.born);
+            by.retain(|_, (born, at)| {
+                now.since(*at) < SUSPICION_PERIOD || silent.is_some_and(|silent| silent == *born)
+            });
             !by.is_empty()
         });
     }
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use oriole_core::fleet::health::Health;
-use oriole_core::fleet::{Cause, Incarnation, View};
+use oriole_core::fleet::{Cause, Contact, Incarnation, View};
 use oriole_core::name;
 use oriole_core::placement::Plan;
 use oriole_core::time::Instant;
@@ -155,3 +155,40 @@
     view.mark_unhealthy(&silent, Cause::ConnectionRefused, at(2100), at(2100));
     assert!(!view.keeps_place(&id, at(2100)));
 }
+
+/// Guards against an endpoint that is kept out of use by questions which it met, though not as expected.
+#[test]
+fn only_what_is_heard_of_nobody_shows_that_an_endpoint_is_still_silent() {
+    for may_wait in [false, true] {
+        assert!(Contact::Unreachable.is_silence(may_wait));
+        for heard in [Contact::Answered, Contact::Replaced, Contact::Refused, Contact::Rejected] {
+            assert!(!heard.is_silence(may_wait), "{heard:?}");
+        }
+    }
+    assert!(Contact::Unanswered.is_silence(false));
+    assert!(!Contact::Unanswered.is_silence(true));
+}
+
+/// Guards against a silence that nobody asks about any more once questions have shown nothing, and against one that
+/// lasts although nothing renews it.
+#[test]
+fn a_silence_is_asked_about_until_it_ends_by_itself() {
+    let mut health = Health::default();
+    for host in ["a", "b"] {
+        if health.suspect(&incarnation(), host.into(), 4, at(0)) {
+            health.record(&incarnation(), Cause::Silent, at(0));
+        }
+    }
+    let other = Incarnation { endpoint: "other".into(), born: 1 };
+    for ms in (400..6_000).step_by(400) {
+        // Suspicions of other endpoints make what no longer counts be forgotten.
+        health.suspect(&other, "c".into(), 4, at(ms));
+        assert_eq!(health.to_ask_again(&"a".into(), at(ms)), [incarnation()], "{ms}");
+        assert_eq!(health.to_ask_again(&"b".into(), at(ms)), [incarnation()], "{ms}");
+    }
+    health.suspect(&other, "c".into(), 4, at(6_000));
+    assert_eq!(health.cause(&"e".into(), Some(1), at(6_000)), None);
+    assert_eq!(health.to_ask_again(&"a".into(), at(6_000)), []);
+    // Suspicions from before do not agree with a later one.
+    assert!(!health.suspect(&incarnation(), "a".into(), 4, at(6_100)));
+}
--- a/crates/router/src/ask.rs
+++ b/crates/router/src/ask.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use oriole_adapter::exchange::Error;
+use oriole_adapter::exchange::{Error, Limit};
 use oriole_core::fleet::Incarnation;
 use oriole_core::forward::chain::Hop;
 use oriole_core::placement::Range;
@@ -31,9 +31,9 @@
     state: &Shared,
     incarnation: &Incarnation,
     address: SocketAddr,
-    timeout: Duration,
+    limit: impl Into<Limit>,
 ) -> Result<Report, Error> {
-    record(state, incarnation, endpoint::report(address, timeout).await?)
+    record(state, incarnation, endpoint::report(address, limit).await?)
 }
 
 /// Orders an endpoint to hold layers.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`secret`]: the secret by which entries authenticate to each other, kept in the store.
 //! - [`stored`]: when a key that entries write was last written.
 //! - [`ask`]: requests reports of endpoints and sends them orders.
+//! - [`probe`]: asks silent endpoints again until they answer.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
 //! - [`state::limit`]: permits to send requests to endpoints that limit their rate.
@@ -44,6 +45,7 @@
 pub mod pace;
 pub mod peers;
 pub mod planner;
+pub mod probe;
 pub mod process;
 pub mod quarantine;
 pub mod reader;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -55,6 +55,8 @@
     pub holds: Counter,
     /// What endpoints state about themselves, but for limits, by kind.
     pub statements: Reasons,
+    /// Questions to silent endpoints, by how they met them.
+    pub contacts: Reasons,
     /// Permits to send a request to an endpoint that limits its rate, by reply.
     pub permits: Reasons,
     /// Orders to endpoints, by answer.
@@ -105,6 +107,7 @@
             quarantines: Counter::default(),
             holds: Counter::default(),
             statements: Reasons::default(),
+            contacts: Reasons::default(),
             permits: Reasons::default(),
             orders: Reasons::default(),
             plans: Counter::default(),
@@ -140,6 +143,7 @@
         r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
         r.register("holds", "Requests held that crash endpoints", self.holds.clone());
         r.register("statements", "Statements of endpoints by kind", self.statements.clone());
+        r.register("contacts", "Questions to silent endpoints by result", self.contacts.clone());
         r.register("permits", "Permits for endpoints with a limit", self.permits.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
--- /dev/null
+++ b/crates/router/src/probe.rs
@@ -0,0 +1,146 @@
+//! Asks silent endpoints whether they still work, until they answer or the finding of silence ends.
+//!
+//! Model engines are asked for reports, which tell their run and need no slot. Of endpoints of plain services, which give
+//! none, any response is an answer.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use oriole_adapter::exchange::{Error, Limit};
+use oriole_core::fleet::{Cause, Contact, Incarnation, Message};
+use oriole_core::name;
+use tokio::time::sleep;
+
+use crate::ask;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::state::Shared;
+use crate::suspect;
+
+/// Interval at which silent endpoints are asked.
+const ASK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time limits of the first and second attempt to connect. There are two, so that a lost packet
+/// alone does not count as silence.
+const CONNECT_TIMEOUTS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(200)];
+
+/// Longest time that an answer takes: a sound endpoint may send nothing for about a second, and a health check may
+/// wait for a slot.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
+
+/// What a silent endpoint is asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Question {
+    /// The report of a model engine.
+    Report,
+    /// Any response of an endpoint of a plain service.
+    Response,
+}
+
+impl Question {
+    /// Returns whether the answer may have to wait for a slot.
+    fn may_wait(self) -> bool {
+        self != Self::Report
+    }
+}
+
+/// Asks silent endpoints again until they answer or are no longer silent or listed. Runs until the process exits.
+pub async fn run(state: Shared) {
+    let asked: Rc<RefCell<BTreeSet<name::Endpoint>>> = Rc::default();
+    loop {
+        sleep(ASK_INTERVAL).await;
+        let silent = state.inner.borrow().view.to_ask_again(&state.host, state.now());
+        for (incarnation, address) in silent {
+            let id = incarnation.endpoint.clone();
+            if asked.borrow().contains(&id) || !suspect::may_ask(&state, &incarnation) {
+                continue;
+            }
+            let Some(question) = question(&state, &id) else {
+                continue;
+            };
+            asked.borrow_mut().insert(id.clone());
+            let (state, asked) = (state.clone(), asked.clone());
+            actix_rt::spawn(async move {
+                ask_again(&state, &incarnation, address, question).await;
+                asked.borrow_mut().remove(&id);
+            });
+        }
+    }
+}
+
+/// Returns what to ask an endpoint, or `None` if it is not known whether its service has a model.
+fn question(state: &Shared, id: &name::Endpoint) -> Option<Question> {
+    let inner = state.inner.borrow();
+    let endpoint = inner.view.get(id)?;
+    let service = inner.table.as_ref()?.services.get(&endpoint.service)?;
+    Some(service.model.as_ref().map_or(Question::Response, |_| Question::Report))
+}
+
+/// Asks a silent endpoint once, and once more if no connection opens, and records what that shows.
+async fn ask_again(
+    state: &Shared,
+    incarnation: &Incarnation,
+    address: SocketAddr,
+    question: Question,
+) {
+    let mut contact = Contact::Unreachable;
+    for connect in CONNECT_TIMEOUTS {
+        let limit = Limit { connect, total: connect + ANSWER_TIMEOUT };
+        contact = ask_once(state, incarnation, address, question, limit).await;
+        if contact != Contact::Unreachable {
+            break;
+        }
+    }
+    log::debug!(endpoint = incarnation.endpoint.as_str(), contact:?; "asked a silent endpoint");
+    Metrics::count(&state.metrics.contacts, contact.as_str());
+    match contact {
+        Contact::Answered => {
+            peers::broadcast(state, &Message::Answered(incarnation.clone()));
+            state.record_answer(incarnation);
+        }
+        Contact::Replaced => suspect::mark_unhealthy(state, incarnation, Cause::Restarted),
+        Contact::Refused => suspect::mark_unhealthy(state, incarnation, Cause::ConnectionRefused),
+        Contact::Rejected | Contact::Unanswered | Contact::Unreachable => {
+            if contact.is_silence(question.may_wait()) {
+                suspect::record_silence(state, incarnation);
+            }
+        }
+    }
+}
+
+async fn ask_once(
+    state: &Shared,
+    incarnation: &Incarnation,
+    address: SocketAddr,
+    question: Question,
+    limit: Limit,
+) -> Contact {
+    let answered = match question {
+        Question::Report => {
+            let report = ask::report(state, incarnation, address, limit).await;
+            report.map(|report| report.born == incarnation.born)
+        }
+        Question::Response => match ask::report(state, incarnation, address, limit).await {
+            Err(error) if !error.is_response() => Err(error),
+            _ => Ok(true),
+        },
+    };
+    match answered {
+        Ok(true) => Contact::Answered,
+        Ok(false) => Contact::Replaced,
+        Err(error) => contact(&error),
+    }
+}
+
+/// Returns what a question shows that got no usable answer.
+fn contact(error: &Error) -> Contact {
+    match error {
+        error if suspect::is_refusal(error) => Contact::Refused,
+        Error::Timeout => Contact::Unanswered,
+        error if error.is_silence() => Contact::Unreachable,
+        _ => Contact::Rejected,
+    }
+}
--- a/crates/router/src/process.rs
+++ b/crates/router/src/process.rs
@@ -16,7 +16,7 @@
 
 use crate::settings::{Listen, Settings};
 use crate::state::{Shared, State, load};
-use crate::{follow, hold, listen, orders, pace, peers, planner, quarantine, secret, suspect};
+use crate::{follow, hold, listen, orders, pace, peers, planner, probe, quarantine, secret};
 
 /// Length of the queue of connections that have not been accepted yet.
 const MAX_PENDING_CONNECTIONS: u32 = 512;
@@ -133,7 +133,7 @@
     actix_rt::spawn(orders::run(state.clone()));
     actix_rt::spawn(load::run(state.clone()));
     actix_rt::spawn(pace::run(state.clone()));
-    actix_rt::spawn(suspect::run(state.clone()));
+    actix_rt::spawn(probe::run(state.clone()));
     actix_rt::spawn(refresh(state.clone()));
     state
 }
--- a/crates/router/src/suspect.rs
+++ b/crates/router/src/suspect.rs
@@ -11,7 +11,6 @@
 use oriole_core::forward::chain::{Chain, Hop};
 use oriole_core::name;
 use oriole_platform::endpoint::Report;
-use tokio::time::sleep;
 
 use crate::ask;
 use crate::peers;
@@ -32,47 +31,6 @@
 /// Minimum time between two probes of all stages of one chain.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(1500);
 
-/// Interval at which silent endpoints are asked again.
-const ASK_AGAIN_INTERVAL: Duration = Duration::from_millis(400);
-
-/// Asks silent endpoints again until they answer or are no longer listed. Runs until the process
-/// exits.
-pub async fn run(state: Shared) {
-    loop {
-        sleep(ASK_AGAIN_INTERVAL).await;
-        let silent = state.inner.borrow().view.to_ask_again(&state.host, state.now());
-        for (incarnation, address) in silent {
-            if !may_ask(&state, &incarnation) {
-                continue;
-            }
-            actix_rt::spawn(ask_again(state.clone(), incarnation, address));
-        }
-    }
-}
-
-async fn ask_again(state: Shared, incarnation: Incarnation, address: SocketAddr) {
-    match request_report(&state, &incarnation, address).await {
-        Ok(report) if report.born == incarnation.born => record_answer(&state, &incarnation),
-        Ok(_) => mark_unhealthy(&state, &incarnation, Cause::Restarted),
-        Err(error) if error.is_response() && !has_reports(&state, &incarnation) => {
-            record_answer(&state, &incarnation);
-        }
-        Err(error) => record_no_answer(&state, &incarnation, &error),
-    }
-}
-
-/// Records that a silent endpoint answers again, and tells the other entries.
-fn record_answer(state: &Shared, incarnation: &Incarnation) {
-    peers::broadcast(state, &Message::Answered(incarnation.clone()));
-    state.record_answer(incarnation);
-}
-
-/// Returns whether an endpoint gives reports. Those of plain services answer the request for one with an error.
-fn has_reports(state: &Shared, incarnation: &Incarnation) -> bool {
-    let endpoint = state.inner.borrow().view.get(&incarnation.endpoint).cloned();
-    endpoint.is_some_and(|endpoint| state.model(&endpoint.service).is_some())
-}
-
 /// Returns whether an endpoint may be asked for a report now.
 ///
 /// One that limits its rate is asked rarely, and one that is in back-off is not, since reports
@@ -266,20 +224,27 @@
 }
 
 /// Returns whether an endpoint refused the connection: nothing listens on its address.
-fn is_refusal(error: &Error) -> bool {
+pub fn is_refusal(error: &Error) -> bool {
     matches!(error, Error::Connect(e) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Records that an endpoint did not answer.
+/// Records that an endpoint gave no usable answer.
 ///
-/// An endpoint that refuses connections is certainly unhealthy. Silence may be caused by this entry
-/// or its link, so the endpoint is marked as unhealthy only once other entries see it as well. One that
-/// is in back-off has answered.
+/// An endpoint that refuses connections is certainly unhealthy. One that sends something else, or closes the
+/// connection, is not silent.
 pub fn record_no_answer(state: &Shared, incarnation: &Incarnation, error: &Error) {
     if is_refusal(error) {
         mark_unhealthy(state, incarnation, Cause::ConnectionRefused);
-        return;
+    } else if error.is_silence() {
+        record_silence(state, incarnation);
     }
+}
+
+/// Records that nothing was heard of an endpoint.
+///
+/// That may be caused by this entry or its link, so the endpoint is marked as unhealthy only once other entries see it
+/// as well. One that is in back-off has answered.
+pub fn record_silence(state: &Shared, incarnation: &Incarnation) {
     if is_waiting(state, incarnation) {
         return;
     }
@@ -288,7 +253,7 @@
 }
 
 /// Marks an endpoint as unhealthy and tells the other entries.
-fn mark_unhealthy(state: &Shared, incarnation: &Incarnation, cause: Cause) {
+pub fn mark_unhealthy(state: &Shared, incarnation: &Incarnation, cause: Cause) {
     let is_new = state.mark_unhealthy(incarnation, cause, Duration::ZERO, state.host.as_str());
     if is_new {
         peers::broadcast(state, &Message::Unhealthy(incarnation.clone()));
--- a/crates/router/tests/path/main.rs
+++ b/crates/router/tests/path/main.rs
@@ -5,6 +5,7 @@
 mod back_off;
 mod cluster;
 mod crashing_request;
+mod cut_off;
 mod drills;
 mod endless;
 mod large;
