Ask silent plain endpoints at their health path

What callers saw: a plain endpoint that had been cut off and does not answer a request for a report came back 6 s after its last question or not at all; one whose address another endpoint had got counted as back.

Change: the operator's health_path is decoded, and endpoints of plain services are asked there, with their ID as the target. Any status with that ID, or without one, is an answer, since checks are rejected like requests while an endpoint is full; another ID or status 421 means that the endpoint is gone. A service without a health path is asked as before, and one that the configuration does not name is not asked.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -86,6 +86,9 @@
 pub struct Service {
     /// Most connections that one endpoint accepts from all callers together.
     pub max_connections: u32,
+    /// Path at which its endpoints say whether they work; `None` if the operator names none.
+    #[serde(default)]
+    pub health_path: Option<String>,
     /// The model that is split over its endpoints, or `None` if it is not served by chains.
     pub model: Option<placement::Model>,
 }
--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -128,8 +128,8 @@
     };
     let plain = Route { kind: Kind::Idempotent, ..streaming("/page/", "plain", 3) };
     let table = |routes: Vec<Route>| {
-        let with_model = Service { max_connections: 1, model: Some(model()) };
-        let without = Service { max_connections: 1, model: None };
+        let with_model = Service { max_connections: 1, health_path: None, model: Some(model()) };
+        let without = Service { max_connections: 1, health_path: None, model: None };
         Table {
             version: 1,
             hosts: [("calls.example".to_owned(), routes)].into(),
--- a/crates/router/src/ask.rs
+++ b/crates/router/src/ask.rs
@@ -7,7 +7,7 @@
 use oriole_core::fleet::Incarnation;
 use oriole_core::forward::chain::Hop;
 use oriole_core::placement::Range;
-use oriole_platform::endpoint::{self, Acceptance, Answer, Move, Report};
+use oriole_platform::endpoint::{self, Acceptance, Answer, Move, Report, Responder};
 
 use crate::state::{Shared, statement};
 
@@ -36,6 +36,24 @@
     record(state, incarnation, endpoint::report(address, limit).await?)
 }
 
+/// Asks an endpoint at the health path of its service whether it works, and returns which endpoint answers.
+pub async fn health(
+    state: &Shared,
+    incarnation: &Incarnation,
+    address: SocketAddr,
+    path: &str,
+    limit: Limit,
+) -> Result<Responder, Error> {
+    let answer = endpoint::health(address, path, &incarnation.endpoint, limit).await?;
+    match answer.content? {
+        Responder::Other => Ok(Responder::Other),
+        Responder::Target => {
+            statement::record_own(state, incarnation, answer.statements);
+            Ok(Responder::Target)
+        }
+    }
+}
+
 /// Orders an endpoint to hold layers.
 pub async fn place(
     state: &Shared,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -20,7 +20,7 @@
 //! - [`hold`]: holds requests back that crash endpoints, and keeps them in the store.
 //! - [`secret`]: the secret by which entries authenticate to each other, kept in the store.
 //! - [`stored`]: when a key that entries write was last written.
-//! - [`ask`]: requests reports of endpoints and sends them orders.
+//! - [`ask`]: requests reports and health checks of endpoints and sends them orders.
 //! - [`probe`]: asks silent endpoints again until they answer.
 //! - [`suspect`]: checks whether endpoints that are silent, refuse requests or cannot be reached
 //!   still work.
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -1,7 +1,7 @@
 //! Asks silent endpoints whether they still work, until they answer or the finding of silence ends.
 //!
-//! Model engines are asked for reports, which tell their run and need no slot. Of endpoints of plain services, which give
-//! none, any response is an answer.
+//! Model engines are asked for reports, which tell their run and need no slot. Endpoints of plain services give no
+//! reports and are asked at the health path of their service.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -12,6 +12,7 @@
 use oriole_adapter::exchange::{Error, Limit};
 use oriole_core::fleet::{Cause, Contact, Incarnation, Message};
 use oriole_core::name;
+use oriole_platform::endpoint::Responder;
 use tokio::time::sleep;
 
 use crate::ask;
@@ -32,18 +33,20 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// What a silent endpoint is asked.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 enum Question {
     /// The report of a model engine.
     Report,
-    /// Any response of an endpoint of a plain service.
+    /// The health of an endpoint of a plain service, at the path that the operator names.
+    Health(String),
+    /// Any response of an endpoint of a plain service without a health path.
     Response,
 }
 
 impl Question {
     /// Returns whether the answer may have to wait for a slot.
-    fn may_wait(self) -> bool {
-        self != Self::Report
+    fn may_wait(&self) -> bool {
+        *self != Self::Report
     }
 }
 
@@ -64,7 +67,7 @@
             asked.borrow_mut().insert(id.clone());
             let (state, asked) = (state.clone(), asked.clone());
             actix_rt::spawn(async move {
-                ask_again(&state, &incarnation, address, question).await;
+                ask_again(&state, &incarnation, address, &question).await;
                 asked.borrow_mut().remove(&id);
             });
         }
@@ -76,7 +79,8 @@
     let inner = state.inner.borrow();
     let endpoint = inner.view.get(id)?;
     let service = inner.table.as_ref()?.services.get(&endpoint.service)?;
-    Some(service.model.as_ref().map_or(Question::Response, |_| Question::Report))
+    let plain = || service.health_path.clone().map_or(Question::Response, Question::Health);
+    Some(service.model.as_ref().map_or_else(plain, |_| Question::Report))
 }
 
 /// Asks a silent endpoint once, and once more if no connection opens, and records what that shows.
@@ -84,7 +88,7 @@
     state: &Shared,
     incarnation: &Incarnation,
     address: SocketAddr,
-    question: Question,
+    question: &Question,
 ) {
     let mut contact = Contact::Unreachable;
     for connect in CONNECT_TIMEOUTS {
@@ -115,7 +119,7 @@
     state: &Shared,
     incarnation: &Incarnation,
     address: SocketAddr,
-    question: Question,
+    question: &Question,
     limit: Limit,
 ) -> Contact {
     let answered = match question {
@@ -123,6 +127,10 @@
             let report = ask::report(state, incarnation, address, limit).await;
             report.map(|report| report.born == incarnation.born)
         }
+        Question::Health(path) => {
+            let responder = ask::health(state, incarnation, address, path, limit).await;
+            responder.map(|responder| responder == Responder::Target)
+        }
         Question::Response => match ask::report(state, incarnation, address, limit).await {
             Err(error) if !error.is_response() => Err(error),
             _ => Ok(true),
