Read all chunks of a body that have arrived at once

What callers saw: one faulty engine that sends small chunks without end held up an entry, and more of them on a machine with slow cores: 23 of 60 streams were sent to it before its third failure was known.

Cause: each chunk was returned alone, and passed the checks of a stream, which cost far more than its few bytes.

Change: chunks that are in the read buffer are returned together, in order; an error in the framing after them follows them. Other tasks still run after at most 128 chunks. The errors of exchanges move to a module of their own.

The check of a_body_in_small_pieces_does_not_keep_other_tasks_from_running that each chunk is a piece of its own is wrong now; it is replaced by a comparison of all bytes and a bound on the pieces, and its bound on the turns of other tasks is as it was.

--- a/crates/adapter/src/exchange.rs
+++ b/crates/adapter/src/exchange.rs
@@ -4,24 +4,25 @@
 //! one, therefore cannot reach a caller, and no request is sent on a connection that the peer is
 //! about to close.
 
-use std::io::{self, ErrorKind};
+mod error;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
-use actix_http::error::{ParseError, PayloadError};
+use actix_http::error::PayloadError;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Buf, Bytes, BytesMut};
-use derive_more::{Display, Error, From};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::task::coop::consume_budget;
 use tokio::time::timeout;
 
+pub use self::error::Error;
 use crate::head::Progress;
 use crate::http;
 
@@ -45,84 +46,6 @@
     static SERVICE_CONFIG: ServiceConfig = ServiceConfig::default();
 }
 
-/// Why an exchange yielded no complete response.
-#[derive(Debug, Display, Error, From)]
-pub enum Error {
-    /// No connection could be opened; nothing was sent.
-    #[display("opening a connection: {_0}")]
-    #[from(ignore)]
-    Connect(io::Error),
-    /// No connection was opened within the limit; nothing was sent.
-    #[display("opening a connection: time limit exceeded")]
-    ConnectTimeout,
-    /// The connection failed; the peer may have received the request.
-    #[display("exchanging data with the peer: {_0}")]
-    Io(io::Error),
-    /// The peer closed the connection before the response was complete.
-    #[display("the peer closed the connection before the response was complete")]
-    Closed,
-    /// The response head is not valid HTTP/1.1.
-    #[display("parsing the response head: {_0}")]
-    Head(ParseError),
-    /// The body does not match the framing that the response head declares.
-    #[display("reading the response body: {_0}")]
-    Body(PayloadError),
-    /// The request cannot be encoded, or the response body cannot be decoded.
-    #[display("the request cannot be encoded, or the response cannot be decoded")]
-    Malformed,
-    /// The head has a status that no final answer has.
-    #[display("the response has status {_0}, which no answer has")]
-    #[from(ignore)]
-    #[error(ignore)]
-    NoAnswer(StatusCode),
-    /// The peer answered with a status that is not one of success.
-    #[display("the peer answered with status {_0}")]
-    #[from(ignore)]
-    #[error(ignore)]
-    Status(StatusCode),
-    /// The response or its body is larger than allowed.
-    #[display("the response exceeds the size limit")]
-    TooLong,
-    /// The response was not complete within the limit.
-    #[display("no complete response within the time limit")]
-    Timeout,
-}
-
-impl Error {
-    /// Returns whether the peer sent a response, whatever is wrong with it.
-    pub fn is_response(&self) -> bool {
-        self.is_invalid() || matches!(self, Self::Status(_))
-    }
-
-    /// Returns whether nothing was heard of the peer.
-    ///
-    /// A lack of descriptors or ports of this process says nothing of the peer, and one that closes a connection has
-    /// been heard of.
-    pub fn is_silence(&self) -> bool {
-        match self {
-            Self::ConnectTimeout | Self::Timeout => true,
-            Self::Connect(error) => matches!(
-                error.kind(),
-                ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable
-            ),
-            _ => false,
-        }
-    }
-
-    /// Returns whether the peer sent what is no answer, and not merely none or a part of one.
-    pub fn is_invalid(&self) -> bool {
-        matches!(
-            self,
-            Self::Head(_) | Self::Body(_) | Self::Malformed | Self::NoAnswer(_) | Self::TooLong
-        )
-    }
-
-    /// Returns whether it is certain that the peer received no part of the request.
-    pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::Connect(_) | Self::ConnectTimeout)
-    }
-}
-
 /// Time limits of a complete exchange.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -153,6 +76,8 @@
     _write: OwnedWriteHalf,
     buffer: BytesMut,
     framing: Framing,
+    /// Chunks that have been decoded and not been returned.
+    decoded: BytesMut,
 }
 
 /// How the end of a body is determined.
@@ -167,6 +92,18 @@
     },
     /// The body has been read completely.
     Complete,
+    /// The framing is broken from here on; `None` once this has been returned.
+    Broken(Option<PayloadError>),
+}
+
+/// What decoding yields.
+enum Decoded {
+    /// Bytes of the body, or its end.
+    Body(Option<Bytes>),
+    /// A chunk that is kept; there may be more.
+    Chunk,
+    /// Nothing, until more bytes arrive.
+    Incomplete,
 }
 
 /// Opens a connection within `limit`.
@@ -216,7 +153,8 @@
                         true => Framing::Complete,
                         false => framing(&head, codec, is_reset),
                     };
-                    let body = Body { read, _write: write, buffer, framing };
+                    let decoded = BytesMut::new();
+                    let body = Body { read, _write: write, buffer, framing, decoded };
                     return Ok(Response { head, body });
                 }
                 if count == 0 {
@@ -270,20 +208,10 @@
         loop {
             // Without this, a task that gets many small pieces by one read would not let others run.
             consume_budget().await;
-            match &mut self.framing {
-                Framing::Complete => return Ok(None),
-                Framing::UntilClose { .. } if !self.buffer.is_empty() => {
-                    return Ok(Some(self.buffer.split().freeze()));
-                }
-                Framing::UntilClose { .. } => {}
-                Framing::Codec(codec) => match codec.decode(&mut self.buffer)? {
-                    Some(Some(bytes)) => return Ok(Some(bytes)),
-                    Some(None) => {
-                        self.framing = Framing::Complete;
-                        return Ok(None);
-                    }
-                    None => {}
-                },
+            match self.decode()? {
+                Decoded::Body(bytes) => return Ok(bytes),
+                Decoded::Chunk => continue,
+                Decoded::Incomplete => {}
             }
             self.buffer.reserve(READ_BUFFER_BYTES);
             let count = self.read.read_buf(&mut self.buffer).await?;
@@ -301,6 +229,45 @@
     }
 }
 
+impl Body {
+    /// Decodes at most one chunk of what has arrived.
+    fn decode(&mut self) -> Result<Decoded, Error> {
+        match &mut self.framing {
+            Framing::Codec(codec) => match codec.decode(&mut self.buffer) {
+                Ok(Some(Some(bytes))) => return Ok(self.keep(bytes)),
+                Ok(Some(None)) => self.framing = Framing::Complete,
+                Ok(None) => {}
+                Err(failure) => self.framing = Framing::Broken(Some(failure)),
+            },
+            Framing::UntilClose { .. } if !self.buffer.is_empty() => {
+                return Ok(Decoded::Body(Some(self.buffer.split().freeze())));
+            }
+            _ => {}
+        }
+        if !self.decoded.is_empty() {
+            return Ok(Decoded::Body(Some(self.decoded.split().freeze())));
+        }
+        match &mut self.framing {
+            Framing::Complete => Ok(Decoded::Body(None)),
+            Framing::Broken(failure) => Err(failure.take().map_or(Error::Closed, Error::Body)),
+            _ => Ok(Decoded::Incomplete),
+        }
+    }
+
+    /// Keeps a chunk until no whole one is left or there are many bytes: each piece that is returned costs its reader
+    /// more than its bytes, and a chunk may be a single one.
+    fn keep(&mut self, bytes: Bytes) -> Decoded {
+        if self.buffer.is_empty() && self.decoded.is_empty() {
+            return Decoded::Body(Some(bytes));
+        }
+        self.decoded.extend_from_slice(&bytes);
+        match self.decoded.len() < READ_BUFFER_BYTES {
+            true => Decoded::Chunk,
+            false => Decoded::Body(Some(self.decoded.split().freeze())),
+        }
+    }
+}
+
 fn new_codec() -> ClientCodec {
     ClientCodec::new(SERVICE_CONFIG.with(Clone::clone))
 }
--- a/crates/adapter/tests/exchange.rs
+++ b/crates/adapter/tests/exchange.rs
@@ -234,13 +234,38 @@
             tokio::task::yield_now().await;
         }
     });
-    let mut pieces = 0;
-    while body.next().await.unwrap().is_some() {
+    let (mut read, mut pieces) = (vec![], 0);
+    while let Some(bytes) = body.next().await.unwrap() {
+        read.extend_from_slice(&bytes);
         pieces += 1;
     }
     other.abort();
-    assert_eq!(pieces, PIECES);
+    assert_eq!(read, b"x".repeat(PIECES));
     assert!(turns.get() >= PIECES / 1000, "{} turns", turns.get());
+    // Each piece costs the reader of a stream far more than a byte.
+    assert!(pieces <= PIECES / 100, "{pieces} pieces");
+}
+
+/// Guards against chunks that are lost, or an error that is, where both arrive at once.
+#[actix_rt::test]
+async fn chunks_before_broken_framing_are_read_and_the_error_follows() {
+    let text =
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\nno length\r\n";
+    let address = peer_sending(text).await;
+    let stream = exchange::connect(address, TIME_LIMIT).await.unwrap();
+    let response = exchange::send(stream, RequestHead::default(), Bytes::new()).await.unwrap();
+    let mut body = response.body;
+    let mut read = vec![];
+    let error = loop {
+        match body.next().await {
+            Ok(Some(bytes)) => read.extend_from_slice(&bytes),
+            Ok(None) => panic!("the body counts as complete"),
+            Err(error) => break error,
+        }
+    };
+    assert_eq!(read, b"abc");
+    assert!(matches!(error, Error::Body(_)), "{error}");
+    assert!(body.next().await.is_err());
 }
 
 /// Guards against time that grows with the square of the number of pieces in which a head comes.
