Use an endpoint that answers although others cannot reach it

What callers saw: two entries whose links to an endpoint were cut made all entries leave it unused for as long as that lasted.

Cause: the entries that had found an endpoint silent were the only ones that asked it, and their questions renewed the finding at all entries. If another entry had got an answer, it would have ended the silence at those that cannot reach the endpoint, too.

Change: entries that have not found a silence themselves ask in turns, one each 0.4 s. What others find does not bind an entry that the endpoint answered in the last 6 s. An entry whose question reaches nobody although another one got an answer, which has not failed since, keeps the silence to itself until it gets an answer itself (fleet::Reach).

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -13,6 +13,7 @@
 pub mod polling;
 pub mod position;
 pub mod presence;
+pub mod reach;
 pub mod recovery;
 pub mod refusal;
 pub mod resumption;
@@ -153,6 +154,11 @@
         changed
     }
 
+    /// Creates the view of the entry `host`.
+    pub fn of_entry(host: name::Host, heartbeat: Duration) -> Self {
+        Self { health: health::Health::of_entry(host), ..Self::new(heartbeat) }
+    }
+
     /// Marks an endpoint as unhealthy and returns whether it was healthy before.
     ///
     /// The period counts from `seen_at`, the time of the finding, so that entries that forward
@@ -183,15 +189,32 @@
         is_agreed && self.mark_unhealthy(incarnation, Cause::Silent, now, now)
     }
 
-    /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
+    /// Records that an endpoint answered this entry again after a silence, and returns whether this makes
     /// it healthy.
     pub fn record_answer(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         self.health.answered(incarnation, now)
     }
 
-    /// Returns the silent endpoints that the entry `host` is to ask again, with their addresses.
-    pub fn to_ask_again(&self, host: &name::Host, now: Instant) -> Vec<(Incarnation, SocketAddr)> {
-        let silent = self.health.to_ask_again(host, now);
+    /// Records that an endpoint answered the entry `to` again after a silence, and returns whether this makes it healthy.
+    pub fn hear_answer(&mut self, incarnation: &Incarnation, to: name::Host, now: Instant) -> bool {
+        self.health.hear_answer(incarnation, to, now)
+    }
+
+    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// suspect the endpoint. It is not if the endpoint answers others.
+    pub fn record_unreachable(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
+        self.health.record_unreachable(incarnation, now)
+    }
+
+    /// Returns the silent endpoints that the entry `host` is to ask again, with their addresses. `turn` says whether it
+    /// is its turn to ask one that it has not found silent itself, by the time since the finding.
+    pub fn to_ask_again(
+        &self,
+        host: &name::Host,
+        turn: impl Fn(&name::Endpoint, Duration) -> bool,
+        now: Instant,
+    ) -> Vec<(Incarnation, SocketAddr)> {
+        let silent = self.health.to_ask_again(host, turn, now);
         let listed = silent.into_iter().filter_map(|incarnation| {
             let endpoint = self.get(&incarnation.endpoint)?;
             Some((incarnation, endpoint.address))
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -6,6 +6,7 @@
 use oriole_macros::key;
 
 use super::Incarnation;
+use super::reach::Reach;
 use crate::name;
 use crate::time::Instant;
 
@@ -22,6 +23,9 @@
 /// Two entries must suspect an endpoint, and one more for each this many entries.
 const ENTRIES_PER_EXTRA_SUSPICION: usize = 10;
 
+/// Interval at which an entry asks a silent endpoint.
+pub const ASK_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Maximum number of entries that ask a silent endpoint again.
 const MAX_ASKING_ENTRIES: usize = 3;
 
@@ -74,6 +78,8 @@
 /// Findings and suspicions about endpoints.
 #[derive(Debug, Default)]
 pub struct Health {
+    /// The entry whose findings these are.
+    host: Option<name::Host>,
     /// Findings for other causes than silence.
     findings: BTreeMap<name::Endpoint, Finding>,
     /// Findings of silence.
@@ -81,9 +87,16 @@
     suspicions: BTreeMap<name::Endpoint, BTreeMap<name::Host, (u64, Instant)>>,
     /// Last answers of endpoints that were silent, by incarnation.
     answers: BTreeMap<name::Endpoint, (u64, Instant)>,
+    /// Which of them answered this entry, and which others only.
+    reach: Reach,
 }
 
 impl Health {
+    /// Creates the findings of the entry `host`.
+    pub fn of_entry(host: name::Host) -> Self {
+        Self { host: Some(host), ..Self::default() }
+    }
+
     /// Records a finding that was made at `seen_at`.
     ///
     /// Older ones do not replace newer ones, no later one replaces the cause of a certain loss, and an
@@ -111,7 +124,7 @@
     /// Records that an endpoint did not answer the entry `by`, one of `entries` entries.
     ///
     /// Returns whether enough entries agree. They have agreed already if the endpoint is known to be
-    /// silent; those that ask it again renew that.
+    /// silent; those that ask it again renew that. What others find does not count while it answers this entry.
     pub fn suspect(
         &mut self,
         incarnation: &Incarnation,
@@ -120,15 +133,50 @@
         now: Instant,
     ) -> bool {
         self.forget_old(now);
+        let is_own = self.host.as_ref() == Some(&by);
+        if is_own {
+            self.reach.record_failure(incarnation);
+        } else {
+            self.reach.hear_failure(incarnation, &by);
+        }
         let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
         suspicions.insert(by, (incarnation.born, now));
-        let is_agreeing = |(born, at): &&(u64, Instant)| {
-            *born == incarnation.born && now.since(*at) < SUSPICION_PERIOD
-        };
-        let agreeing = suspicions.values().filter(is_agreeing).count();
         let known = self.silences.get(&incarnation.endpoint);
         let is_silent = known.is_some_and(|f| f.born == incarnation.born && f.is_fresh(now));
-        is_silent || agreeing >= needed_suspicions(entries)
+        let is_agreed = self.suspecting(incarnation, now).count() >= needed_suspicions(entries);
+        (is_silent || is_agreed) && !self.reach.answers(incarnation, now)
+    }
+
+    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// suspect the endpoint.
+    ///
+    /// If the endpoint has answered another entry lately that has not suspected it since, the link of this one is at
+    /// fault: the endpoint stays silent for this entry alone, until it answers it.
+    pub fn record_unreachable(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
+        let Some(host) = self.host.clone() else {
+            return true;
+        };
+        if !self.reach.record_unreachable(incarnation, now) {
+            return true;
+        }
+        let suspicions = self.suspicions.entry(incarnation.endpoint.clone()).or_default();
+        suspicions.insert(host, (incarnation.born, now));
+        self.record(incarnation, Cause::Silent, now);
+        false
+    }
+
+    /// Returns the entries that have lately suspected an endpoint.
+    fn suspecting(
+        &self,
+        incarnation: &Incarnation,
+        now: Instant,
+    ) -> impl Iterator<Item = &name::Host> {
+        let born = incarnation.born;
+        let by = self.suspicions.get(&incarnation.endpoint).into_iter().flatten();
+        let recent = by.filter(move |(_, (suspected, at))| {
+            *suspected == born && now.since(*at) < SUSPICION_PERIOD
+        });
+        recent.map(|(host, _)| host)
     }
 
     /// Forgets what no longer counts. Endpoints get a new identifier with most starts.
@@ -136,6 +184,7 @@
         self.findings.retain(|_, f| f.is_fresh(now));
         self.silences.retain(|_, f| f.is_fresh(now));
         self.answers.retain(|_, (_, at)| now.since(*at) < UNHEALTHY_PERIOD);
+        self.reach.forget_old(now);
         let silences = &self.silences;
         self.suspicions.retain(|id, by| {
             // The entries that found a silence ask the endpoint until the finding ends, whatever they find then.
@@ -150,7 +199,7 @@
     /// Returns the number of endpoints about which something is known.
     pub fn len(&self) -> usize {
         let maps = [self.findings.len(), self.silences.len(), self.answers.len()];
-        maps.into_iter().sum::<usize>() + self.suspicions.len()
+        maps.into_iter().sum::<usize>() + self.suspicions.len() + self.reach.len()
     }
 
     /// Returns whether nothing is known about any endpoint.
@@ -158,12 +207,23 @@
         self.len() == 0
     }
 
-    /// Records that an endpoint answered an entry again after a silence, and returns whether this makes
+    /// Records that an endpoint answered this entry again after a silence, and returns whether this makes
     /// it healthy.
-    ///
-    /// That takes back what silence told: the suspicions of all entries, and the findings that follow from
-    /// them. Entries that still get no answer suspect it anew.
     pub fn answered(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
+        self.reach.record_answer(incarnation, now);
+        self.end_silence(incarnation, now)
+    }
+
+    /// Records that an endpoint answered the entry `to` again after a silence, and returns whether this makes it healthy.
+    /// It does not where only others reach the endpoint.
+    pub fn hear_answer(&mut self, incarnation: &Incarnation, to: name::Host, now: Instant) -> bool {
+        self.reach.hear_answer(incarnation, to, now);
+        !self.reach.is_cut_off(incarnation, now) && self.end_silence(incarnation, now)
+    }
+
+    /// Takes back what silence told: the suspicions of all entries, and the findings that follow from
+    /// them. Entries that still get no answer suspect it anew.
+    fn end_silence(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let id = &incarnation.endpoint;
         let was_unhealthy = self.cause(id, Some(incarnation.born), now).is_some();
         self.forget_old(now);
@@ -179,15 +239,43 @@
 
     /// Returns the endpoints that are silent, and that the entry `host` is to ask again.
     ///
-    /// The first few of those that suspect an endpoint ask it.
-    pub fn to_ask_again(&self, host: &name::Host, now: Instant) -> Vec<Incarnation> {
+    /// The first few of those that suspect an endpoint ask it, and whoever alone does not reach it, also before it counts
+    /// as silent. Entries that do not suspect it ask in turns, since those that do may share a fault: `turn` says whether it is the turn of this one,
+    /// by the time since the finding.
+    pub fn to_ask_again(
+        &self,
+        host: &name::Host,
+        turn: impl Fn(&name::Endpoint, Duration) -> bool,
+        now: Instant,
+    ) -> Vec<Incarnation> {
         let silent = self.silences.iter().filter(|(_, f)| f.is_fresh(now));
-        let of_host = silent.filter(|(id, _)| {
+        let of_host = silent.filter(|(id, finding)| {
             let suspicions = self.suspicions.get(*id);
             let mut hosts = suspicions.into_iter().flat_map(BTreeMap::keys);
-            hosts.position(|h| h == host).is_some_and(|rank| rank < MAX_ASKING_ENTRIES)
+            match hosts.position(|h| h == host) {
+                Some(rank) => {
+                    let is_cut_off = self.reach.is_cut_off(&finding.incarnation(id), now);
+                    rank < MAX_ASKING_ENTRIES || is_cut_off
+                }
+                None => turn(id, now.since(finding.since)),
+            }
         });
-        of_host.map(|(id, finding)| finding.incarnation(id)).collect()
+        let of_host = of_host.map(|(id, finding)| finding.incarnation(id));
+        of_host.chain(self.to_ask_alone(host, now)).collect()
+    }
+
+    /// Returns the endpoints that the entry `host` alone did not reach lately, although they answer others.
+    fn to_ask_alone(&self, host: &name::Host, now: Instant) -> impl Iterator<Item = Incarnation> {
+        let own = self.suspicions.iter().filter_map(move |(id, by)| {
+            let (born, at) = by.get(host)?;
+            let incarnation = Incarnation { endpoint: id.clone(), born: *born };
+            (now.since(*at) < SUSPICION_PERIOD).then_some(incarnation)
+        });
+        own.filter(move |incarnation| {
+            let silence = self.silences.get(&incarnation.endpoint);
+            silence.is_none_or(|f| f.born != incarnation.born || !f.is_fresh(now))
+                && self.reach.answers_others(incarnation, now)
+        })
     }
 
     /// Returns how an endpoint was found to be unhealthy, or `None` if it is healthy.
@@ -225,6 +313,13 @@
     }
 }
 
+/// Returns whether it is the turn of the entry with this rank, of `entries` entries, to ask an endpoint that others
+/// found silent `since` ago. One of the entries asks at a time.
+pub fn is_turn(rank: usize, entries: usize, since: Duration) -> bool {
+    let turn = since.as_millis() / ASK_INTERVAL.as_millis();
+    turn % entries.max(1) as u128 == rank as u128
+}
+
 /// Returns the number of entries that must suspect an endpoint, of `entries` entries.
 ///
 /// An entry that is slow or has a slow link gets no answer from healthy endpoints, so several
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -95,7 +95,7 @@
         }
     }
     let asking = |health: &Health, ms| -> Vec<name::Host> {
-        let asks = |host: &&name::Host| !health.to_ask_again(host, at(ms)).is_empty();
+        let asks = |host: &&name::Host| !health.to_ask_again(host, |_, _| false, at(ms)).is_empty();
         hosts.iter().filter(asks).cloned().collect()
     };
     let first = asking(&health, 400);
@@ -183,12 +183,12 @@
     for ms in (400..6_000).step_by(400) {
         // Suspicions of other endpoints make what no longer counts be forgotten.
         health.suspect(&other, "c".into(), 4, at(ms));
-        assert_eq!(health.to_ask_again(&"a".into(), at(ms)), [incarnation()], "{ms}");
-        assert_eq!(health.to_ask_again(&"b".into(), at(ms)), [incarnation()], "{ms}");
+        assert_eq!(health.to_ask_again(&"a".into(), |_, _| false, at(ms)), [incarnation()], "{ms}");
+        assert_eq!(health.to_ask_again(&"b".into(), |_, _| false, at(ms)), [incarnation()], "{ms}");
     }
     health.suspect(&other, "c".into(), 4, at(6_000));
     assert_eq!(health.cause(&"e".into(), Some(1), at(6_000)), None);
-    assert_eq!(health.to_ask_again(&"a".into(), at(6_000)), []);
+    assert_eq!(health.to_ask_again(&"a".into(), |_, _| false, at(6_000)), []);
     // Suspicions from before do not agree with a later one.
     assert!(!health.suspect(&incarnation(), "a".into(), 4, at(6_100)));
 }
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -186,7 +186,7 @@
         Message::Suspicion(incarnation) => {
             state.suspect(&incarnation, &host);
         }
-        Message::Answered(incarnation) => state.record_answer(&incarnation),
+        Message::Answered(incarnation) => state.hear_answer(&incarnation, &host),
         Message::Crash(incarnation, suspects) => {
             quarantine::record_crash(state, &incarnation, &suspects);
         }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use oriole_adapter::exchange::{Error, Limit};
+use oriole_core::fleet::health::{self, ASK_INTERVAL};
 use oriole_core::fleet::{Cause, Contact, Incarnation, Message};
 use oriole_core::name;
 use oriole_platform::endpoint::Responder;
@@ -21,9 +22,6 @@
 use crate::state::Shared;
 use crate::suspect;
 
-/// Interval at which silent endpoints are asked.
-const ASK_INTERVAL: Duration = Duration::from_millis(400);
-
 /// Time limits of the first and second attempt to connect. There are two, so that a lost packet
 /// alone does not count as silence.
 const CONNECT_TIMEOUTS: [Duration; 2] = [Duration::from_millis(120), Duration::from_millis(200)];
@@ -55,7 +53,7 @@
     let asked: Rc<RefCell<BTreeSet<name::Endpoint>>> = Rc::default();
     loop {
         sleep(ASK_INTERVAL).await;
-        let silent = state.inner.borrow().view.to_ask_again(&state.host, state.now());
+        let silent = to_ask(&state);
         for (incarnation, address) in silent {
             let id = incarnation.endpoint.clone();
             if asked.borrow().contains(&id) || !suspect::may_ask(&state, &incarnation) {
@@ -74,6 +72,13 @@
     }
 }
 
+/// Returns the silent endpoints that this entry asks now, with their addresses.
+fn to_ask(state: &Shared) -> Vec<(Incarnation, SocketAddr)> {
+    let entries = state.entry_count();
+    let turn = |id: &name::Endpoint, since| health::is_turn(state.rank_for(id), entries, since);
+    state.inner.borrow().view.to_ask_again(&state.host, turn, state.now())
+}
+
 /// Returns what to ask an endpoint, or `None` if it is not known whether its service has a model.
 fn question(state: &Shared, id: &name::Endpoint) -> Option<Question> {
     let inner = state.inner.borrow();
@@ -108,7 +113,8 @@
         Contact::Replaced => suspect::mark_unhealthy(state, incarnation, Cause::Restarted),
         Contact::Refused => suspect::mark_unhealthy(state, incarnation, Cause::ConnectionRefused),
         Contact::Rejected | Contact::Unanswered | Contact::Unreachable => {
-            if contact.is_silence(question.may_wait()) {
+            let is_silence = contact.is_silence(question.may_wait());
+            if is_silence && state.record_unreachable(incarnation) {
                 suspect::record_silence(state, incarnation);
             }
         }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -207,7 +207,10 @@
             table: None,
             ranked_services: BTreeSet::new(),
             freshness: Freshness::default(),
-            view: View::new(Duration::from_millis(settings.times.heartbeat_ms)),
+            view: View::of_entry(
+                settings.name.as_str().into(),
+                Duration::from_millis(settings.times.heartbeat_ms),
+            ),
             plans: vec![],
             chains: BTreeMap::new(),
             in_flight: Tracker::default(),
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -56,9 +56,36 @@
         is_new
     }
 
-    /// Records that an endpoint answered an entry again, which makes it healthy if it was only silent.
+    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// suspect it, and not the link of this entry.
+    pub fn record_unreachable(&self, incarnation: &Incarnation) -> bool {
+        let (now, id) = (self.now(), &incarnation.endpoint);
+        let was_unhealthy = self.is_unhealthy(id);
+        let is_suspect = self.inner.borrow_mut().view.record_unreachable(incarnation, now);
+        if !was_unhealthy && self.is_unhealthy(id) {
+            log::warn!(endpoint = id.as_str(); "endpoint answers other entries only");
+            self.metrics.unhealthy.inc();
+            self.refresh();
+            self.health_changed.notify_waiters();
+        }
+        is_suspect
+    }
+
+    /// Records that an endpoint answered this entry again, which makes it healthy if it was only silent.
     pub fn record_answer(&self, incarnation: &Incarnation) {
         let is_new = self.inner.borrow_mut().view.record_answer(incarnation, self.now());
+        self.log_answer(incarnation, is_new);
+    }
+
+    /// Records that an endpoint answered the entry `to` again, which makes it healthy if it was only silent and if this
+    /// entry reaches it, too, as far as is known.
+    pub fn hear_answer(&self, incarnation: &Incarnation, to: &name::Host) {
+        let now = self.now();
+        let is_new = self.inner.borrow_mut().view.hear_answer(incarnation, to.clone(), now);
+        self.log_answer(incarnation, is_new);
+    }
+
+    fn log_answer(&self, incarnation: &Incarnation, is_new: bool) {
         if is_new {
             log::info!(endpoint = incarnation.endpoint.as_str(); "endpoint answers again");
             self.refresh();
--- a/crates/router/tests/path/cut_off.rs
+++ b/crates/router/tests/path/cut_off.rs
@@ -131,6 +131,32 @@
     wait_until_used(&cluster, "raw").await;
 }
 
+/// Guards against an endpoint that all entries leave unused while two of them cannot reach it, which here is what two
+/// more say.
+#[actix_rt::test]
+async fn an_endpoint_that_two_entries_cannot_reach_is_used_by_the_others() {
+    let cluster = Cluster::new(2).await;
+    let incarnation = Incarnation { endpoint: "plain-0".into(), born: 1 };
+    let saying = async {
+        loop {
+            for (entry, by) in cluster.entries.iter().flat_map(|e| [(e, "cut-0"), (e, "cut-1")]) {
+                entry.state.suspect(&incarnation, &by.into());
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let using = async {
+        cluster.wait(|c| causes(c, "plain-0") == [Some(Cause::Silent); 2]).await;
+        for n in 0..2 {
+            cluster.wait(|c| causes(c, "plain-0")[n].is_none()).await;
+        }
+    };
+    tokio::select! {
+        () = saying => panic!("the loop of suspicions ended"),
+        () = using => {}
+    }
+}
+
 /// Opens an address that takes no connections, as one that is cut off: its queue is full and nobody accepts.
 async fn unreachable_address() -> (TcpListener, Vec<TcpStream>) {
     let socket = TcpSocket::new_v4().unwrap();
