Play cuts of plain endpoints beside signals, restarts and changes

Three entries as processes of their own and three plain endpoints behind gates, which can be cut: nothing passes on open connections, and new ones time out. Cuts, SIGTERM with a restart, SIGHUP, SIGSTOP and new routes come in a random order, while callers go on using their connections until the process is gone. After each round all entries must use all endpoints, on an old route and on one that has just been added, and no request that may run once may have run twice. The process of the crowds becomes a type of its own for this.

--- a/crates/router/tests/crowds/main.rs
+++ b/crates/router/tests/crowds/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(clippy::unwrap_used)] // test helpers panic on failure, as the tests do
 
+mod cuts;
 mod engines;
 mod process;
 mod series;
--- a/crates/router/tests/crowds/process.rs
+++ b/crates/router/tests/crowds/process.rs
@@ -1,7 +1,8 @@
-//! An entry as a process of its own, beside a store and endpoints of this process.
+//! Entries as processes of their own, beside a store and endpoints of this process.
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
+use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
 use oriole_standin::usage::Usage;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
 /// Memory that the process may use, in megabytes: less than the smallest machine of the platform has, so that
@@ -37,27 +38,76 @@
 pub struct Site {
     pub store: Store,
     pub fleet: Fleet,
+    pub process: Process,
+}
+
+/// An entry.
+pub struct Process {
     pub callers: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
     child: Child,
 }
 
+impl Deref for Site {
+    type Target = Process;
+
+    fn deref(&self) -> &Process {
+        &self.process
+    }
+}
+
+impl DerefMut for Site {
+    fn deref_mut(&mut self) -> &mut Process {
+        &mut self.process
+    }
+}
+
 impl Site {
     /// Starts all parts and waits until the process says that it is ready.
     pub async fn start(name: &str) -> Self {
         let store = Store::start().await.unwrap();
-        let mut operator = config(1, &[KEY]);
-        operator["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
-        store.put("op/config", &operator);
+        store.put("op/config", &operator(1));
         let fleet = Fleet::new(&store);
         for n in 0..2 {
             fleet.add_plain(&format!("plain-{n}"), "zone-0").await.unwrap();
         }
+        let process = Process::start(name, "entry-0", &store).await;
+        Self { store, fleet, process }
+    }
+
+    /// Waits until the process has found a chain of the engines that have been added, and serves a stream.
+    pub async fn wait_until_streams_are_served(&self) {
+        let wait = async {
+            let is_served = async |n: u32| {
+                let id = format!("first-{n}");
+                let answer = caller::call(self.callers, "/draft/a", &id, KEY, |_| {}).await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            };
+            let mut tries = 0;
+            while !is_served(tries).await {
+                tries += 1;
+                sleep(Duration::from_millis(200)).await;
+            }
+        };
+        timeout(WAIT_TIMEOUT, wait).await.expect("no stream is served");
+    }
+}
+
+/// Returns a version of the operator's configuration that allows large bodies.
+pub fn operator(version: u64) -> Value {
+    let mut operator = config(version, &[KEY]);
+    operator["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
+    operator
+}
+
+impl Process {
+    /// Starts the entry `host` with a settings file called `name`, and waits until it says that it is ready.
+    pub async fn start(name: &str, host: &str, store: &Store) -> Self {
         let [callers, ready, peers, metrics] = free_addresses();
         let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.toml"));
         let text = format!(
-            "name = \"entry-0\"\nzone = \"zone-0\"\n\
+            "name = \"{host}\"\nzone = \"zone-0\"\n\
              [listen]\ncallers = \"{callers}\"\nready = \"{ready}\"\npeers = \"{peers}\"\n\
              metrics = \"{metrics}\"\n\
              [store]\naddress = \"{}\"\nmin-lease-ms = 1000\n\
@@ -68,9 +118,9 @@
         );
         fs::write(&settings, text).unwrap();
         let child = spawn(&settings);
-        let mut site = Self { store, fleet, callers, ready, settings, child };
-        site.wait_until_ready().await;
-        site
+        let mut process = Self { callers, ready, settings, child };
+        process.wait_until_ready().await;
+        process
     }
 
     /// Waits until the process says that it is ready.
@@ -85,23 +135,6 @@
         timeout(WAIT_TIMEOUT, wait).await.expect("the process did not get ready");
     }
 
-    /// Waits until the process has found a chain of the engines that have been added, and serves a stream.
-    pub async fn wait_until_streams_are_served(&self) {
-        let wait = async {
-            let is_served = async |n: u32| {
-                let id = format!("first-{n}");
-                let answer = caller::call(self.callers, "/draft/a", &id, KEY, |_| {}).await;
-                answer.is_ok_and(|answer| answer.status == 200)
-            };
-            let mut tries = 0;
-            while !is_served(tries).await {
-                tries += 1;
-                sleep(Duration::from_millis(200)).await;
-            }
-        };
-        timeout(WAIT_TIMEOUT, wait).await.expect("no stream is served");
-    }
-
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
@@ -136,7 +169,7 @@
     }
 }
 
-impl Drop for Site {
+impl Drop for Process {
     fn drop(&mut self) {
         // Fails if the process has ended already.
         let _ = self.child.kill();
--- a/crates/router/tests/crowds/series.rs
+++ b/crates/router/tests/crowds/series.rs
@@ -4,13 +4,11 @@
 use std::cell::Cell;
 
 use futures_util::future::join_all;
-use oriole_platform_standin::config::{KEY, config};
 use oriole_standin::crowd::{Client, Crowd, Framing, Upload};
 use oriole_standin::random::Random;
 use oriole_standin::usage::{Usage, watch};
-use serde_json::json;
 
-use crate::process::{LARGE_BODY_BYTES, MAX_BODY_BYTES, Site};
+use crate::process::{LARGE_BODY_BYTES, MAX_BODY_BYTES, Site, operator};
 use crate::{CLIENTS, ENDLESS_BYTES, TURN, head};
 use crate::{assert_serves, assert_serves_large, assert_within_limits};
 
@@ -53,9 +51,7 @@
             5 => site.signal("HUP"),
             6 => {
                 self.version += 1;
-                let mut operator = config(self.version, &[KEY]);
-                operator["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
-                site.store.put("op/config", &operator);
+                site.store.put("op/config", &operator(self.version));
             }
             _ => {
                 self.sent += 1;
