Count failures of a first stage at all entries together

What callers saw: with six entries beside engines that answer streams with 101, a stream got 502, since its attempts went to one such engine after the other.

Cause: each entry counted for itself how often a first stage sends what is no answer, and forgot it at a restart, so that every entry found each of them out with three failures of its own, out of the retry budget that all share.

Change: gossip carries the new failures of the sender, which add up, and the weights that it knows, which a new entry takes over. What an entry takes from others is bounded in number and weight.

--- a/crates/core/src/fleet/message.rs
+++ b/crates/core/src/fleet/message.rs
@@ -3,10 +3,10 @@
 use oriole_macros::{data, key};
 
 use super::{Listing, Position};
-use crate::forward::hold;
 use crate::forward::quarantine::{Group, Sound, Suspect};
 use crate::forward::rate::{Notice, Reply};
 use crate::forward::returns::Refused;
+use crate::forward::{choice, hold};
 use crate::{name, placement, route};
 
 /// Work in progress of one entry on one chain, or on one endpoint of a plain service.
@@ -76,6 +76,9 @@
     /// Requests that the sender has refused since its last message.
     #[serde(default)]
     pub refused: Vec<Refused>,
+    /// First stages that send what is no answer.
+    #[serde(default)]
+    pub failing: choice::Notice,
 }
 
 /// Data that an entry may request from another entry.
@@ -96,7 +99,7 @@
 pub enum Message {
     /// State of the sender, sent several times a second.
     #[serde(rename = "news")]
-    Gossip(Gossip),
+    Gossip(Box<Gossip>),
     /// Request for the receiver's version of a topic on which the sender is behind.
     Want(Topic),
     /// A routing table that the receiver requested.
--- a/crates/core/src/forward/choice.rs
+++ b/crates/core/src/forward/choice.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use oriole_macros::data;
+
 use super::in_flight::Tracker;
 use crate::fleet::Endpoint;
 use crate::name;
@@ -28,6 +30,12 @@
 /// Upper bound on the weight of failures.
 const MAX_FAILURES: f64 = 8.0;
 
+/// Weight from which on the other entries are told.
+const MIN_TOLD_WEIGHT: f64 = 1.0;
+
+/// Most endpoints of which an entry tells the others at once.
+const MAX_TOLD: usize = 64;
+
 /// Load per slot that an endpoint in another availability zone counts as.
 const OTHER_ZONE_LOAD: f64 = 0.34;
 
@@ -41,6 +49,20 @@
     sent: Weights,
     /// Requests that were not sent, since the endpoint could not be reached.
     unreached: Weights,
+    /// What first stages sent to any entry that is no answer.
+    no_answers: Weights,
+    /// How often first stages sent this entry what is no answer since it was last told to the others.
+    untold: BTreeMap<name::Endpoint, u32>,
+}
+
+/// What an entry tells the others of first stages that send what is no answer.
+#[data]
+#[derive(Default)]
+pub struct Notice {
+    /// How often they did so to the sender since its last message.
+    pub new: BTreeMap<name::Endpoint, u32>,
+    /// Weight of all such failures that the sender knows, to any entry.
+    pub weights: BTreeMap<name::Endpoint, f64>,
 }
 
 impl Failures {
@@ -54,6 +76,37 @@
         self.unreached.add(endpoint, now);
     }
 
+    /// Records that the first stage `endpoint` sent what is no answer.
+    pub fn add_no_answer(&mut self, endpoint: &name::Endpoint, now: Instant) {
+        self.no_answers.add(endpoint, now);
+        if self.untold.len() < MAX_TOLD || self.untold.contains_key(endpoint) {
+            *self.untold.entry(endpoint.clone()).or_default() += 1;
+        }
+    }
+
+    /// Returns what all other entries are to be told now.
+    pub fn tell(&mut self, now: Instant) -> Notice {
+        Notice { new: std::mem::take(&mut self.untold), weights: self.told_weights(now) }
+    }
+
+    /// Returns what an entry is told that may know nothing yet.
+    pub fn told_weights(&self, now: Instant) -> BTreeMap<name::Endpoint, f64> {
+        let known = self.no_answers.by_endpoint.keys().map(|id| (id, self.no_answers.of(id, now)));
+        let weighty = known.filter(|(_, weight)| *weight >= MIN_TOLD_WEIGHT).take(MAX_TOLD);
+        weighty.map(|(id, weight)| (id.clone(), weight)).collect()
+    }
+
+    /// Records what another entry tells. Its new failures add up with those of this one, so that the failures of all
+    /// entries count together.
+    pub fn hear(&mut self, notice: &Notice, now: Instant) {
+        for (endpoint, count) in notice.new.iter().take(MAX_TOLD) {
+            (0..(*count).min(MAX_FAILURES as u32)).for_each(|_| self.no_answers.add(endpoint, now));
+        }
+        for (endpoint, weight) in notice.weights.iter().take(MAX_TOLD) {
+            self.no_answers.raise(endpoint, *weight, now);
+        }
+    }
+
     /// Records that `endpoint` can be reached again, so that it gets its share of requests at once.
     pub fn reach(&mut self, endpoint: &name::Endpoint) {
         self.unreached.by_endpoint.remove(endpoint);
@@ -61,15 +114,16 @@
 
     /// Returns the number of recent failures of `endpoint`, weighted by age.
     pub fn weight(&self, endpoint: &name::Endpoint, now: Instant) -> f64 {
-        let sum = self.sent.of(endpoint, now) + self.unreached.of(endpoint, now);
-        sum.min(MAX_FAILURES)
+        let all = [&self.sent, &self.unreached, &self.no_answers];
+        all.into_iter().map(|weights| weights.of(endpoint, now)).sum::<f64>().min(MAX_FAILURES)
     }
 
     /// Returns the endpoints that fail so often that others are preferred.
     pub fn failing(&self, now: Instant) -> Vec<name::Endpoint> {
         let is_failing = |endpoint: &&name::Endpoint| self.weight(endpoint, now) >= FAILING_WEIGHT;
-        let all = self.sent.by_endpoint.keys().chain(self.unreached.by_endpoint.keys());
-        all.collect::<BTreeSet<_>>().into_iter().filter(is_failing).cloned().collect()
+        let all = [&self.sent, &self.unreached, &self.no_answers];
+        let endpoints = all.into_iter().flat_map(|weights| weights.by_endpoint.keys());
+        endpoints.collect::<BTreeSet<_>>().into_iter().filter(is_failing).cloned().collect()
     }
 }
 
@@ -86,6 +140,14 @@
         self.by_endpoint.insert(endpoint.clone(), (count, now));
     }
 
+    /// Raises a weight that is lower than `least`, which another process tells.
+    fn raise(&mut self, endpoint: &name::Endpoint, least: f64, now: Instant) {
+        let least = least.min(MAX_FAILURES);
+        if least > self.of(endpoint, now) {
+            self.by_endpoint.insert(endpoint.clone(), (least, now));
+        }
+    }
+
     fn of(&self, endpoint: &name::Endpoint, now: Instant) -> f64 {
         let Some((count, at)) = self.by_endpoint.get(endpoint) else {
             return 0.0;
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -8,7 +8,7 @@
 
 use oriole_core::fleet::{Cause, Gossip, Message, Topic, polling};
 use oriole_core::forward::hold::Summary;
-use oriole_core::forward::in_flight;
+use oriole_core::forward::{choice, in_flight};
 use oriole_core::message;
 use oriole_core::name;
 use oriole_platform::store::Client;
@@ -50,8 +50,9 @@
 
 fn send_gossip(state: &Shared, hub: &Hub) {
     let refused = state.inner.borrow_mut().returns.take_untold(state.now());
-    let gossip = Gossip { refused, ..gossip(state) };
-    let gossip = message::Message::Fleet(Message::Gossip(gossip));
+    let failing = state.inner.borrow_mut().failures.tell(state.now());
+    let gossip = Gossip { refused, failing, ..gossip(state) };
+    let gossip = message::Message::Fleet(Message::Gossip(Box::new(gossip)));
     let peers = state.inner.borrow().peers.clone();
     // A connection outlives the registration of an entry that the store turns away.
     for host in hub.hosts().into_iter().filter(|host| !peers.contains_key(host)) {
@@ -91,6 +92,10 @@
         quarantined: inner.quarantine.groups(state.now()),
         limits: inner.limits.notices(state.now()),
         refused: vec![],
+        failing: choice::Notice {
+            weights: inner.failures.told_weights(state.now()),
+            ..choice::Notice::default()
+        },
     }
 }
 
@@ -103,7 +108,7 @@
                 // an entry that has heard it counts as told.
                 let holds = Message::Holds(state.summary_of_holds());
                 hub.send(&host, None, message::Message::Fleet(holds));
-                let gossip = message::Message::Fleet(Message::Gossip(gossip(&state)));
+                let gossip = message::Message::Fleet(Message::Gossip(Box::new(gossip(&state))));
                 hub.send(&host, None, gossip);
             }
             Kind::Lost(e) => log::info!(
@@ -153,6 +158,7 @@
             inner.liveness.record(host.clone(), ready_in, now);
             inner.in_flight.update_peer(host, gossip.loads, now);
             inner.returns.hear(&gossip.refused, now);
+            inner.failures.hear(&gossip.failing, now);
             drop(inner);
             if has_gone {
                 state.refresh();
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -203,14 +203,13 @@
 impl State {
     /// Creates the state of a process that has no routing table, plan or endpoints yet.
     pub fn new(settings: Settings) -> Shared {
+        let host: name::Host = settings.name.as_str().into();
+        let heartbeat = Duration::from_millis(settings.times.heartbeat_ms);
         let inner = Inner {
             table: None,
             ranked_services: BTreeSet::new(),
             freshness: Freshness::default(),
-            view: View::of_entry(
-                settings.name.as_str().into(),
-                Duration::from_millis(settings.times.heartbeat_ms),
-            ),
+            view: View::of_entry(host.clone(), heartbeat),
             plans: vec![],
             chains: BTreeMap::new(),
             in_flight: Tracker::default(),
@@ -238,7 +237,7 @@
             was_stable: Cell::new(false),
             resumption: Cell::default(),
             started: clock.now(),
-            host: settings.name.as_str().into(),
+            host,
             zone: settings.zone.as_str().into(),
             tunables: RefCell::new(Tunables::of(&settings)),
             request_memory: Memory::new(settings.limits.request_bytes()),
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -33,9 +33,9 @@
         is_new
     }
 
-    /// Records that what an endpoint sent is no answer to a request.
+    /// Records that what a first stage sent is no answer to a request.
     pub fn record_no_answer(&self, endpoint: &name::Endpoint) {
-        self.inner.borrow_mut().failures.add(endpoint, self.now());
+        self.inner.borrow_mut().failures.add_no_answer(endpoint, self.now());
     }
 
     /// Records that an endpoint did not answer the entry `by`.
--- a/crates/router/tests/path/endless.rs
+++ b/crates/router/tests/path/endless.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use oriole_core::name;
 use oriole_platform_standin::config::{KEY, config};
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::store::Store;
@@ -97,8 +98,8 @@
     assert!(read.is_err() || answer.len() < fleet::BIG_BODY_BYTES, "{} bytes", answer.len());
 }
 
-/// Starts an entry with two chains, of which one has engines whose responses end as `ending` states.
-async fn cluster_with_faulty_chain(ending: Ending) -> Cluster {
+/// Starts entries with two chains, of which one has engines whose responses end as `ending` states.
+async fn cluster_with_faulty_chain(ending: Ending, entries: usize) -> Cluster {
     let store = Store::start().await.unwrap();
     store.put("op/config", &config(1, &[KEY]));
     let fleet = Fleet::new(&store);
@@ -109,17 +110,20 @@
     }
     fleet.add_plain("plain-0", "zone-0").await.unwrap();
     let mut cluster = Cluster { store, fleet, entries: vec![] };
-    let entry = cluster.entry(0).await;
-    cluster.entries.push(entry);
-    cluster.wait(|c| c.entries[0].chains() >= 2).await;
+    for n in 0..entries {
+        let entry = cluster.entry(n).await;
+        cluster.entries.push(entry);
+    }
+    cluster.wait(|c| c.entries.iter().all(|e| e.chains() >= 2)).await;
+    cluster.wait(|c| c.entries.iter().all(|e| e.state.entry_count() == entries)).await;
     cluster
 }
 
 /// Sends `count` streams, each with a plain call beside it, and checks that all are served. Returns how often the
 /// faulty engines were asked.
 async fn arrivals_while_all_are_served(cluster: &Cluster, count: u32) -> usize {
-    let entry = &cluster.entries[0];
     let calls = (0..count).map(|n| async move {
+        let entry = &cluster.entries[n as usize % cluster.entries.len()];
         sleep(Duration::from_millis(40) * n).await;
         let (stream, call) = (format!("stream-{n}"), format!("call-{n}"));
         tokio::join!(entry.call("/draft/a", &stream, KEY), entry.call("/once/a", &call, KEY))
@@ -136,7 +140,7 @@
 /// that grows with the square of their number.
 #[actix_rt::test]
 async fn requests_are_served_by_others_while_an_engine_sends_bytes_without_end() {
-    let cluster = cluster_with_faulty_chain(Ending::EndlessChunks).await;
+    let cluster = cluster_with_faulty_chain(Ending::EndlessChunks, 1).await;
     let arrivals = arrivals_while_all_are_served(&cluster, 15).await;
     assert!(arrivals > 0, "the faulty engines have not been asked");
 }
@@ -146,8 +150,34 @@
 #[actix_rt::test]
 async fn a_first_stage_that_sends_no_answers_gets_few_requests() {
     for ending in [Ending::EndlessChunks, Ending::Status(101), Ending::EndlessInterim] {
-        let cluster = cluster_with_faulty_chain(ending).await;
+        let cluster = cluster_with_faulty_chain(ending, 1).await;
         let arrivals = arrivals_while_all_are_served(&cluster, 60).await;
         assert!((1..=15).contains(&arrivals), "{ending:?}: asked {arrivals} times");
     }
 }
+
+/// Guards against entries that each find out for themselves that a first stage sends no answers, so that it gets more
+/// requests, and more of the retry budget that they share, the more entries there are.
+#[actix_rt::test]
+async fn a_first_stage_that_sends_no_answers_gets_few_requests_of_all_entries() {
+    let cluster = cluster_with_faulty_chain(Ending::Status(101), 6).await;
+    let arrivals = arrivals_while_all_are_served(&cluster, 120).await;
+    assert!((1..=15).contains(&arrivals), "asked {arrivals} times");
+}
+
+/// Guards against an entry that has just started and finds it out once more.
+#[actix_rt::test]
+async fn an_entry_that_starts_learns_which_first_stages_send_no_answers() {
+    let mut cluster = cluster_with_faulty_chain(Ending::Status(101), 1).await;
+    let id: name::Endpoint = "faulty-0".into();
+    for _ in 0..8 {
+        cluster.entries[0].state.record_no_answer(&id);
+    }
+    let added = cluster.entry(1).await;
+    cluster.entries.push(added);
+    let is_known = |c: &Cluster| {
+        let state = &c.entries[1].state;
+        state.inner.borrow().failures.failing(state.now()).contains(&id)
+    };
+    cluster.wait(is_known).await;
+}
