--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -240,8 +240,8 @@
     /// Returns the endpoints that are silent, and that the entry `host` is to ask again.
     ///
     /// The first few of those that suspect an endpoint ask it, and whoever alone does not reach it, also before it counts
-    /// as silent. Entries that do not suspect it ask in turns, since those that do may share a fault: `turn` says whether it is the turn of this one,
-    /// by the time since the finding.
+    /// as silent. Entries that do not suspect it ask in turns, since those that do may share a fault: `turn` says
+    /// whether it is the turn of this one, by the time since the finding.
     pub fn to_ask_again(
         &self,
         host: &name::Host,
