--- a/crates/router/tests/crowds/cuts.rs
+++ b/crates/router/tests/crowds/cuts.rs
@@ -8,7 +8,7 @@
 
 use futures_util::future::join_all;
 use oriole_platform_standin::caller;
-use oriole_platform_standin::config::{HOST, KEY};
+use oriole_platform_standin::config::KEY;
 use oriole_platform_standin::fleet::Fleet;
 use oriole_platform_standin::gate::Gate;
 use oriole_platform_standin::store::Store;
@@ -46,6 +46,9 @@
 /// Pause of a caller between two requests.
 const CALL_PAUSE: Duration = Duration::from_millis(40);
 
+/// Deadline of a caller's request.
+const DEADLINE_MS: u64 = 3000;
+
 /// Longest time until an entry uses all endpoints again: silences end after at most 6 s, and requests follow.
 const USE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -188,10 +191,8 @@
 
 /// Sends a request and reads its answer, and returns whether the request was served.
 async fn exchange(stream: &mut TcpStream, id: &str) -> std::io::Result<bool> {
-    let request = format!(
-        "POST /once/a HTTP/1.1\r\nHost: {HOST}\r\nOriolelanding-Request-Id: {id}\r\n\
-         Oriolelanding-Deadline-Ms: 3000\r\nApi-Key: {KEY}\r\nContent-Length: 0\r\n\r\n"
-    );
+    let head = caller::upload_head("/once/a", id, KEY, DEADLINE_MS);
+    let request = format!("{head}content-length: 0\r\n\r\n");
     stream.write_all(request.as_bytes()).await?;
     let mut answer = vec![];
     loop {
