--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -200,7 +200,7 @@
         self.health.hear_answer(incarnation, to, now)
     }
 
-    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// Records that a probe of a silent endpoint by this entry reached nobody, and returns whether that is a reason to
     /// suspect the endpoint. It is not if the endpoint answers others.
     pub fn record_unreachable(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         self.health.record_unreachable(incarnation, now)
--- a/crates/core/src/fleet/contact.rs
+++ b/crates/core/src/fleet/contact.rs
@@ -1,8 +1,8 @@
-//! What an endpoint shows when it is asked whether it still works.
+//! What a probe shows of an endpoint.
 
 use oriole_macros::key;
 
-/// How an endpoint met a question.
+/// How an endpoint responded to a probe.
 #[key]
 pub enum Contact {
     /// It answered.
@@ -34,7 +34,7 @@
 
     /// Returns whether this shows that an endpoint known to be silent is still silent.
     ///
-    /// Endpoints close connections above a bound. Where the question `may_wait` for a slot, the lack of an answer
+    /// Endpoints close connections above a bound. Where the probe `may_wait` for a slot, the lack of an answer
     /// may mean that the endpoint is busy. Neither keeps an endpoint out of use, since no request of a caller could
     /// end the finding.
     pub fn is_silence(self, may_wait: bool) -> bool {
--- a/crates/core/src/fleet/health.rs
+++ b/crates/core/src/fleet/health.rs
@@ -147,7 +147,7 @@
         (is_silent || is_agreed) && !self.reach.answers(incarnation, now)
     }
 
-    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// Records that a probe of a silent endpoint by this entry reached nobody, and returns whether that is a reason to
     /// suspect the endpoint.
     ///
     /// If the endpoint has answered another entry lately that has not suspected it since, the link of this one is at
--- a/crates/core/src/fleet/reach.rs
+++ b/crates/core/src/fleet/reach.rs
@@ -39,7 +39,7 @@
     own: BTreeMap<name::Endpoint, (u64, Instant)>,
     /// The last answer to another entry.
     others: BTreeMap<name::Endpoint, Answer>,
-    /// Endpoints that only other entries reach: the answer that shows it, as of the last question of this entry.
+    /// Endpoints that only other entries reach: the answer that shows it, as of the last probe of this entry.
     cut_off: BTreeMap<name::Endpoint, Answer>,
 }
 
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Records that a question of this entry reached nobody, and returns whether the endpoint answers others.
+    /// Records that a probe of this entry reached nobody, and returns whether the endpoint answers others.
     pub fn record_unreachable(&mut self, incarnation: &Incarnation, now: Instant) -> bool {
         let Some(answer) = self.answer_to_others(incarnation, now).cloned() else {
             return false;
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -55,7 +55,7 @@
     pub holds: Counter,
     /// What endpoints state about themselves, but for limits, by kind.
     pub statements: Reasons,
-    /// Questions to silent endpoints, by how they met them.
+    /// Probes of silent endpoints, by how these responded.
     pub contacts: Reasons,
     /// Permits to send a request to an endpoint that limits its rate, by reply.
     pub permits: Reasons,
@@ -143,7 +143,7 @@
         r.register("quarantines", "Quarantined prompt parts", self.quarantines.clone());
         r.register("holds", "Requests held that crash endpoints", self.holds.clone());
         r.register("statements", "Statements of endpoints by kind", self.statements.clone());
-        r.register("contacts", "Questions to silent endpoints by result", self.contacts.clone());
+        r.register("contacts", "Probes of silent endpoints by result", self.contacts.clone());
         r.register("permits", "Permits for endpoints with a limit", self.permits.clone());
         r.register("orders", "Orders to endpoints by answer", self.orders.clone());
         r.register("plans", "Plans taken over", self.plans.clone());
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -1,4 +1,4 @@
-//! Asks silent endpoints whether they still work, until they answer or the finding of silence ends.
+//! Probes silent endpoints, until they answer or the finding of silence ends.
 //!
 //! Model engines are asked for reports, which tell their run and need no slot. Endpoints of plain services give no
 //! reports and are asked at the health path of their service.
@@ -30,9 +30,9 @@
 /// wait for a slot.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// What a silent endpoint is asked.
+/// How a silent endpoint is probed.
 #[derive(Clone, Debug, PartialEq)]
-enum Question {
+enum Probe {
     /// The report of a model engine.
     Report,
     /// The health of an endpoint of a plain service, at the path that the operator names.
@@ -41,7 +41,7 @@
     Response,
 }
 
-impl Question {
+impl Probe {
     /// Returns whether the answer may have to wait for a slot.
     fn may_wait(&self) -> bool {
         *self != Self::Report
@@ -59,13 +59,13 @@
             if asked.borrow().contains(&id) || !suspect::may_ask(&state, &incarnation) {
                 continue;
             }
-            let Some(question) = question(&state, &id) else {
+            let Some(probe) = choose(&state, &id) else {
                 continue;
             };
             asked.borrow_mut().insert(id.clone());
             let (state, asked) = (state.clone(), asked.clone());
             actix_rt::spawn(async move {
-                ask_again(&state, &incarnation, address, &question).await;
+                ask_again(&state, &incarnation, address, &probe).await;
                 asked.borrow_mut().remove(&id);
             });
         }
@@ -79,26 +79,21 @@
     state.inner.borrow().view.to_ask_again(&state.host, turn, state.now())
 }
 
-/// Returns what to ask an endpoint, or `None` if it is not known whether its service has a model.
-fn question(state: &Shared, id: &name::Endpoint) -> Option<Question> {
+/// Returns how to probe an endpoint, or `None` if it is not known whether its service has a model.
+fn choose(state: &Shared, id: &name::Endpoint) -> Option<Probe> {
     let inner = state.inner.borrow();
     let endpoint = inner.view.get(id)?;
     let service = inner.table.as_ref()?.services.get(&endpoint.service)?;
-    let plain = || service.health_path.clone().map_or(Question::Response, Question::Health);
-    Some(service.model.as_ref().map_or_else(plain, |_| Question::Report))
+    let plain = || service.health_path.clone().map_or(Probe::Response, Probe::Health);
+    Some(service.model.as_ref().map_or_else(plain, |_| Probe::Report))
 }
 
 /// Asks a silent endpoint once, and once more if no connection opens, and records what that shows.
-async fn ask_again(
-    state: &Shared,
-    incarnation: &Incarnation,
-    address: SocketAddr,
-    question: &Question,
-) {
+async fn ask_again(state: &Shared, incarnation: &Incarnation, address: SocketAddr, probe: &Probe) {
     let mut contact = Contact::Unreachable;
     for connect in CONNECT_TIMEOUTS {
         let limit = Limit { connect, total: connect + ANSWER_TIMEOUT };
-        contact = ask_once(state, incarnation, address, question, limit).await;
+        contact = ask_once(state, incarnation, address, probe, limit).await;
         if contact != Contact::Unreachable {
             break;
         }
@@ -113,7 +108,7 @@
         Contact::Replaced => suspect::mark_unhealthy(state, incarnation, Cause::Restarted),
         Contact::Refused => suspect::mark_unhealthy(state, incarnation, Cause::ConnectionRefused),
         Contact::Rejected | Contact::Unanswered | Contact::Unreachable => {
-            let is_silence = contact.is_silence(question.may_wait());
+            let is_silence = contact.is_silence(probe.may_wait());
             if is_silence && state.record_unreachable(incarnation) {
                 suspect::record_silence(state, incarnation);
             }
@@ -125,19 +120,19 @@
     state: &Shared,
     incarnation: &Incarnation,
     address: SocketAddr,
-    question: &Question,
+    probe: &Probe,
     limit: Limit,
 ) -> Contact {
-    let answered = match question {
-        Question::Report => {
+    let answered = match probe {
+        Probe::Report => {
             let report = ask::report(state, incarnation, address, limit).await;
             report.map(|report| report.born == incarnation.born)
         }
-        Question::Health(path) => {
+        Probe::Health(path) => {
             let responder = ask::health(state, incarnation, address, path, limit).await;
             responder.map(|responder| responder == Responder::Target)
         }
-        Question::Response => match ask::report(state, incarnation, address, limit).await {
+        Probe::Response => match ask::report(state, incarnation, address, limit).await {
             Err(error) if !error.is_response() => Err(error),
             _ => Ok(true),
         },
@@ -149,7 +144,7 @@
     }
 }
 
-/// Returns what a question shows that got no usable answer.
+/// Returns what a probe shows that got no usable answer.
 fn contact(error: &Error) -> Contact {
     match error {
         error if suspect::is_refusal(error) => Contact::Refused,
--- a/crates/router/src/state/health.rs
+++ b/crates/router/src/state/health.rs
@@ -56,7 +56,7 @@
         is_new
     }
 
-    /// Records that a question of this entry to a silent endpoint reached nobody, and returns whether that is a reason to
+    /// Records that a probe of a silent endpoint by this entry reached nobody, and returns whether that is a reason to
     /// suspect it, and not the link of this entry.
     pub fn record_unreachable(&self, incarnation: &Incarnation) -> bool {
         let (now, id) = (self.now(), &incarnation.endpoint);
