--- /dev/null
+++ b/review/standin-3/cases/mod.rs
@@ -0,0 +1,15 @@
+//! The cases.
+
+mod torn;
+
+use std::path::Path;
+
+use crate::Verdict;
+
+/// Runs the case with this name.
+pub fn run(case: &str, folder: &Path, work: &Path, is_troubled: bool) -> Verdict {
+    match case {
+        "torn" => torn::run(folder, work, is_troubled),
+        _ => Verdict::NotRun,
+    }
+}
