--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod part;
 mod torn;
 
 use std::path::Path;
@@ -10,6 +11,7 @@
 pub fn run(case: &str, folder: &Path, work: &Path, is_troubled: bool) -> Verdict {
     match case {
         "torn" => torn::run(folder, work, is_troubled),
+        "part" => part::run(folder, work, is_troubled),
         _ => Verdict::NotRun,
     }
 }
