--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -10,7 +10,8 @@
 /// Runs the case with this name.
 pub fn run(case: &str, folder: &Path, work: &Path, is_troubled: bool) -> Verdict {
     match case {
-        "torn" => torn::run(folder, work, is_troubled),
+        "torn" => torn::run(folder, work, is_troubled, torn::Cut::AfterLine),
+        "joined" => torn::run(folder, work, is_troubled, torn::Cut::InsideLine),
         "part" => part::run(folder, work, is_troubled),
         _ => Verdict::NotRun,
     }
--- a/review/standin-3/cases/torn.rs
+++ b/review/standin-3/cases/torn.rs
@@ -1,4 +1,5 @@
-//! Streams whose engine breaks off inside an event and appends another answer.
+//! Streams whose engine breaks off inside an event and appends another answer, after a whole line of the event or
+//! inside a line.
 
 use std::collections::BTreeSet;
 use std::path::Path;
@@ -31,14 +32,23 @@
 /// The last piece that a spoilt answer brings whole.
 const LAST_WHOLE: u64 = 7;
 
+/// Where an answer breaks off.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// After the line of an event that holds its id.
+    AfterLine,
+    /// Inside the line of an event that holds its data.
+    InsideLine,
+}
+
 /// Runs the case.
-pub fn run(folder: &Path, work: &Path, is_troubled: bool) -> Verdict {
+pub fn run(folder: &Path, work: &Path, is_troubled: bool, cut: Cut) -> Verdict {
     let deployment = Deployment::start(folder, work);
     let record = deployment.record.clone();
     let count = Arc::new(AtomicU32::new(0));
     let spoilt = Arc::new(Mutex::new(BTreeSet::new()));
     let _engines = ["i-1", "i-2", "i-3"].map(|id| {
-        deployment.model_engine(id, handler(&record, &count, &spoilt, is_troubled))
+        deployment.model_engine(id, handler(&record, &count, &spoilt, is_troubled, cut))
     });
     let entry = deployment.entry("entry-1");
     if !entry.is_ready() {
@@ -94,6 +104,8 @@
             record.line(format!(
                 "answered {id}: status {status}, complete {ends}, spoilt {is_spoilt}, pieces {ids:?}"
             ));
+            let wrong = got.iter().filter(|piece| !expected.contains(piece));
+            wrong.for_each(|(n, text)| record.line(format!("  piece {n} of {id} is {text:?}")));
         }
         complete += u32::from(ends && status == 200);
         broken += u32::from(ends && status == 200 && !is_whole);
@@ -106,6 +118,7 @@
     count: &Arc<AtomicU32>,
     spoilt: &Arc<Mutex<BTreeSet<String>>>,
     is_troubled: bool,
+    cut: Cut,
 ) -> Handler {
     let (record, count, spoilt) = (record.clone(), count.clone(), spoilt.clone());
     Arc::new(move |call| {
@@ -119,7 +132,7 @@
         }
         if is_spoilt {
             spoilt.lock().expect("lock the spoilt ones").insert(id.clone());
-            return spoil(call, &id, after, is_troubled);
+            return spoil(call, &id, after, is_troubled, cut);
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -140,7 +153,7 @@
 }
 
 /// Answers without a length, and breaks off inside an event; with trouble, another answer follows.
-fn spoil(call: &mut Call<'_>, id: &str, after: u64, is_troubled: bool) -> bool {
+fn spoil(call: &mut Call<'_>, id: &str, after: u64, is_troubled: bool, cut: Cut) -> bool {
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
         call.proof()
@@ -153,6 +166,10 @@
     }
     thread::sleep(PACE);
     let mut rest = format!("{}id: {}\n", event(id, last), last + 1);
+    if cut == Cut::InsideLine {
+        rest.push_str("data: ");
+        rest.push_str(&id[..2]);
+    }
     if is_troubled {
         rest.push_str(
             "HTTP/1.1 200 OK\r\nOriolelanding-Request-Id: 00ff\r\n\
