--- a/review/standin-3/cases/mod.rs
+++ b/review/standin-3/cases/mod.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-mod fields;
+mod lapse;
 mod part;
 mod torn;
 
@@ -14,7 +14,7 @@
         "torn" => torn::run(folder, work, is_troubled, torn::Cut::AfterLine),
         "joined" => torn::run(folder, work, is_troubled, torn::Cut::InsideLine),
         "part" => part::run(folder, work, is_troubled),
-        "fields" => fields::run(folder, work, is_troubled),
+        "lapse" => lapse::run(folder, work, is_troubled),
         _ => Verdict::NotRun,
     }
 }
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -13,6 +13,9 @@
 /// Interval at which an engine writes its registration.
 const HEARTBEAT: Duration = Duration::from_millis(1000);
 
+/// Silence after which the platform removes a registration: three heartbeat intervals.
+const EXPIRY: Duration = Duration::from_millis(3600);
+
 /// Interval at which a listener looks whether its engine has ended.
 const ACCEPT_STEP: Duration = Duration::from_millis(2);
 
@@ -59,16 +62,6 @@
         let whole = [head.as_bytes(), body].concat();
         self.write(&whole)
     }
-
-    /// Answers that the request has not run.
-    pub fn refuse(&mut self, more: &str) -> bool {
-        let id = self.id();
-        let head = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nOriolelanding-Request-Id: {id}\r\n\
-             Oriolelanding-Not-Executed: 1\r\n{more}Content-Length: 0\r\n\r\n"
-        );
-        self.write(head.as_bytes())
-    }
 }
 
 /// What an engine does with the requests of clients. Returns whether the connection stays open.
@@ -87,8 +80,7 @@
     has_model: bool,
     beats: Arc<AtomicU64>,
     is_alive: Arc<AtomicBool>,
-    is_draining: Arc<AtomicBool>,
-    is_registered: Arc<AtomicBool>,
+    is_cut: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
 }
 
@@ -113,8 +105,7 @@
             has_model,
             beats: Arc::default(),
             is_alive: flag(true),
-            is_draining: flag(false),
-            is_registered: flag(true),
+            is_cut: flag(false),
             open: Arc::default(),
         };
         let accepting = engine.clone();
@@ -143,29 +134,29 @@
         }
     }
 
-    /// Reports that it is leaving from now on.
-    pub fn drain(&self, store: &Store) {
-        self.is_draining.store(true, Ordering::SeqCst);
+    /// Cuts it off from the store for a time: its registration goes after three heartbeat intervals, and comes
+    /// back at the end.
+    pub fn cut_from_store(&self, store: &Store, time: Duration) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        thread::sleep(EXPIRY.min(time));
+        if time > EXPIRY {
+            store.remove(&format!("servers/{}", self.id));
+            thread::sleep(time - EXPIRY);
+        }
+        self.is_cut.store(false, Ordering::SeqCst);
         self.register(store);
     }
 
-    /// Removes its registration, as the platform does when it has left.
-    pub fn unregister(&self, store: &Store) {
-        self.is_registered.store(false, Ordering::SeqCst);
-        store.remove(&format!("servers/{}", self.id));
-    }
-
     fn register(&self, store: &Store) {
-        if !self.is_alive() || !self.is_registered.load(Ordering::SeqCst) {
+        if !self.is_alive() || self.is_cut.load(Ordering::SeqCst) {
             return;
         }
         let beat = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
         let Self { service, address, born, .. } = self;
-        let state = if self.is_draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let model = if self.has_model { self.model() } else { String::new() };
         let slots = if self.has_model { 192 } else { 6 };
         let text = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"zone-a","version":"v1","slots":{slots},"state":"{state}","cold_remaining_ms":0,"sequence":{beat},"born":{born}{model}}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"zone-a","version":"v1","slots":{slots},"state":"ready","cold_remaining_ms":0,"sequence":{beat},"born":{born}{model}}}"#
         );
         store.put(&format!("servers/{}", self.id), &text);
     }
