--- a/review/standin-3/cases/lapse.rs
+++ b/review/standin-3/cases/lapse.rs
@@ -48,9 +48,8 @@
     let deployment = Deployment::start(folder, work);
     let record = deployment.record.clone();
     let world = Arc::new(World::default());
-    let engines: Vec<Engine> = (1..=ENGINES)
-        .map(|n| deployment.desk_engine(&format!("i-{n}"), handler(&world)))
-        .collect();
+    let engines: Vec<Engine> =
+        (1..=ENGINES).map(|n| deployment.desk_engine(&format!("i-{n}"), handler(&world))).collect();
     let entry = deployment.entry("entry-1");
     if !entry.is_ready() {
         record.say("the entry is not ready");
@@ -84,7 +83,9 @@
         record.line(format!("{engine}: {} requests, {most} in the worst 4 s", arrivals.len()));
         worst = worst.max(most);
     }
-    record.say(format!("{served} requests served; {worst} in the worst 4 s of an engine, {allowed} allowed"));
+    record.say(format!(
+        "{served} requests served; {worst} in the worst 4 s of an engine, {allowed} allowed"
+    ));
     if served < 20 {
         return Verdict::NotRun;
     }
--- a/review/standin-3/cases/part.rs
+++ b/review/standin-3/cases/part.rs
@@ -1,5 +1,5 @@
 //! Requests with a part that crashes each engine that begins to write an answer on it, at engines that name a
-//! limit.
+//! limit, or of clients that leave before the engine has begun.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -17,22 +17,22 @@
 /// The part that crashes engines.
 const PART: &str = "bad1";
 
-/// Engines.
-const ENGINES: usize = 4;
+/// Engines that go on with a request when its connection closes; most do not.
+const STUBBORN: [&str; 2] = ["i-4", "i-5"];
 
 /// Requests a second that each engine takes from all machines together.
 const LIMIT: &str = "0.5";
 
-/// Time until an engine in need begins to write an answer.
-const FIRST_TOKEN: Duration = Duration::from_millis(900);
+/// Time until an engine begins to write an answer, and one in need.
+const FIRST_TOKEN: Duration = Duration::from_millis(400);
+const LATE_FIRST_TOKEN: Duration = Duration::from_millis(900);
+
+/// Time after which a client leaves: half of the objective.
+const PATIENCE: Duration = Duration::from_millis(250);
 
 /// Time until an engine that has crashed is back.
 const BACK: Duration = Duration::from_millis(2500);
 
-/// Time between two requests with the part, and between two sound ones.
-const INTERVAL: Duration = Duration::from_millis(6000);
-const SOUND_INTERVAL: Duration = Duration::from_millis(1000);
-
 /// Time for which requests come.
 const LENGTH: Duration = Duration::from_secs(85);
 
@@ -43,7 +43,43 @@
 const BINDING_CRASH: usize = 5;
 const ALLOWED: usize = 3;
 
+/// What comes beside the part.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Beside {
+    /// Engines in need name a limit, and begin late.
+    Limit,
+    /// The clients of requests with the part leave before the first token.
+    Leaving,
+}
+
+impl Beside {
+    /// Returns the number of engines.
+    fn engines(self) -> usize {
+        match self {
+            Self::Limit => 4,
+            Self::Leaving => 5,
+        }
+    }
+
+    /// Returns the time between two requests with the part, and between two sound ones.
+    fn intervals(self) -> (Duration, Duration) {
+        match self {
+            Self::Limit => (Duration::from_millis(6000), Duration::from_millis(1000)),
+            Self::Leaving => (Duration::from_millis(3000), Duration::from_millis(500)),
+        }
+    }
+
+    /// Returns the time until an engine begins to write an answer.
+    fn first_token(self) -> Duration {
+        match self {
+            Self::Limit => LATE_FIRST_TOKEN,
+            Self::Leaving => FIRST_TOKEN,
+        }
+    }
+}
+
 struct World {
+    beside: Beside,
     record: Record,
     arrivals: Mutex<Vec<Instant>>,
     crashes: Mutex<Vec<Instant>>,
@@ -51,12 +87,13 @@
 }
 
 /// Runs the case.
-pub fn run(folder: &Path, work: &Path, is_troubled: bool) -> Verdict {
+pub fn run(folder: &Path, work: &Path, is_troubled: bool, beside: Beside) -> Verdict {
     let deployment = Deployment::start(folder, work);
     let record = deployment.record.clone();
     let (arrivals, crashes) = (Mutex::default(), Mutex::default());
-    let world = Arc::new(World { record: record.clone(), arrivals, crashes, is_troubled });
-    for n in 1..=ENGINES {
+    let world = Arc::new(World { beside, record: record.clone(), arrivals, crashes, is_troubled });
+    let (interval, sound_interval) = beside.intervals();
+    for n in 1..=beside.engines() {
         let engine = deployment.model_engine(&format!("i-{n}"), handler(&world));
         keep_running(engine, &deployment, &world);
     }
@@ -69,7 +106,7 @@
     let callers: Vec<SocketAddr> = entries.iter().map(|entry| entry.callers).collect();
     let served = Arc::new(AtomicU32::new(0));
     let is_over = Arc::new(AtomicBool::new(false));
-    let sound = ask_sound(&callers, &record, &served, &is_over);
+    let sound = ask_sound(&callers, sound_interval, &record, &served, &is_over);
     thread::sleep(Duration::from_secs(8));
     let began = Instant::now();
     let mut number = 0_u32;
@@ -77,12 +114,19 @@
         let id = format!("p{number:03}");
         let parts = format!("aa01:40,{PART}:30,{number:x}1:20");
         let (callers, record) = (callers[number as usize % 2], record.clone());
+        let leaves = is_troubled && beside == Beside::Leaving;
         thread::spawn(move || {
-            let answer = client::stream(callers, &format!("/notes/{id}"), &id, &parts);
+            let path = format!("/notes/{id}");
+            if leaves {
+                client::leave(callers, &path, &id, &parts, PATIENCE);
+                record.line(format!("the client of {id} has left"));
+                return;
+            }
+            let answer = client::stream(callers, &path, &id, &parts);
             record.line(format!("answered {id}: status {}", answer.status));
         });
         number += 1;
-        thread::sleep((INTERVAL * number).saturating_sub(began.elapsed()));
+        thread::sleep((interval * number).saturating_sub(began.elapsed()));
     }
     is_over.store(true, Ordering::SeqCst);
     let _ = sound.join();
@@ -107,6 +151,7 @@
 /// Asks for sound streams at an interval, until that is over.
 fn ask_sound(
     callers: &[SocketAddr],
+    interval: Duration,
     record: &Record,
     served: &Arc<AtomicU32>,
     is_over: &Arc<AtomicBool>,
@@ -126,7 +171,7 @@
                 served.fetch_add(u32::from(answer.is_complete), Ordering::SeqCst);
             });
             number += 1;
-            thread::sleep(SOUND_INTERVAL);
+            thread::sleep(interval);
         }
     })
 }
@@ -161,8 +206,8 @@
         if !begin(call, &world) {
             return false;
         }
-        thread::sleep(FIRST_TOKEN);
-        if !call.engine.is_alive() {
+        let has_left = call.is_closed_within(world.beside.first_token());
+        if !call.engine.is_alive() || has_left && !STUBBORN.contains(&engine.as_str()) {
             return false;
         }
         world.crashes.lock().expect("lock the crashes").push(Instant::now());
@@ -174,7 +219,8 @@
 
 /// Sends the head of an answer, in which an engine in need names its limit.
 fn begin(call: &mut Call<'_>, world: &World) -> bool {
-    let limit = if world.is_troubled { format!("Server-Limit: {LIMIT}\r\n") } else { String::new() };
+    let names_limit = world.is_troubled && world.beside == Beside::Limit;
+    let limit = if names_limit { format!("Server-Limit: {LIMIT}\r\n") } else { String::new() };
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}{limit}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
         call.proof()
@@ -187,7 +233,7 @@
     if !begin(call, world) {
         return false;
     }
-    thread::sleep(FIRST_TOKEN);
+    thread::sleep(world.beside.first_token());
     for piece in 1..=12 {
         thread::sleep(Duration::from_millis(100));
         let event = format!("id: {piece}\ndata: {id}-{piece}\n\n");
--- a/review/standin-3/cases/torn.rs
+++ b/review/standin-3/cases/torn.rs
@@ -47,9 +47,8 @@
     let record = deployment.record.clone();
     let count = Arc::new(AtomicU32::new(0));
     let spoilt = Arc::new(Mutex::new(BTreeSet::new()));
-    let _engines = ["i-1", "i-2", "i-3"].map(|id| {
-        deployment.model_engine(id, handler(&record, &count, &spoilt, is_troubled, cut))
-    });
+    let _engines = ["i-1", "i-2", "i-3"]
+        .map(|id| deployment.model_engine(id, handler(&record, &count, &spoilt, is_troubled, cut)));
     let entry = deployment.entry("entry-1");
     if !entry.is_ready() {
         record.say("the entry is not ready");
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
 use std::time::Duration;
 
 use crate::deployment::{HOST, KEY};
@@ -68,18 +69,7 @@
     parts: &str,
     stream: &mut Stream,
 ) -> std::io::Result<()> {
-    let body = b"prompt";
-    let more = format!(
-        "Oriolelanding-Model: m0\r\nOriolelanding-Token-Usage: 40,80\r\n\
-         Oriolelanding-Prompt-Prefix: {parts}\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let head = request("POST", path, id, 20_000, &more);
-    let mut socket = TcpStream::connect_timeout(&entry, Duration::from_secs(1))?;
-    socket.set_nodelay(true)?;
-    socket.set_read_timeout(Some(READ_TIME))?;
-    socket.write_all(&[head.as_bytes(), body].concat())?;
-    let mut read = BufReader::new(socket);
+    let mut read = BufReader::new(ask_stream(entry, path, id, parts)?);
     let Some(head) = http::head(&mut read)? else { return Ok(()) };
     stream.status = head.status();
     if stream.status != 200 {
@@ -101,6 +91,29 @@
     Ok(())
 }
 
+/// Asks for a stream, and leaves after some time whatever has come.
+pub fn leave(entry: SocketAddr, path: &str, id: &str, parts: &str, patience: Duration) {
+    if let Ok(socket) = ask_stream(entry, path, id, parts) {
+        thread::sleep(patience);
+        drop(socket);
+    }
+}
+
+fn ask_stream(entry: SocketAddr, path: &str, id: &str, parts: &str) -> std::io::Result<TcpStream> {
+    let body = b"prompt";
+    let more = format!(
+        "Oriolelanding-Model: m0\r\nOriolelanding-Token-Usage: 40,80\r\n\
+         Oriolelanding-Prompt-Prefix: {parts}\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let head = request("POST", path, id, 20_000, &more);
+    let mut socket = TcpStream::connect_timeout(&entry, Duration::from_secs(1))?;
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(READ_TIME))?;
+    socket.write_all(&[head.as_bytes(), body].concat())?;
+    Ok(socket)
+}
+
 fn pieces(bytes: &[u8]) -> Vec<Piece> {
     let text = String::from_utf8_lossy(bytes).replace("\r\n", "\n");
     let blocks = text.split("\n\n").filter(|block| !block.trim().is_empty());
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -1,11 +1,11 @@
 //! Engines: model engines that hold all layers, and engines of a plain service.
 
-use std::io::{BufReader, Write};
+use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{self, Head};
 use crate::store::Store;
@@ -54,6 +54,16 @@
         self.stream.write_all(bytes).is_ok()
     }
 
+    /// Waits for a time, and returns whether the connection has been closed meanwhile.
+    pub fn is_closed_within(&self, time: Duration) -> bool {
+        let until = Instant::now() + time;
+        let _ = self.stream.set_read_timeout(Some(time));
+        let is_closed = !matches!(self.stream.peek(&mut [0]), Err(error) if is_timeout(&error));
+        let _ = self.stream.set_read_timeout(None);
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+        is_closed
+    }
+
     /// Answers with a complete body.
     pub fn answer(&mut self, status: &str, more: &str, body: &[u8]) -> bool {
         let proof = self.proof();
@@ -236,6 +246,10 @@
     }
 }
 
+fn is_timeout(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+}
+
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
 }
--- a/review/standin-3/entry.rs
+++ b/review/standin-3/entry.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
 use std::thread;
@@ -33,13 +33,9 @@
 
 /// A running entry, which is killed when this is dropped.
 pub struct Entry {
-    /// Its name.
-    pub name: String,
     /// Where it takes requests of clients.
     pub callers: SocketAddr,
     ready: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
     child: Child,
 }
 
@@ -73,32 +69,14 @@
         fs::write(&settings, text).expect("write the settings of an entry");
         let log = folder.join(format!("{name}.log"));
         let child = spawn(&settings, &log);
-        Self { name: name.to_owned(), callers, ready, settings, log, child }
-    }
-
-    /// Returns the id of its process.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal to its process.
-    pub fn signal(&self, name: &str) {
-        let pid = self.pid().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid]).status();
+        Self { callers, ready, child }
     }
 
     /// Returns whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
+    fn has_ended(&mut self) -> bool {
         self.child.try_wait().ok().flatten().is_some()
     }
 
-    /// Starts the process again with the same settings, after it has ended.
-    pub fn restart(&mut self) {
-        self.end();
-        self.child = spawn(&self.settings, &self.log);
-        self.wait_until_ready();
-    }
-
     /// Returns whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let request = b"GET /v1/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
@@ -107,7 +85,7 @@
     }
 
     /// Waits until it is ready, for a bounded time. Returns whether it is.
-    pub fn wait_until_ready(&mut self) -> bool {
+    fn wait_until_ready(&mut self) -> bool {
         let began = Instant::now();
         while began.elapsed() < START_TIME && !self.has_ended() {
             if self.is_ready() {
@@ -121,7 +99,7 @@
     fn end(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let pid = self.pid();
+        let pid = self.child.id();
         RUNNING.lock().expect("lock the processes").retain(|running| *running != pid);
     }
 }
@@ -147,4 +125,3 @@
     let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
     listeners.map(|listener| listener.local_addr().expect("address of a free port"))
 }
-
--- a/review/standin-3/http.rs
+++ b/review/standin-3/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages over blocking sockets: reading, and what the stand-ins need to write.
 
-use std::io::{self, BufRead, BufReader, Read as _, Write};
+use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -19,11 +19,6 @@
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
-    /// Returns the method of a request.
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     /// Returns the path of a request, without its query.
     pub fn path(&self) -> &str {
         self.target().split('?').next().unwrap_or_default()
@@ -93,7 +88,7 @@
 
 /// Reads the body of a request.
 pub fn request_body(read: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
-    body(read, head, 0)
+    body(read, head)
 }
 
 /// Reads the whole body of a response; fails if it ends early.
@@ -103,16 +98,16 @@
         read.read_to_end(&mut all)?;
         return Ok(all);
     }
-    body(read, head, 0)
+    body(read, head)
 }
 
-fn body(read: &mut impl BufRead, head: &Head, default: usize) -> io::Result<Vec<u8>> {
+fn body(read: &mut impl BufRead, head: &Head) -> io::Result<Vec<u8>> {
     let mut all = vec![];
     if head.is_chunked() {
         while chunk(read, &mut all)? {}
         return Ok(all);
     }
-    let length = head.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(default);
+    let length = head.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
     all.resize(length, 0);
     read.read_exact(&mut all)?;
     Ok(all)
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -130,7 +130,10 @@
         let (has_more, page) = (found.len() > PAGE, found.len().min(PAGE));
         let items = found[..page].join(",");
         let as_of = data.revision;
-        http::json("200 OK", &format!(r#"{{"items":[{items}],"has_more":{has_more},"as_of":{as_of}}}"#))
+        http::json(
+            "200 OK",
+            &format!(r#"{{"items":[{items}],"has_more":{has_more},"as_of":{as_of}}}"#),
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Vec<u8> {
