--- a/review/standin-3/cases/lapse.rs
+++ b/review/standin-3/cases/lapse.rs
@@ -66,8 +66,8 @@
     thread::sleep(BEFORE);
     if is_troubled {
         record.line(format!("{} is cut off from the store", engines[CUT_ENGINE].id));
-        engines[CUT_ENGINE].cut_from_store(&deployment.store, CUT);
-        record.line(format!("{} is registered again", engines[CUT_ENGINE].id));
+        let gone = engines[CUT_ENGINE].cut_from_store(&deployment.store, CUT);
+        record.line(format!("{} is registered again, after {gone:?}", engines[CUT_ENGINE].id));
     } else {
         thread::sleep(CUT);
     }
--- a/review/standin-3/engine.rs
+++ b/review/standin-3/engine.rs
@@ -11,10 +11,13 @@
 use crate::store::Store;
 
 /// Interval at which an engine writes its registration.
-const HEARTBEAT: Duration = Duration::from_millis(1000);
+const HEARTBEAT: Duration = Duration::from_millis(1200);
 
-/// Silence after which the platform removes a registration: three heartbeat intervals.
-const EXPIRY: Duration = Duration::from_millis(3600);
+/// Heartbeat intervals of silence after which the platform removes a registration.
+const EXPIRY_HEARTBEATS: u32 = 3;
+
+/// Time before a heartbeat at which an engine is cut off.
+const BEFORE_HEARTBEAT: Duration = Duration::from_millis(50);
 
 /// Interval at which a listener looks whether its engine has ended.
 const ACCEPT_STEP: Duration = Duration::from_millis(2);
@@ -89,6 +92,7 @@
     service: String,
     has_model: bool,
     beats: Arc<AtomicU64>,
+    beat_at: Arc<Mutex<Instant>>,
     is_alive: Arc<AtomicBool>,
     is_cut: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
@@ -114,6 +118,7 @@
             service: service.to_owned(),
             has_model,
             beats: Arc::default(),
+            beat_at: Arc::new(Mutex::new(Instant::now())),
             is_alive: flag(true),
             is_cut: flag(false),
             open: Arc::default(),
@@ -144,17 +149,21 @@
         }
     }
 
-    /// Cuts it off from the store for a time: its registration goes after three heartbeat intervals, and comes
-    /// back at the end.
-    pub fn cut_from_store(&self, store: &Store, time: Duration) {
+    /// Cuts it off from the store for a time, from just before a heartbeat: its registration goes three heartbeat
+    /// intervals after the last one, and comes back at the end. Returns for how long it was gone.
+    pub fn cut_from_store(&self, store: &Store, time: Duration) -> Duration {
+        let last = *self.beat_at.lock().expect("lock the heartbeat");
+        let begin = last + HEARTBEAT - BEFORE_HEARTBEAT;
+        thread::sleep(begin.saturating_duration_since(Instant::now()));
         self.is_cut.store(true, Ordering::SeqCst);
-        thread::sleep(EXPIRY.min(time));
-        if time > EXPIRY {
-            store.remove(&format!("servers/{}", self.id));
-            thread::sleep(time - EXPIRY);
-        }
+        let expiry = last + HEARTBEAT * EXPIRY_HEARTBEATS;
+        thread::sleep(expiry.saturating_duration_since(Instant::now()));
+        store.remove(&format!("servers/{}", self.id));
+        let removed = Instant::now();
+        thread::sleep((begin + time).saturating_duration_since(Instant::now()));
         self.is_cut.store(false, Ordering::SeqCst);
         self.register(store);
+        removed.elapsed()
     }
 
     fn register(&self, store: &Store) {
@@ -162,6 +171,7 @@
             return;
         }
         let beat = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
+        *self.beat_at.lock().expect("lock the heartbeat") = Instant::now();
         let Self { service, address, born, .. } = self;
         let model = if self.has_model { self.model() } else { String::new() };
         let slots = if self.has_model { 192 } else { 6 };
